--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,58 @@
+import { configs, plugins } from 'eslint-config-airbnb-extended';
+import prettier from 'eslint-config-prettier';
+
+export default [
+  { ignores: ['dist/**', 'node_modules/**', 'bench/results/**'] },
+  plugins.stylistic,
+  plugins.importX,
+  ...configs.base.recommended,
+  plugins.node,
+  ...configs.node.recommended,
+  plugins.typescriptEslint,
+  ...configs.base.typescript,
+  prettier,
+  {
+    rules: {
+      // House style: explicit .js import paths, as Node's ESM needs them.
+      'import-x/extensions': ['error', 'ignorePackages', { ts: 'never', js: 'always' }],
+      // One concept per file with named exports; entry files re-export by name.
+      'import-x/prefer-default-export': 'off',
+      // House style: one task per connection, written straight down, so it awaits in loops.
+      'no-await-in-loop': 'off',
+      'no-restricted-syntax': 'off',
+      // A task's loop ends by its signal or by return.
+      'no-constant-condition': ['error', { checkLoops: false }],
+      'no-continue': 'off',
+      // Abstract classes with trivial stand-in methods do not all need `this`.
+      'class-methods-use-this': 'off',
+      // A task that is owned elsewhere is started with `void`.
+      'no-void': ['error', { allowAsStatement: true }],
+      // Counters are the hot path.
+      'no-plusplus': 'off',
+      'no-bitwise': 'off',
+      // Small error classes stand beside the one function that throws them.
+      'max-classes-per-file': 'off',
+      // Types are hoisted; helpers live below their one user.
+      'no-use-before-define': 'off',
+      '@typescript-eslint/no-use-before-define': 'off',
+      // A schema and the type inferred from it share one name.
+      '@typescript-eslint/no-redeclare': 'off',
+    },
+  },
+  {
+    files: ['src/test/**', '*.js'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      'no-unused-expressions': 'off',
+      '@typescript-eslint/no-unused-expressions': 'off',
+    },
+  },
+  {
+    files: ['src/bench/**'],
+    rules: {
+      'import-x/no-extraneous-dependencies': 'off',
+      // The bench prints its results.
+      'no-console': 'off',
+    },
+  },
+];
--- /dev/null
+++ b/src/configuration/configuration.ts
@@ -0,0 +1,92 @@
+import { createHash } from 'node:crypto';
+import {
+  type Change,
+  type Kind,
+  type Resource,
+  type ResourceKey,
+  resourceKey,
+} from '../contracts.js';
+import { digestOf, GENESIS } from './digest.js';
+
+interface Held {
+  readonly resource: Resource;
+  readonly digest: string;
+}
+
+/** An immutable set of resources at one version. */
+export class Configuration {
+  static readonly empty = new Configuration(0, GENESIS, new Map());
+
+  /** Derived data, such as compiled routes, kept as long as the configuration itself. */
+  readonly derived = new Map<symbol, unknown>();
+
+  private constructor(
+    readonly number: number,
+    readonly digest: string,
+    private readonly held: ReadonlyMap<ResourceKey, Held>,
+  ) {}
+
+  static of(number: number, digest: string, resources: Iterable<Resource>): Configuration {
+    return new Configuration(number, digest, hold(new Map(), { put: [...resources], remove: [] }));
+  }
+
+  get size(): number {
+    return this.held.size;
+  }
+
+  get(key: ResourceKey): Resource | undefined {
+    return this.held.get(key)?.resource;
+  }
+
+  /** The resource of that kind and name, typed by its kind. */
+  find<K extends Kind>(kind: K, name: string): Extract<Resource, { kind: K }> | undefined {
+    return this.held.get(`${kind}/${name}`)?.resource as Extract<Resource, { kind: K }> | undefined;
+  }
+
+  *all<K extends Kind>(kind: K): Generator<Extract<Resource, { kind: K }>> {
+    for (const { resource } of this.held.values()) {
+      if (resource.kind === kind) yield resource as Extract<Resource, { kind: K }>;
+    }
+  }
+
+  /** All resources in key order. */
+  resources(): Resource[] {
+    return [...this.held.keys()].sort().map((key) => this.held.get(key)!.resource);
+  }
+
+  /** The configuration after `change`, as the next version, with its digest worked out. */
+  next(change: Change): Configuration {
+    const held = hold(this.held, change);
+    const number = this.number + 1;
+    return new Configuration(number, chain(number, this.digest, stateDigest(held)), held);
+  }
+
+  /** Whether the resources are those that the digest was worked out over. */
+  matches(parent: string): boolean {
+    return chain(this.number, parent, stateDigest(this.held)) === this.digest;
+  }
+
+  /** Digest over the resources alone, whatever the version. */
+  get state(): string {
+    return stateDigest(this.held);
+  }
+}
+
+function hold(before: ReadonlyMap<ResourceKey, Held>, change: Change): Map<ResourceKey, Held> {
+  const held = new Map(before);
+  for (const key of change.remove) held.delete(key);
+  for (const resource of change.put) {
+    held.set(resourceKey(resource), { resource, digest: digestOf(resource) });
+  }
+  return held;
+}
+
+function chain(number: number, parent: string, state: string): string {
+  return digestOf({ number, parent, state });
+}
+
+function stateDigest(held: ReadonlyMap<ResourceKey, Held>): string {
+  const hash = createHash('sha256');
+  for (const key of [...held.keys()].sort()) hash.update(`${key}=${held.get(key)!.digest}\n`);
+  return hash.digest('hex');
+}
--- /dev/null
+++ b/src/configuration/digest.ts
@@ -0,0 +1,16 @@
+/** Digests of resources, configurations and versions: SHA-256 over canonical JSON, in hex. */
+import { createHash } from 'node:crypto';
+import { configure } from 'safe-stable-stringify';
+
+const stringify = configure({ deterministic: true });
+
+export function canonical(value: unknown): string {
+  return stringify(value) ?? 'null';
+}
+
+export function digestOf(value: unknown): string {
+  return createHash('sha256').update(canonical(value)).digest('hex');
+}
+
+/** Digest of version 0, the empty configuration that every chain starts from. */
+export const GENESIS = digestOf('barleyhaven');
--- /dev/null
+++ b/src/configuration/validate.ts
@@ -0,0 +1,77 @@
+/** The checks a configuration must pass: in the tool, at acceptance and at every proxy. */
+import { type Route, type Rule } from '../contracts.js';
+import { type Configuration } from './configuration.js';
+
+/** One thing that is wrong, and where. */
+export interface Problem {
+  /** Such as `route/menus.upstream`. */
+  readonly path: string;
+  readonly message: string;
+}
+
+/** Most resources of a configuration that proxies are sized for. */
+export const MAX_RESOURCES = 20_000;
+
+/** Every problem of the configuration; an empty list means it may be put in force. */
+export function validate(configuration: Configuration): Problem[] {
+  const problems: Problem[] = [];
+  if (configuration.size > MAX_RESOURCES) {
+    problems.push({
+      path: 'configuration',
+      message: `holds ${configuration.size} resources, at most ${MAX_RESOURCES} are allowed`,
+    });
+  }
+  const everywhere = [...configuration.all('rule')].filter((rule) => rule.everywhere);
+  for (const route of configuration.all('route')) {
+    problems.push(
+      ...danglingReferences(configuration, route),
+      ...brokenRules(configuration, route, everywhere),
+    );
+  }
+  return problems;
+}
+
+function danglingReferences(configuration: Configuration, route: Route): Problem[] {
+  const problems: Problem[] = [];
+  const expect = (field: string, key: string) => {
+    if (configuration.get(key)) return;
+    problems.push({
+      path: `route/${route.name}.${field}`,
+      message: `${key} is not held in the same version`,
+    });
+  };
+  expect('upstream', `upstream/${route.upstream}`);
+  if (route.limit) expect('limit', `limit/${route.limit}`);
+  route.rules.forEach((rule, index) => expect(`rules.${index}`, `rule/${rule}`));
+  return problems;
+}
+
+function brokenRules(
+  configuration: Configuration,
+  route: Route,
+  everywhere: readonly Rule[],
+): Problem[] {
+  const listed = route.rules.map((name) => configuration.find('rule', name));
+  const rules = new Set([...everywhere, ...listed.filter((rule) => rule !== undefined)]);
+  return [...rules].flatMap((rule) => breaches(route, rule));
+}
+
+function breaches(route: Route, rule: Rule): Problem[] {
+  const problems: Problem[] = [];
+  const breach = (field: string, message: string) =>
+    problems.push({
+      path: `route/${route.name}.${field}`,
+      message: `rule ${rule.name}: ${message}`,
+    });
+  if (rule.requireLimit && !route.limit) breach('limit', 'the route must name a limit');
+  if (rule.maxTimeoutMs !== undefined && route.timeoutMs > rule.maxTimeoutMs) {
+    breach('timeoutMs', `must be at most ${rule.maxTimeoutMs}`);
+  }
+  if (rule.requireNotRepeatable && route.repeatable !== false) {
+    breach('repeatable', 'the route must be marked repeatable: false');
+  }
+  if (rule.requireKey && !route.requireKey) {
+    breach('requireKey', 'the route must insist on an Idempotency-Key');
+  }
+  return problems;
+}
--- /dev/null
+++ b/src/contracts.ts
@@ -0,0 +1,7 @@
+/** The contracts between processes, operators and the platform. */
+export * from './contracts/member.js';
+export * from './contracts/message.js';
+export * from './contracts/note.js';
+export * from './contracts/resource.js';
+export * from './contracts/verdict.js';
+export * from './contracts/version.js';
--- /dev/null
+++ b/src/contracts/member.ts
@@ -0,0 +1,39 @@
+/** Membership: what processes know of each other. It is not configuration. */
+import { z } from 'zod';
+import { Name } from './resource.js';
+
+/** How willing the upstream instance beside a process is to take work. */
+export const EndpointState = z.enum(['cold', 'ready', 'draining', 'down']);
+export type EndpointState = z.infer<typeof EndpointState>;
+
+/** One instance of an upstream, as its process announces it. */
+export const Endpoint = z.strictObject({
+  upstream: Name,
+  state: EndpointState,
+  /** Requests it can run at a time. */
+  slots: z.number().int().min(1),
+});
+export type Endpoint = z.infer<typeof Endpoint>;
+
+export const Liveness = z.enum(['alive', 'suspect', 'dead', 'left']);
+export type Liveness = z.infer<typeof Liveness>;
+
+/** One process of the system. The higher (incarnation, sequence) is the newer statement. */
+export const Member = z.strictObject({
+  instance: z.string().min(1),
+  dataCentre: z.string().min(1),
+  host: z.string(),
+  /** Links between processes. */
+  linkPort: z.number().int(),
+  /** Requests for the upstream beside it. */
+  guardPort: z.number().int(),
+  /** Operators' port. */
+  operatorsPort: z.number().int(),
+  /** Start of the process, in milliseconds since the epoch; raised to refute a suspicion. */
+  incarnation: z.number(),
+  /** Raised by the member itself with every change of its endpoint. */
+  sequence: z.number().int(),
+  liveness: Liveness,
+  endpoint: Endpoint.optional(),
+});
+export type Member = z.infer<typeof Member>;
--- /dev/null
+++ b/src/contracts/note.ts
@@ -0,0 +1,47 @@
+/** Release notes, as operators write them (YAML or JSON). */
+import { z } from 'zod';
+import { Limit, Name, Route, Rule, Upstream } from './resource.js';
+
+const Section = z.strictObject({
+  upstreams: z.array(Upstream.omit({ kind: true })).default([]),
+  routes: z.array(Route.omit({ kind: true })).default([]),
+  limits: z.array(Limit.omit({ kind: true })).default([]),
+  rules: z.array(Rule.omit({ kind: true })).default([]),
+});
+export type Section = z.infer<typeof Section>;
+
+const Withdrawal = z.strictObject({
+  upstreams: z.array(Name).default([]),
+  routes: z.array(Name).default([]),
+  limits: z.array(Name).default([]),
+  rules: z.array(Name).default([]),
+});
+
+/**
+ * What one release note adds, changes and withdraws.
+ *
+ * @example
+ * ```yaml
+ * id: 2026-12-suppers
+ * author: dana
+ * add:
+ *   upstreams: [{ name: listings }]
+ *   routes: [{ name: menus, pathPrefix: /menus, upstream: listings }]
+ * ```
+ */
+export const ReleaseNote = z.strictObject({
+  /** Chosen by the operator; submitting the same note again changes nothing. */
+  id: Name,
+  author: z.string().min(1).max(200),
+  title: z.string().max(500).optional(),
+  /** The version the author looked at. Later changes to the same resources are a conflict. */
+  base: z.number().int().min(0).optional(),
+  /** Resources that must not be held yet. */
+  add: Section.prefault({}),
+  /** Resources that must be held already; each is replaced whole. */
+  change: Section.prefault({}),
+  /** Names of resources that must be held and will not be any more. */
+  withdraw: Withdrawal.prefault({}),
+});
+export type ReleaseNote = z.infer<typeof ReleaseNote>;
+export type ReleaseNoteInput = z.input<typeof ReleaseNote>;
--- /dev/null
+++ b/src/contracts/version.ts
@@ -0,0 +1,56 @@
+/** Versions of the configuration: what is accepted, stored and distributed. */
+import { z } from 'zod';
+import { Resource, ResourceKey } from './resource.js';
+
+export const Digest = z.string().regex(/^[0-9a-f]{64}$/);
+
+/** Resources to hold from now on, and keys of resources to hold no longer. */
+export const Change = z.strictObject({
+  put: z.array(Resource),
+  remove: z.array(ResourceKey),
+});
+export type Change = z.infer<typeof Change>;
+
+/** The part of a version that every proxy receives and checks. */
+export const Version = z.strictObject({
+  number: z.number().int().min(1),
+  /** Digest of version `number - 1`; of the empty configuration for version 1. */
+  parent: Digest,
+  /** Digest over number, parent and the whole resulting configuration. */
+  digest: Digest,
+  /** Id of the release note that made it. */
+  note: z.string(),
+  /** Instant of acceptance by the accepting process, in milliseconds since the epoch. */
+  acceptedAt: z.number(),
+  change: Change,
+});
+export type Version = z.infer<typeof Version>;
+
+export const Action = z.enum(['submit', 'amend', 'withdraw']);
+export type Action = z.infer<typeof Action>;
+
+/** One entry of the log in the platform: the version and how it came to be. Immutable. */
+export const VersionRecord = z.strictObject({
+  version: Version,
+  action: Action,
+  author: z.string(),
+  /** Drawn by the writer; tells its own record from a rival's after a lost answer. */
+  nonce: z.string(),
+  /** Digest of the release note as submitted, which makes submission idempotent. */
+  content: Digest,
+  /** What restores the state from before the note. */
+  undo: Change,
+  /** Keys of stored parts when the change does not fit into one value. */
+  parts: z.array(z.string()).optional(),
+});
+export type VersionRecord = z.infer<typeof VersionRecord>;
+
+/** A whole configuration at one version. */
+export const Snapshot = z.strictObject({
+  number: z.number().int().min(0),
+  digest: Digest,
+  note: z.string(),
+  acceptedAt: z.number(),
+  resources: z.array(Resource),
+});
+export type Snapshot = z.infer<typeof Snapshot>;
--- /dev/null
+++ b/src/standins/platform_store.ts
@@ -0,0 +1,181 @@
+/** Stand-in for the platform's object API, in memory, with the faults the real one has. */
+import { OutcomeError } from '../contracts.js';
+import { Platform, type Range, type Stored, MAX_VALUE_BYTES } from '../platform/platform.js';
+import { type Clock } from '../runtime/clock.js';
+
+/** How the stand-in misbehaves. All can be set while it runs. */
+export interface Faults {
+  /** Every call fails and nothing takes effect. */
+  down: boolean;
+  /** Every call takes this much longer, in milliseconds. */
+  slowMs: number;
+  /** So many of the next writes take effect and then lose their answer. */
+  loseAnswers: number;
+}
+
+/** How often each kind of call was made; a waiting watch counts as one. */
+export interface Calls {
+  reads: number;
+  writes: number;
+  watches: number;
+}
+
+interface Waiter {
+  readonly range: Range;
+  readonly wake: () => void;
+}
+
+export class PlatformStore extends Platform {
+  readonly faults: Faults = { down: false, slowMs: 0, loseAnswers: 0 };
+
+  readonly calls: Calls = { reads: 0, writes: 0, watches: 0 };
+
+  readonly #values = new Map<string, Stored>();
+
+  #sortedKeys: string[] | undefined = [];
+
+  readonly #waiters = new Set<Waiter>();
+
+  #revision = 0;
+
+  constructor(private readonly clock: Clock) {
+    super();
+  }
+
+  async get(key: string, deadline: number): Promise<Stored | undefined> {
+    this.calls.reads += 1;
+    await this.#admit(deadline);
+    return this.#values.get(key);
+  }
+
+  async list(range: Range, deadline: number): Promise<Stored[]> {
+    this.calls.reads += 1;
+    await this.#admit(deadline);
+    return this.#match(range);
+  }
+
+  async create(key: string, value: string, deadline: number): Promise<Stored | undefined> {
+    this.calls.writes += 1;
+    await this.#admit(deadline);
+    const stored = this.#values.has(key) ? undefined : this.#put(key, value);
+    return this.#answer(stored);
+  }
+
+  async update(
+    key: string,
+    value: string,
+    revision: number,
+    deadline: number,
+  ): Promise<Stored | undefined> {
+    this.calls.writes += 1;
+    await this.#admit(deadline);
+    const current = this.#values.get(key)?.revision === revision;
+    return this.#answer(current ? this.#put(key, value) : undefined);
+  }
+
+  async remove(key: string, revision: number, deadline: number): Promise<boolean> {
+    this.calls.writes += 1;
+    await this.#admit(deadline);
+    const current = this.#values.get(key)?.revision === revision;
+    if (current) {
+      this.#values.delete(key);
+      this.#sortedKeys = undefined;
+    }
+    return this.#answer(current);
+  }
+
+  async watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
+    this.calls.watches += 1;
+    await this.#admit(deadline);
+    while (this.clock.now() < deadline && !signal?.aborted) {
+      const found = this.#match(range);
+      if (found.length > 0) return found;
+      await this.#change(range, deadline, signal);
+      if (this.faults.down) throw unavailable();
+    }
+    return [];
+  }
+
+  /** Wakes waiting watches, so that those begun before an outage see it. */
+  disturb(): void {
+    for (const waiter of [...this.#waiters]) waiter.wake();
+  }
+
+  async #change(range: Range, deadline: number, signal?: AbortSignal): Promise<void> {
+    const woken = new AbortController();
+    const waiter: Waiter = { range, wake: () => woken.abort() };
+    this.#waiters.add(waiter);
+    const either = signal ? AbortSignal.any([signal, woken.signal]) : woken.signal;
+    await this.clock.sleepUntil(deadline, either);
+    this.#waiters.delete(waiter);
+  }
+
+  async #admit(deadline: number): Promise<void> {
+    const { slowMs } = this.faults;
+    const until = Math.min(this.clock.now() + slowMs, deadline);
+    if (slowMs > 0) await this.clock.sleepUntil(until);
+    if (this.faults.down) throw unavailable();
+    if (slowMs > 0 && until >= deadline) throw timedOut();
+  }
+
+  #answer<T>(result: T): T {
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers -= 1;
+      throw timedOut();
+    }
+    return result;
+  }
+
+  #put(key: string, value: string): Stored {
+    if (Buffer.byteLength(value) > MAX_VALUE_BYTES) {
+      throw new OutcomeError(`value of ${key} is over ${MAX_VALUE_BYTES} bytes`, {
+        verdict: 'not-run',
+        reason: 'too-large',
+      });
+    }
+    this.#revision += 1;
+    const stored = { key, value, revision: this.#revision };
+    if (!this.#values.has(key)) this.#sortedKeys = undefined;
+    this.#values.set(key, stored);
+    for (const waiter of [...this.#waiters]) {
+      if (key.startsWith(waiter.range.prefix)) waiter.wake();
+    }
+    return stored;
+  }
+
+  #match(range: Range): Stored[] {
+    this.#sortedKeys ??= [...this.#values.keys()].sort();
+    const { prefix, after, limit = Infinity } = range;
+    const found: Stored[] = [];
+    const from = firstAfter(this.#sortedKeys, after !== undefined && after >= prefix ? after : '');
+    for (let index = from; index < this.#sortedKeys.length && found.length < limit; index++) {
+      const key = this.#sortedKeys[index]!;
+      if (key.startsWith(prefix)) found.push(this.#values.get(key)!);
+      else if (key > prefix) break;
+    }
+    return found;
+  }
+}
+
+/** Index of the first key that sorts after `key`, by binary search. */
+function firstAfter(keys: readonly string[], key: string): number {
+  let low = 0;
+  let high = keys.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (keys[middle]! <= key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+function unavailable(): OutcomeError {
+  return new OutcomeError('platform unavailable', { verdict: 'not-run', reason: 'unavailable' });
+}
+
+function timedOut(): OutcomeError {
+  return new OutcomeError('no answer from the platform', {
+    verdict: 'may-have-run',
+    reason: 'timeout',
+  });
+}
