Amend, withdraw and check release notes

Cause: only `submit` was there; an accepted note could be neither amended nor taken back, a bad text never reached the daemon, and an answer lost between tool and daemon ended like any failure.

An amendment takes back the earlier effect and puts the new content in its place as one version; a withdrawal restores what was before the note. Both conflict, by resource, where a resource is no longer as the note left it. Handing in the same again is answered from the log, also after later amendments. `check` evaluates against the head without a write.

--- a/src/contracts/note.ts
+++ b/src/contracts/note.ts
@@ -2,6 +2,9 @@
 import { z } from 'zod';
 import { Limit, Name, Route, Rule, Upstream } from './resource.js';
 
+/** Longest text of a release note, in bytes. */
+export const MAX_NOTE_BYTES = 4 * 1024 * 1024;
+
 const Section = z.strictObject({
   upstreams: z.array(Upstream.omit({ kind: true })).default([]),
   routes: z.array(Route.omit({ kind: true })).default([]),
--- /dev/null
+++ b/src/daemon/operator_methods.ts
@@ -0,0 +1,77 @@
+/** The JSON-RPC methods that a process offers to operators and their tool. */
+import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
+import { z } from 'zod';
+import { OutcomeError } from '../contracts.js';
+import { checkNote, parseNote, type Reading } from '../source/note_text.js';
+import { type Instance } from './instance.js';
+
+const ACCEPT_TIMEOUT_MS = 10_000;
+/** JSON-RPC error code for calls whose outcome is told by a verdict. */
+export const OUTCOME_CODE = -32_000;
+
+/** The text of a release note, so that one that cannot be read is refused and audited as well. */
+const Text = z.strictObject({ text: z.string() });
+const Withdrawn = z.strictObject({ note: z.string(), author: z.string().min(1).max(200) });
+const Checked = z.strictObject({ text: z.string(), action: z.enum(['submit', 'amend']) });
+const History = z.strictObject({ note: z.string().optional() });
+
+export function operatorMethods(instance: Instance): JSONRPCServer {
+  const { source, surroundings, replica, distributor, roster } = instance;
+  const deadline = () => surroundings.clock.now() + ACCEPT_TIMEOUT_MS;
+  const methods = new OperatorMethods();
+  methods.on('submit', z.unknown(), async (params) => {
+    const reading = readingOf(params);
+    if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
+    return source.submit(reading.note, deadline());
+  });
+  methods.on('amend', z.unknown(), async (params) => {
+    const reading = readingOf(params);
+    if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
+    return source.amend(reading.note, deadline());
+  });
+  methods.on('withdraw', Withdrawn, ({ note, author }) =>
+    source.withdraw(note, author, deadline()),
+  );
+  methods.on('check', Checked, async ({ text, action }) => {
+    const reading = parseNote(text);
+    if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
+    return source.check(reading.note, action, deadline());
+  });
+  methods.on('audit', History, async ({ note }) => {
+    const records = await source.history(deadline());
+    return records.filter((record) => note === undefined || record.version.note === note);
+  });
+  methods.on('status', z.unknown(), async () => ({
+    head: replica.current.number,
+    survey: await distributor.survey('fleet'),
+  }));
+  methods.on('fleet', z.unknown(), async () => roster.all());
+  return methods.server;
+}
+
+/** Takes a note as text, or as the object that the text would give. */
+function readingOf(params: unknown): Reading {
+  const text = Text.safeParse(params);
+  return text.success ? parseNote(text.data.text) : checkNote(params);
+}
+
+class OperatorMethods {
+  readonly server = new JSONRPCServer({ errorListener: () => {} });
+
+  on<T>(name: string, schema: z.ZodType<T>, handler: (params: T) => Promise<unknown>): void {
+    this.server.addMethod(name, async (given: unknown) => {
+      const params = schema.safeParse(given);
+      if (!params.success) throw refusal(z.prettifyError(params.error), 'not-run', 'parameters');
+      try {
+        return await handler(params.data);
+      } catch (error) {
+        if (!(error instanceof OutcomeError)) throw refusal(String(error), 'may-have-run', 'fault');
+        throw refusal(error.message, error.verdict, error.reason);
+      }
+    });
+  }
+}
+
+function refusal(message: string, verdict: string, reason: string): JSONRPCErrorException {
+  return new JSONRPCErrorException(message, OUTCOME_CODE, { verdict, reason });
+}
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -1,60 +1,29 @@
 /** What operators, the tool and the upstream instance beside the process talk to. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
+import { type JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
 import { z } from 'zod';
-import { Endpoint, OutcomeError, ReleaseNote } from '../contracts.js';
+import { Endpoint } from '../contracts.js';
 import { type Instance } from './instance.js';
+import { operatorMethods } from './operator_methods.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
-const ACCEPT_TIMEOUT_MS = 10_000;
-/** JSON-RPC error code for calls whose outcome is told by a verdict. */
-export const OUTCOME_CODE = -32_000;
 
 const Announcement = Endpoint.extend({ host: z.string(), port: z.number().int() });
-const History = z.strictObject({ note: z.string().optional() });
 
 export class OperatorsPort implements AsyncDisposable {
   readonly server: Server;
 
-  readonly #rpc = new JSONRPCServer({ errorListener: () => {} });
+  readonly #rpc: JSONRPCServer;
 
   constructor(private readonly instance: Instance) {
+    this.#rpc = operatorMethods(instance);
     this.server = createServer((request, response) => void this.#serve(request, response));
-    this.#offer();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.server.close();
   }
 
-  #offer(): void {
-    const { instance } = this;
-    const { clock } = instance.surroundings;
-    const deadline = () => clock.now() + ACCEPT_TIMEOUT_MS;
-    this.#method('submit', ReleaseNote, (note) => instance.source.submit(note, deadline()));
-    this.#method('audit', History, async ({ note }) => {
-      const records = await instance.source.history(deadline());
-      return records.filter((record) => note === undefined || record.version.note === note);
-    });
-    this.#method('status', z.unknown(), async () => ({
-      head: instance.replica.current.number,
-      survey: await instance.distributor.survey('fleet'),
-    }));
-    this.#method('fleet', z.unknown(), async () => instance.roster.all());
-  }
-
-  #method<T>(name: string, schema: z.ZodType<T>, handler: (params: T) => Promise<unknown>): void {
-    this.#rpc.addMethod(name, async (params: unknown) => {
-      try {
-        return await handler(schema.parse(params));
-      } catch (error) {
-        if (!(error instanceof OutcomeError)) throw error;
-        const { verdict, reason, message } = error;
-        throw new JSONRPCErrorException(message, OUTCOME_CODE, { verdict, reason });
-      }
-    });
-  }
-
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       await this.#dispatch(request, response);
--- a/src/source/evaluate.ts
+++ b/src/source/evaluate.ts
@@ -1,5 +1,6 @@
 /** Turns release notes into changes of a configuration. */
 import { type Configuration } from '../configuration/configuration.js';
+import { digestOf } from '../configuration/digest.js';
 import { type Problem } from '../configuration/validate.js';
 import {
   type Change,
@@ -18,6 +19,9 @@
   readonly problems: readonly Problem[];
 }
 
+/** What a note has done so far: the change of its latest version and what takes it back. */
+export type Effect = Pick<Evaluation, 'change' | 'undo'>;
+
 /** Works out the change that `note` makes to `configuration`. */
 export function evaluate(note: ReleaseNote, configuration: Configuration): Evaluation {
   const problems: Problem[] = [];
@@ -43,6 +47,30 @@
   return { change, undo: inverse(change, configuration), problems };
 }
 
+/** Works out the one change that takes `effect` back and makes what `note` says instead. */
+export function evaluateAmendment(
+  note: ReleaseNote,
+  effect: Effect,
+  configuration: Configuration,
+): Evaluation {
+  const { change, undo, problems } = evaluate(note, configuration.next(effect.undo));
+  return { change: compose(effect.undo, change), undo, problems };
+}
+
+/** Works out the change that takes `effect` back. */
+export function evaluateWithdrawal(effect: Effect, configuration: Configuration): Evaluation {
+  const change = effect.undo;
+  return { change, undo: inverse(change, configuration), problems: [] };
+}
+
+/** Keys of resources that are not as the note left them: a later note touched them. */
+export function disturbed(effect: Effect, configuration: Configuration): ResourceKey[] {
+  const left = new Map(effect.change.put.map((resource) => [resourceKey(resource), resource]));
+  return touched(effect.undo).filter(
+    (key) => digestOf(left.get(key)) !== digestOf(configuration.get(key)),
+  );
+}
+
 /** Keys that a change touches. */
 export function touched(change: Change): ResourceKey[] {
   return [...change.put.map(resourceKey), ...change.remove];
@@ -60,6 +88,15 @@
   return { put, remove };
 }
 
+/** One change that does what `first` and then `second` would do. */
+function compose(first: Change, second: Change): Change {
+  const later = new Set(touched(second));
+  return {
+    put: [...first.put.filter((resource) => !later.has(resourceKey(resource))), ...second.put],
+    remove: [...first.remove.filter((key) => !later.has(key)), ...second.remove],
+  };
+}
+
 function listed(section: Section): Resource[] {
   return [
     ...section.upstreams.map((upstream) => ({ kind: 'upstream' as const, ...upstream })),
--- /dev/null
+++ b/src/test/source/source_test.ts
@@ -0,0 +1,127 @@
+import { expect } from 'chai';
+import { brief, Fixture, note, OPENING, upstreams } from './fixture.js';
+
+describe('Source', () => {
+  it('accepts a note once, however often it is handed in', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    const first = await source.submit(OPENING, fixture.deadline);
+    const again = await fixture.source().submit(OPENING, fixture.deadline);
+    const other = await source.submit({ ...OPENING, title: 'Other' }, fixture.deadline);
+    expect([first, again, other].map(brief)).toMatchSnapshot();
+    expect(await fixture.records()).to.have.length(1);
+  });
+
+  it('amends by taking the earlier content back and putting the new in its place at once', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(note('base', { add: upstreams('bookings') }), fixture.deadline);
+    await source.submit(OPENING, fixture.deadline);
+    const amendment = note('opening', {
+      add: upstreams('menu-cards'),
+      change: { upstreams: [{ name: 'bookings', about: 'seats' }] },
+    });
+    const amended = await source.amend(amendment, fixture.deadline);
+    const again = await fixture.source().amend(amendment, fixture.deadline);
+    expect([amended, again].map(brief)).toMatchSnapshot();
+    const [, , third] = await fixture.records();
+    expect(third?.version.change).toMatchSnapshot();
+    expect(await fixture.held()).toMatchSnapshot();
+  });
+
+  it('withdraws to what was before the note, amendments included', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(note('base', { add: upstreams('bookings') }), fixture.deadline);
+    const before = await fixture.held();
+    await source.submit(OPENING, fixture.deadline);
+    const change = { upstreams: [{ name: 'bookings', about: 'seats' }] };
+    await source.amend(note('opening', { change }), fixture.deadline);
+    const withdrawn = await source.withdraw('opening', 'omar', fixture.deadline);
+    const again = await fixture.source().withdraw('opening', 'omar', fixture.deadline);
+    expect([withdrawn, again].map(brief)).toMatchSnapshot();
+    expect(await fixture.held()).to.deep.equal(before);
+  });
+
+  it('answers a late repeat of an earlier amendment without putting it in force again', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(OPENING, fixture.deadline);
+    const first = note('opening', { add: upstreams('listings') });
+    await source.amend(first, fixture.deadline);
+    await source.amend(note('opening', { add: upstreams('bookings') }), fixture.deadline);
+    expect(brief(await source.amend(first, fixture.deadline))).toMatchSnapshot();
+    expect(await fixture.records()).to.have.length(3);
+  });
+
+  it('neither amends nor withdraws a note that is unknown or withdrawn', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    const unknown = [
+      await source.amend(OPENING, fixture.deadline),
+      await source.withdraw('opening', 'omar', fixture.deadline),
+    ];
+    await source.submit(OPENING, fixture.deadline);
+    await source.withdraw('opening', 'omar', fixture.deadline);
+    const gone = await source.amend({ ...OPENING, title: 'Back' }, fixture.deadline);
+    expect([...unknown, gone].map(brief)).toMatchSnapshot();
+  });
+
+  it('refuses a withdrawal that leaves dangling references, by path', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(OPENING, fixture.deadline);
+    const routes = [{ name: 'today', pathPrefix: '/today', upstream: 'listings' }];
+    await source.submit(note('today', { add: { routes } }), fixture.deadline);
+    expect(await source.withdraw('opening', 'omar', fixture.deadline)).toMatchSnapshot();
+    expect(await fixture.records()).to.have.length(2);
+  });
+
+  it('names the resources that a later note touched, until that one is withdrawn', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(OPENING, fixture.deadline);
+    const change = { upstreams: [{ name: 'listings', about: 'suppers' }] };
+    await source.submit(note('about', { change }), fixture.deadline);
+    const conflicts = [
+      await source.withdraw('opening', 'omar', fixture.deadline),
+      await source.amend(note('opening', { add: upstreams('bookings') }), fixture.deadline),
+    ];
+    expect(conflicts).toMatchSnapshot();
+    await source.withdraw('about', 'omar', fixture.deadline);
+    expect(brief(await source.withdraw('opening', 'omar', fixture.deadline))).toMatchSnapshot();
+    expect(await fixture.held()).to.deep.equal([]);
+  });
+
+  it('takes a note written against an older version where the resources are disjoint', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(OPENING, fixture.deadline);
+    await source.submit(note('more', { add: upstreams('bookings') }), fixture.deadline);
+    const change = (name: string) => ({ upstreams: [{ name, about: 'new' }] });
+    const disjoint = note('disjoint', { base: 1, change: change('listings') });
+    const clashing = note('clashing', { base: 1, change: change('bookings') });
+    const answers = [
+      await source.submit(disjoint, fixture.deadline),
+      await source.submit(clashing, fixture.deadline),
+    ];
+    expect(answers.map(brief)).toMatchSnapshot();
+  });
+
+  it('checks a note against the head and writes nothing', async () => {
+    using fixture = new Fixture();
+    const source = fixture.source();
+    await source.submit(OPENING, fixture.deadline);
+    const { writes } = { ...fixture.store.calls };
+    const fine = note('more', { add: upstreams('bookings') });
+    const routes = [{ name: 'today', pathPrefix: '/today', upstream: 'gone', limit: 'none' }];
+    const dangling = note('today', { add: { routes } });
+    const checks = [
+      await source.check(fine, 'submit', fixture.deadline),
+      await source.check(dangling, 'submit', fixture.deadline),
+      await source.check(note('opening', { add: upstreams('x') }), 'amend', fixture.deadline),
+    ];
+    expect(checks).toMatchSnapshot();
+    expect(fixture.store.calls.writes).to.equal(writes);
+  });
+});
