Let versions be awaited from outside, and rate the platform stand-in

Change: GET /version?above=N&wait=MS and /configuration on the operators' port; the daemon prints all its ports; reads and writes a second on the stand-in.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -37,6 +37,8 @@
   const random = new MachineRandom();
   await using instance = await Instance.start(settings, { platform, clock, random, codec });
   const { callerPort, operatorsPort } = instance;
-  process.stdout.write(`${JSON.stringify({ event: 'ready', callerPort, operatorsPort })}\n`);
+  const { linkPort, guardPort } = instance.roster.self;
+  const ports = { callerPort, guardPort, linkPort, operatorsPort };
+  process.stdout.write(`${JSON.stringify({ event: 'listening', ...ports })}\n`);
   await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
 }
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -64,7 +64,8 @@
   }
 
   async #dispatch(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    switch (request.url) {
+    const url = new URL(request.url ?? '/', 'http://operators');
+    switch (url.pathname) {
       case '/rpc': {
         const payload = JSON.parse(await read(request)) as JSONRPCRequest;
         answer(response, 200, await this.#rpc.receive(payload));
@@ -82,15 +83,29 @@
         return;
       }
       case '/version': {
+        await this.#versionAbove(url, response);
         const { number, digest } = this.instance.replica.current;
         answer(response, 200, { number, digest });
         return;
       }
+      case '/configuration':
+        answer(response, 200, this.instance.replica.snapshot());
+        return;
       default:
         answer(response, 404, { message: 'nothing here' });
     }
   }
 
+  /** Waits for a version above `above`, up to `wait` milliseconds; at once without them. */
+  async #versionAbove({ searchParams }: URL, response: ServerResponse): Promise<void> {
+    const { replica, surroundings } = this.instance;
+    const above = Number(searchParams.get('above') ?? -1);
+    const until = surroundings.clock.now() + Number(searchParams.get('wait') ?? 0);
+    const gone = new AbortController();
+    response.once('close', () => gone.abort());
+    await replica.above(above, until, surroundings.clock, gone.signal);
+  }
+
   #announce(announced: z.infer<typeof Announcement>): void {
     const { guard, roster } = this.instance;
     const { upstream, state, slots } = announced;
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -3,6 +3,7 @@
 import { GENESIS } from '../configuration/digest.js';
 import { type Problem, validate } from '../configuration/validate.js';
 import { type Snapshot, type Version } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
 
 /** Why a version was refused; the configuration before it stays in force. */
 export interface Refusal {
@@ -39,6 +40,18 @@
     return this.#refusal;
   }
 
+  /** Resolves once a version above `number` is in force, at `deadline`, or when `signal` aborts. */
+  async above(number: number, deadline: number, clock: Clock, signal: AbortSignal): Promise<void> {
+    if (this.#current.number > number) return;
+    const reached = new AbortController();
+    const look = () => {
+      if (this.#current.number > number) reached.abort();
+    };
+    this.#listeners.add(look);
+    await clock.sleepUntil(deadline, AbortSignal.any([signal, reached.signal]));
+    this.#listeners.delete(look);
+  }
+
   /** Calls `listener` after each step forward with the versions newly in force. */
   onApplied(listener: (versions: readonly Version[]) => void): void {
     this.#listeners.add(listener);
--- a/src/standins/platform_store.ts
+++ b/src/standins/platform_store.ts
@@ -1,5 +1,5 @@
 /** Stand-in for the platform's object API, in memory, with the faults the real one has. */
-import { OutcomeError } from '../contracts.js';
+import { OutcomeError, type Verdict } from '../contracts.js';
 import { Platform, type Range, type Stored, MAX_VALUE_BYTES } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 
@@ -9,6 +9,9 @@
   down: boolean;
   /** Every call takes this much longer, in milliseconds. */
   slowMs: number;
+  /** Calls beyond these rates wait for their turn, or fail when their deadline comes first. */
+  readsPerSecond: number;
+  writesPerSecond: number;
   /** So many of the next writes take effect and then lose their answer. */
   loseAnswers: number;
 }
@@ -20,13 +23,21 @@
   watches: number;
 }
 
+const MS_PER_SECOND = 1000;
+
 interface Waiter {
   readonly range: Range;
   readonly wake: () => void;
 }
 
 export class PlatformStore extends Platform {
-  readonly faults: Faults = { down: false, slowMs: 0, loseAnswers: 0 };
+  readonly faults: Faults = {
+    down: false,
+    slowMs: 0,
+    readsPerSecond: Infinity,
+    writesPerSecond: Infinity,
+    loseAnswers: 0,
+  };
 
   readonly calls: Calls = { reads: 0, writes: 0, watches: 0 };
 
@@ -38,25 +49,28 @@
 
   #revision = 0;
 
+  /** Instants at which the next read and the next write have their turn. */
+  readonly #turns = { read: 0, write: 0 };
+
   constructor(private readonly clock: Clock) {
     super();
   }
 
   async get(key: string, deadline: number): Promise<Stored | undefined> {
     this.calls.reads += 1;
-    await this.#admit(deadline);
+    await this.#admit('read', deadline);
     return this.#values.get(key);
   }
 
   async list(range: Range, deadline: number): Promise<Stored[]> {
     this.calls.reads += 1;
-    await this.#admit(deadline);
+    await this.#admit('read', deadline);
     return this.#match(range);
   }
 
   async create(key: string, value: string, deadline: number): Promise<Stored | undefined> {
     this.calls.writes += 1;
-    await this.#admit(deadline);
+    await this.#admit('write', deadline);
     const stored = this.#values.has(key) ? undefined : this.#put(key, value);
     return this.#answer(stored);
   }
@@ -68,14 +82,14 @@
     deadline: number,
   ): Promise<Stored | undefined> {
     this.calls.writes += 1;
-    await this.#admit(deadline);
+    await this.#admit('write', deadline);
     const current = this.#values.get(key)?.revision === revision;
     return this.#answer(current ? this.#put(key, value) : undefined);
   }
 
   async remove(key: string, revision: number, deadline: number): Promise<boolean> {
     this.calls.writes += 1;
-    await this.#admit(deadline);
+    await this.#admit('write', deadline);
     const current = this.#values.get(key)?.revision === revision;
     if (current) {
       this.#values.delete(key);
@@ -86,7 +100,7 @@
 
   async watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
     this.calls.watches += 1;
-    await this.#admit(deadline);
+    await this.#admit('read', deadline);
     while (this.clock.now() < deadline && !signal?.aborted) {
       const found = this.#match(range);
       if (found.length > 0) return found;
@@ -110,18 +124,28 @@
     this.#waiters.delete(waiter);
   }
 
-  async #admit(deadline: number): Promise<void> {
+  async #admit(kind: 'read' | 'write', deadline: number): Promise<void> {
     const { slowMs } = this.faults;
-    const until = Math.min(this.clock.now() + slowMs, deadline);
-    if (slowMs > 0) await this.clock.sleepUntil(until);
+    const until = Math.min(this.#turn(kind) + slowMs, deadline);
+    const isLate = until > this.clock.now();
+    if (isLate) await this.clock.sleepUntil(until);
     if (this.faults.down) throw unavailable();
-    if (slowMs > 0 && until >= deadline) throw timedOut();
+    if (isLate && until >= deadline) throw timedOut('not-run');
+  }
+
+  /** The instant at which a call of that kind has its turn under the rate. */
+  #turn(kind: 'read' | 'write'): number {
+    const { readsPerSecond, writesPerSecond } = this.faults;
+    const rate = kind === 'read' ? readsPerSecond : writesPerSecond;
+    const turn = Math.max(this.clock.now(), this.#turns[kind]);
+    this.#turns[kind] = turn + MS_PER_SECOND / rate;
+    return turn;
   }
 
   #answer<T>(result: T): T {
     if (this.faults.loseAnswers > 0) {
       this.faults.loseAnswers -= 1;
-      throw timedOut();
+      throw timedOut('may-have-run');
     }
     return result;
   }
@@ -173,9 +197,9 @@
   return new OutcomeError('platform unavailable', { verdict: 'not-run', reason: 'unavailable' });
 }
 
-function timedOut(): OutcomeError {
+function timedOut(verdict: Verdict): OutcomeError {
   return new OutcomeError('no answer from the platform', {
-    verdict: 'may-have-run',
+    verdict,
     reason: 'timeout',
   });
 }
