Audit refusals beside the log and page the audit trail

Cause: a refused note left no trace, a text that is not YAML was turned away in the tool alone, and `audit` sent the whole log in one answer.

A refusal that cannot be written is told as `audited: false` and counted. `audit` merges the log and the refusals page by page, with a cursor, and prints aligned rows; control characters of refused texts are not sent to the terminal.

A trail asked for by note still reads every page.

--- a/src/bench/demo.ts
+++ b/src/bench/demo.ts
@@ -1,9 +1,10 @@
 /** The main job in under half a minute, over stand-ins: see the README. */
 import { Agent } from 'node:http';
-import { ReleaseNote, type VersionRecord } from '../contracts.js';
+import { type AuditPage, ReleaseNote } from '../contracts.js';
 import { MachineClock } from '../runtime/clock.js';
-import { type Acceptance } from '../source/source.js';
+import { type Acceptance } from '../source/acceptance.js';
 import { Client } from '../tool/client.js';
+import { renderAudit } from '../tool/render_audit.js';
 import { ask } from './caller.js';
 import { Fleet } from './fleet.js';
 
@@ -129,10 +130,8 @@
   await inForce(fleet, client, CLOSING_NOTE);
   await closing;
   console.log('\nAudit trail:');
-  for (const { version, author, action } of await client.call<VersionRecord[]>('audit')) {
-    const at = new Date(version.acceptedAt).toISOString();
-    console.log(`  version ${version.number}  ${at}  ${author}  ${action}  ${version.note}`);
-  }
+  const { entries } = await client.call<AuditPage>('audit');
+  console.log(renderAudit(entries));
 }
 
 await main();
--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -1,13 +1,8 @@
 /** The checks a configuration must pass: in the tool, at acceptance and at every proxy. */
-import { type Route, type Rule } from '../contracts.js';
+import { type Problem, type Route, type Rule } from '../contracts.js';
 import { type Configuration } from './configuration.js';
 
-/** One thing that is wrong, and where. */
-export interface Problem {
-  /** Such as `route/menus.upstream`. */
-  readonly path: string;
-  readonly message: string;
-}
+export type { Problem };
 
 /** Most resources of a configuration that proxies are sized for. */
 export const MAX_RESOURCES = 20_000;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -88,7 +88,7 @@
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, settings.fanout);
     const log = new Log(platform);
-    this.source = new Source(log, clock, random);
+    this.source = new Source(platform, clock, random);
     const methods = new Methods();
     this.mesh = new Mesh(
       this.roster,
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -1,8 +1,9 @@
 /** The JSON-RPC methods that a process offers to operators and their tool. */
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 import { z } from 'zod';
-import { OutcomeError } from '../contracts.js';
+import { AuditCursor, OutcomeError } from '../contracts.js';
 import { checkNote, parseNote, type Reading } from '../source/note_text.js';
+import { attemptOf } from '../source/source.js';
 import { type Instance } from './instance.js';
 
 const ACCEPT_TIMEOUT_MS = 10_000;
@@ -13,22 +14,25 @@
 const Text = z.strictObject({ text: z.string() });
 const Withdrawn = z.strictObject({ note: z.string(), author: z.string().min(1).max(200) });
 const Checked = z.strictObject({ text: z.string(), action: z.enum(['submit', 'amend']) });
-const History = z.strictObject({ note: z.string().optional() });
+const History = z.strictObject({ note: z.string().optional(), cursor: AuditCursor.optional() });
 
-export function operatorMethods(instance: Instance): JSONRPCServer {
+/** The parts of a process that operators act on. */
+export type Operated = Pick<
+  Instance,
+  'source' | 'surroundings' | 'replica' | 'distributor' | 'roster'
+>;
+
+export function operatorMethods(instance: Operated): JSONRPCServer {
   const { source, surroundings, replica, distributor, roster } = instance;
   const deadline = () => surroundings.clock.now() + ACCEPT_TIMEOUT_MS;
   const methods = new OperatorMethods();
-  methods.on('submit', z.unknown(), async (params) => {
-    const reading = readingOf(params);
-    if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
-    return source.submit(reading.note, deadline());
-  });
-  methods.on('amend', z.unknown(), async (params) => {
+  const handIn = async (action: 'submit' | 'amend', params: unknown) => {
     const reading = readingOf(params);
-    if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
-    return source.amend(reading.note, deadline());
-  });
+    if ('note' in reading) return source[action](reading.note, deadline());
+    return source.refuse(attemptOf(action, reading.data), reading.problems);
+  };
+  methods.on('submit', z.unknown(), (params) => handIn('submit', params));
+  methods.on('amend', z.unknown(), (params) => handIn('amend', params));
   methods.on('withdraw', Withdrawn, ({ note, author }) =>
     source.withdraw(note, author, deadline()),
   );
@@ -37,9 +41,10 @@
     if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
     return source.check(reading.note, action, deadline());
   });
-  methods.on('audit', History, async ({ note }) => {
-    const records = await source.history(deadline());
-    return records.filter((record) => note === undefined || record.version.note === note);
+  methods.on('audit', History, async ({ note, cursor }) => {
+    const { entries, next } = await source.history(deadline(), cursor);
+    const wanted = entries.filter((entry) => note === undefined || entry.note === note);
+    return { entries: wanted, ...(next && { next }) };
   });
   methods.on('status', z.unknown(), async () => ({
     head: replica.current.number,
--- a/src/source/evaluate.ts
+++ b/src/source/evaluate.ts
@@ -1,9 +1,9 @@
 /** Turns release notes into changes of a configuration. */
 import { type Configuration } from '../configuration/configuration.js';
 import { digestOf } from '../configuration/digest.js';
-import { type Problem } from '../configuration/validate.js';
 import {
   type Change,
+  type Problem,
   type ReleaseNote,
   type Resource,
   type ResourceKey,
--- a/src/source/log.ts
+++ b/src/source/log.ts
@@ -6,7 +6,7 @@
 /** Wide enough for a million years at the design size. */
 const DIGITS = 12;
 /** Records read in one call; bounds the answer to some megabytes. */
-const PAGE = 64;
+export const PAGE = 64;
 
 export function versionKey(number: number): string {
   return `${PREFIX}${String(number).padStart(DIGITS, '0')}`;
--- a/src/source/note_text.ts
+++ b/src/source/note_text.ts
@@ -1,7 +1,6 @@
 /** Reads release notes from YAML, of which JSON is a part. */
 import { parseDocument } from 'yaml';
-import { type Problem } from '../configuration/validate.js';
-import { MAX_NOTE_BYTES, ReleaseNote } from '../contracts.js';
+import { MAX_NOTE_BYTES, type Problem, ReleaseNote } from '../contracts.js';
 
 /** A release note, or all that is wrong with the text; `data` is as much of it as can be read. */
 export type Reading =
--- a/src/source/proposal.ts
+++ b/src/source/proposal.ts
@@ -1,8 +1,7 @@
 /** What operators hand in: a new note, an amendment or a withdrawal. */
 import { type Configuration } from '../configuration/configuration.js';
 import { digestOf } from '../configuration/digest.js';
-import { type Problem } from '../configuration/validate.js';
-import { type Action, type ReleaseNote } from '../contracts.js';
+import { type Action, type Problem, type ReleaseNote } from '../contracts.js';
 import {
   type Effect,
   evaluate,
--- a/src/source/source.ts
+++ b/src/source/source.ts
@@ -1,47 +1,29 @@
 /** Acceptance: turns release notes into versions of the log. */
 import PQueue from 'p-queue';
-import { type Configuration } from '../configuration/configuration.js';
-import { type Problem, validate } from '../configuration/validate.js';
-import { OutcomeError, type ReleaseNote, type VersionRecord } from '../contracts.js';
+import {
+  type Action,
+  type AuditCursor,
+  type AuditPage,
+  OutcomeError,
+  type Problem,
+  type ReleaseNote,
+  type VersionRecord,
+} from '../contracts.js';
+import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { type Acceptance, type Check, type Conflict, type Refused } from './acceptance.js';
 import { Appender } from './appender.js';
-import { disturbed, type Evaluation, touched } from './evaluate.js';
-import { type Entry, Head } from './head.js';
-import { type Log } from './log.js';
+import { Audit, TRAIL_START } from './audit.js';
+import { touched } from './evaluate.js';
+import { Head } from './head.js';
+import { Log } from './log.js';
 import { Amendment, type Proposal, Submission, Withdrawal } from './proposal.js';
+import { Refusals } from './refusals.js';
+import { type Candidate, Review } from './review.js';
 
-/** The same was handed in before, or was accepted now. */
-export interface Accepted {
-  readonly outcome: 'accepted';
-  readonly record: VersionRecord;
-  /** It had been accepted before, as this record; nothing was written. */
-  readonly repeated: boolean;
-  /** The note's latest version, where that is not the record's. */
-  readonly supersededBy?: number;
-}
-
-/** It cannot be put in force, whatever others do. */
-export interface Refused {
-  readonly outcome: 'refused';
-  readonly problems: readonly Problem[];
-}
-
-/** A later note, or a rival one, touched the same resources. */
-export interface Conflict {
-  readonly outcome: 'conflict';
-  readonly resources: readonly string[];
-  /** The other note, the latest one if there are several. */
-  readonly note: string;
-}
-
-/** How the handing in of a note ended. */
-export type Acceptance = Accepted | Refused | Conflict;
-
-/** How a check ended: the note could be accepted on top of `head`, or what it would come to. */
-export type Check =
-  | { readonly outcome: 'valid'; readonly head: number; readonly resources: readonly string[] }
-  | Acceptance;
+/** Who hands in what; as much as can be read from a text that is not a release note. */
+export type Attempt = Pick<Proposal, 'action' | 'note' | 'author'>;
 
 /** Proposals that wait at one process; more are turned away. */
 const MAX_WAITING = 64;
@@ -52,64 +34,82 @@
  * time, since two that race each other would only cost calls.
  */
 export class Source {
+  /** What became of the notes handed in here, and how many refusals could not be audited. */
+  readonly counts = { accepted: 0, repeated: 0, refused: 0, conflict: 0, unaudited: 0 };
+
   readonly #head: Head;
 
+  readonly #review: Review;
+
   readonly #appender: Appender;
 
+  readonly #refusals: Refusals;
+
+  readonly #audit: Audit;
+
   readonly #queue = new PQueue({ concurrency: 1 });
 
   constructor(
-    private readonly log: Log,
+    platform: Platform,
     private readonly clock: Clock,
     private readonly random: Random,
   ) {
+    const log = new Log(platform);
     this.#head = new Head(log);
+    this.#review = new Review(log, this.#head);
     this.#appender = new Appender(log, clock, random);
+    this.#refusals = new Refusals(platform, clock, random);
+    this.#audit = new Audit(log, this.#refusals);
   }
 
   /** Accepts a note that was not handed in before, or answers as it did the first time. */
   submit(note: ReleaseNote, deadline: number): Promise<Acceptance> {
-    return this.#enqueue(new Submission(note), deadline);
+    return this.#handIn(new Submission(note), deadline);
   }
 
   /** Replaces what the note of the same id has done by what this one says, as one version. */
   amend(note: ReleaseNote, deadline: number): Promise<Acceptance> {
-    return this.#enqueue(new Amendment(note), deadline);
+    return this.#handIn(new Amendment(note), deadline);
   }
 
   /** Takes back what a note has done, as a new version. */
   withdraw(note: string, author: string, deadline: number): Promise<Acceptance> {
-    return this.#enqueue(new Withdrawal(note, author), deadline);
+    return this.#handIn(new Withdrawal(note, author), deadline);
   }
 
   /** What `submit`, or `amend`, would answer now; nothing is written. */
   async check(note: ReleaseNote, action: 'submit' | 'amend', deadline: number): Promise<Check> {
     const proposal = action === 'amend' ? new Amendment(note) : new Submission(note);
-    return this.#queue.add(async () => {
+    return this.#inTurn(async () => {
       await this.#head.catchUp(deadline);
       const { number } = this.#head.configuration;
-      const considered = await this.#consider(proposal, proposal.base ?? number, deadline);
-      if ('outcome' in considered) return considered;
-      return { outcome: 'valid', head: number, resources: touched(considered.evaluation.change) };
+      const decision = await this.#review.decide(proposal, proposal.base ?? number, deadline);
+      if ('outcome' in decision) return decision;
+      return { outcome: 'valid', head: number, resources: touched(decision.evaluation.change) };
     });
   }
 
-  /** Entries of the log, oldest first. */
-  async history(deadline: number): Promise<readonly VersionRecord[]> {
-    const records: VersionRecord[] = [];
-    for (;;) {
-      const page = await this.log.read(records.length, deadline);
-      if (page.length === 0) return records;
-      records.push(...page);
-    }
+  /** Refuses what was handed in for the problems found in its text, and audits that. */
+  refuse(attempt: Attempt, problems: readonly Problem[]): Promise<Refused> {
+    return this.#audited(attempt, { outcome: 'refused', problems });
   }
 
-  async #enqueue(proposal: Proposal, deadline: number): Promise<Acceptance> {
-    if (this.#queue.size >= MAX_WAITING) {
-      const message = `${MAX_WAITING} others wait here; hand the note in again later`;
-      throw new OutcomeError(message, { verdict: 'not-run', reason: 'busy' });
-    }
-    return this.#queue.add(() => this.#accept(proposal, deadline));
+  /** Reads the audit trail, in time order, from its start or from a cursor. */
+  history(deadline: number, cursor: AuditCursor = TRAIL_START): Promise<AuditPage> {
+    return this.#audit.page(cursor, deadline);
+  }
+
+  async #handIn(proposal: Proposal, deadline: number): Promise<Acceptance> {
+    const acceptance = await this.#inTurn(() => this.#accept(proposal, deadline));
+    if (acceptance.outcome !== 'accepted') return this.#audited(proposal, acceptance);
+    this.counts[acceptance.repeated ? 'repeated' : 'accepted'] += 1;
+    return acceptance;
+  }
+
+  #inTurn<T>(task: () => Promise<T>): Promise<T> {
+    if (this.#queue.size < MAX_WAITING) return this.#queue.add(task);
+    const message = `${MAX_WAITING} others wait here; hand the note in again later`;
+    throw new OutcomeError(message, { verdict: 'not-run', reason: 'busy' });
   }
 
   async #accept(proposal: Proposal, deadline: number): Promise<Acceptance> {
@@ -117,9 +117,9 @@
     const nonce = this.random.nonce();
     const base = proposal.base ?? this.#head.configuration.number;
     for (;;) {
-      const considered = await this.#consider(proposal, base, deadline);
-      if ('outcome' in considered) return considered;
-      const record = this.#record(proposal, nonce, considered);
+      const decision = await this.#review.decide(proposal, base, deadline);
+      if ('outcome' in decision) return decision;
+      const record = this.#record(proposal, nonce, decision);
       const isMine = await this.#appender.append(record, deadline);
       if (isMine) this.#head.advance(record);
       else await this.#head.catchUp(deadline);
@@ -127,69 +127,6 @@
     }
   }
 
-  /** The change to make on top of the head, or the answer if there is none to make. */
-  async #consider(
-    proposal: Proposal,
-    base: number,
-    deadline: number,
-  ): Promise<Acceptance | Candidate> {
-    const versions = this.#head.versionsOf(proposal.note);
-    const earlier = versions.find(({ content }) => content === proposal.content);
-    const latest = versions.at(-1);
-    if (earlier) return this.#repeated(earlier, latest, deadline);
-    const misplaced = proposal.misplaced(latest);
-    if (misplaced) return { outcome: 'refused', problems: [misplaced] };
-    const effect = latest && (await this.#effect(latest, deadline));
-    const { configuration } = this.#head;
-    const taken = effect ? disturbed(effect, configuration) : [];
-    if (latest && taken.length > 0) {
-      return { ...this.#conflict(proposal.note, latest.number, taken), resources: taken };
-    }
-    const evaluation = proposal.evaluate(configuration, effect);
-    const rival = this.#conflict(proposal.note, base, touched(evaluation.change));
-    if (rival.resources.length > 0) return rival;
-    const candidate = configuration.next(evaluation.change);
-    const problems = [...evaluation.problems, ...validate(candidate)];
-    if (problems.length > 0) return { outcome: 'refused', problems };
-    return { evaluation, configuration: candidate };
-  }
-
-  async #repeated(earlier: Entry, latest: Entry | undefined, deadline: number): Promise<Accepted> {
-    const record = await this.#stored(earlier.number, deadline);
-    const isLatest = latest === undefined || latest.number === earlier.number;
-    return {
-      outcome: 'accepted',
-      record,
-      repeated: true,
-      ...(!isLatest && { supersededBy: latest.number }),
-    };
-  }
-
-  async #effect({ number }: Entry, deadline: number) {
-    const { version, undo } = await this.#stored(number, deadline);
-    return { change: version.change, undo };
-  }
-
-  async #stored(number: number, deadline: number): Promise<VersionRecord> {
-    const record = await this.log.get(number, deadline);
-    if (record) return record;
-    throw new OutcomeError(`version ${number} is missing from the log`, {
-      verdict: 'not-run',
-      reason: 'broken-chain',
-    });
-  }
-
-  /** What other notes did to those resources after `number`. */
-  #conflict(note: string, number: number, resources: readonly string[]): Conflict {
-    const mine = new Set(resources);
-    const rivals = this.#head.after(number).filter((entry) => entry.note !== note);
-    const touching = rivals.filter((entry) => entry.resources.some((key) => mine.has(key)));
-    const taken = new Set(
-      touching.flatMap((entry) => entry.resources.filter((key) => mine.has(key))),
-    );
-    return { outcome: 'conflict', resources: [...taken].sort(), note: touching.at(-1)?.note ?? '' };
-  }
-
   #record(
     { action, author, note, content }: Proposal,
     nonce: string,
@@ -202,10 +139,33 @@
     const version = { number, parent, digest, note, acceptedAt, change };
     return { version, action, author, nonce, content, undo };
   }
+
+  async #audited<T extends Refused | Conflict>(attempt: Attempt, refusal: T): Promise<T> {
+    const { action, author, note } = attempt;
+    const { outcome } = refusal;
+    this.counts[outcome] += 1;
+    const audited = await this.#refusals.record({
+      at: this.clock.now(),
+      author,
+      action,
+      note,
+      outcome,
+      resources: refusal.outcome === 'conflict' ? [...refusal.resources] : [],
+      problems: refusal.outcome === 'refused' ? [...refusal.problems] : [],
+      ...(refusal.outcome === 'conflict' && { rival: refusal.note }),
+      omitted: 0,
+    });
+    if (!audited) this.counts.unaudited += 1;
+    return { ...refusal, audited };
+  }
 }
 
-/** A change that may become the next version, and what it would lead to. */
-interface Candidate {
-  readonly evaluation: Evaluation;
-  readonly configuration: Configuration;
+/** Who and what a text that is no release note speaks of, as far as it says so. */
+export function attemptOf(action: Action, data: unknown): Attempt {
+  const fields = typeof data === 'object' && data !== null ? data : {};
+  const text = (name: string) => {
+    const value = (fields as Record<string, unknown>)[name];
+    return typeof value === 'string' && value !== '' ? value : 'unknown';
+  };
+  return { action, author: text('author'), note: text('id') };
 }
--- /dev/null
+++ b/src/test/daemon/operator_methods_test.ts
@@ -0,0 +1,45 @@
+import { expect } from 'chai';
+import { type JSONRPCServer } from 'json-rpc-2.0';
+import { type Operated, operatorMethods } from '../../daemon/operator_methods.js';
+import { Fixture } from '../source/fixture.js';
+
+const TEXT = `
+id: opening
+author: dana
+add: { upstreams: [{ name: listings }] }
+`;
+
+/** The methods over a source alone; the rest of a process is not asked here. */
+function methodsOver(fixture: Fixture): JSONRPCServer {
+  const { clock } = fixture;
+  return operatorMethods({ source: fixture.source(), surroundings: { clock } } as Operated);
+}
+
+async function call(methods: JSONRPCServer, method: string, params: unknown): Promise<unknown> {
+  const answer = await methods.receive({ jsonrpc: '2.0', id: 1, method, params });
+  return answer?.error ?? (answer?.result as unknown);
+}
+
+describe('operatorMethods', () => {
+  it('audits a text that is no release note', async () => {
+    using fixture = new Fixture();
+    const methods = methodsOver(fixture);
+    const answers = [
+      await call(methods, 'submit', { text: '{id: [' }),
+      await call(methods, 'amend', { text: `${TEXT}colour: blue` }),
+      await call(methods, 'check', { text: '{id: [', action: 'submit' }),
+      await call(methods, 'audit', {}),
+      await call(methods, 'audit', { note: 'opening' }),
+    ];
+    expect(answers).toMatchSnapshot();
+  });
+
+  it('tells by a verdict whether a call that failed may have run', async () => {
+    using fixture = new Fixture();
+    const methods = methodsOver(fixture);
+    const malformed = await call(methods, 'withdraw', { note: 'opening' });
+    fixture.store.faults.down = true;
+    const refused = await call(methods, 'submit', { text: TEXT });
+    expect([malformed, refused]).toMatchSnapshot();
+  });
+});
--- a/src/test/source/fixture.ts
+++ b/src/test/source/fixture.ts
@@ -5,7 +5,8 @@
 import { TimerClock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { Log } from '../../source/log.js';
-import { type Acceptance, Source } from '../../source/source.js';
+import { type Acceptance } from '../../source/acceptance.js';
+import { Source } from '../../source/source.js';
 import { PlatformStore } from '../../standins/platform_store.js';
 
 export const START = Date.UTC(2026, 11, 2);
@@ -32,7 +33,7 @@
   /** Another source over the same platform, as in another process. */
   source(): Source {
     this.#seed += 1;
-    return new Source(this.log, this.clock, new SeededRandom(this.#seed));
+    return new Source(this.store, this.clock, new SeededRandom(this.#seed));
   }
 
   /** The outcome of `promise`, with time moved on for as long as it takes. */
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -1,10 +1,18 @@
 /** Commands of the operators' tool. */
 import { cac } from 'cac';
-import { type Member, OutcomeError, type Survey, type VersionRecord } from '../contracts.js';
+import {
+  type AuditCursor,
+  type AuditEntry,
+  type AuditPage,
+  type Member,
+  OutcomeError,
+  type Survey,
+} from '../contracts.js';
 import { Client } from './client.js';
 import { EXIT } from './exit.js';
 import { amend, check, submit, withdraw } from './note_commands.js';
 import { type Options, print } from './output.js';
+import { renderAudit } from './render_audit.js';
 
 const DEFAULT_ADDRESS = '127.0.0.1:8083';
 
@@ -54,9 +62,24 @@
   return print(await new Client(options.address).call<Survey>('status'), EXIT.ok);
 }
 
-async function audit(note: string | undefined, options: Options): Promise<number> {
-  const records = await new Client(options.address).call<VersionRecord[]>('audit', { note });
-  return print(records, EXIT.ok);
+async function audit(given: string | undefined, options: Options): Promise<number> {
+  const note = given === undefined ? undefined : String(given);
+  const entries: AuditEntry[] = [];
+  for await (const page of trail(new Client(options.address), note)) {
+    if (options.json) entries.push(...page);
+    else if (page.length > 0) process.stdout.write(`${renderAudit(page)}\n`);
+  }
+  return options.json ? print(entries, EXIT.ok) : EXIT.ok;
+}
+
+/** Reads the audit trail page by page. */
+async function* trail(client: Client, note: string | undefined): AsyncGenerator<AuditEntry[]> {
+  let cursor: AuditCursor | undefined;
+  do {
+    const page: AuditPage = await client.call('audit', { note, cursor });
+    yield page.entries;
+    cursor = page.next;
+  } while (cursor);
 }
 
 async function fleet(options: Options): Promise<number> {
--- a/src/tool/note_commands.ts
+++ b/src/tool/note_commands.ts
@@ -2,7 +2,7 @@
 import { open } from 'node:fs/promises';
 import { MAX_NOTE_BYTES, OutcomeError } from '../contracts.js';
 import { parseNote } from '../source/note_text.js';
-import { type Acceptance, type Check } from '../source/source.js';
+import { type Acceptance, type Check } from '../source/acceptance.js';
 import { Client } from './client.js';
 import { EXIT } from './exit.js';
 import { type Options, print } from './output.js';
--- a/src/tool/render_acceptance.ts
+++ b/src/tool/render_acceptance.ts
@@ -1,6 +1,7 @@
 /** Text for how the handing in, or the check, of a note ended. */
-import { type Problem } from '../configuration/validate.js';
-import { type Acceptance, type Check } from '../source/source.js';
+import { type Problem } from '../contracts.js';
+import { type Acceptance, type Check } from '../source/acceptance.js';
+import { printable } from './table.js';
 
 export function renderAcceptance(acceptance: Acceptance): string {
   switch (acceptance.outcome) {
@@ -25,7 +26,7 @@
 }
 
 export function renderProblem({ path, message }: Problem): string {
-  return `  ${path}: ${message}`;
+  return `  ${printable(`${path}: ${message}`)}`;
 }
 
 function renderAccepted({
