--- /dev/null
+++ b/src/bench/http.ts
@@ -0,0 +1,17 @@
+/** Small JSON calls of the bench to operators' ports and the platform stand-in. */
+import { Agent } from 'node:http';
+import { type Calls } from '../standins/platform_store.js';
+import { ask } from './caller.js';
+
+const agent = new Agent({ keepAlive: true });
+
+export async function getJson<T>(port: number, path: string): Promise<T> {
+  const { body } = await ask({ port, path, agent });
+  return JSON.parse(body) as T;
+}
+
+/** All calls that the platform stand-in has counted. */
+export async function platformCalls(port: number): Promise<number> {
+  const { reads, writes, watches } = await getJson<Calls>(port, '/calls');
+  return reads + writes + watches;
+}
--- /dev/null
+++ b/src/bench/platform_main.ts
@@ -0,0 +1,16 @@
+/** The platform stand-in as a process. */
+import { MachineClock } from '../runtime/clock.js';
+import { PlatformServer } from '../standins/platform_server.js';
+
+/** What the platform gives: answers in milliseconds, so many calls a second. */
+const LATENCY_MS = 2;
+const READS_PER_SECOND = 2_000;
+const WRITES_PER_SECOND = 300;
+
+const platform = await PlatformServer.start(new MachineClock());
+Object.assign(platform.store.faults, {
+  slowMs: LATENCY_MS,
+  readsPerSecond: READS_PER_SECOND,
+  writesPerSecond: WRITES_PER_SECOND,
+});
+console.log(JSON.stringify({ port: Number(platform.url.port) }));
