--- a/src/bench/deployment.ts
+++ b/src/bench/deployment.ts
@@ -1,6 +1,6 @@
 /** A platform and many proxies as real processes. */
 import { type ReleaseNote, type Snapshot } from '../contracts.js';
-import { type Acceptance } from '../source/source.js';
+import { type Acceptance } from '../source/acceptance.js';
 import { Configuration } from '../configuration/configuration.js';
 import { validate } from '../configuration/validate.js';
 import { type Clock } from '../runtime/clock.js';
