--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -6,11 +6,13 @@
   type ResourceKey,
   resourceKey,
 } from '../contracts.js';
-import { digestOf, GENESIS } from './digest.js';
+import { canonical, digestOf, GENESIS, sha256 } from './digest.js';
 
 interface Held {
   readonly resource: Resource;
   readonly digest: string;
+  /** Length as canonical JSON. */
+  readonly bytes: number;
 }
 
 /** An immutable set of resources at one version. */
@@ -34,6 +36,18 @@
     return this.held.size;
   }
 
+  /** Length of all resources as canonical JSON. */
+  get bytes(): number {
+    let sum = 0;
+    for (const { bytes } of this.held.values()) sum += bytes;
+    return sum;
+  }
+
+  /** Keys of resources that are longer than `maxBytes`. */
+  oversized(maxBytes: number): ResourceKey[] {
+    return [...this.held].filter(([, { bytes }]) => bytes > maxBytes).map(([key]) => key);
+  }
+
   get(key: ResourceKey): Resource | undefined {
     return this.held.get(key)?.resource;
   }
@@ -76,7 +90,9 @@
   const held = new Map(before);
   for (const key of change.remove) held.delete(key);
   for (const resource of change.put) {
-    held.set(resourceKey(resource), { resource, digest: digestOf(resource) });
+    const text = canonical(resource);
+    const bytes = Buffer.byteLength(text);
+    held.set(resourceKey(resource), { resource, digest: sha256(text), bytes });
   }
   return held;
 }
--- a/src/configuration/digest.ts
+++ b/src/configuration/digest.ts
@@ -9,7 +9,12 @@
 }
 
 export function digestOf(value: unknown): string {
-  return createHash('sha256').update(canonical(value)).digest('hex');
+  return sha256(canonical(value));
+}
+
+/** Digest of a text, in hex. */
+export function sha256(text: string): string {
+  return createHash('sha256').update(text).digest('hex');
 }
 
 /** Digest of version 0, the empty configuration that every chain starts from. */
--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -7,15 +7,15 @@
 /** Most resources of a configuration that proxies are sized for. */
 export const MAX_RESOURCES = 20_000;
 
+/** Longest resource, in bytes of canonical JSON: far below what one stored value may hold. */
+export const MAX_RESOURCE_BYTES = 32_000;
+
+/** Longest configuration, in bytes of canonical JSON, that proxies have the memory for. */
+export const MAX_CONFIGURATION_BYTES = 8_000_000;
+
 /** Every problem of the configuration; an empty list means it may be put in force. */
 export function validate(configuration: Configuration): Problem[] {
-  const problems: Problem[] = [];
-  if (configuration.size > MAX_RESOURCES) {
-    problems.push({
-      path: 'configuration',
-      message: `holds ${configuration.size} resources, at most ${MAX_RESOURCES} are allowed`,
-    });
-  }
+  const problems = oversizes(configuration);
   const everywhere = [...configuration.all('rule')].filter((rule) => rule.everywhere);
   for (const route of configuration.all('route')) {
     problems.push(
@@ -26,6 +26,22 @@
   return problems;
 }
 
+function oversizes(configuration: Configuration): Problem[] {
+  const { size, bytes } = configuration;
+  const problems: Problem[] = configuration.oversized(MAX_RESOURCE_BYTES).map((path) => ({
+    path,
+    message: `is longer than the ${MAX_RESOURCE_BYTES} bytes allowed`,
+  }));
+  const exceeds = (amount: number, unit: string, most: number) => {
+    if (amount <= most) return;
+    const message = `holds ${amount} ${unit}, at most ${most} are allowed`;
+    problems.push({ path: 'configuration', message });
+  };
+  exceeds(size, 'resources', MAX_RESOURCES);
+  exceeds(bytes, 'bytes', MAX_CONFIGURATION_BYTES);
+  return problems;
+}
+
 function danglingReferences(configuration: Configuration, route: Route): Problem[] {
   const problems: Problem[] = [];
   const expect = (field: string, key: string) => {
--- a/src/contracts/version.ts
+++ b/src/contracts/version.ts
@@ -40,11 +40,21 @@
   content: Digest,
   /** What restores the state from before the note. */
   undo: Change,
-  /** Keys of stored parts when the change does not fit into one value. */
-  parts: z.array(z.string()).optional(),
+  /** Where `change` and `undo` are, by the digests of their parts, if they are too long for here. */
+  parts: z.strictObject({ change: z.array(Digest), undo: z.array(Digest) }).optional(),
 });
 export type VersionRecord = z.infer<typeof VersionRecord>;
 
+/** The stored form of a snapshot: which parts it is made of, in key order. */
+export const SnapshotRecord = z.strictObject({
+  number: z.number().int().min(1),
+  digest: Digest,
+  parent: Digest,
+  /** Each part with the key of its first resource. */
+  parts: z.array(z.strictObject({ from: ResourceKey, digest: Digest })),
+});
+export type SnapshotRecord = z.infer<typeof SnapshotRecord>;
+
 /** A whole configuration at one version. */
 export const Snapshot = z.strictObject({
   number: z.number().int().min(0),
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -20,6 +20,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Log } from '../source/log.js';
+import { Snapshots } from '../source/snapshots.js';
 import { Source } from '../source/source.js';
 import { Journal } from './log.js';
 import { OperatorsPort } from './operators_port.js';
@@ -125,7 +126,14 @@
       this.distributor.heard(peer, version);
       this.#gossip.compare(peer, roster);
     });
-    this.reader = new Reader(log, this.replica, this.ranking, clock, random);
+    this.reader = new Reader(
+      log,
+      new Snapshots(platform, log),
+      this.replica,
+      this.ranking,
+      clock,
+      random,
+    );
     this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
     const balancer = new Balancer(this.roster, random);
     this.guard = ports.guard;
@@ -185,6 +193,7 @@
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
+    await this.source[Symbol.asyncDispose]();
     await this.mesh[Symbol.asyncDispose]();
     this.#linkServer.close();
     await Promise.all(this.#tasks);
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -2,7 +2,8 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Ranking } from '../membership/ranking.js';
-import { type Log } from '../source/log.js';
+import { type Log, PAGE } from '../source/log.js';
+import { type Snapshots } from '../source/snapshots.js';
 import { type Replica } from './replica.js';
 
 /** How long one watch waits; a watch on a connection gone silent costs this long at most. */
@@ -22,12 +23,15 @@
 
   constructor(
     private readonly log: Log,
+    private readonly snapshots: Snapshots,
     private readonly replica: Replica,
     private readonly ranking: Ranking,
     private readonly clock: Clock,
     private readonly random: Random,
   ) {}
 
+  #hasLeapt = false;
+
   /** Runs until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -46,6 +50,7 @@
 
   async #follow(signal: AbortSignal): Promise<void> {
     const deadline = this.clock.now() + WATCH_MS;
+    if (!this.#hasLeapt) await this.#leap(deadline);
     const after = this.replica.current.number;
     const records = this.caughtUp
       ? await this.log.watch(after, deadline, signal)
@@ -53,4 +58,14 @@
     if (records.length === 0) this.caughtUp = true;
     this.replica.apply(records.map((record) => record.version));
   }
+
+  /**
+   * Starts from the latest snapshot where that saves more than one page of the log. One that the
+   * replica refuses costs nothing but the replay that it should have saved.
+   */
+  async #leap(deadline: number): Promise<void> {
+    const snapshot = await this.snapshots.load(this.replica.current.number + PAGE, deadline);
+    this.#hasLeapt = true;
+    if (snapshot) this.replica.install(snapshot);
+  }
 }
--- a/src/source/appender.ts
+++ b/src/source/appender.ts
@@ -26,11 +26,23 @@
         reason: 'deadline',
       });
     }
+    const fitting = await this.#fitting(record, deadline);
     try {
-      return await this.log.append(record, deadline);
+      return await this.log.append(fitting, deadline);
     } catch (error) {
       if (!(error instanceof OutcomeError) || error.verdict === 'not-run') throw error;
-      return this.#settle(record, deadline);
+      return this.#settle(fitting, deadline);
+    }
+  }
+
+  /** Parts alone put nothing in force: whatever becomes of them, the note was not accepted. */
+  async #fitting(record: VersionRecord, deadline: number): Promise<VersionRecord> {
+    try {
+      return await this.log.fitting(record, deadline);
+    } catch (error) {
+      const message = 'the platform did not take the parts of the change';
+      const props = { verdict: 'not-run', reason: 'unavailable' } as const;
+      throw new OutcomeError(message, props, { cause: error });
     }
   }
 
--- a/src/source/proposal.ts
+++ b/src/source/proposal.ts
@@ -9,7 +9,7 @@
   evaluateWithdrawal,
   type Evaluation,
 } from './evaluate.js';
-import { type Entry } from './head.js';
+import { type Mention } from './note_index.js';
 
 /** One thing to be accepted as the next version, or refused. */
 export abstract class Proposal {
@@ -27,7 +27,7 @@
   readonly base: number | undefined = undefined;
 
   /** Why it cannot follow `latest`, the note's latest version, if it cannot. */
-  abstract misplaced(latest: Entry | undefined): Problem | undefined;
+  abstract misplaced(latest: Mention | undefined): Problem | undefined;
 
   /** Works out its change; `effect` is what the note has done so far, if it was accepted before. */
   abstract evaluate(configuration: Configuration, effect: Effect | undefined): Evaluation;
@@ -55,7 +55,7 @@
 export class Submission extends NoteProposal {
   readonly action = 'submit';
 
-  misplaced(latest: Entry | undefined): Problem | undefined {
+  misplaced(latest: Mention | undefined): Problem | undefined {
     if (!latest) return undefined;
     return {
       path: 'id',
@@ -71,7 +71,7 @@
 export class Amendment extends NoteProposal {
   readonly action = 'amend';
 
-  misplaced(latest: Entry | undefined): Problem | undefined {
+  misplaced(latest: Mention | undefined): Problem | undefined {
     return notStanding(latest);
   }
 
@@ -93,7 +93,7 @@
     this.content = digestOf({ withdraw: note });
   }
 
-  misplaced(latest: Entry | undefined): Problem | undefined {
+  misplaced(latest: Mention | undefined): Problem | undefined {
     return notStanding(latest);
   }
 
@@ -102,7 +102,7 @@
   }
 }
 
-function notStanding(latest: Entry | undefined): Problem | undefined {
+function notStanding(latest: Mention | undefined): Problem | undefined {
   if (!latest) return { path: 'id', message: 'no note of this id was accepted; submit it' };
   if (latest.action !== 'withdraw') return undefined;
   return { path: 'id', message: `was withdrawn by version ${latest.number}; submit a new note` };
--- /dev/null
+++ b/src/source/snapshots.ts
@@ -0,0 +1,108 @@
+/** Whole configurations stored now and then, so that nobody has to replay the whole log. */
+import { z } from 'zod';
+import { sha256 } from '../configuration/digest.js';
+import {
+  OutcomeError,
+  Resource,
+  resourceKey,
+  type Snapshot,
+  SnapshotRecord,
+} from '../contracts.js';
+import { type Platform, type Stored } from '../platform/platform.js';
+import { type Log } from './log.js';
+import { partition } from './partition.js';
+import { Parts } from './parts.js';
+
+const KEY = 'snapshots/latest';
+const Part = z.array(Resource);
+
+export class Snapshots {
+  readonly #parts: Parts;
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly log: Log,
+  ) {
+    this.#parts = new Parts(platform);
+  }
+
+  /**
+   * The latest snapshot if it is further than `after`. Undefined as well if it is damaged: the log
+   * holds all that it would say, only at a higher cost.
+   */
+  async load(after: number, deadline: number): Promise<Snapshot | undefined> {
+    const latest = await this.#latest(deadline);
+    if (!latest || latest.record.number <= after) return undefined;
+    try {
+      return await this.#read(latest.record, deadline);
+    } catch (error) {
+      if (error instanceof OutcomeError && error.reason === 'corrupt') return undefined;
+      throw error;
+    }
+  }
+
+  /**
+   * Stores a snapshot unless a later one is there; resolves to the number of the latest. The
+   * record is replaced only by a conditional update, so a writer that was paused and wakes late
+   * finds its number overtaken and cannot take anyone back.
+   */
+  async publish(snapshot: Snapshot, deadline: number): Promise<number> {
+    for (;;) {
+      const latest = await this.#latest(deadline);
+      if (latest && latest.record.number >= snapshot.number) return latest.record.number;
+      const record = await this.#store(snapshot, latest?.record, deadline);
+      const value = JSON.stringify(record);
+      const written = latest
+        ? await this.platform.update(KEY, value, latest.stored.revision, deadline)
+        : await this.platform.create(KEY, value, deadline);
+      if (written) return record.number;
+    }
+  }
+
+  async #latest(deadline: number): Promise<Latest | undefined> {
+    const stored = await this.platform.get(KEY, deadline);
+    return stored && { stored, record: SnapshotRecord.parse(JSON.parse(stored.value)) };
+  }
+
+  async #read(record: SnapshotRecord, deadline: number): Promise<Snapshot> {
+    const { number, digest, parent, parts } = record;
+    // A snapshot of another chain would be applied whole, and every later version refused. The
+    // log's own record of that number tells it apart before it is used.
+    const accepted = await this.log.get(number, deadline);
+    if (accepted?.version.digest !== digest || accepted.version.parent !== parent) {
+      const message = `the snapshot is not of version ${number} of this log`;
+      throw new OutcomeError(message, { verdict: 'not-run', reason: 'corrupt' });
+    }
+    const digests = parts.map((part) => part.digest);
+    const texts = await this.#parts.get(digests, deadline);
+    const resources = texts.flatMap((text) => Part.parse(JSON.parse(text)));
+    return { number, digest, parent, resources };
+  }
+
+  /** Writes those parts that the record before does not list. */
+  async #store(
+    { number, digest, parent, resources }: Snapshot,
+    before: SnapshotRecord | undefined,
+    deadline: number,
+  ): Promise<SnapshotRecord> {
+    const pivots = before?.parts.map((part) => part.from) ?? [];
+    const groups = partition(resources, pivots);
+    const known = new Set(before?.parts.map((part) => part.digest));
+    const listed = groups.map((group) => {
+      const text = JSON.stringify(group);
+      return { from: resourceKey(group[0]!), digest: sha256(text), text };
+    });
+    const fresh = listed.filter((part) => !known.has(part.digest));
+    await this.#parts.put(
+      fresh.map((part) => part.text),
+      deadline,
+    );
+    const parts = listed.map((part) => ({ from: part.from, digest: part.digest }));
+    return { number, digest, parent, parts };
+  }
+}
+
+interface Latest {
+  readonly stored: Stored;
+  readonly record: SnapshotRecord;
+}
--- a/src/source/source.ts
+++ b/src/source/source.ts
@@ -19,8 +19,11 @@
 import { Head } from './head.js';
 import { Log } from './log.js';
 import { Amendment, type Proposal, Submission, Withdrawal } from './proposal.js';
+import { NoteIndex } from './note_index.js';
+import { Publisher, SNAPSHOT_EVERY } from './publisher.js';
 import { Refusals } from './refusals.js';
 import { type Candidate, Review } from './review.js';
+import { Snapshots } from './snapshots.js';
 
 /** Who hands in what; as much as can be read from a text that is not a release note. */
 export type Attempt = Pick<Proposal, 'action' | 'note' | 'author'>;
@@ -33,7 +36,7 @@
  * once: the platform admits one record under each number. Within a process proposals go one at a
  * time, since two that race each other would only cost calls.
  */
-export class Source {
+export class Source implements AsyncDisposable {
   /** What became of the notes handed in here, and how many refusals could not be audited. */
   readonly counts = { accepted: 0, repeated: 0, refused: 0, conflict: 0, unaudited: 0 };
 
@@ -43,6 +46,8 @@
 
   readonly #appender: Appender;
 
+  readonly #publisher: Publisher;
+
   readonly #refusals: Refusals;
 
   readonly #audit: Audit;
@@ -53,10 +58,14 @@
     platform: Platform,
     private readonly clock: Clock,
     private readonly random: Random,
+    snapshotEvery = SNAPSHOT_EVERY,
   ) {
     const log = new Log(platform);
-    this.#head = new Head(log);
-    this.#review = new Review(log, this.#head);
+    const index = new NoteIndex(platform);
+    const snapshots = new Snapshots(platform, log);
+    this.#head = new Head(log, snapshots);
+    this.#review = new Review(log, this.#head, index);
+    this.#publisher = new Publisher(this.#head, index, snapshots, clock, snapshotEvery);
     this.#appender = new Appender(log, clock, random);
     this.#refusals = new Refusals(platform, clock, random);
     this.#audit = new Audit(log, this.#refusals);
@@ -99,10 +108,17 @@
     return this.#audit.page(cursor, deadline);
   }
 
+  /** Waits for what was handed in, and for a snapshot that is being published. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#queue.onIdle();
+  }
+
   async #handIn(proposal: Proposal, deadline: number): Promise<Acceptance> {
     const acceptance = await this.#inTurn(() => this.#accept(proposal, deadline));
     if (acceptance.outcome !== 'accepted') return this.#audited(proposal, acceptance);
     this.counts[acceptance.repeated ? 'repeated' : 'accepted'] += 1;
+    // After the answer, in the same queue: nothing else moves the head while it is published.
+    if (this.#publisher.isDue) void this.#queue.add(() => this.#publisher.publish());
     return acceptance;
   }
 
--- a/src/test/source/fixture.ts
+++ b/src/test/source/fixture.ts
@@ -2,10 +2,12 @@
 import { install } from '@sinonjs/fake-timers';
 import { Configuration } from '../../configuration/configuration.js';
 import { ReleaseNote, type ReleaseNoteInput, type VersionRecord } from '../../contracts.js';
+import { type Platform } from '../../platform/platform.js';
 import { TimerClock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { Log } from '../../source/log.js';
 import { type Acceptance } from '../../source/acceptance.js';
+import { SNAPSHOT_EVERY } from '../../source/publisher.js';
 import { Source } from '../../source/source.js';
 import { PlatformStore } from '../../standins/platform_store.js';
 
@@ -31,9 +33,9 @@
   }
 
   /** Another source over the same platform, as in another process. */
-  source(): Source {
+  source(platform: Platform = this.store, snapshotEvery = SNAPSHOT_EVERY): Source {
     this.#seed += 1;
-    return new Source(this.store, this.clock, new SeededRandom(this.#seed));
+    return new Source(platform, this.clock, new SeededRandom(this.#seed), snapshotEvery);
   }
 
   /** The outcome of `promise`, with time moved on for as long as it takes. */
@@ -56,6 +58,21 @@
     }
   }
 
+  /** Writes so many versions that change nothing, as notes `filler-1` and on. */
+  async fill(count: number): Promise<void> {
+    let configuration = Configuration.empty;
+    const change = { put: [], remove: [] };
+    for (let index = 1; index <= count; index++) {
+      const parent = configuration.digest;
+      configuration = configuration.next(change);
+      const { number, digest } = configuration;
+      const name = `filler-${index}`;
+      const version = { number, parent, digest, note: name, acceptedAt: START, change };
+      const rest = { action: 'submit', author: 'dana', nonce: name, content: digest } as const;
+      await this.log.append({ version, ...rest, undo: change }, this.deadline);
+    }
+  }
+
   /** Names of the resources held after the last version. */
   async held(): Promise<string[]> {
     let configuration = Configuration.empty;
--- a/src/test/source/source_test.ts
+++ b/src/test/source/source_test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { MAX_REACH } from '../../source/review.js';
 import { brief, Fixture, note, OPENING, upstreams } from './fixture.js';
 
 describe('Source', () => {
@@ -108,6 +109,19 @@
     expect(answers.map(brief)).toMatchSnapshot();
   });
 
+  it('holds no base that is ahead of the log or too far back', async () => {
+    using fixture = new Fixture();
+    await fixture.fill(MAX_REACH + 1);
+    const based = (base: number) => note('based', { base, add: upstreams('x') });
+    const source = fixture.source();
+    const answers = [
+      await source.submit(based(MAX_REACH + 2), fixture.deadline),
+      await source.submit(based(0), fixture.deadline),
+      await source.submit(based(1), fixture.deadline),
+    ];
+    expect(answers.map(brief)).toMatchSnapshot();
+  });
+
   it('checks a note against the head and writes nothing', async () => {
     using fixture = new Fixture();
     const source = fixture.source();
