--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -3,9 +3,11 @@
 import { cac } from 'cac';
 import { MachineClock } from '../runtime/clock.js';
 import { type Experiment } from './experiment.js';
+import { AddedLatency } from './experiments/added_latency.js';
 import { ControlBytes } from './experiments/control_bytes.js';
 import { Convergence } from './experiments/convergence.js';
 import { Herd } from './experiments/herd.js';
+import { Overload } from './experiments/overload.js';
 
 const clock = new MachineClock();
 const RESULTS = new URL('../../bench/results/', import.meta.url);
@@ -18,6 +20,8 @@
   new Convergence(clock),
   new ControlBytes(clock),
   new Herd(clock),
+  new AddedLatency(clock),
+  new Overload(clock),
 ];
 
 interface Flags {
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -88,6 +88,9 @@
         answer(response, 200, { number, digest });
         return;
       }
+      case '/endpoints':
+        answer(response, 200, { endpoints: this.instance.roster.endpoints });
+        return;
       case '/configuration':
         answer(response, 200, this.instance.replica.snapshot());
         return;
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -54,6 +54,11 @@
     );
   }
 
+  /** How many live members have an endpoint that takes work. */
+  get endpoints(): number {
+    return this.live().filter((member) => member.endpoint?.state === 'ready').length;
+  }
+
   /** Calls `listener` with the statements that were news. */
   onNews(listener: (members: readonly Member[]) => void): void {
     this.#listeners.add(listener);
--- a/src/standins/upstream_server.ts
+++ b/src/standins/upstream_server.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import PQueue from 'p-queue';
 import { type EndpointState } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { listen, LOOPBACK, shut } from './listen.js';
@@ -34,6 +35,9 @@
 
   #inFlight = 0;
 
+  /** Requests beyond the slots wait inside the upstream, whether or not anybody still does. */
+  readonly #slots: PQueue;
+
   readonly #stopping = new AbortController();
 
   private constructor(
@@ -41,6 +45,7 @@
     private readonly options: UpstreamOptions,
   ) {
     this.delayMs = options.delayMs ?? 0;
+    this.#slots = new PQueue({ concurrency: options.slots ?? DEFAULT_SLOTS });
     this.#server = createServer((incoming, response) => void this.#serve(incoming, response));
     this.#server.keepAliveTimeout = 60_000;
   }
@@ -93,12 +98,17 @@
     await shut(this.#server);
   }
 
+  async #work(): Promise<void> {
+    if (this.delayMs === 0) return;
+    await this.#slots.add(() => this.clock.sleepUntil(this.clock.now() + this.delayMs));
+  }
+
   async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     this.#inFlight += 1;
     const id = String(incoming.headers['x-request'] ?? 'unnamed');
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
     incoming.resume();
-    if (this.delayMs > 0) await this.clock.sleepUntil(this.clock.now() + this.delayMs);
+    await this.#work();
     const body = JSON.stringify({ upstream: this.options.upstream, request: id });
     response.writeHead(200, {
       'content-type': 'application/json',
