--- a/src/source/source.ts
+++ b/src/source/source.ts
@@ -1,151 +1,171 @@
 /** Acceptance: turns release notes into versions of the log. */
-import { Configuration } from '../configuration/configuration.js';
-import { digestOf } from '../configuration/digest.js';
-import { type Problem, validate } from '../configuration/validate.js';
-import { type Action, OutcomeError, type ReleaseNote, type VersionRecord } from '../contracts.js';
+import PQueue from 'p-queue';
+import {
+  type Action,
+  type AuditCursor,
+  type AuditPage,
+  OutcomeError,
+  type Problem,
+  type ReleaseNote,
+  type VersionRecord,
+} from '../contracts.js';
+import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { evaluate, type Evaluation, touched } from './evaluate.js';
-import { type Log } from './log.js';
+import { type Acceptance, type Check, type Conflict, type Refused } from './acceptance.js';
+import { Appender } from './appender.js';
+import { Audit, TRAIL_START } from './audit.js';
+import { touched } from './evaluate.js';
+import { Head } from './head.js';
+import { Log } from './log.js';
+import { Amendment, type Proposal, Submission, Withdrawal } from './proposal.js';
+import { Refusals } from './refusals.js';
+import { type Candidate, Review } from './review.js';
 
-/** How the handing in of a note ended. */
-export type Acceptance =
-  | { readonly outcome: 'accepted'; readonly record: VersionRecord; readonly repeated: boolean }
-  | { readonly outcome: 'refused'; readonly problems: readonly Problem[] }
-  | { readonly outcome: 'conflict'; readonly resources: readonly string[]; readonly note: string };
+/** Who hands in what; as much as can be read from a text that is not a release note. */
+export type Attempt = Pick<Proposal, 'action' | 'note' | 'author'>;
 
-const RETRY_CAP_MS = 200;
+/** Proposals that wait at one process; more are turned away. */
+const MAX_WAITING = 64;
 
-/** Accepts release notes by creating the next version if absent. */
+/**
+ * Accepts release notes by creating the next version if absent. Any process may do it, several at
+ * once: the platform admits one record under each number. Within a process proposals go one at a
+ * time, since two that race each other would only cost calls.
+ */
 export class Source {
-  #head = Configuration.empty;
+  /** What became of the notes handed in here, and how many refusals could not be audited. */
+  readonly counts = { accepted: 0, repeated: 0, refused: 0, conflict: 0, unaudited: 0 };
 
-  readonly #records: VersionRecord[] = [];
+  readonly #head: Head;
+
+  readonly #review: Review;
+
+  readonly #appender: Appender;
+
+  readonly #refusals: Refusals;
+
+  readonly #audit: Audit;
+
+  readonly #queue = new PQueue({ concurrency: 1 });
 
   constructor(
-    private readonly log: Log,
+    platform: Platform,
     private readonly clock: Clock,
     private readonly random: Random,
-  ) {}
+  ) {
+    const log = new Log(platform);
+    this.#head = new Head(log);
+    this.#review = new Review(log, this.#head);
+    this.#appender = new Appender(log, clock, random);
+    this.#refusals = new Refusals(platform, clock, random);
+    this.#audit = new Audit(log, this.#refusals);
+  }
 
   /** Accepts a note that was not handed in before, or answers as it did the first time. */
   submit(note: ReleaseNote, deadline: number): Promise<Acceptance> {
-    return this.#accept('submit', note.author, note, deadline);
+    return this.#handIn(new Submission(note), deadline);
   }
 
-  /** Reads whatever the log holds beyond what is known here. */
-  async catchUp(deadline: number): Promise<void> {
-    for (;;) {
-      const records = await this.log.read(this.#head.number, deadline);
-      if (records.length === 0) return;
-      for (const record of records) {
-        this.#head = this.#head.next(record.version.change);
-        this.#records.push(record);
-      }
-    }
+  /** Replaces what the note of the same id has done by what this one says, as one version. */
+  amend(note: ReleaseNote, deadline: number): Promise<Acceptance> {
+    return this.#handIn(new Amendment(note), deadline);
   }
 
-  /** Entries of the log, oldest first. */
-  async history(deadline: number): Promise<readonly VersionRecord[]> {
-    await this.catchUp(deadline);
-    return this.#records;
+  /** Takes back what a note has done, as a new version. */
+  withdraw(note: string, author: string, deadline: number): Promise<Acceptance> {
+    return this.#handIn(new Withdrawal(note, author), deadline);
   }
 
-  async #accept(
-    action: Action,
-    author: string,
-    note: ReleaseNote,
-    deadline: number,
-  ): Promise<Acceptance> {
-    await this.catchUp(deadline);
-    const content = digestOf(note);
-    const nonce = this.random.nonce();
-    const base = note.base ?? this.#head.number;
-    for (;;) {
-      const earlier = this.#earlier(note.id);
-      if (earlier) return repeated(earlier, content);
-      const rivals = this.#rivals(base, note);
-      if (rivals) return rivals;
-      const evaluation = evaluate(note, this.#head);
-      const candidate = this.#head.next(evaluation.change);
-      const problems = [...evaluation.problems, ...validate(candidate)];
-      if (problems.length > 0) return { outcome: 'refused', problems };
-      const record = this.#record(action, author, note.id, content, nonce, evaluation, candidate);
-      if (await this.#append(record, deadline)) {
-        await this.catchUp(deadline);
-        return { outcome: 'accepted', record, repeated: false };
-      }
-      await this.catchUp(deadline);
-    }
+  /** What `submit`, or `amend`, would answer now; nothing is written. */
+  async check(note: ReleaseNote, action: 'submit' | 'amend', deadline: number): Promise<Check> {
+    const proposal = action === 'amend' ? new Amendment(note) : new Submission(note);
+    return this.#inTurn(async () => {
+      await this.#head.catchUp(deadline);
+      const { number } = this.#head.configuration;
+      const decision = await this.#review.decide(proposal, proposal.base ?? number, deadline);
+      if ('outcome' in decision) return decision;
+      return { outcome: 'valid', head: number, resources: touched(decision.evaluation.change) };
+    });
+  }
+
+  /** Refuses what was handed in for the problems found in its text, and audits that. */
+  refuse(attempt: Attempt, problems: readonly Problem[]): Promise<Refused> {
+    return this.#audited(attempt, { outcome: 'refused', problems });
+  }
+
+  /** Reads the audit trail, in time order, from its start or from a cursor. */
+  history(deadline: number, cursor: AuditCursor = TRAIL_START): Promise<AuditPage> {
+    return this.#audit.page(cursor, deadline);
   }
 
-  #earlier(note: string): VersionRecord | undefined {
-    return this.#records.findLast((record) => record.version.note === note);
+  async #handIn(proposal: Proposal, deadline: number): Promise<Acceptance> {
+    const acceptance = await this.#inTurn(() => this.#accept(proposal, deadline));
+    if (acceptance.outcome !== 'accepted') return this.#audited(proposal, acceptance);
+    this.counts[acceptance.repeated ? 'repeated' : 'accepted'] += 1;
+    return acceptance;
   }
 
-  /** The conflict with versions after `base` that touch the same resources, if there is one. */
-  #rivals(base: number, note: ReleaseNote): Acceptance | undefined {
-    const mine = new Set(touched(evaluate(note, this.#head).change));
-    for (const { version } of this.#records.slice(base)) {
-      const resources = touched(version.change).filter((key) => mine.has(key));
-      if (resources.length > 0) return { outcome: 'conflict', resources, note: version.note };
+  #inTurn<T>(task: () => Promise<T>): Promise<T> {
+    if (this.#queue.size < MAX_WAITING) return this.#queue.add(task);
+    const message = `${MAX_WAITING} others wait here; hand the note in again later`;
+    throw new OutcomeError(message, { verdict: 'not-run', reason: 'busy' });
+  }
+
+  async #accept(proposal: Proposal, deadline: number): Promise<Acceptance> {
+    await this.#head.catchUp(deadline);
+    const nonce = this.random.nonce();
+    const base = proposal.base ?? this.#head.configuration.number;
+    for (;;) {
+      const decision = await this.#review.decide(proposal, base, deadline);
+      if ('outcome' in decision) return decision;
+      const record = this.#record(proposal, nonce, decision);
+      const isMine = await this.#appender.append(record, deadline);
+      if (isMine) this.#head.advance(record);
+      else await this.#head.catchUp(deadline);
+      if (isMine) return { outcome: 'accepted', record, repeated: false };
     }
-    return undefined;
   }
 
   #record(
-    action: Action,
-    author: string,
-    note: string,
-    content: string,
+    { action, author, note, content }: Proposal,
     nonce: string,
-    { change, undo }: Evaluation,
-    candidate: Configuration,
+    { evaluation, configuration }: Candidate,
   ): VersionRecord {
-    const { number, digest } = candidate;
-    const version = {
-      number,
-      parent: this.#head.digest,
-      digest,
-      note,
-      acceptedAt: this.clock.now(),
-      change,
-    };
+    const { number, digest } = configuration;
+    const { change, undo } = evaluation;
+    const parent = this.#head.configuration.digest;
+    const acceptedAt = this.clock.now();
+    const version = { number, parent, digest, note, acceptedAt, change };
     return { version, action, author, nonce, content, undo };
   }
 
-  /** Whether the record is in the log under its number; settles a lost answer by reading back. */
-  async #append(record: VersionRecord, deadline: number): Promise<boolean> {
-    try {
-      return await this.log.append(record, deadline);
-    } catch (error) {
-      if (!(error instanceof OutcomeError) || error.verdict === 'not-run') throw error;
-      return this.#settle(record, deadline);
-    }
-  }
-
-  async #settle(record: VersionRecord, deadline: number): Promise<boolean> {
-    while (this.clock.now() < deadline) {
-      try {
-        const held = await this.log.get(record.version.number, deadline);
-        if (held) return held.nonce === record.nonce;
-        // Nothing there: the first write may still be on its way, so it is sent again under the
-        // same number and nonce. Whichever arrives first is the one record.
-        if (await this.log.append(record, deadline)) return true;
-      } catch (error) {
-        if (!(error instanceof OutcomeError)) throw error;
-        await this.clock.sleepUntil(this.clock.now() + this.random.jitter(RETRY_CAP_MS));
-      }
-    }
-    throw new OutcomeError('no answer from the platform; hand the same note in again', {
-      verdict: 'may-have-run',
-      reason: 'unsettled',
+  async #audited<T extends Refused | Conflict>(attempt: Attempt, refusal: T): Promise<T> {
+    const { action, author, note } = attempt;
+    const { outcome } = refusal;
+    this.counts[outcome] += 1;
+    const audited = await this.#refusals.record({
+      at: this.clock.now(),
+      author,
+      action,
+      note,
+      outcome,
+      resources: refusal.outcome === 'conflict' ? [...refusal.resources] : [],
+      problems: refusal.outcome === 'refused' ? [...refusal.problems] : [],
+      ...(refusal.outcome === 'conflict' && { rival: refusal.note }),
+      omitted: 0,
     });
+    if (!audited) this.counts.unaudited += 1;
+    return { ...refusal, audited };
   }
 }
 
-function repeated(earlier: VersionRecord, content: string): Acceptance {
-  if (earlier.content === content) return { outcome: 'accepted', record: earlier, repeated: true };
-  const message = `was accepted as version ${earlier.version.number} with other content; amend it`;
-  return { outcome: 'refused', problems: [{ path: 'id', message }] };
+/** Who and what a text that is no release note speaks of, as far as it says so. */
+export function attemptOf(action: Action, data: unknown): Attempt {
+  const fields = typeof data === 'object' && data !== null ? data : {};
+  const text = (name: string) => {
+    const value = (fields as Record<string, unknown>)[name];
+    return typeof value === 'string' && value !== '' ? value : 'unknown';
+  };
+  return { action, author: text('author'), note: text('id') };
 }
