Run the control part in memory, with the faults of links and processes

Cause: push, pull, readiness and survey could only be tried over sockets. Change: the control part of a process (mesh, gossip, distributor, reader, directory) is put together in daemon/control.ts, which the daemon and the tests share; MemoryLink, MemoryNetwork, ReachedPlatform and Gate stand in for links, data centres cut from each other, the platform and a paused process; FakeTime runs promises to their ends between timers.

--- /dev/null
+++ b/src/daemon/control.ts
@@ -0,0 +1,129 @@
+/** The control part of a process: configuration and membership, without the carrying of requests. */
+import { type Member } from '../contracts.js';
+import { Distributor, type Profile } from '../distribution/distributor.js';
+import { type Address, type Dialer, Mesh } from '../distribution/mesh.js';
+import { HEARTBEAT } from '../distribution/methods.js';
+import { Reader } from '../distribution/reader.js';
+import { Replica } from '../distribution/replica.js';
+import { Methods } from '../link/peer.js';
+import { Directory } from '../membership/directory.js';
+import { GossipTask } from '../membership/gossip.js';
+import { Ranking } from '../membership/ranking.js';
+import { Roster } from '../membership/roster.js';
+import { type Platform } from '../platform/platform.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
+import { Log } from '../source/log.js';
+
+/** What the control part is given of the outside world. */
+export interface ControlSurroundings {
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly dialer: Dialer;
+}
+
+export interface ControlOptions {
+  readonly fanout: number;
+  readonly heartbeatMs: number;
+  readonly profile: Profile;
+  /** Where others are looked for first. */
+  readonly peers: readonly Address[];
+}
+
+/** How often a starting process looks for others, in milliseconds. */
+const SEEK_EVERY_MS = 500;
+
+export class Control implements AsyncDisposable {
+  readonly replica = new Replica();
+
+  readonly roster: Roster;
+
+  readonly ranking: Ranking;
+
+  readonly log: Log;
+
+  readonly mesh: Mesh;
+
+  readonly distributor: Distributor;
+
+  readonly reader: Reader;
+
+  readonly #directory: Directory;
+
+  readonly #gossip: GossipTask;
+
+  readonly #stopping = new AbortController();
+
+  #tasks: Promise<void>[] = [];
+
+  constructor(
+    self: Member,
+    private readonly options: ControlOptions,
+    private readonly surroundings: ControlSurroundings,
+  ) {
+    const { platform, clock, random, dialer } = surroundings;
+    const { replica } = this;
+    this.roster = new Roster(self);
+    this.ranking = new Ranking(this.roster, options.fanout);
+    this.log = new Log(platform);
+    const methods = new Methods();
+    this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, () => ({
+      member: this.roster.self,
+      version: replica.current.number,
+      digest: replica.current.digest,
+    }));
+    this.distributor = new Distributor(
+      replica,
+      this.mesh,
+      this.roster,
+      this.ranking,
+      options.profile,
+      clock,
+      methods,
+    );
+    this.#gossip = new GossipTask(
+      this.roster,
+      this.mesh,
+      replica,
+      clock,
+      options.heartbeatMs,
+      methods,
+    );
+    methods.on(HEARTBEAT, (peer, { version, roster }) => {
+      this.distributor.heard(peer, version);
+      this.#gossip.compare(peer, roster);
+    });
+    this.reader = new Reader(this.log, replica, this.ranking, clock, random);
+    this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
+  }
+
+  /** Joins the others and starts all tasks. */
+  start(): void {
+    const { signal } = this.#stopping;
+    this.#tasks = [
+      this.#seek(signal),
+      this.reader.run(signal),
+      this.#directory.run(signal),
+      this.#gossip.run(signal),
+    ];
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stopping.abort();
+    await this.mesh[Symbol.asyncDispose]();
+    await Promise.all(this.#tasks);
+  }
+
+  /** Looks for others, first at the addresses from the settings, until one is found. */
+  async #seek(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.surroundings;
+    while (!signal.aborted && this.mesh.peers.length === 0) {
+      for (const address of this.options.peers) await this.mesh.introduce(address);
+      if (this.mesh.peers.length > 0) return;
+      await this.#directory.read().catch(() => {});
+      const wait = SEEK_EVERY_MS + random.jitter(SEEK_EVERY_MS);
+      await clock.sleepUntil(clock.now() + wait, signal);
+    }
+  }
+}
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -2,25 +2,19 @@
 import { createServer, type Server } from 'node:net';
 import { type Member } from '../contracts.js';
 import { type Codec } from '../link/codec.js';
-import { Methods } from '../link/peer.js';
 import { connect, TcpLink } from '../link/tcp_link.js';
-import { BytesProfile, ConvergenceProfile, Distributor } from '../distribution/distributor.js';
-import { Dialer, Mesh } from '../distribution/mesh.js';
-import { HEARTBEAT } from '../distribution/methods.js';
-import { Reader } from '../distribution/reader.js';
-import { Replica } from '../distribution/replica.js';
-import { Directory } from '../membership/directory.js';
-import { GossipTask } from '../membership/gossip.js';
-import { Ranking } from '../membership/ranking.js';
-import { Roster } from '../membership/roster.js';
+import { BytesProfile, ConvergenceProfile } from '../distribution/distributor.js';
+import { Dialer } from '../distribution/mesh.js';
+import { type Replica } from '../distribution/replica.js';
+import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { Balancer } from '../requests/balancer.js';
 import { Entry } from '../requests/entry.js';
 import { Guard } from '../requests/guard.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { Log } from '../source/log.js';
 import { Source } from '../source/source.js';
+import { Control } from './control.js';
 import { Journal } from './log.js';
 import { OperatorsPort } from './operators_port.js';
 import { bind } from './bind.js';
@@ -35,8 +29,6 @@
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
-/** How often a starting process looks for others, in milliseconds. */
-const SEEK_EVERY_MS = 500;
 
 /**
  * @example
@@ -45,11 +37,7 @@
  * ```
  */
 export class Instance implements AsyncDisposable {
-  readonly replica = new Replica();
-
-  readonly roster: Roster;
-
-  readonly ranking: Ranking;
+  readonly control: Control;
 
   readonly guard: Guard;
 
@@ -57,26 +45,12 @@
 
   readonly source: Source;
 
-  readonly distributor: Distributor;
-
-  readonly mesh: Mesh;
-
-  readonly reader: Reader;
-
   readonly journal: Journal;
 
-  readonly #directory: Directory;
-
-  readonly #gossip: GossipTask;
-
   readonly #operators: OperatorsPort;
 
   readonly #linkServer: Server;
 
-  readonly #stopping = new AbortController();
-
-  readonly #tasks: Promise<void>[] = [];
-
   private constructor(
     readonly settings: Settings,
     readonly surroundings: Surroundings,
@@ -85,48 +59,13 @@
   ) {
     const { platform, clock, random, codec } = surroundings;
     this.journal = new Journal(self.instance, clock);
-    this.roster = new Roster(self);
-    this.ranking = new Ranking(this.roster, settings.fanout);
-    const log = new Log(platform);
-    this.source = new Source(log, clock, random);
-    const methods = new Methods();
-    this.mesh = new Mesh(
-      this.roster,
-      this.ranking,
-      methods,
-      new TcpDialer(codec),
-      clock,
-      random,
-      () => ({
-        member: this.roster.self,
-        version: this.replica.current.number,
-        digest: this.replica.current.digest,
-      }),
-    );
     const profile = settings.profile === 'bytes' ? new BytesProfile() : new ConvergenceProfile();
-    this.distributor = new Distributor(
-      this.replica,
-      this.mesh,
-      this.roster,
-      this.ranking,
-      profile,
-      clock,
-      methods,
-    );
-    this.#gossip = new GossipTask(
-      this.roster,
-      this.mesh,
-      this.replica,
-      clock,
-      settings.heartbeatMs,
-      methods,
+    this.control = new Control(
+      self,
+      { ...settings, profile },
+      { platform, clock, random, dialer: new TcpDialer(codec) },
     );
-    methods.on(HEARTBEAT, (peer, { version, roster }) => {
-      this.distributor.heard(peer, version);
-      this.#gossip.compare(peer, roster);
-    });
-    this.reader = new Reader(log, this.replica, this.ranking, clock, random);
-    this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    this.source = new Source(this.control.log, clock, random);
     const balancer = new Balancer(this.roster, random);
     this.guard = ports.guard;
     this.entry = new Entry(
@@ -171,6 +110,14 @@
     return this.replica.current.number > 0;
   }
 
+  get replica(): Replica {
+    return this.control.replica;
+  }
+
+  get roster(): Roster {
+    return this.control.roster;
+  }
+
   get callerPort(): number {
     return portOf(this.entry.server);
   }
@@ -181,43 +128,25 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.roster.leave();
-    this.#stopping.abort();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
-    await this.mesh[Symbol.asyncDispose]();
+    await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
-    await Promise.all(this.#tasks);
     this.journal.record('stopped');
   }
 
   async #open(): Promise<void> {
     const { codec } = this.surroundings;
     const { host, callerPort, operatorsPort } = this.settings;
-    this.#linkServer.on('connection', (socket) => this.mesh.accept(new TcpLink(socket, codec)));
+    this.#linkServer.on('connection', (socket) =>
+      this.control.mesh.accept(new TcpLink(socket, codec)),
+    );
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, callerPort);
-    const { signal } = this.#stopping;
-    this.#tasks.push(
-      this.#seek(signal),
-      this.reader.run(signal),
-      this.#directory.run(signal),
-      this.#gossip.run(signal),
-    );
+    this.control.start();
     this.journal.record('started', { callerPort: this.callerPort });
   }
-
-  /** Looks for others, first at the addresses from the settings, until one is found. */
-  async #seek(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.surroundings;
-    while (!signal.aborted && this.mesh.peers.length === 0) {
-      for (const address of this.settings.peers) await this.mesh.introduce(address);
-      if (this.mesh.peers.length > 0) return;
-      await this.#directory.read().catch(() => {});
-      const wait = SEEK_EVERY_MS + random.jitter(SEEK_EVERY_MS);
-      await clock.sleepUntil(clock.now() + wait, signal);
-    }
-  }
 }
 
 interface OpenPorts {
--- /dev/null
+++ b/src/standins/memory_network.ts
@@ -0,0 +1,122 @@
+/** Stand-in for the network between processes: memory links that can be cut by data centre. */
+import { OutcomeError } from '../contracts.js';
+import { Dialer } from '../distribution/mesh.js';
+import { type Codec } from '../link/codec.js';
+import { type Link } from '../link/link.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
+import { type Gate } from './gate.js';
+import { type LinkFaults, MemoryLink, noFaults } from './memory_link.js';
+
+/** One process as the network sees it. */
+export interface Host {
+  readonly host: string;
+  readonly port: number;
+  readonly dataCentre: string;
+  readonly gate: Gate;
+  readonly accept: (link: Link) => void;
+}
+
+interface Connection {
+  readonly ends: readonly [MemoryLink, MemoryLink];
+  readonly hosts: readonly [Host, Host];
+}
+
+/** How long an attempt takes that nothing answers, in milliseconds. */
+const DIAL_TIMEOUT_MS = 1_000;
+
+export class MemoryNetwork {
+  readonly faults: LinkFaults = noFaults();
+
+  readonly #hosts = new Map<string, Host>();
+
+  readonly #cuts = new Set<string>();
+
+  readonly #connections: Connection[] = [];
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly codec: Codec,
+  ) {}
+
+  /** Bytes that were sent over all links so far, framing included. */
+  get bytesSent(): number {
+    const ends = this.#connections.flatMap((connection) => connection.ends);
+    return ends.reduce((sum, end) => sum + end.bytesSent, 0);
+  }
+
+  /** Lets a process be dialled, and returns what it dials with. */
+  attach(host: Host): Dialer {
+    this.#hosts.set(address(host.host, host.port), host);
+    return new MemoryDialer((to, port) => this.#dial(host, to, port));
+  }
+
+  /** The process dies: its links close, or merely go silent when its machine dies with it. */
+  detach(host: Host, how: 'closed' | 'silent'): void {
+    this.#hosts.delete(address(host.host, host.port));
+    for (const { ends, hosts } of this.#open(host)) {
+      if (how === 'silent') ends[0].silence();
+      ends[hosts.indexOf(host)]?.close();
+    }
+  }
+
+  /** Open links between two processes go silent for good; new ones work. */
+  silence(one: Host, other: Host): void {
+    for (const { ends, hosts } of this.#open(one)) if (hosts.includes(other)) ends[0].silence();
+  }
+
+  /** Nothing passes between two data centres until `heal`. */
+  cut(one: string, other: string): void {
+    this.#cuts.add(pairOf(one, other));
+  }
+
+  heal(): void {
+    this.#cuts.clear();
+  }
+
+  #open(host: Host): Connection[] {
+    return this.#connections.filter(
+      ({ ends, hosts }) => hosts.includes(host) && !ends.every((end) => end.closed.aborted),
+    );
+  }
+
+  async #dial(from: Host, host: string, port: number): Promise<Link> {
+    const target = this.#hosts.get(address(host, port));
+    const isCut = () => target !== undefined && this.#isCut(from, target);
+    if (isCut()) await this.clock.sleepUntil(this.clock.now() + DIAL_TIMEOUT_MS);
+    else await this.clock.sleepUntil(this.clock.now() + this.faults.latencyMs);
+    if (!target || this.#hosts.get(address(host, port)) !== target || isCut()) {
+      const props = { verdict: 'not-run', reason: 'unreachable' } as const;
+      throw new OutcomeError(`no link to ${address(host, port)}`, props);
+    }
+    return this.#connect(from, target, isCut);
+  }
+
+  #connect(from: Host, target: Host, isCut: () => boolean): Link {
+    const { clock, random, codec, faults } = this;
+    const wire = { clock, random, codec, faults, isCut };
+    const ends = MemoryLink.pair(wire, from.gate, target.gate);
+    this.#connections.push({ ends, hosts: [from, target] });
+    target.accept(ends[1]);
+    return ends[0];
+  }
+
+  #isCut(one: Host, other: Host): boolean {
+    return this.#cuts.has(pairOf(one.dataCentre, other.dataCentre));
+  }
+}
+
+class MemoryDialer extends Dialer {
+  constructor(readonly dial: (host: string, port: number) => Promise<Link>) {
+    super();
+  }
+}
+
+function address(host: string, port: number): string {
+  return `${host}:${port}`;
+}
+
+function pairOf(one: string, other: string): string {
+  return [one, other].sort().join(' ');
+}
--- /dev/null
+++ b/src/test/distribution/test_fleet.ts
@@ -0,0 +1,187 @@
+import { Configuration } from '../../configuration/configuration.js';
+import { digestOf } from '../../configuration/digest.js';
+import { type Change, Route, Upstream, type Version, type VersionRecord } from '../../contracts.js';
+import { Control } from '../../daemon/control.js';
+import { ConvergenceProfile, type Profile } from '../../distribution/distributor.js';
+import { MsgpackCodec } from '../../link/codec.js';
+import { type Clock } from '../../runtime/clock.js';
+import { type Random, SeededRandom } from '../../runtime/random.js';
+import { Gate, GatedClock } from '../../standins/gate.js';
+import { type Host, MemoryNetwork } from '../../standins/memory_network.js';
+import { PlatformStore } from '../../standins/platform_store.js';
+import { ReachedPlatform } from '../../standins/reached_platform.js';
+import { Log } from '../../source/log.js';
+import { FakeTime } from '../fake_time.js';
+
+/** One process of the fleet: its life may end and begin again under the same name. */
+export interface Node {
+  readonly name: string;
+  readonly host: Host;
+  readonly control: Control;
+  isAlive: boolean;
+}
+
+export interface FleetOptions {
+  /** Names of data centres, and how many processes each has. */
+  readonly sizes: Readonly<Record<string, number>>;
+  readonly profile?: Profile;
+  readonly fanout?: number;
+  readonly seed?: number;
+}
+
+const SETTLE_MS = 8_000;
+const HEARTBEAT_MS = 1_000;
+
+/** A few processes over memory links and one platform stand-in, under fake timers. */
+export class TestFleet implements AsyncDisposable {
+  readonly time = new FakeTime();
+
+  readonly clock: Clock = this.time.clock;
+
+  readonly random: Random;
+
+  readonly platform = new PlatformStore(this.clock);
+
+  readonly network: MemoryNetwork;
+
+  readonly nodes = new Map<string, Node>();
+
+  readonly log = new Log(this.platform);
+
+  /** Data centres that the platform is out of reach of. */
+  readonly cutOff = new Set<string>();
+
+  /** Accepted configurations by version. */
+  readonly accepted = [Configuration.empty];
+
+  private constructor(private readonly options: FleetOptions) {
+    this.random = new SeededRandom(options.seed ?? 7);
+    this.network = new MemoryNetwork(this.clock, this.random, new MsgpackCodec());
+  }
+
+  /** Starts all processes and lets them get acquainted. */
+  static async start(options: FleetOptions): Promise<TestFleet> {
+    const fleet = new TestFleet(options);
+    for (const [dataCentre, size] of Object.entries(options.sizes)) {
+      for (let index = 1; index <= size; index++) {
+        fleet.launch(`${dataCentre}-${index}`, dataCentre);
+      }
+    }
+    await fleet.time.advance(SETTLE_MS);
+    return fleet;
+  }
+
+  get alive(): Node[] {
+    return [...this.nodes.values()].filter((node) => node.isAlive);
+  }
+
+  /** Live processes of a data centre by rank. */
+  ranked(dataCentre: string): Node[] {
+    const [any] = this.alive.filter(({ host }) => host.dataCentre === dataCentre);
+    const members = any?.control.ranking.ranked(dataCentre) ?? [];
+    return members.map(({ instance }) => this.nodes.get(instance)!).filter((node) => node.isAlive);
+  }
+
+  get versions(): number[] {
+    return this.alive.map(({ control }) => control.replica.current.number);
+  }
+
+  holds(version: number): boolean {
+    return this.versions.every((held) => held >= version);
+  }
+
+  /** Accepts a change as the next version; resolves to its number. */
+  async accept(change: Change = this.someChange()): Promise<number> {
+    const { version } = await this.write(this.next(change));
+    this.accepted.push(this.accepted.at(-1)!.next(change));
+    return version.number;
+  }
+
+  /** The next version, not written yet. */
+  next(change: Change = this.someChange()): Version {
+    const head = this.accepted.at(-1)!;
+    const { number, digest } = head.next(change);
+    const acceptedAt = this.clock.now();
+    return { number, parent: head.digest, digest, note: `note-${number}`, acceptedAt, change };
+  }
+
+  /** Puts a version into the log as it is, whether it is a good one or not. */
+  async write(version: Version): Promise<VersionRecord> {
+    const record: VersionRecord = {
+      version,
+      action: 'submit',
+      author: 'dana',
+      nonce: this.random.nonce(),
+      content: digestOf(version.note),
+      undo: { put: [], remove: [] },
+    };
+    await this.log.append(record, this.clock.now() + HEARTBEAT_MS);
+    return record;
+  }
+
+  /** A route with an upstream of its own. */
+  someChange(): Change {
+    const name = `suppers-${this.accepted.length}`;
+    const upstream = Upstream.parse({ kind: 'upstream', name });
+    const route = Route.parse({ kind: 'route', name, pathPrefix: `/${name}`, upstream: name });
+    return { put: [upstream, route], remove: [] };
+  }
+
+  kill(name: string, how: 'closed' | 'silent' = 'closed'): void {
+    const node = this.nodes.get(name)!;
+    node.isAlive = false;
+    this.network.detach(node.host, how);
+    node.host.gate.shut();
+    void node.control[Symbol.asyncDispose]();
+  }
+
+  /** Starts a process, anew if one of that name was killed. */
+  launch(name: string, dataCentre: string): Node {
+    const gate = new Gate();
+    const clock = new GatedClock(this.clock, gate);
+    const isCut = () => this.cutOff.has(dataCentre);
+    const platform = new ReachedPlatform(this.platform, clock, gate, isCut);
+    const port = 1_000 + [...this.nodes.keys(), name].indexOf(name);
+    const host: Host = {
+      host: '10.0.0.1',
+      port,
+      dataCentre,
+      gate,
+      accept: (link) => control.mesh.accept(link),
+    };
+    const dialer = this.network.attach(host);
+    const control = new Control(
+      {
+        instance: name,
+        dataCentre,
+        host: host.host,
+        linkPort: port,
+        guardPort: 0,
+        operatorsPort: 0,
+        incarnation: this.clock.now(),
+        sequence: 0,
+        liveness: 'alive',
+      },
+      {
+        fanout: this.options.fanout ?? 2,
+        heartbeatMs: HEARTBEAT_MS,
+        profile: this.options.profile ?? new ConvergenceProfile(),
+        peers: [...this.nodes.values()]
+          .filter((node) => node.name !== name)
+          .slice(0, 3)
+          .map((node) => node.host),
+      },
+      { platform, clock, random: this.random, dialer },
+    );
+    const node = { name, host, control, isAlive: true };
+    this.nodes.set(name, node);
+    control.start();
+    return node;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const { name } of this.alive) this.kill(name);
+    await this.time.advance(HEARTBEAT_MS);
+    this.time[Symbol.dispose]();
+  }
+}
