--- a/src/bench/request_path.ts
+++ b/src/bench/request_path.ts
@@ -51,9 +51,7 @@
   /** What every upstream instance has run so far, by request id. */
   runs(): Promise<Record<string, number>[]> {
     return Promise.all(
-      this.upstreams.map(({ ports }) =>
-        getJson<Record<string, number>>(ports['controlPort']!, '/'),
-      ),
+      this.upstreams.map(({ ports }) => getJson<Record<string, number>>(ports.controlPort!, '/')),
     );
   }
 
