Merge statements about members in one total order

Cause: statements of equal age merged by the order they came in; a restart with a clock set back, or a late delta after 'left', could stay believed for good. Neighbours were searched anew on each call, and one more dead member was found per round when all monitors of a member had died with it.

Change: one total order (incarnation, left, sequence, liveness, text); a process refutes whatever is newer about itself, alive or not; hashes per bucket that leave the dead out; ranking cached by topology, so that deltas of endpoints rebuild nothing; each suspect on the ring makes one more successor watched.

--- a/src/contracts/member.ts
+++ b/src/contracts/member.ts
@@ -18,7 +18,7 @@
 export const Liveness = z.enum(['alive', 'suspect', 'dead', 'left']);
 export type Liveness = z.infer<typeof Liveness>;
 
-/** One process of the system. The higher (incarnation, sequence) is the newer statement. */
+/** One process of the system, and a statement about it; `isNewer` says which of two holds. */
 export const Member = z.strictObject({
   instance: z.string().min(1),
   dataCentre: z.string().min(1),
@@ -29,8 +29,8 @@
   guardPort: z.number().int(),
   /** Operators' port. */
   operatorsPort: z.number().int(),
-  /** Start of the process, in milliseconds since the epoch; raised to refute a suspicion. */
-  incarnation: z.number(),
+  /** Start of the process, in milliseconds since the epoch; raised to refute what others say. */
+  incarnation: z.number().int(),
   /** Raised by the member itself with every change of its endpoint. */
   sequence: z.number().int(),
   liveness: Liveness,
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -7,15 +7,31 @@
 export const READERS = 2;
 /** Members after oneself on the ring to which a link is kept. */
 const SUCCESSORS = 2;
+/** Members of a ring to which one process dials at most, however many are suspects. */
+const MAX_WATCHED = 64;
+/** Hashes of instances kept between changes; several times a fleet. */
+const MAX_WEIGHTS = 4_096;
+
+/** Live members of one data centre by rank. */
+interface Group {
+  readonly members: readonly Member[];
+  readonly ranks: ReadonlyMap<string, number>;
+}
+
+const NOBODY: Group = { members: [], ranks: new Map() };
 
 /**
  * Ranks live members by a hash of their instance (rendezvous): a member that comes or goes moves
  * few others. Rank 0 is the root of the data centre's tree, and the first `READERS` ranks read.
  */
 export class Ranking {
-  #generation = -1;
+  #topology = -1;
+
+  #groups = new Map<string, Group>();
 
-  #byDataCentre = new Map<string, Member[]>();
+  #neighbours: readonly Member[] | undefined;
+
+  readonly #weights = new Map<string, string>();
 
   constructor(
     private readonly roster: Roster,
@@ -24,13 +40,12 @@
 
   /** Live members of a data centre by rank. */
   ranked(dataCentre: string): readonly Member[] {
-    this.#refresh();
-    return this.#byDataCentre.get(dataCentre) ?? [];
+    return this.#group(dataCentre).members;
   }
 
   dataCentres(): string[] {
     this.#refresh();
-    return [...this.#byDataCentre.keys()].sort();
+    return [...this.#groups.keys()].sort();
   }
 
   /** The root of a data centre's tree. */
@@ -50,63 +65,109 @@
   /** The member that pushes to this one. */
   get parent(): Member | undefined {
     const rank = this.#ownRank;
-    return rank <= 0 ? undefined : this.#own[Math.floor((rank - 1) / this.fanout)];
+    return rank <= 0 ? undefined : this.#own.members[Math.floor((rank - 1) / this.fanout)];
   }
 
   /** The members that this one pushes to. */
   get children(): readonly Member[] {
     const rank = this.#ownRank;
     if (rank < 0) return [];
-    return this.#own.slice(rank * this.fanout + 1, (rank + 1) * this.fanout + 1);
+    return this.#own.members.slice(rank * this.fanout + 1, (rank + 1) * this.fanout + 1);
   }
 
   /** The members to which this process keeps a link of its own making. */
   get neighbours(): readonly Member[] {
-    const { self } = this.roster;
-    const wanted = new Map<string, Member>();
-    const want = (member: Member | undefined) => {
-      if (member && member.instance !== self.instance) wanted.set(member.instance, member);
-    };
-    want(this.parent);
-    const own = this.#own;
-    for (let step = 1; step <= SUCCESSORS; step++) want(own[(this.#ownRank + step) % own.length]);
-    if (this.isReader) {
-      for (const dataCentre of this.dataCentres()) want(this.root(dataCentre));
+    this.#refresh();
+    this.#neighbours ??= this.#neighboursOf(this.roster.self);
+    return this.#neighbours;
+  }
+
+  /** Whether a link to `instance` serves either end, as far as this process can tell. */
+  needsLink(instance: string): boolean {
+    if (this.neighbours.some((member) => member.instance === instance)) return true;
+    const other = this.roster.get(instance);
+    if (!other) return false;
+    const own = this.roster.self.instance;
+    return this.#neighboursOf(other).some((member) => member.instance === own);
+  }
+
+  /** A member's parent, its successors on the ring and, for a reader, the other roots. */
+  #neighboursOf(member: Member): Member[] {
+    const { members, ranks } = this.#group(member.dataCentre);
+    const rank = ranks.get(member.instance);
+    if (rank === undefined) return [];
+    const wanted = new Set<Member>();
+    if (rank > 0) wanted.add(members[Math.floor((rank - 1) / this.fanout)]!);
+    const ring = [...members.slice(rank + 1), ...members.slice(0, rank)];
+    for (const successor of watched(ring, SUCCESSORS)) wanted.add(successor);
+    if (rank < READERS) {
+      for (const [dataCentre, group] of this.#groups) {
+        if (dataCentre === member.dataCentre) continue;
+        for (const root of watched(group.members, 1)) wanted.add(root);
+      }
     }
-    return [...wanted.values()];
+    return [...wanted];
   }
 
-  get #own(): readonly Member[] {
-    return this.ranked(this.roster.self.dataCentre);
+  get #own(): Group {
+    return this.#group(this.roster.self.dataCentre);
   }
 
   get #ownRank(): number {
-    return this.#own.findIndex((member) => member.instance === this.roster.self.instance);
+    return this.#own.ranks.get(this.roster.self.instance) ?? -1;
+  }
+
+  #group(dataCentre: string): Group {
+    this.#refresh();
+    return this.#groups.get(dataCentre) ?? NOBODY;
   }
 
   #refresh(): void {
-    if (this.#generation === this.roster.generation) return;
-    this.#generation = this.roster.generation;
-    this.#byDataCentre = new Map();
+    if (this.#topology === this.roster.topology) return;
+    this.#topology = this.roster.topology;
+    this.#neighbours = undefined;
+    const byDataCentre = new Map<string, Member[]>();
     for (const member of this.roster.live()) {
-      const group = this.#byDataCentre.get(member.dataCentre);
-      if (group) group.push(member);
-      else this.#byDataCentre.set(member.dataCentre, [member]);
+      const members = byDataCentre.get(member.dataCentre);
+      if (members) members.push(member);
+      else byDataCentre.set(member.dataCentre, [member]);
     }
-    for (const group of this.#byDataCentre.values()) {
-      group.sort((a, b) => compare(rankOf(a), rankOf(b)));
+    this.#groups = new Map();
+    for (const [dataCentre, members] of byDataCentre) {
+      members.sort((a, b) => compare(this.#weight(a), this.#weight(b)));
+      const ranks = new Map(members.map(({ instance }, rank) => [instance, rank]));
+      this.#groups.set(dataCentre, { members, ranks });
     }
   }
-}
 
-const ranks = new Map<string, string>();
+  #weight({ instance }: Member): string {
+    let weight = this.#weights.get(instance);
+    if (weight === undefined) {
+      // Instances are replaced all the time; those of the past must not pile up here.
+      if (this.#weights.size > MAX_WEIGHTS) this.#weights.clear();
+      weight = createHash('sha1').update(instance).digest('hex');
+      this.#weights.set(instance, weight);
+    }
+    return weight;
+  }
+}
 
-function rankOf({ instance }: Member): string {
-  const known = ranks.get(instance);
-  if (known !== undefined) return known;
-  const rank = createHash('sha1').update(instance).digest('hex');
-  ranks.set(instance, rank);
-  return rank;
+/**
+ * The first members of `ring`, until `count` among them are alive. When a herd dies, the monitors
+ * of a member die with it, and two successors at a time would find out about the rest for
+ * minutes. So for each suspect met, one more member is watched: the number of those found doubles
+ * with each round, and the links to members that turn out to be alive are closed again later.
+ */
+function watched(ring: readonly Member[], count: number): Member[] {
+  let alive = 0;
+  let suspects = 0;
+  const enough = ring.findIndex((member) => {
+    if (member.liveness === 'suspect') suspects += 1;
+    else alive += 1;
+    return alive >= Math.max(count, suspects);
+  });
+  const end = enough < 0 ? ring.length : enough + 1;
+  return ring.slice(0, Math.min(end, MAX_WATCHED));
 }
 
 function compare(a: string, b: string): number {
--- /dev/null
+++ b/src/membership/roster_digest.ts
@@ -0,0 +1,54 @@
+/** Hashes over the statements of a roster, kept up to date with each change. */
+import { createHash } from 'node:crypto';
+import { type Member } from '../contracts.js';
+import { hashOf, isGone } from './statement.js';
+
+/** Parts into which rosters are divided for comparison. */
+export const BUCKETS = 64;
+
+/**
+ * Dead and departed members do not count: processes forget them at different times, and rosters
+ * that differ by nothing else must compare as equal.
+ */
+export class RosterDigest {
+  readonly #hashes = new Map<string, number>();
+
+  /** Hash over each bucket, the same whatever the order in which statements came. */
+  readonly buckets: number[] = Array.from({ length: BUCKETS }, () => 0);
+
+  #total = 0;
+
+  /** Hash over all. */
+  get total(): string {
+    return (this.#total >>> 0).toString(36);
+  }
+
+  /** Hash of what is held about an instance, dead or not. */
+  hashOf(instance: string): number | undefined {
+    return this.#hashes.get(instance);
+  }
+
+  replace(before: Member | undefined, after: Member): void {
+    if (before) this.remove(before);
+    const hash = hashOf(after);
+    this.#hashes.set(after.instance, hash);
+    if (!isGone(after)) this.#toggle(after.instance, hash);
+  }
+
+  remove(member: Member): void {
+    const hash = this.#hashes.get(member.instance) ?? 0;
+    this.#hashes.delete(member.instance);
+    if (!isGone(member)) this.#toggle(member.instance, hash);
+  }
+
+  #toggle(instance: string, hash: number): void {
+    const bucket = bucketOf(instance);
+    this.buckets[bucket] = this.buckets[bucket]! ^ hash;
+    this.#total ^= hash;
+  }
+}
+
+/** The bucket in which an instance counts. */
+export function bucketOf(instance: string): number {
+  return createHash('sha1').update(instance).digest()[0]! % BUCKETS;
+}
--- /dev/null
+++ b/src/membership/statement.ts
@@ -0,0 +1,36 @@
+/** Which of two statements about a member holds. */
+import { createHash } from 'node:crypto';
+import { canonical } from '../configuration/digest.js';
+import { type Liveness, type Member } from '../contracts.js';
+
+/** How strongly a statement about liveness overrides another of the same age. */
+const PRECEDENCE: Record<Liveness, number> = { alive: 0, suspect: 1, dead: 2, left: 3 };
+
+/** Whether the member holds no links and takes no work any more. */
+export function isGone({ liveness }: Member): boolean {
+  return liveness === 'dead' || liveness === 'left';
+}
+
+/**
+ * Whether `statement` overrides `held`. This is a total order, so merging takes the greatest
+ * statement and gives the same result for any order, grouping or repetition of messages.
+ *
+ * `left` goes before the sequence: a delta that is late, or was doubled, would otherwise bring back
+ * a process that has stopped. Only a new incarnation revives it.
+ */
+export function isNewer(statement: Member, held: Member): boolean {
+  const order =
+    statement.incarnation - held.incarnation ||
+    Number(statement.liveness === 'left') - Number(held.liveness === 'left') ||
+    statement.sequence - held.sequence ||
+    PRECEDENCE[statement.liveness] - PRECEDENCE[held.liveness];
+  if (order !== 0) return order > 0;
+  // Two lives of an instance may have started in the same millisecond. The text decides alike
+  // everywhere; the living one sees that it differs and takes a higher incarnation.
+  return canonical(statement) > canonical(held);
+}
+
+/** Short hash of a statement, a signed 32-bit number. */
+export function hashOf(member: Member): number {
+  return createHash('sha1').update(canonical(member)).digest().readInt32BE(0);
+}
--- /dev/null
+++ b/src/test/membership/ranking_test.ts
@@ -0,0 +1,70 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { Ranking } from '../../membership/ranking.js';
+import { Roster } from '../../membership/roster.js';
+import { memberOf } from './member.js';
+
+const SEED = 4;
+const FANOUT = 3;
+const DATA_CENTRES = ['arima', 'couva'];
+
+function fleetOf(size: number) {
+  return Array.from({ length: size }, (_, index) =>
+    memberOf(`i${index}`, { dataCentre: DATA_CENTRES[index % DATA_CENTRES.length]! }),
+  );
+}
+
+function rankingsOf(size: number): Ranking[] {
+  const members = fleetOf(size);
+  return members.map((self) => {
+    const roster = new Roster(self);
+    roster.merge(members);
+    return new Ranking(roster, FANOUT);
+  });
+}
+
+describe('Ranking', () => {
+  it('gives every member but the roots one parent that counts it as a child', () => {
+    const property = fc.property(fc.integer({ min: 1, max: 40 }), (size) => {
+      const rankings = rankingsOf(size);
+      const children = rankings.flatMap((ranking) => ranking.children);
+      const parents = rankings.filter((ranking) => ranking.parent);
+      const roots = rankings.filter((ranking) => ranking.isRoot);
+      expect(new Set(children.map(({ instance }) => instance)).size).to.equal(parents.length);
+      expect(roots.length).to.equal(Math.min(size, DATA_CENTRES.length));
+      expect(parents.length + roots.length).to.equal(size);
+    });
+    fc.assert(property, { seed: SEED, numRuns: 40 });
+  });
+
+  it('needs a link at one end exactly if the other end wants it or it wants the other', () => {
+    const members = fleetOf(24);
+    const rankings = rankingsOf(24);
+    const wants = (from: number, to: number) =>
+      rankings[from]!.neighbours.some(({ instance }) => instance === members[to]!.instance);
+    for (let from = 0; from < members.length; from++) {
+      for (let to = 0; to < members.length; to++) {
+        if (from === to) continue;
+        const needed = rankings[from]!.needsLink(members[to]!.instance);
+        expect(needed, `${from}-${to}`).to.equal(wants(from, to) || wants(to, from));
+      }
+    }
+  });
+
+  // 63 of 64 processes die at once, and with each all of its monitors. The survivor must not find
+  // them one after another: each round of failed dials doubles the number it watches.
+  it('doubles the members watched with each round of suspects', () => {
+    const members = Array.from({ length: 64 }, (_, index) => memberOf(`i${index}`));
+    const roster = new Roster(members[0]!);
+    roster.merge(members);
+    const ranking = new Ranking(roster, FANOUT);
+    const rounds: number[] = [];
+    while (roster.counts.suspect < 63 && rounds.length < 63) {
+      const { neighbours } = ranking;
+      for (const { instance } of neighbours) roster.mark(instance, 'suspect');
+      rounds.push(roster.counts.suspect);
+    }
+    expect(rounds).toMatchSnapshot();
+    expect(rounds.length).to.be.below(10);
+  });
+});
