Let a request with a key run at most once: claims in the platform

Cause: a booking whose answer was lost is sent again by its caller, and ran again; no process could know of the run in another one. Change: Claims (claim created if absent before the run, outcome told to repeats, 409 while unknown, store away refused as not-run, release of what was proven not run, run-by fence), over two stores: one object per claim, and a key range gathered into one conditional write; writes in the background; ClaimSweep at a bounded rate. Not yet hooked into Guard. depth.json: plain retries with 4,000 calls where that is affordable. Conclusion: which of the two stores is used waits for the measurement.

--- a/src/bench/depth.ts
+++ b/src/bench/depth.ts
@@ -23,8 +23,9 @@
   readonly passesMarker: boolean;
 }
 
-/** Under plain retries a single call costs some 800,000 attempts, so that a few calls suffice. */
-const CALLS = { none: 10, 'earned-by-first-attempts': 4_000, 'earned-by-answers': 4_000 } as const;
+const CALLS = 4_000;
+/** Under plain retries a call that fails for good costs some 800,000 attempts: a few suffice. */
+const PLAIN_FAILING_CALLS = 10;
 
 const POLICIES: readonly Policy[] = [
   { name: 'plain: three attempts at each hop', budget: 'none', passesMarker: false },
@@ -128,7 +129,7 @@
 
 function measure(policy: Policy, failing: number) {
   const chain = new Chain(policy, failing);
-  const calls = CALLS[policy.budget];
+  const calls = policy.budget === 'none' && failing === 1 ? PLAIN_FAILING_CALLS : CALLS;
   let answered = 0;
   for (let call = 0; call < calls; call++) answered += Number(chain.call());
   return {
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -1,4 +1,5 @@
 /** The contracts between processes, operators and the platform. */
+export * from './contracts/claim.js';
 export * from './contracts/member.js';
 export * from './contracts/message.js';
 export * from './contracts/note.js';
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -13,6 +13,8 @@
 export const VERDICT = 'barleyhaven-verdict';
 /** On answers to callers: the stable name of the cause. */
 export const REASON = 'barleyhaven-reason';
+/** On answers to callers: this is the recorded outcome of an earlier request with the same key. */
+export const REPLAYED = 'barleyhaven-replayed';
 
 /** From callers: time left for the request, in milliseconds. */
 export const CALLER_TIMEOUT = 'request-timeout-ms';
--- /dev/null
+++ b/src/requests/range_claims.ts
@@ -0,0 +1,54 @@
+/** Claims of a key range gathered into one object and one conditional write. */
+import { type Claim } from '../contracts.js';
+import { type Platform } from '../platform/platform.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
+import { ClaimRange } from './claim_range.js';
+import { ClaimStore } from './claim_store.js';
+
+/** How claims are gathered. */
+export interface Gathering {
+  /** Number of ranges, the same in the whole fleet. */
+  readonly ranges: number;
+  /** How long the first of a batch waits for others, in milliseconds. */
+  readonly windowMs: number;
+}
+
+/** Hexadecimal digits of an id that choose its range. */
+const RANGE_DIGITS = 8;
+
+export class RangeClaims extends ClaimStore {
+  readonly #ranges = new Map<number, ClaimRange>();
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly gathering: Gathering,
+  ) {
+    super();
+  }
+
+  acquire(id: string, claim: Claim, deadline: number): Promise<Claim> {
+    return this.#range(id).acquire(id, claim, deadline);
+  }
+
+  settle(id: string, claim: Claim, deadline: number): Promise<void> {
+    return this.#range(id).settle(id, claim, deadline);
+  }
+
+  release(id: string, nonce: string, deadline: number): Promise<void> {
+    return this.#range(id).release(id, nonce, deadline);
+  }
+
+  #range(id: string): ClaimRange {
+    const number = Number.parseInt(id.slice(0, RANGE_DIGITS), 16) % this.gathering.ranges;
+    let range = this.#ranges.get(number);
+    if (!range) {
+      const { platform, clock, random, gathering } = this;
+      range = new ClaimRange(`claim-ranges/${number}`, platform, clock, random, gathering.windowMs);
+      this.#ranges.set(number, range);
+    }
+    return range;
+  }
+}
--- /dev/null
+++ b/src/test/requests/unsteady_platform.ts
@@ -0,0 +1,92 @@
+import { OutcomeError } from '../../contracts.js';
+import { Platform, type Range, type Stored } from '../../platform/platform.js';
+import { type Clock } from '../../runtime/clock.js';
+import { type Random } from '../../runtime/random.js';
+import { type PlatformStore } from '../../standins/platform_store.js';
+
+/** Shares of writes that go wrong, each between 0 and 1. */
+export interface Unsteadiness {
+  /** Neither the write nor an answer arrives. */
+  readonly lost: number;
+  /** The write takes effect, its answer is lost. */
+  readonly answerLost: number;
+  /** The caller gives up, and the write takes effect some seconds later. */
+  readonly late: number;
+}
+
+const LATENCY_MS = 8;
+const LATE_MS = 3_000;
+const GIVE_UP_MS = 300;
+
+/** One process's way to the store: loses and delays calls, and stops for good in a crash. */
+export class UnsteadyPlatform extends Platform {
+  hasCrashed = false;
+
+  constructor(
+    private readonly store: PlatformStore,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    private readonly unsteadiness: Unsteadiness,
+  ) {
+    super();
+  }
+
+  async get(key: string, deadline: number): Promise<Stored | undefined> {
+    await this.#travel();
+    return this.store.get(key, deadline);
+  }
+
+  async list(range: Range, deadline: number): Promise<Stored[]> {
+    await this.#travel();
+    return this.store.list(range, deadline);
+  }
+
+  create(key: string, value: string, deadline: number): Promise<Stored | undefined> {
+    return this.#write(() => this.store.create(key, value, deadline + LATE_MS));
+  }
+
+  update(key: string, value: string, revision: number, deadline: number) {
+    return this.#write(() => this.store.update(key, value, revision, deadline + LATE_MS));
+  }
+
+  remove(key: string, revision: number, deadline: number): Promise<boolean> {
+    return this.#write(() => this.store.remove(key, revision, deadline + LATE_MS));
+  }
+
+  watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
+    return this.store.watch(range, deadline, signal);
+  }
+
+  async #write<T>(write: () => Promise<T>): Promise<T> {
+    await this.#travel();
+    const { lost, answerLost, late } = this.unsteadiness;
+    const drawn = this.random.next();
+    if (drawn < lost) return this.#giveUp();
+    if (drawn < lost + answerLost) {
+      await write();
+      return this.#giveUp();
+    }
+    if (drawn < lost + answerLost + late) {
+      const effectAt = this.clock.now() + this.random.jitter(LATE_MS);
+      void this.clock.sleepUntil(effectAt).then(() => write().catch(() => {}));
+      return this.#giveUp();
+    }
+    const result = await write();
+    await this.#travel();
+    return result;
+  }
+
+  async #travel(): Promise<void> {
+    await this.clock.sleepUntil(this.clock.now() + this.random.jitter(LATENCY_MS));
+    if (this.hasCrashed) throw outcome('not-run');
+  }
+
+  async #giveUp(): Promise<never> {
+    await this.clock.sleepUntil(this.clock.now() + GIVE_UP_MS);
+    throw outcome('may-have-run');
+  }
+}
+
+function outcome(verdict: 'not-run' | 'may-have-run'): OutcomeError {
+  return new OutcomeError('no answer', { verdict, reason: 'timeout' });
+}
