Measure slopes and draw kept results

Change: slopes (processes, data centres, services), report as SVG; what the deployments share moved into one place.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -1,13 +1,15 @@
 /** The load and experiment tool: `npm run bench -- EXPERIMENT [--json] [--processes N] [--seed S]`. */
-import { mkdir, writeFile } from 'node:fs/promises';
 import { cac } from 'cac';
 import { MachineClock } from '../runtime/clock.js';
 import { type Experiment } from './experiment.js';
+import { drawReport } from './drawing.js';
+import { report as keep } from './report.js';
 import { AddedLatency } from './experiments/added_latency.js';
 import { ControlBytes } from './experiments/control_bytes.js';
 import { Convergence } from './experiments/convergence.js';
 import { Herd } from './experiments/herd.js';
 import { Overload } from './experiments/overload.js';
+import { Slopes } from './experiments/slopes.js';
 
 const clock = new MachineClock();
 const RESULTS = new URL('../../bench/results/', import.meta.url);
@@ -22,6 +24,7 @@
   new Herd(clock),
   new AddedLatency(clock),
   new Overload(clock),
+  new Slopes(clock),
 ];
 
 interface Flags {
@@ -32,6 +35,7 @@
 }
 
 async function run(name: string, flags: Flags): Promise<number> {
+  if (name === 'report') return draw();
   const experiment = experiments.find((one) => one.name === name);
   if (!experiment) {
     console.error(
@@ -52,16 +56,16 @@
     console.error(`${((clock.now() - startedAt) / 1000).toFixed(1).padStart(6)} s  ${text}`);
   };
   const result = await experiment.run({ processes, seed: flags.seed ?? DEFAULT_SEED, progress });
-  const line = JSON.stringify({ experiment: name, ...result });
-  if (flags.keep) await keep(flags.keep, line);
-  console.log(line);
+  const figures = { experiment: name, ...result };
+  if (flags.keep) await keep(flags.keep, figures);
+  console.log(JSON.stringify(figures));
   return 0;
 }
 
-/** Keeps a result that a commit or a page quotes. */
-async function keep(name: string, line: string): Promise<void> {
-  await mkdir(RESULTS, { recursive: true });
-  await writeFile(new URL(`${name}.json`, RESULTS), `${line}\n`);
+async function draw(): Promise<number> {
+  const drawings = await drawReport(RESULTS);
+  console.log(drawings.join('\n'));
+  return 0;
 }
 
 const tool = cac('bench');
@@ -69,7 +73,9 @@
 tool.option('--processes <n>', 'how many processes');
 tool.option('--seed <s>', 'seed of whatever is random in the bench');
 tool.option('--keep <name>', 'keep the result under bench/results/<name>.json');
-tool.command('<experiment>', experiments.map((one) => one.name).join(', ')).action(run);
+tool
+  .command('<experiment>', `${experiments.map((one) => one.name).join(', ')}, or report`)
+  .action(run);
 tool.help();
 tool.parse(process.argv, { run: false });
 process.exitCode = tool.matchedCommand ? ((await tool.runMatchedCommand()) as number) : EXIT_USAGE;
