Choose one object per claim by measurement, and hook claims and retries in

Cause: two ways of keeping claims were to be compared, and neither claims nor the retry budget reached a request yet. Change: src/bench/claims.ts measures both ways; StoreWindow bounds the claims that a process asks of the platform, because past its writes nearly every write was for a caller who had given up. Entry retries under RetryBudget and marks what was retried; Guard runs requests with a key under a claim, reads their answer to its end though the caller has gone, and replays it. Conclusion: single. Gathering saves writes only where one process owns a range, and rewrites an hour of claims with every write.

--- /dev/null
+++ b/src/bench/claims.ts
@@ -0,0 +1,193 @@
+/**
+ * Claims a second that the platform's writes allow, one claim per object against claims of a key
+ * range gathered into one conditional write. Several processes over one store in virtual time;
+ * the decisions are the real `Claims`. Writes `bench/results/claims.json`.
+ */
+import { install, type Clock as FakeClock } from '@sinonjs/fake-timers';
+import { type Outcome, OutcomeError } from '../contracts.js';
+import { type Platform } from '../platform/platform.js';
+import { type ClaimStore } from '../requests/claim_store.js';
+import { Claims } from '../requests/claims.js';
+import { type Gathering, RangeClaims } from '../requests/range_claims.js';
+import { SingleClaims } from '../requests/single_claims.js';
+import { TimerClock } from '../runtime/clock.js';
+import { SeededRandom } from '../runtime/random.js';
+import { PlatformStore } from '../standins/platform_store.js';
+import { report } from './report.js';
+
+const WRITES_PER_SECOND = 400;
+const READS_PER_SECOND = 2_000;
+const LATENCY_MS = 4;
+const RUN_MS = 5;
+const TIMEOUT_MS = 2_000;
+const MEASURED_MS = 5_000;
+const SETTLING_MS = 3_000;
+const RANGES = 16;
+const SEED = 7;
+const OUTCOME: Outcome = {
+  status: 201,
+  headers: { 'content-type': 'application/json' },
+  body: Buffer.from(JSON.stringify({ booking: 'b-000123', seats: 2, deposit: 'held' })).toString(
+    'base64',
+  ),
+};
+
+/** One way of keeping claims. */
+interface Way {
+  readonly name: string;
+  readonly gathering?: Gathering;
+  /** Requests of a range all reach the same process. */
+  readonly isOwned: boolean;
+}
+
+const WAYS: readonly Way[] = [
+  { name: 'single', isOwned: false },
+  ...[5, 20].flatMap((windowMs) => [
+    { name: `gathered, ${windowMs} ms`, gathering: { ranges: RANGES, windowMs }, isOwned: false },
+    {
+      name: `gathered, ${windowMs} ms, routed by key`,
+      gathering: { ranges: RANGES, windowMs },
+      isOwned: true,
+    },
+  ]),
+];
+const CLAIMS_PER_SECOND = [20, 65, 130, 250, 1_000];
+const PROCESSES = [2, 8, 64, 740];
+
+/** Counts the bytes that go to the platform. */
+class CountingStore extends PlatformStore {
+  bytes = 0;
+
+  override create(key: string, value: string, deadline: number) {
+    this.bytes += value.length;
+    return super.create(key, value, deadline);
+  }
+
+  override update(key: string, value: string, revision: number, deadline: number) {
+    this.bytes += value.length;
+    return super.update(key, value, revision, deadline);
+  }
+}
+
+class Trial {
+  readonly #clock = new TimerClock();
+
+  readonly #random = new SeededRandom(SEED);
+
+  readonly #store = new CountingStore(this.#clock);
+
+  readonly #processes: Claims[];
+
+  readonly #addedMs: number[] = [];
+
+  constructor(
+    private readonly timers: FakeClock,
+    private readonly way: Way,
+    processes: number,
+    private readonly rate: number,
+  ) {
+    this.#store.faults.slowMs = LATENCY_MS;
+    this.#store.faults.writesPerSecond = WRITES_PER_SECOND;
+    this.#store.faults.readsPerSecond = READS_PER_SECOND;
+    this.#processes = Array.from(
+      { length: processes },
+      (_, index) => new Claims(this.#claimStore(), `process-${index}`, this.#clock, this.#random),
+    );
+  }
+
+  async run() {
+    const count = (this.rate * MEASURED_MS) / 1000;
+    for (let request = 0; request < count; request++) void this.#arrive(request);
+    await this.timers.tickAsync(MEASURED_MS + SETTLING_MS);
+    this.#addedMs.sort((a, b) => a - b);
+    const made = this.#addedMs.length;
+    const { reads, writes } = this.#store.calls;
+    return {
+      way: this.way.name,
+      processes: this.#processes.length,
+      asked: count,
+      madePerSecond: Math.round((made * 1000) / MEASURED_MS),
+      addedMsP50: round(this.#addedMs[Math.floor(made * 0.5)] ?? NaN),
+      addedMsP99: round(this.#addedMs[Math.floor(made * 0.99)] ?? NaN),
+      writesPerClaim: round(writes / made),
+      claimsPerWrite: round(made / writes),
+      readsPerClaim: round(reads / made),
+      bytesPerClaim: Math.round(this.#store.bytes / made),
+    };
+  }
+
+  async #arrive(request: number): Promise<void> {
+    await this.#clock.sleepUntil(this.#clock.now() + this.#random.jitter(MEASURED_MS));
+    const key = `key-${request}`;
+    // Spread alike over the processes; `isOwned` keeps the requests of a range together.
+    const turn = this.way.isOwned ? request % RANGES : request;
+    const claims = this.#processes[turn % this.#processes.length]!;
+    const askedAt = this.#clock.now();
+    const deadline = askedAt + TIMEOUT_MS;
+    try {
+      const admission = await claims.admit({ route: 'seats', key, fingerprint: key, deadline });
+      if (admission.kind !== 'run') throw new Error('a key was used twice');
+      this.#addedMs.push(this.#clock.now() - askedAt);
+      admission.claim.start();
+      await this.#clock.sleepUntil(this.#clock.now() + RUN_MS);
+      admission.claim.settle(OUTCOME);
+    } catch (error) {
+      if (!(error instanceof OutcomeError)) throw error;
+      // Counted as not made.
+    }
+  }
+
+  #claimStore(): ClaimStore {
+    const { gathering, isOwned } = this.way;
+    const platform: Platform = this.#store;
+    if (!gathering) return new SingleClaims(platform, this.#clock, this.#random);
+    const store = new RangeClaims(platform, this.#clock, this.#random, gathering);
+    return isOwned ? new OwnedRanges(store) : store;
+  }
+}
+
+/** Puts a request into the range that its process owns, as routing by key hash would. */
+class OwnedRanges implements ClaimStore {
+  constructor(private readonly store: RangeClaims) {}
+
+  acquire(...[id, claim, deadline]: Parameters<ClaimStore['acquire']>) {
+    return this.store.acquire(owned(id, claim.fingerprint), claim, deadline);
+  }
+
+  settle(...[id, claim, deadline]: Parameters<ClaimStore['settle']>) {
+    return this.store.settle(owned(id, claim.fingerprint), claim, deadline);
+  }
+
+  release(...[id, nonce, deadline]: Parameters<ClaimStore['release']>) {
+    return this.store.release(id, nonce, deadline);
+  }
+}
+
+/** The id with its first digits, which choose the range, replaced by the range's number. */
+function owned(id: string, key: string): string {
+  const range = Number(key.slice('key-'.length)) % RANGES;
+  return range.toString(16).padStart(8, '0') + id.slice(8);
+}
+
+function round(value: number): number {
+  return Math.round(value * 100) / 100;
+}
+
+const runs = [];
+for (const rate of CLAIMS_PER_SECOND) {
+  for (const processes of PROCESSES) {
+    for (const way of WAYS) {
+      const timers = install({ now: 1_000_000 });
+      const result = await new Trial(timers, way, processes, rate).run();
+      timers.uninstall();
+      runs.push({ claimsPerSecond: rate, ...result });
+    }
+  }
+}
+const platform = {
+  writesPerSecond: WRITES_PER_SECOND,
+  readsPerSecond: READS_PER_SECOND,
+  latencyMs: LATENCY_MS,
+};
+await report('claims', { platform, ranges: RANGES, measuredMs: MEASURED_MS, seed: SEED, runs });
+console.table(runs);
--- a/src/requests/claims.ts
+++ b/src/requests/claims.ts
@@ -6,6 +6,7 @@
 import { type ClaimStore } from './claim_store.js';
 import { ClaimWrites } from './claim_writes.js';
 import { HeldClaim } from './held_claim.js';
+import { StoreWindow } from './store_window.js';
 
 /** A request with a key, as far as claims need it. */
 export interface KeyedRequest {
@@ -45,6 +46,8 @@
 
   readonly #writes: ClaimWrites;
 
+  readonly #window: StoreWindow;
+
   constructor(
     private readonly store: ClaimStore,
     private readonly instance: string,
@@ -52,6 +55,7 @@
     private readonly random: Random,
   ) {
     this.#writes = new ClaimWrites(store, clock, random);
+    this.#window = new StoreWindow(clock, random);
   }
 
   /** Claims held here that run, or whose end is still being written. */
@@ -69,7 +73,7 @@
     if (this.#held.get(id)?.isReleased) await this.#awaitRelease(id, request.deadline);
     const own = this.#held.get(id);
     if (own) return this.#repeat(own.claim, request);
-    if (this.#held.size >= MAX_OUTSTANDING) throw this.#storeUnavailable();
+    if (this.#held.size >= MAX_OUTSTANDING || !this.#window.enter()) throw this.#storeUnavailable();
     return this.#acquire(id, request);
   }
 
@@ -121,12 +125,18 @@
    * run, and it is removed in the background: until then repeats elsewhere are refused, not run.
    */
   async #ask(id: string, held: HeldClaim, deadline: number): Promise<Claim> {
+    const askedAt = this.clock.now();
+    let isAnswered = false;
     try {
-      return await this.store.acquire(id, held.claim, deadline);
+      const there = await this.store.acquire(id, held.claim, deadline);
+      isAnswered = true;
+      return there;
     } catch (error) {
       if (error instanceof OutcomeError && error.verdict !== 'not-run') held.release();
       else this.#forget(id, held);
       throw this.#storeUnavailable(error);
+    } finally {
+      this.#window.leave(askedAt, isAnswered);
     }
   }
 
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -15,19 +15,23 @@
 import { exchange } from './exchange.js';
 import {
   CALLER_TIMEOUT,
+  CLAIM,
   endToEnd,
   IDEMPOTENCY_KEY,
   PRIORITY,
   REASON,
   REMAINING,
   REQUEST_ID,
+  RETRIED,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
 import { asOutcome, refuse } from './refusal.js';
-import { routeOf, type Target } from './router.js';
+import { RetryBudgets } from './retry_budget.js';
+import { isRepeatable, routeOf, type Target } from './router.js';
 
-const MAX_ATTEMPTS = 3;
+/** Share of retries for routes without a limit, in percent. */
+const DEFAULT_RETRY_PERCENT = 10;
 const MAX_SOCKETS_PER_GUARD = 64;
 
 /** The request's own view of where it goes; it keeps the version it began with. */
@@ -35,8 +39,13 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly route: Route;
+  /** Whether it may run twice. */
+  readonly repeatable: boolean;
+  readonly retryPercent: number;
   readonly deadline: number;
   readonly gone: AbortSignal;
+  /** Whether a hop above or below has retried it. */
+  retriedElsewhere: boolean;
 }
 
 export class Entry implements AsyncDisposable {
@@ -44,6 +53,8 @@
 
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_GUARD });
 
+  readonly #budgets: RetryBudgets;
+
   constructor(
     private readonly configuration: () => Configuration,
     private readonly isReady: () => boolean,
@@ -51,6 +62,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
   ) {
+    this.#budgets = new RetryBudgets(clock, random);
     this.server = createServer((request, response) => void this.#serve(request, response));
   }
 
@@ -69,7 +81,8 @@
 
   #plan(request: IncomingMessage, response: ServerResponse): Journey {
     if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
-    const route = routeOf(this.configuration(), targetOf(request));
+    const configuration = this.configuration();
+    const route = routeOf(configuration, targetOf(request));
     if (!route) throw notRun('no-route', `no route for ${request.method} ${request.url}`);
     if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
       throw notRun('key-required', 'this route insists on an Idempotency-Key');
@@ -79,27 +92,50 @@
     const gone = new AbortController();
     response.once('close', () => gone.abort());
     const deadline = this.clock.now() + timeoutMs;
-    return { request, response, route, deadline, gone: gone.signal };
+    const limit = route.limit === undefined ? undefined : configuration.find('limit', route.limit);
+    return {
+      request,
+      response,
+      route,
+      repeatable: isRepeatable(route, request.method ?? 'GET'),
+      retryPercent: limit?.retryPercent ?? DEFAULT_RETRY_PERCENT,
+      deadline,
+      gone: gone.signal,
+      retriedElsewhere: request.headers[RETRIED] !== undefined,
+    };
   }
 
   async #carry(journey: Journey): Promise<void> {
+    const { upstream } = journey.route;
     const tried = new Set<string>();
-    for (;;) {
-      const member = this.balancer.choose(journey.route.upstream, tried);
-      if (!member) throw notRun('no-endpoint', `nobody serves ${journey.route.upstream}`);
+    for (let failure: OutcomeError | undefined; ;) {
+      const member = this.balancer.choose(upstream, tried);
+      if (!member) throw failure ?? notRun('no-endpoint', `nobody serves ${upstream}`);
       tried.add(member.instance);
       try {
         await this.#attempt(journey, member);
+        this.#budgets.of(upstream).credit(journey.retryPercent);
         return;
       } catch (error) {
-        const outcome = asOutcome(error);
-        const bodyUntouched = !journey.request.readableDidRead;
-        const again = outcome.verdict === 'not-run' && bodyUntouched && tried.size < MAX_ATTEMPTS;
-        if (!again || journey.response.headersSent) throw outcome;
+        failure = asOutcome(error);
+        await this.#beforeRetry(journey, failure, tried.size);
       }
     }
   }
 
+  /** Resolves when the request may go out again; throws the failure if it must not. */
+  async #beforeRetry(journey: Journey, failure: OutcomeError, attempts: number): Promise<void> {
+    const { request, response, repeatable, retriedElsewhere, deadline, retryPercent } = journey;
+    if (request.readableDidRead || response.headersSent) throw failure;
+    const { verdict, reason } = failure;
+    const failed = { verdict, reason, attempts, repeatable, retriedElsewhere, deadline };
+    const retry = this.#budgets.of(journey.route.upstream).retry(failed, retryPercent);
+    if (!retry) throw failure;
+    // On the answer too, whatever it will be: hops above must not retry what was retried here.
+    if (!retry.isFailover) response.setHeader(RETRIED, '1');
+    await this.clock.sleepUntil(retry.startAt, journey.gone);
+  }
+
   async #attempt(journey: Journey, member: Member): Promise<void> {
     const { request, response, deadline, gone } = journey;
     const startedAt = this.clock.now();
@@ -121,6 +157,7 @@
         this.clock,
       );
       tookMs = this.clock.now() - startedAt;
+      if (answer.headers[RETRIED] !== undefined) journey.retriedElsewhere = true;
       if (answer.headers[VERDICT] === 'not-run') throw await refusedBy(answer);
       response.writeHead(answer.statusCode ?? 502, endToEnd(answer.headers, true));
       await pipeline(answer, response);
@@ -129,13 +166,18 @@
     }
   }
 
-  #inward({ request, route, deadline }: Journey): Record<string, string | string[]> {
+  #inward(journey: Journey): Record<string, string | string[]> {
+    const { request, response, route, deadline, repeatable, retriedElsewhere } = journey;
+    const isClaimed = !repeatable && request.headers[IDEMPOTENCY_KEY] !== undefined;
+    const isRetried = retriedElsewhere || response.hasHeader(RETRIED);
     return {
       ...endToEnd(request.headers, false),
       [UPSTREAM]: route.upstream,
       [REQUEST_ID]: this.random.nonce(),
       [REMAINING]: String(Math.max(1, Math.floor(deadline - this.clock.now()))),
       [PRIORITY]: String(route.priority),
+      ...(isClaimed && { [CLAIM]: route.name }),
+      ...(isRetried && { [RETRIED]: '1' }),
     };
   }
 }
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -6,20 +6,27 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import { type Readable } from 'node:stream';
 import { pipeline } from 'node:stream/promises';
 import { type Endpoint, OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { type Claims } from './claims.js';
 import { exchange } from './exchange.js';
 import {
+  CLAIM,
   endToEnd,
+  IDEMPOTENCY_KEY,
   INTERNAL_PREFIX,
   PRIORITY,
-  REASON,
   REMAINING,
+  RETRIED,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
+import { type HeldClaim } from './held_claim.js';
 import { Limit } from './limit.js';
+import { runOnce } from './once.js';
+import { relayAndKeep } from './outcome.js';
 import { asOutcome, refuse } from './refusal.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
@@ -41,6 +48,9 @@
 
   announced: Announced | undefined;
 
+  /** Set before the first request; without it requests with a key are refused. */
+  claims: Claims | undefined;
+
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
 
   constructor(private readonly clock: Clock) {
@@ -65,14 +75,33 @@
       const remaining = Number(request.headers[REMAINING] ?? DEFAULT_REMAINING_MS);
       const deadline = this.clock.now() + remaining;
       const priority = Number(request.headers[PRIORITY] ?? 0);
-      await this.limit.run(priority, deadline, () =>
-        this.#forward(announced, request, response, deadline),
-      );
+      const run = (body: Readable, claim?: HeldClaim) =>
+        this.limit.run(priority, deadline, () =>
+          this.#forward(announced, request, response, deadline, body, claim),
+        );
+      const route = request.headers[CLAIM];
+      if (route === undefined) await run(request);
+      else await this.#once(request, response, String(route), deadline, run);
     } catch (error) {
       refuse(response, asOutcome(error), this.clock.now());
     }
   }
 
+  async #once(
+    request: IncomingMessage,
+    response: ServerResponse,
+    route: string,
+    deadline: number,
+    run: (body: Readable, claim: HeldClaim) => Promise<void>,
+  ): Promise<void> {
+    if (!this.claims) {
+      const props = { verdict: 'not-run', reason: 'store-unavailable' } as const;
+      throw new OutcomeError('this process cannot make claims', props);
+    }
+    const key = String(request.headers[IDEMPOTENCY_KEY]);
+    await runOnce(this.claims, { request, response, route, key, deadline }, run);
+  }
+
   #admitting(upstream: string): Announced {
     const { announced } = this;
     if (announced?.upstream !== upstream || announced.state === 'down') {
@@ -91,9 +120,13 @@
     request: IncomingMessage,
     response: ServerResponse,
     deadline: number,
+    body: Readable,
+    claim?: HeldClaim,
   ): Promise<void> {
     const gone = new AbortController();
-    response.once('close', () => gone.abort());
+    // The end of a claimed request is awaited even when its caller has gone: it will ask again.
+    if (!claim) response.once('close', () => gone.abort());
+    claim?.start();
     const answer = await exchange(
       {
         agent: this.#agent,
@@ -102,16 +135,21 @@
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: outward(request),
-        body: request,
+        body,
         deadline,
         cancelled: gone.signal,
       },
       this.clock,
     );
     const headers = endToEnd(answer.headers, false);
-    response.writeHead(answer.statusCode ?? 502, { ...headers, [VERDICT]: 'ran' });
+    response.writeHead(answer.statusCode ?? 502, {
+      ...headers,
+      [VERDICT]: 'ran',
+      ...(answer.headers[RETRIED] !== undefined && { [RETRIED]: '1' }),
+    });
     // An upstream cannot speak for barleyhaven: its own verdict headers were dropped above.
-    await pipeline(answer, response);
+    if (claim) claim.settle(await relayAndKeep(answer, response));
+    else await pipeline(answer, response);
   }
 }
 
@@ -119,7 +157,7 @@
   const headers = endToEnd(request.headers, true);
   const remaining = headers[REMAINING];
   for (const name of Object.keys(headers)) {
-    if (name.startsWith(INTERNAL_PREFIX) && name !== REASON) delete headers[name];
+    if (name.startsWith(INTERNAL_PREFIX) && name !== RETRIED) delete headers[name];
   }
   return remaining === undefined ? headers : { ...headers, 'request-timeout-ms': remaining };
 }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -8,6 +8,8 @@
 export const REMAINING = 'barleyhaven-remaining-ms';
 export const LIMIT = 'barleyhaven-limit';
 export const PRIORITY = 'barleyhaven-priority';
+/** Name of the route, on a request that must run under a claim. */
+export const CLAIM = 'barleyhaven-claim';
 
 /** On answers to callers: whether the request may have run. */
 export const VERDICT = 'barleyhaven-verdict';
@@ -16,6 +18,12 @@
 /** On answers to callers: this is the recorded outcome of an earlier request with the same key. */
 export const REPLAYED = 'barleyhaven-replayed';
 
+/**
+ * On answers and requests: one hop has retried this request, so no other one does. Applications
+ * that make calls of their own for a request pass it on.
+ */
+export const RETRIED = 'barleyhaven-retried';
+
 /** From callers: time left for the request, in milliseconds. */
 export const CALLER_TIMEOUT = 'request-timeout-ms';
 /** From callers: the same key means the same request. */
--- a/src/requests/retry_budget.ts
+++ b/src/requests/retry_budget.ts
@@ -44,6 +44,20 @@
   'draining',
   'no-endpoint',
 ]);
+/**
+ * Reasons that another attempt soon can't change. The caller gets the final answer at once, with
+ * when to come back.
+ */
+const FINAL_REASONS: ReadonlySet<string> = new Set([
+  'store-unavailable',
+  'quarantined',
+  'key-required',
+  'key-reused',
+  'bad-request',
+  'body-too-large',
+  'headers-too-large',
+  'deadline',
+]);
 const BACKOFF_BASE_MS = 10;
 const BACKOFF_CAP_MS = 250;
 /** An attempt that would have less time than this cannot be answered; it would only add load. */
@@ -122,7 +136,7 @@
 }
 
 /** An answer (`ran`) stands. What may have run is sent again only if it may run twice. */
-function maySendAgain({ verdict, repeatable, retriedElsewhere }: FailedAttempt): boolean {
-  if (retriedElsewhere || verdict === 'ran') return false;
+function maySendAgain({ verdict, reason, repeatable, retriedElsewhere }: FailedAttempt): boolean {
+  if (retriedElsewhere || verdict === 'ran' || FINAL_REASONS.has(reason)) return false;
   return verdict === 'not-run' || repeatable;
 }
--- /dev/null
+++ b/src/test/requests/once_test.ts
@@ -0,0 +1,141 @@
+import { once } from 'node:events';
+import { createServer, request, type Server } from 'node:http';
+import { expect } from 'chai';
+import { ask, type Answer } from '../../bench/caller.js';
+import { Claims } from '../../requests/claims.js';
+import { Guard } from '../../requests/guard.js';
+import { MAX_OUTCOME_BODY_BYTES } from '../../requests/outcome.js';
+import { SingleClaims } from '../../requests/single_claims.js';
+import { MachineClock } from '../../runtime/clock.js';
+import { Ownership } from '../../runtime/ownership.js';
+import { SeededRandom } from '../../runtime/random.js';
+import { listen, LOOPBACK, shut } from '../../standins/listen.js';
+import { PlatformStore } from '../../standins/platform_store.js';
+
+const clock = new MachineClock();
+
+describe('a request with a key at the guard', () => {
+  let owned: Ownership;
+  let store: PlatformStore;
+  let upstream: Server;
+  let upstreamPort: number;
+  let bodies: string[];
+  let answerBytes: number;
+
+  beforeEach(async () => {
+    owned = new Ownership();
+    store = new PlatformStore(clock);
+    bodies = [];
+    answerBytes = 10;
+    upstream = createServer((incoming, response) => {
+      const chunks: Buffer[] = [];
+      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      incoming.on('end', () => {
+        bodies.push(Buffer.concat(chunks).toString());
+        upstream.emit('run');
+        response.writeHead(201, { location: '/seats/12', 'set-cookie': 'not-kept' });
+        response.end('x'.repeat(answerBytes));
+      });
+    });
+    upstreamPort = await listen(upstream);
+    owned.use({ [Symbol.asyncDispose]: () => shut(upstream) });
+  });
+
+  afterEach(() => owned[Symbol.asyncDispose]());
+
+  /** A process beside the upstream; several share the store, as data centres do. */
+  async function guardOf(instance: string): Promise<number> {
+    const random = new SeededRandom(instance.length);
+    const guard = owned.use(new Guard(clock));
+    guard.claims = new Claims(new SingleClaims(store, clock, random), instance, clock, random);
+    guard.announce({
+      upstream: 'bookings',
+      state: 'ready',
+      slots: 2,
+      host: LOOPBACK,
+      port: upstreamPort,
+    });
+    return listen(guard.server);
+  }
+
+  function headers() {
+    return {
+      'barleyhaven-upstream': 'bookings',
+      'barleyhaven-claim': 'seats',
+      'barleyhaven-remaining-ms': '5000',
+      'idempotency-key': 'k-1',
+    };
+  }
+
+  function book(port: number, body = 'seat=12'): Promise<Answer> {
+    return ask({ port, path: '/seats', method: 'POST', headers: headers(), body });
+  }
+
+  async function bookUntil(port: number, status: number): Promise<Answer> {
+    for (;;) {
+      const answer = await book(port);
+      if (answer.status === status) return answer;
+      await clock.sleepUntil(clock.now() + 5);
+    }
+  }
+
+  function seen({ status, headers: got, body }: Answer): unknown {
+    const names = ['barleyhaven-verdict', 'barleyhaven-reason', 'barleyhaven-replayed'];
+    const kept = ['location', 'set-cookie', 'retry-after', ...names];
+    return { status, body, ...Object.fromEntries(kept.map((name) => [name, got[name]])) };
+  }
+
+  it('runs once, and is replayed through another process', async () => {
+    const [arima, amman] = [await guardOf('arima'), await guardOf('amman-1')];
+    const first = await book(arima);
+    const again = await bookUntil(amman, 201);
+    const otherBody = await book(amman, 'seat=13');
+    expect([first, again, otherBody].map(seen)).toMatchSnapshot();
+    expect(bodies).to.deep.equal(['seat=12']);
+  });
+
+  /*
+   * The caller goes away while the upstream runs its booking, and sends it again. It is told how
+   * the first run ended: the answer was read to its end although nobody waited for it.
+   */
+  it('tells a caller that went away and came back how it ended', async () => {
+    const port = await guardOf('arima');
+    const leaving = request({ host: LOOPBACK, port, path: '/seats', method: 'POST' });
+    for (const [name, value] of Object.entries(headers())) leaving.setHeader(name, value);
+    leaving.on('error', () => {});
+    leaving.end('seat=12');
+    await once(upstream, 'run');
+    leaving.destroy();
+    const again = await bookUntil(port, 201);
+    expect(again.headers['barleyhaven-replayed']).to.equal('true');
+    expect(bodies).to.deep.equal(['seat=12']);
+  });
+
+  /*
+   * The upstream is down: its port refuses connections. The caller sees not-run, and its claim was
+   * given back before that; when it comes back through another process, the booking runs.
+   */
+  it('gives the claim back when the upstream cannot be reached', async () => {
+    const [arima, amman] = [await guardOf('arima'), await guardOf('amman-1')];
+    await shut(upstream);
+    const refused = await book(arima);
+    upstream.listen(upstreamPort, LOOPBACK);
+    await once(upstream, 'listening');
+    expect(refused.headers['barleyhaven-verdict']).to.equal('not-run');
+    expect((await book(amman)).status).to.equal(201);
+  });
+
+  it('does not replay a part of an answer that was too large to keep', async () => {
+    answerBytes = MAX_OUTCOME_BODY_BYTES + 1;
+    const port = await guardOf('arima');
+    expect((await book(port)).body).to.have.length(answerBytes);
+    expect(seen(await book(port))).toMatchSnapshot();
+    expect(bodies).to.have.length(1);
+  });
+
+  it('is refused as not run while the store is away', async () => {
+    store.faults.down = true;
+    expect(seen(await book(await guardOf('arima')))).toMatchSnapshot();
+    expect(bodies).to.deep.equal([]);
+  });
+});
