Show counters in the Prometheus format, metered from outside the request path

Cause: operators need counters first, and the request path is being deepened. Change: a meter listens to each server and tells answers, refusals and cut answers apart; /metrics gathers values when asked. Found by its test: headers given to writeHead alone cannot be read back, so refusals were counted as answers; refusals now set them one by one. Conclusion: counters do not depend on how entry and guard are written.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -18,6 +18,7 @@
 import { Journal } from './log.js';
 import { OperatorsPort } from './operators_port.js';
 import { bind } from './bind.js';
+import { RequestMeter } from './request_meter.js';
 import { type Settings } from './settings.js';
 
 /** What the outside world gives to a process. */
@@ -45,6 +46,10 @@
 
   readonly source: Source;
 
+  readonly entryMeter: RequestMeter;
+
+  readonly guardMeter: RequestMeter;
+
   readonly journal: Journal;
 
   readonly #operators: OperatorsPort;
@@ -75,6 +80,8 @@
       clock,
       random,
     );
+    this.entryMeter = new RequestMeter(this.entry.server, clock);
+    this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
     this.replica.onApplied(() => {
--- /dev/null
+++ b/src/daemon/metrics.ts
@@ -0,0 +1,115 @@
+/** Counters of one process in the Prometheus text format. */
+import { Gauge, Registry } from 'prom-client';
+import { type Peer } from '../link/peer.js';
+import { type Instance } from './instance.js';
+import { type RequestMeter } from './request_meter.js';
+
+const PREFIX = 'barleyhaven_';
+const PERCENTILES = [50, 90, 99, 99.9] as const;
+const MICROSECONDS_PER_SECOND = 1_000_000;
+
+/** Values are read when they are asked for; nothing is kept twice. */
+export class Metrics {
+  readonly #registry = new Registry();
+
+  constructor(private readonly instance: Instance) {
+    this.#configuration();
+    this.#membership();
+    this.#links();
+    this.#requests('entry', instance.entryMeter);
+    this.#requests('guard', instance.guardMeter);
+    this.#limit();
+  }
+
+  get contentType(): string {
+    return this.#registry.contentType;
+  }
+
+  text(): Promise<string> {
+    return this.#registry.metrics();
+  }
+
+  #configuration(): void {
+    const { instance } = this;
+    this.#gauge('version', 'Version in force', () => instance.replica.current.number);
+    this.#gauge('resources', 'Resources held', () => instance.replica.current.size);
+    this.#gauge('ready', '1 once requests are taken', () => Number(instance.isReady));
+    this.#gauge(
+      'refused_version',
+      'Number of the last refused version while none later is in force, or 0',
+      () => instance.replica.refusal?.number ?? 0,
+    );
+    this.#gauge('reader', '1 while this process watches the platform', () =>
+      Number(instance.control.ranking.isReader),
+    );
+  }
+
+  #membership(): void {
+    const { roster } = this.instance;
+    this.#labelled('members', 'Members known, by liveness', ['liveness'], (gauge) => {
+      for (const [liveness, count] of Object.entries(roster.counts)) gauge.set({ liveness }, count);
+    });
+    this.#gauge('refutations', 'Statements about itself refuted', () => roster.refutations);
+  }
+
+  #links(): void {
+    const { mesh } = this.instance.control;
+    const sum = (bytes: (peer: Peer) => number) =>
+      mesh.peers.reduce((total, peer) => total + bytes(peer), 0);
+    this.#gauge('links', 'Links open', () => mesh.peers.length);
+    this.#gauge('link_bytes_sent', 'Bytes sent on the open links', () =>
+      sum(({ link }) => link.bytesSent),
+    );
+    this.#gauge('link_bytes_received', 'Bytes received on the open links', () =>
+      sum(({ link }) => link.bytesReceived),
+    );
+  }
+
+  #requests(role: string, meter: RequestMeter): void {
+    this.#gauge(`${role}_requests_in_flight`, 'Requests in flight', () => meter.inFlight);
+    this.#labelled(
+      `${role}_requests_ended`,
+      'Requests ended since the start, by verdict and reason',
+      ['verdict', 'reason'],
+      (gauge) => {
+        for (const { ending, count } of meter.endings) gauge.set({ ...ending }, count);
+      },
+    );
+    this.#labelled(
+      `${role}_answer_seconds`,
+      'Time from request to the end of the answer, by percentile',
+      ['percentile'],
+      (gauge) => {
+        for (const percentile of PERCENTILES) {
+          const value = meter.latency.getValueAtPercentile(percentile) / MICROSECONDS_PER_SECOND;
+          gauge.set({ percentile: String(percentile) }, value);
+        }
+      },
+    );
+  }
+
+  #limit(): void {
+    const { limit } = this.instance.guard;
+    this.#gauge('limit_in_flight', 'Requests at the upstream instance', () => limit.inFlight);
+    this.#gauge('limit_waiting', 'Requests that wait for a slot', () => limit.waiting);
+  }
+
+  #gauge(name: string, help: string, value: () => number): void {
+    this.#labelled(name, help, [], (gauge) => gauge.set(value()));
+  }
+
+  #labelled(
+    name: string,
+    help: string,
+    labelNames: string[],
+    collect: (gauge: Gauge) => void,
+  ): void {
+    const gauge: Gauge = new Gauge({
+      name: PREFIX + name,
+      help,
+      labelNames,
+      registers: [this.#registry],
+      collect: () => collect(gauge),
+    });
+  }
+}
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -4,6 +4,7 @@
 import { z } from 'zod';
 import { Endpoint } from '../contracts.js';
 import { type Instance } from './instance.js';
+import { Metrics } from './metrics.js';
 import { operatorMethods } from './operator_methods.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -15,7 +16,10 @@
 
   readonly #rpc: JSONRPCServer;
 
+  readonly #metrics: Metrics;
+
   constructor(private readonly instance: Instance) {
+    this.#metrics = new Metrics(instance);
     this.#rpc = operatorMethods(instance);
     this.server = createServer((request, response) => void this.#serve(request, response));
   }
@@ -57,6 +61,10 @@
         answer(response, 200, { number, digest });
         return;
       }
+      case '/metrics':
+        response.writeHead(200, { 'content-type': this.#metrics.contentType });
+        response.end(await this.#metrics.text());
+        return;
       case '/endpoints':
         answer(response, 200, { endpoints: this.instance.roster.endpoints });
         return;
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -53,11 +53,12 @@
   const { verdict, reason, message, retryAt } = error;
   const body = JSON.stringify({ verdict, reason, message } satisfies RefusalBody);
   const retryAfter = retryAt && Math.max(1, Math.ceil((retryAt - now) / MS_PER_SECOND));
+  // Set one by one, because the meter reads them back and `writeHead` alone would not keep them.
+  response.setHeader(VERDICT, verdict);
+  response.setHeader(REASON, reason);
   response.writeHead(STATUS[reason] ?? BAD_GATEWAY, {
     'content-type': 'application/json',
     'content-length': Buffer.byteLength(body),
-    [VERDICT]: verdict,
-    [REASON]: reason,
     ...(retryAfter && { 'retry-after': String(retryAfter) }),
   });
   response.end(body);
