Spread versions robustly, judge readiness, and survey truthfully

Cause: one catch-up at a time for the whole process could hang behind a dead peer; pulls were unbounded and came back as one herd; a fresh process was ready with whatever its neighbours had; the survey left out whole subtrees; a refused version in the log was read again without a pause. Heartbeats go as a list with a digest prefix. Sleeps end at their deadline, not a fraction before: timers drop fractions, and a loop that waits for an instant spun on it.

--- a/src/bench/demo.ts
+++ b/src/bench/demo.ts
@@ -114,11 +114,12 @@
   const acquainted = () =>
     fleet.stations.every(
       ({ instance }) =>
+        instance.isReady &&
         instance.roster.live().filter((member) => member.endpoint?.state === 'ready').length ===
-        size,
+          size,
     );
   show(
-    `${size} proxies in 3 data centres know each other`,
+    `${size} proxies in 3 data centres know each other and are ready`,
     await fleet.until(acquainted, clock.now() + SETTLE_MS),
   );
   const client = new Client(`127.0.0.1:${first!.instance.operatorsPort}`);
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -1,10 +1,14 @@
 /** The control part of a process: configuration and membership, without the carrying of requests. */
 import { type Member } from '../contracts.js';
-import { Distributor, type Profile } from '../distribution/distributor.js';
+import { Confirmation } from '../distribution/confirmation.js';
+import { Distributor } from '../distribution/distributor.js';
 import { type Address, type Dialer, Mesh } from '../distribution/mesh.js';
 import { HEARTBEAT } from '../distribution/methods.js';
+import { type Profile } from '../distribution/profile.js';
 import { Reader } from '../distribution/reader.js';
+import { Readiness } from '../distribution/readiness.js';
 import { Replica } from '../distribution/replica.js';
+import { Surveyor } from '../distribution/surveyor.js';
 import { Methods } from '../link/peer.js';
 import { Directory } from '../membership/directory.js';
 import { GossipTask } from '../membership/gossip.js';
@@ -33,6 +37,10 @@
 
 /** How often a starting process looks for others, in milliseconds. */
 const SEEK_EVERY_MS = 500;
+/** How long a process that finds nobody waits before it takes itself for the only one. */
+const ACQUAINT_MS = 500;
+/** How long the rosters of the first peers take to come in, in milliseconds. */
+const ROSTER_MS = 100;
 
 export class Control implements AsyncDisposable {
   readonly replica = new Replica();
@@ -47,6 +55,10 @@
 
   readonly distributor: Distributor;
 
+  readonly surveyor: Surveyor;
+
+  readonly readiness: Readiness;
+
   readonly reader: Reader;
 
   readonly #directory: Directory;
@@ -72,6 +84,7 @@
       member: this.roster.self,
       version: replica.current.number,
       digest: replica.current.digest,
+      isReady: this.readiness.isReady,
     }));
     this.distributor = new Distributor(
       replica,
@@ -80,8 +93,11 @@
       this.ranking,
       options.profile,
       clock,
+      random,
       methods,
+      () => this.readiness.isReady,
     );
+    this.surveyor = new Surveyor(replica, this.mesh, this.roster, this.ranking, clock, methods);
     this.#gossip = new GossipTask(
       this.roster,
       this.mesh,
@@ -90,11 +106,30 @@
       options.heartbeatMs,
       methods,
     );
-    methods.on(HEARTBEAT, (peer, { version, roster }) => {
-      this.distributor.heard(peer, version);
-      this.#gossip.compare(peer, roster);
+    methods.on(HEARTBEAT, (peer, heartbeat) => {
+      this.distributor.heard(peer, heartbeat);
+      this.#gossip.compare(peer, heartbeat.roster);
     });
     this.reader = new Reader(this.log, replica, this.ranking, clock, random);
+    const confirmation = new Confirmation(
+      this.reader,
+      this.mesh,
+      this.roster,
+      this.ranking,
+      clock,
+      methods,
+    );
+    this.readiness = new Readiness(
+      self,
+      replica,
+      this.reader,
+      confirmation,
+      this.mesh,
+      this.ranking,
+      clock,
+      random,
+    );
+    this.readiness.onReady(() => this.distributor.announce());
     this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
   }
 
@@ -103,7 +138,7 @@
     const { signal } = this.#stopping;
     this.#tasks = [
       this.#seek(signal),
-      this.reader.run(signal),
+      this.#follow(signal),
       this.#directory.run(signal),
       this.#gossip.run(signal),
     ];
@@ -115,6 +150,20 @@
     await Promise.all(this.#tasks);
   }
 
+  /**
+   * A process that knows nobody yet ranks first and would read the log itself. When a herd starts,
+   * all would do so at once; hence it gets acquainted first, for a moment.
+   */
+  async #follow(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.surroundings;
+    const deadline = clock.now() + ACQUAINT_MS + random.jitter(ACQUAINT_MS);
+    const acquainted = new AbortController();
+    this.mesh.onOpen(() => acquainted.abort());
+    await clock.sleepUntil(deadline, AbortSignal.any([signal, acquainted.signal]));
+    await clock.sleepUntil(clock.now() + ROSTER_MS, signal);
+    await Promise.all([this.reader.run(signal), this.readiness.run(signal)]);
+  }
+
   /** Looks for others, first at the addresses from the settings, until one is found. */
   async #seek(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.surroundings;
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -3,7 +3,7 @@
 import { type Member } from '../contracts.js';
 import { type Codec } from '../link/codec.js';
 import { connect, TcpLink } from '../link/tcp_link.js';
-import { BytesProfile, ConvergenceProfile } from '../distribution/distributor.js';
+import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Roster } from '../membership/roster.js';
@@ -107,7 +107,7 @@
 
   /** Whether requests may be taken: the configuration held is known not to be an old one. */
   get isReady(): boolean {
-    return this.replica.current.number > 0;
+    return this.control.readiness.isReady;
   }
 
   get replica(): Replica {
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -38,7 +38,7 @@
     });
     this.#method('status', z.unknown(), async () => ({
       head: instance.replica.current.number,
-      survey: await instance.control.distributor.survey('fleet'),
+      survey: await instance.control.surveyor.survey(),
     }));
     this.#method('fleet', z.unknown(), async () => instance.roster.all());
   }
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -1,44 +1,27 @@
-/** Moves versions from process to process: pushes down the tree, pulls by whoever is behind. */
-import { type Pulled, type Survey, type Version } from '../contracts.js';
+/** Moves versions from process to process: down the tree, and to whoever is behind. */
+import { type Heartbeat, type Recall, type Recalled, type Version } from '../contracts.js';
 import { type Methods, type Peer } from '../link/peer.js';
-import { type Ranking } from '../membership/ranking.js';
+import { READERS, type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
 import { type Mesh } from './mesh.js';
-import { PULL, PUSH, RECALL, SURVEY } from './methods.js';
+import { AHEAD, PULL, PUSH, RECALL } from './methods.js';
+import { PAGE_BYTES, sizeOf } from './pages.js';
+import { type Profile } from './profile.js';
+import { Puller } from './puller.js';
+import { Relay } from './relay.js';
+import { Remembered } from './remembered.js';
 import { type Replica } from './replica.js';
-import { emptySurvey, mergeSurveys, surveyOf } from './survey.js';
 
-/** How soon versions travel, and how. */
-export abstract class Profile {
-  /** Whether a version is pushed as soon as it is in force; it is pulled otherwise. */
-  abstract readonly pushes: boolean;
-
-  /** How long a process that is behind waits for a push before it pulls, in milliseconds. */
-  abstract readonly patienceMs: number;
-}
-
-/** Convergence first: push at once, the whole change. */
-export class ConvergenceProfile extends Profile {
-  readonly pushes = true;
-
-  readonly patienceMs = 100;
-}
-
-/** Bytes first: gather several versions into one pull. */
-export class BytesProfile extends Profile {
-  readonly pushes = false;
+export class Distributor {
+  readonly #puller: Puller;
 
-  readonly patienceMs = 500;
-}
+  readonly #remembered = new Remembered();
 
-const PULL_TIMEOUT_MS = 2_000;
-/** Each level of the tree answers this much sooner than the one above gives up. */
-const SURVEY_LEVEL_MS = 150;
-const SURVEY_TIMEOUT_MS = 1_500;
+  #gathered: Version[] = [];
 
-export class Distributor {
-  #pulling = false;
+  #spreading: Promise<void> | undefined;
 
   constructor(
     private readonly replica: Replica,
@@ -47,110 +30,107 @@
     private readonly ranking: Ranking,
     private readonly profile: Profile,
     private readonly clock: Clock,
+    random: Random,
     methods: Methods,
+    private readonly isReady: () => boolean,
   ) {
-    replica.onApplied((versions) => this.#spread(versions));
-    mesh.onOpen((peer) => void this.#catchUp(peer));
+    this.#puller = new Puller(replica, mesh, roster, profile, clock, random);
+    const relay = new Relay(replica, clock);
+    replica.onApplied((versions) => this.#applied(versions));
+    mesh.onOpen((peer) => {
+      peer.isReady = peer.hello?.isReady ?? false;
+      this.#note(peer, peer.version);
+    });
     methods
       .on(PUSH, (peer, { versions }) => this.#pushed(peer, versions))
-      .on(PULL, (_, { after }) => this.#pulled(after))
-      .on(RECALL, (_, { instance }) => ({ version: this.#highestHeard.get(instance) ?? 0 }))
-      .on(SURVEY, (_, { scope }) => this.survey(scope));
+      .on(AHEAD, (peer, ahead) => {
+        peer.isReady ||= ahead.isReady;
+        this.#note(peer, ahead.version);
+      })
+      .on(PULL, (_, pull) => relay.answer(pull))
+      .on(RECALL, (_, recall) => this.#recalled(recall));
   }
 
-  /** Highest version ever heard from each instance: it must not come back with less. */
-  readonly #highestHeard = new Map<string, number>();
-
-  /** Counts who holds what; what cannot be reached in time is unknown. */
-  async survey(scope: 'subtree' | 'data-centre' | 'fleet'): Promise<Survey> {
-    const { parent, isRoot } = this.ranking;
-    if (scope !== 'subtree' && !isRoot) return this.#ask(parent?.instance, scope, 'own');
-    const parts = [surveyOf(this.roster.self, this.replica)];
-    const below = this.ranking.children.map((child) =>
-      this.#ask(child.instance, 'subtree', child.instance),
-    );
-    const beside = scope === 'fleet' ? this.#otherDataCentres() : [];
-    parts.push(...(await Promise.all([...below, ...beside])));
-    return mergeSurveys(parts);
+  /** Notes the version of a peer's heartbeat, and pulls if it is ahead. */
+  heard(peer: Peer, { version, digest }: Heartbeat): void {
+    const { current } = this.replica;
+    // Both ends note it: neither can tell whose chain is the accepted one.
+    if (version === current.number && !current.digest.startsWith(digest)) {
+      this.replica.reject(version, 'chain');
+    }
+    this.#note(peer, version);
   }
 
-  #otherDataCentres(): Promise<Survey>[] {
-    const own = this.roster.self.dataCentre;
-    const others = this.ranking.dataCentres().filter((name) => name !== own);
-    return others.map(async (name) => {
-      const survey = await this.#ask(this.ranking.root(name)?.instance, 'data-centre', name);
-      return survey.unknown.includes(name) ? { ...survey, unknown: [], unreached: [name] } : survey;
-    });
+  /** Tells all peers that this process is ready, so that they can vouch for it later. */
+  announce(): void {
+    const version = this.replica.current.number;
+    for (const peer of this.mesh.peers) peer.notify(AHEAD, { version, isReady: true });
   }
 
-  async #ask(
-    instance: string | undefined,
-    scope: 'subtree' | 'data-centre' | 'fleet',
-    label: string,
-  ): Promise<Survey> {
-    const peer = instance === undefined ? undefined : this.mesh.peer(instance);
-    const span = SURVEY_TIMEOUT_MS - (scope === 'subtree' ? SURVEY_LEVEL_MS : 0);
-    try {
-      if (peer) return await peer.request(SURVEY, { scope }, this.clock.now() + span);
-    } catch {
-      // Falls through: who does not answer is unknown.
-    }
-    return { ...emptySurvey(), unknown: [label] };
+  #note(peer: Peer, version: number): void {
+    peer.version = Math.max(peer.version, version);
+    const isSure = peer.isReady && !this.#isReader(peer);
+    if (peer.member) this.#remembered.note(peer.member, version, isSure);
+    this.#puller.wake();
   }
 
-  #spread(versions: readonly Version[]): void {
-    if (!this.profile.pushes || versions.length === 0) return;
-    for (const { instance } of this.ranking.children) {
-      const peer = this.mesh.peer(instance);
-      if (peer) this.#push(peer, versions);
-    }
+  #isReader({ member }: Peer): boolean {
+    const first = member ? this.ranking.ranked(member.dataCentre).slice(0, READERS) : [];
+    return first.some(({ instance }) => instance === member?.instance);
   }
 
-  #push(peer: Peer, versions: readonly Version[]): void {
-    const news = versions.filter((version) => version.number > peer.version);
-    if (news.length > 0) peer.notify(PUSH, { versions: news });
+  #recalled({ instance, incarnation }: Recall): Recalled {
+    const remembered = this.#remembered.before(instance, incarnation);
+    return { remembered, holds: this.replica.current.number };
   }
 
-  #pushed(peer: Peer, versions: readonly Version[]): void {
-    this.#note(peer, versions.at(-1)?.number ?? 0);
-    if (!this.replica.apply(versions)) void this.#catchUp(peer);
+  #applied(versions: readonly Version[]): void {
+    this.#gathered.push(...versions);
+    const { gatherMs } = this.profile;
+    if (gatherMs === 0) this.#spread();
+    else this.#spreading ??= this.#spreadLater(gatherMs);
   }
 
-  /** Notes the version of a peer's heartbeat, and pulls if it is ahead. */
-  heard(peer: Peer, version: number): void {
-    this.#note(peer, version);
-    void this.#catchUp(peer);
+  async #spreadLater(gatherMs: number): Promise<void> {
+    await this.clock.sleepUntil(this.clock.now() + gatherMs);
+    this.#spreading = undefined;
+    this.#spread();
   }
 
-  #note(peer: Peer, version: number): void {
-    peer.version = Math.max(peer.version, version);
-    const instance = peer.member?.instance;
-    if (instance === undefined) return;
-    const before = this.#highestHeard.get(instance) ?? 0;
-    if (version > before) this.#highestHeard.set(instance, version);
+  #spread(): void {
+    const versions = this.#gathered;
+    this.#gathered = [];
+    const children = new Set(this.ranking.children.map(({ instance }) => instance));
+    for (const peer of this.mesh.peers) {
+      if (peer.member && children.has(peer.member.instance)) this.#feed(peer, versions);
+      else if (this.profile.pushes) this.#hint(peer);
+    }
   }
 
-  /** Pulls from a peer that is ahead, unless a push brings the versions first. */
-  async #catchUp(peer: Peer): Promise<void> {
-    if (peer.version <= this.replica.current.number || this.#pulling) return;
-    this.#pulling = true;
-    try {
-      await this.clock.sleepUntil(this.clock.now() + this.profile.patienceMs, peer.link.closed);
-      const after = this.replica.current.number;
-      if (peer.version <= after) return;
-      const answer = await peer.request(PULL, { after }, this.clock.now() + PULL_TIMEOUT_MS);
-      if (answer.snapshot) this.replica.install(answer.snapshot);
-      this.replica.apply(answer.versions);
-    } catch {
-      // The next heartbeat of any peer that is ahead starts another pull.
-    } finally {
-      this.#pulling = false;
-    }
+  /**
+   * A child is sent the versions themselves if the profile has it so. One that lacks earlier ones
+   * too, or for whom they are too large for one frame, hears that they are there and pulls.
+   */
+  #feed(peer: Peer, versions: readonly Version[]): void {
+    const news = versions.filter((version) => version.number > peer.version);
+    const bytes = news.reduce((sum, version) => sum + sizeOf(version), 0);
+    if (this.profile.pushes && news.length > 0 && bytes <= PAGE_BYTES) {
+      peer.notify(PUSH, { versions: news });
+    } else this.#hint(peer);
   }
 
-  #pulled(after: number): Pulled {
-    const versions = this.replica.since(after);
-    if (versions) return { versions: [...versions] };
-    return { versions: [], snapshot: this.replica.snapshot() };
+  /**
+   * Were only the tree told, a relay that dies in mid-push would keep its subtree waiting for the
+   * next heartbeats. The neighbours on the ring, and other data centres, hear of the version at
+   * once and pull it if the tree does not bring it.
+   */
+  #hint(peer: Peer): void {
+    const version = this.replica.current.number;
+    if (version > peer.version) peer.notify(AHEAD, { version, isReady: this.isReady() });
+  }
+
+  #pushed(peer: Peer, versions: readonly Version[]): void {
+    this.replica.apply(versions);
+    this.#note(peer, versions.at(-1)?.number ?? 0);
   }
 }
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -1,9 +1,13 @@
 /** The methods that processes offer each other. */
 import { z } from 'zod';
 import {
+  Ahead,
+  Confirm,
+  Confirmed,
   Gossip,
   Heartbeat,
   Hello,
+  packHeartbeat,
   Pull,
   Pulled,
   Push,
@@ -18,11 +22,13 @@
 
 export const HELLO: Method<Hello, Hello> = { name: 'hello', params: Hello, result: Hello };
 export const HEARTBEAT: Method<Heartbeat, unknown> = {
-  name: 'heartbeat',
+  name: 'hb',
   params: Heartbeat,
   result: Nothing,
+  pack: packHeartbeat,
 };
 export const PUSH: Method<Push, unknown> = { name: 'push', params: Push, result: Nothing };
+export const AHEAD: Method<Ahead, unknown> = { name: 'ahead', params: Ahead, result: Nothing };
 export const PULL: Method<Pull, Pulled> = { name: 'pull', params: Pull, result: Pulled };
 export const GOSSIP: Method<Gossip, unknown> = { name: 'gossip', params: Gossip, result: Nothing };
 /** Exchanges whole rosters; run when two neighbours' rosters differ for long. */
@@ -36,4 +42,9 @@
   params: Recall,
   result: Recalled,
 };
+export const CONFIRM: Method<Confirm, Confirmed> = {
+  name: 'confirm',
+  params: Confirm,
+  result: Confirmed,
+};
 export const SURVEY: Method<Scope, Survey> = { name: 'survey', params: Scope, result: Survey };
--- /dev/null
+++ b/src/distribution/relay.ts
@@ -0,0 +1,66 @@
+/** Answers the pulls of others, so many at a time. */
+import PQueue from 'p-queue';
+import { type Pull, type Pulled, type Version } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
+import { PAGE_BYTES, Pages, sizeOf } from './pages.js';
+import { type Replica } from './replica.js';
+
+const CONCURRENCY = 4;
+/** How long each answer keeps its place, in milliseconds: 400 answers a second at most. */
+const HOLD_MS = 10;
+/** Pulls that may wait; they wait 160 ms at most, less than their senders do. */
+const MAX_WAITING = 64;
+/** When a pull that was turned away may come again, in milliseconds; jitter is added there. */
+const BUSY_MS = 250;
+
+/**
+ * When a herd reconnects, hundreds of processes pull from few. Were all answered at once, the
+ * relay's links would fill with pages and its heartbeats would stand behind them: it would look
+ * silent and lose its links, which starts the next herd. Those beyond the bound are told when to
+ * come back, and go to another peer meanwhile.
+ */
+export class Relay {
+  readonly #queue = new PQueue({ concurrency: CONCURRENCY });
+
+  readonly #pages: Pages;
+
+  constructor(
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+  ) {
+    this.#pages = new Pages(replica);
+  }
+
+  answer(pull: Pull): Promise<Pulled> {
+    return new Promise((resolve) => {
+      if (this.#queue.size >= MAX_WAITING) {
+        resolve({ versions: [], busyMs: BUSY_MS });
+        return;
+      }
+      void this.#queue.add(() => this.#serve(pull, resolve));
+    });
+  }
+
+  async #serve(pull: Pull, resolve: (answer: Pulled) => void): Promise<void> {
+    resolve(this.#answer(pull));
+    await this.clock.sleepUntil(this.clock.now() + HOLD_MS);
+  }
+
+  #answer({ after, page }: Pull): Pulled {
+    const versions = page ? undefined : this.replica.since(after);
+    const fitting = versions && fit(versions);
+    if (fitting) return { versions: fitting };
+    return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0) };
+  }
+}
+
+/** As many versions as go into one answer; undefined if not even the first does. */
+function fit(versions: readonly Version[]): Version[] | undefined {
+  let bytes = 0;
+  const end = versions.findIndex((version) => {
+    bytes += sizeOf(version);
+    return bytes > PAGE_BYTES;
+  });
+  if (end < 0) return [...versions];
+  return end === 0 ? undefined : versions.slice(0, end);
+}
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -1,14 +1,22 @@
 /** The configuration in force at one process. */
 import { Configuration } from '../configuration/configuration.js';
 import { GENESIS } from '../configuration/digest.js';
-import { type Problem, validate } from '../configuration/validate.js';
+import { MAX_RESOURCES, type Problem, validate } from '../configuration/validate.js';
 import { type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
 /** Why a version was refused; the configuration before it stays in force. */
 export interface Refusal {
   readonly number: number;
-  readonly reason: 'parent' | 'digest' | 'invalid';
+  /**
+   * - `unreadable`: not what a version looks like.
+   * - `chain`: another version of the same number is in force.
+   * - `parent`: it follows another version than the one in force.
+   * - `digest`: its content is not what its digest was worked out over.
+   * - `too-large`: it holds more than proxies are sized for.
+   * - `invalid`: it breaks references or rules.
+   */
+  readonly reason: 'unreadable' | 'chain' | 'parent' | 'digest' | 'too-large' | 'invalid';
   readonly problems: readonly Problem[];
 }
 
@@ -62,7 +70,12 @@
     const applied: Version[] = [];
     let whole = true;
     for (const version of versions) {
-      if (version.number <= this.#current.number) continue;
+      if (version.number < this.#current.number) continue;
+      if (version.number === this.#current.number) {
+        if (version.digest === this.#current.digest) continue;
+        whole = this.#refuse(version.number, 'chain', []);
+        break;
+      }
       whole = version.number === this.#current.number + 1 && this.#applyOne(version);
       if (!whole) break;
       applied.push(version);
@@ -74,6 +87,9 @@
   /** Puts a whole configuration in force if it is newer than the one held. */
   install(snapshot: Snapshot): boolean {
     if (snapshot.number <= this.#current.number) return true;
+    if (snapshot.resources.length > MAX_RESOURCES) {
+      return this.#refuse(snapshot.number, 'too-large', []);
+    }
     const candidate = Configuration.of(snapshot.number, snapshot.digest, snapshot.resources);
     if (!candidate.matches(snapshot.parent)) return this.#refuse(snapshot.number, 'digest', []);
     const problems = validate(candidate);
@@ -86,6 +102,11 @@
     return true;
   }
 
+  /** Notes that a version cannot be put in force, so that operators see why it is not. */
+  reject(number: number, reason: Refusal['reason']): void {
+    this.#refuse(number, reason, []);
+  }
+
   /** The whole configuration in force. */
   snapshot(): Snapshot {
     const { number, digest } = this.#current;
@@ -103,6 +124,7 @@
   #applyOne(version: Version): boolean {
     const { number, parent, digest, change } = version;
     if (parent !== this.#current.digest) return this.#refuse(number, 'parent', []);
+    if (change.put.length > MAX_RESOURCES) return this.#refuse(number, 'too-large', []);
     const candidate = this.#current.next(change);
     if (candidate.digest !== digest) return this.#refuse(number, 'digest', []);
     const problems = validate(candidate);
--- a/src/link/peer.ts
+++ b/src/link/peer.ts
@@ -10,6 +10,8 @@
   readonly name: string;
   readonly params: z.ZodType<Params>;
   readonly result: z.ZodType<Result>;
+  /** Makes the parameters smaller for the wire; `params` undoes it. */
+  readonly pack?: (params: Params) => unknown;
 }
 
 type Handler = (peer: Peer, params: unknown) => unknown;
@@ -37,6 +39,9 @@
   /** Highest version that the far end is known to hold. */
   version = 0;
 
+  /** Whether the far end has said that it is ready. */
+  isReady = false;
+
   /** Instant of the last message from it. */
   lastHeard: number;
 
@@ -83,7 +88,7 @@
   }
 
   notify<Params>(method: Method<Params, unknown>, params: Params): void {
-    this.#rpc.notify(method.name, params);
+    this.#rpc.notify(method.name, method.pack ? method.pack(params) : params);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -60,6 +60,20 @@
     return this.#own.slice(rank * this.fanout + 1, (rank + 1) * this.fanout + 1);
   }
 
+  /** All members of a data centre's tree that hang below one of them. */
+  descendants(dataCentre: string, instance: string): readonly Member[] {
+    const ranked = this.ranked(dataCentre);
+    const rank = ranked.findIndex((member) => member.instance === instance);
+    if (rank < 0) return [];
+    const found: Member[] = [];
+    let [from, to] = [rank * this.fanout + 1, (rank + 1) * this.fanout + 1];
+    while (from < ranked.length) {
+      found.push(...ranked.slice(from, to));
+      [from, to] = [from * this.fanout + 1, to * this.fanout + 1];
+    }
+    return found;
+  }
+
   /** The members to which this process keeps a link of its own making. */
   get neighbours(): readonly Member[] {
     const { self } = this.roster;
--- a/src/runtime/clock.ts
+++ b/src/runtime/clock.ts
@@ -48,7 +48,8 @@
       signal?.removeEventListener('abort', finish);
       resolve();
     };
-    const timer = setTimeout(finish, Math.max(0, delay));
+    // Timers drop fractions: rounded down, they would fire before the deadline.
+    const timer = setTimeout(finish, Math.ceil(Math.max(0, delay)));
     signal?.addEventListener('abort', finish, { once: true });
   });
 }
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -2,7 +2,7 @@
 import { digestOf } from '../../configuration/digest.js';
 import { type Change, Route, Upstream, type Version, type VersionRecord } from '../../contracts.js';
 import { Control } from '../../daemon/control.js';
-import { ConvergenceProfile, type Profile } from '../../distribution/distributor.js';
+import { ConvergenceProfile, type Profile } from '../../distribution/profile.js';
 import { MsgpackCodec } from '../../link/codec.js';
 import { type Clock } from '../../runtime/clock.js';
 import { type Random, SeededRandom } from '../../runtime/random.js';
