--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -3,8 +3,9 @@
 import { type Member } from '../contracts.js';
 import { type Codec } from '../link/codec.js';
 import { connect, TcpLink } from '../link/tcp_link.js';
-import { BytesProfile, ConvergenceProfile, type Distributor } from '../distribution/distributor.js';
+import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
+import { type Surveyor } from '../distribution/surveyor.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
@@ -114,15 +115,15 @@
 
   /** Whether requests may be taken: the configuration held is known not to be an old one. */
   get isReady(): boolean {
-    return this.replica.current.number > 0;
+    return this.control.readiness.isReady;
   }
 
   get replica(): Replica {
     return this.control.replica;
   }
 
-  get distributor(): Distributor {
-    return this.control.distributor;
+  get surveyor(): Surveyor {
+    return this.control.surveyor;
   }
 
   get roster(): Roster {
