Quarantine requests that crash upstreams, across the fleet

Cause: a request that crashes the upstream that runs it is sent again by its caller and takes down one upstream after the other. Change: Flights finds out what was in flight when the upstream died (a broken exchange and a refused new connection); Quarantine counts deaths by fingerprint and refuses after two, as not-run, at entry and guard; Bulletins floods deaths and clearances over the links, and whole to processes that start; a good answer after a death clears a request that was only beside it. Conclusion: nothing is digested while no death is remembered.

--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -1,6 +1,7 @@
 /** The contracts between processes, operators and the platform. */
 export * from './contracts/audit.js';
 export * from './contracts/claim.js';
+export * from './contracts/death.js';
 export * from './contracts/member.js';
 export * from './contracts/message.js';
 export * from './contracts/note.js';
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -43,6 +43,9 @@
 
   readonly log: Log;
 
+  /** What this process answers on its links. */
+  readonly methods = new Methods();
+
   readonly mesh: Mesh;
 
   readonly distributor: Distributor;
@@ -63,11 +66,10 @@
     private readonly surroundings: ControlSurroundings,
   ) {
     const { platform, clock, random, dialer } = surroundings;
-    const { replica } = this;
+    const { methods, replica } = this;
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, options.fanout);
     this.log = new Log(platform);
-    const methods = new Methods();
     this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, () => ({
       member: this.roster.self,
       version: replica.current.number,
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -9,8 +9,13 @@
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { Balancer } from '../requests/balancer.js';
+import { Bulletins } from '../requests/bulletins.js';
+import { ClaimSweep } from '../requests/claim_sweep.js';
+import { Claims } from '../requests/claims.js';
 import { Entry } from '../requests/entry.js';
+import { Flights } from '../requests/flights.js';
 import { Guard } from '../requests/guard.js';
+import { SingleClaims } from '../requests/single_claims.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Source } from '../source/source.js';
@@ -47,6 +52,14 @@
 
   readonly journal: Journal;
 
+  readonly claims: Claims;
+
+  readonly bulletins: Bulletins;
+
+  readonly #sweep: ClaimSweep;
+
+  readonly #stopping = new AbortController();
+
   readonly #operators: OperatorsPort;
 
   readonly #linkServer: Server;
@@ -75,6 +88,19 @@
       clock,
       random,
     );
+    this.claims = new Claims(
+      new SingleClaims(platform, clock, random),
+      self.instance,
+      clock,
+      random,
+    );
+    this.#sweep = new ClaimSweep(platform, () => this.control.ranking.isFirst, clock);
+    this.bulletins = new Bulletins(this.control.mesh, this.control.methods, clock, random);
+    const { quarantine } = this.bulletins;
+    this.guard.claims = this.claims;
+    this.guard.quarantine = quarantine;
+    this.guard.flights = new Flights(quarantine, clock);
+    this.entry.quarantine = quarantine;
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
     this.replica.onApplied(() => {
@@ -134,6 +160,8 @@
     this.roster.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
+    this.#stopping.abort();
+    await this.claims[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
@@ -149,6 +177,7 @@
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, callerPort);
     this.control.start();
+    void this.#sweep.run(this.#stopping.signal);
     this.journal.record('started', { callerPort: this.callerPort });
   }
 }
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -1,6 +1,7 @@
 /** The methods that processes offer each other. */
 import { z } from 'zod';
 import {
+  Bulletin,
   Gossip,
   Heartbeat,
   Hello,
@@ -37,3 +38,9 @@
   result: Recalled,
 };
 export const SURVEY: Method<Scope, Survey> = { name: 'survey', params: Scope, result: Survey };
+/** Deaths of upstreams and clearances of suspected requests that are news to the sender. */
+export const BULLETIN: Method<Bulletin, unknown> = {
+  name: 'bulletin',
+  params: Bulletin,
+  result: Nothing,
+};
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -62,6 +62,11 @@
     return this.#ownRank === 0;
   }
 
+  /** Whether this process has the tasks that one process of the whole fleet does. */
+  get isFirst(): boolean {
+    return this.isRoot && this.dataCentres()[0] === this.roster.self.dataCentre;
+  }
+
   /** The member that pushes to this one. */
   get parent(): Member | undefined {
     const rank = this.#ownRank;
--- a/src/requests/claim_sweep.ts
+++ b/src/requests/claim_sweep.ts
@@ -6,6 +6,8 @@
 /** Together with the pace: at most 150 removals and 2 reads a second. */
 const PAGE = 75;
 const PAGE_EVERY_MS = 500;
+/** Rest after each pass over all claims, in milliseconds. */
+const PASS_EVERY_MS = 5_000;
 /** How long one call may take, in milliseconds. */
 const CALL_MS = 5_000;
 
@@ -26,30 +28,40 @@
   /** Sweeps until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     let after = CLAIM_PREFIX;
-    while (!signal.aborted) {
-      await this.clock.sleepUntil(this.clock.now() + PAGE_EVERY_MS, signal);
-      if (signal.aborted || !this.isSweeper()) continue;
-      try {
-        after = await this.#page(after);
-      } catch {
-        // The store is away. The page is read again when it is back.
-      }
+    for (let waitMs = PAGE_EVERY_MS; ;) {
+      await this.clock.sleepUntil(this.clock.now() + waitMs, signal);
+      if (signal.aborted) return;
+      if (!this.isSweeper()) continue;
+      after = await this.#page(after);
+      waitMs = after === CLAIM_PREFIX ? PASS_EVERY_MS : PAGE_EVERY_MS;
     }
   }
 
-  /** Sweeps one page; returns where the next one starts. */
+  /** Sweeps one page; returns where the next one starts: at the same while the store is away. */
   async #page(after: string): Promise<string> {
     const range = { prefix: CLAIM_PREFIX, after, limit: PAGE };
-    const page = await this.platform.list(range, this.clock.now() + CALL_MS);
-    for (const stored of page) await this.#remove(stored);
-    return page.length < PAGE ? CLAIM_PREFIX : page.at(-1)!.key;
+    try {
+      const page = await this.platform.list(range, this.clock.now() + CALL_MS);
+      for (const stored of page) await this.#remove(stored);
+      return page.length < PAGE ? CLAIM_PREFIX : page.at(-1)!.key;
+    } catch {
+      return after;
+    }
   }
 
   async #remove(stored: Stored): Promise<void> {
-    const { expiresAt } = parseClaim(stored);
     const now = this.clock.now();
-    if (expiresAt > now) return;
+    if (!isExpired(stored, now)) return;
     const { key, revision } = stored;
     if (await this.platform.remove(key, revision, now + CALL_MS)) this.removed += 1;
   }
 }
+
+/** One value that cannot be read must not end the sweep of all others: it stays. */
+function isExpired(stored: Stored, now: number): boolean {
+  try {
+    return parseClaim(stored).expiresAt <= now;
+  } catch {
+    return false;
+  }
+}
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -27,6 +27,8 @@
   VERDICT,
 } from './headers.js';
 import { asOutcome, refuse } from './refusal.js';
+import { type Quarantine } from './quarantine.js';
+import { headFingerprint } from './request_fingerprint.js';
 import { RetryBudgets } from './retry_budget.js';
 import { isRepeatable, routeOf, type Target } from './router.js';
 
@@ -55,6 +57,9 @@
 
   readonly #budgets: RetryBudgets;
 
+  /** Set before the first request; the guards check again. */
+  quarantine: Quarantine | undefined;
+
   constructor(
     private readonly configuration: () => Configuration,
     private readonly isReady: () => boolean,
@@ -87,6 +92,10 @@
     if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
       throw notRun('key-required', 'this route insists on an Idempotency-Key');
     }
+    if (this.quarantine && !this.quarantine.isIdle) {
+      // Those that only their body gives away are refused by the guard.
+      this.quarantine.check(headFingerprint(route.upstream, request));
+    }
     const asked = Number(request.headers[CALLER_TIMEOUT] ?? route.timeoutMs);
     const timeoutMs = Math.min(route.timeoutMs, asked > 0 ? asked : route.timeoutMs);
     const gone = new AbortController();
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -12,6 +12,8 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Claims } from './claims.js';
 import { exchange } from './exchange.js';
+import { openBody } from './fingerprint.js';
+import { type Flights } from './flights.js';
 import {
   CLAIM,
   endToEnd,
@@ -27,7 +29,9 @@
 import { Limit } from './limit.js';
 import { runOnce } from './once.js';
 import { relayAndKeep } from './outcome.js';
+import { type Quarantine } from './quarantine.js';
 import { asOutcome, refuse } from './refusal.js';
+import { headFingerprint, wholeFingerprint } from './request_fingerprint.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
 export interface Announced extends Endpoint {
@@ -37,6 +41,7 @@
 
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
 const MAX_CONNECTIONS = 64;
+const FIRST_SERVER_ERROR = 500;
 const DEFAULT_SLOTS = 20;
 const DEFAULT_WAITING = 100;
 const DEFAULT_REMAINING_MS = 10_000;
@@ -51,6 +56,11 @@
   /** Set before the first request; without it requests with a key are refused. */
   claims: Claims | undefined;
 
+  /** Set before the first request; without them no death is looked into. */
+  flights: Flights | undefined;
+
+  quarantine: Quarantine | undefined;
+
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
 
   constructor(private readonly clock: Clock) {
@@ -72,21 +82,34 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     try {
       const announced = this.#admitting(String(request.headers[UPSTREAM]));
+      const body = await this.#checked(announced.upstream, request);
       const remaining = Number(request.headers[REMAINING] ?? DEFAULT_REMAINING_MS);
       const deadline = this.clock.now() + remaining;
       const priority = Number(request.headers[PRIORITY] ?? 0);
-      const run = (body: Readable, claim?: HeldClaim) =>
+      const run = (content: Readable, claim?: HeldClaim) =>
         this.limit.run(priority, deadline, () =>
-          this.#forward(announced, request, response, deadline, body, claim),
+          this.#watched(announced, request, response, deadline, content, claim),
         );
       const route = request.headers[CLAIM];
-      if (route === undefined) await run(request);
+      if (route === undefined) await run(body);
       else await this.#once(request, response, String(route), deadline, run);
     } catch (error) {
       refuse(response, asOutcome(error), this.clock.now());
     }
   }
 
+  /** The body, still whole, of a request that is not quarantined. */
+  async #checked(upstream: string, request: IncomingMessage): Promise<Readable> {
+    const { quarantine } = this;
+    if (!quarantine || quarantine.isIdle) return request;
+    const head = headFingerprint(upstream, request);
+    quarantine.check(head);
+    if (!quarantine.needsBody(head)) return request;
+    const { prefix, body } = await openBody(request);
+    quarantine.check(wholeFingerprint(head, prefix));
+    return body;
+  }
+
   async #once(
     request: IncomingMessage,
     response: ServerResponse,
@@ -115,6 +138,27 @@
     return announced;
   }
 
+  /** Forwards, and looks into the death of the upstream instance if that is why it breaks. */
+  async #watched(
+    announced: Announced,
+    request: IncomingMessage,
+    response: ServerResponse,
+    deadline: number,
+    body: Readable,
+    claim?: HeldClaim,
+  ): Promise<void> {
+    const { upstream } = announced;
+    const flight = this.flights?.begin(upstream, request, body);
+    try {
+      await this.#forward(announced, request, response, deadline, body, claim);
+      if (flight && response.statusCode < FIRST_SERVER_ERROR) this.flights?.answered(flight);
+    } catch (error) {
+      const isHandedOver = asOutcome(error).verdict !== 'not-run';
+      if (flight && isHandedOver) this.flights?.broke(flight, upstream, announced);
+      throw error;
+    }
+  }
+
   async #forward(
     { host, port }: Announced,
     request: IncomingMessage,
