--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -9,13 +9,9 @@
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { Balancer } from '../requests/balancer.js';
-import { Bulletins } from '../requests/bulletins.js';
-import { ClaimSweep } from '../requests/claim_sweep.js';
-import { Claims } from '../requests/claims.js';
 import { Entry } from '../requests/entry.js';
-import { Flights } from '../requests/flights.js';
 import { Guard } from '../requests/guard.js';
-import { SingleClaims } from '../requests/single_claims.js';
+import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Source } from '../source/source.js';
@@ -23,6 +19,7 @@
 import { Journal } from './log.js';
 import { OperatorsPort } from './operators_port.js';
 import { bind } from './bind.js';
+import { RequestMeter } from './request_meter.js';
 import { type Settings } from './settings.js';
 
 /** What the outside world gives to a process. */
@@ -50,15 +47,13 @@
 
   readonly source: Source;
 
-  readonly journal: Journal;
-
-  readonly claims: Claims;
+  readonly entryMeter: RequestMeter;
 
-  readonly bulletins: Bulletins;
+  readonly guardMeter: RequestMeter;
 
-  readonly #sweep: ClaimSweep;
+  readonly journal: Journal;
 
-  readonly #stopping = new AbortController();
+  readonly safeguards: Safeguards;
 
   readonly #operators: OperatorsPort;
 
@@ -88,19 +83,12 @@
       clock,
       random,
     );
-    this.claims = new Claims(
-      new SingleClaims(platform, clock, random),
-      self.instance,
-      clock,
-      random,
-    );
-    this.#sweep = new ClaimSweep(platform, () => this.control.ranking.isFirst, clock);
-    this.bulletins = new Bulletins(this.control.mesh, this.control.methods, clock, random);
-    const { quarantine } = this.bulletins;
-    this.guard.claims = this.claims;
-    this.guard.quarantine = quarantine;
-    this.guard.flights = new Flights(quarantine, clock);
-    this.entry.quarantine = quarantine;
+    const { mesh, methods, ranking } = this.control;
+    const grounds = { platform, clock, random, mesh, methods, ranking };
+    this.safeguards = new Safeguards(self.instance, grounds);
+    this.safeguards.protect(this.entry, this.guard);
+    this.entryMeter = new RequestMeter(this.entry.server, clock);
+    this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
     this.replica.onApplied(() => {
@@ -160,8 +148,7 @@
     this.roster.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
-    this.#stopping.abort();
-    await this.claims[Symbol.asyncDispose]();
+    await this.safeguards[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
@@ -177,7 +164,6 @@
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, callerPort);
     this.control.start();
-    void this.#sweep.run(this.#stopping.signal);
     this.journal.record('started', { callerPort: this.callerPort });
   }
 }
--- a/src/requests/claim_sweep.ts
+++ b/src/requests/claim_sweep.ts
@@ -9,7 +9,7 @@
 /** Rest after each pass over all claims, in milliseconds. */
 const PASS_EVERY_MS = 5_000;
 /** How long one call may take, in milliseconds. */
-const CALL_MS = 5_000;
+const CALL_MS = 2_000;
 
 /**
  * One process of the fleet sweeps. Two that both believe it cost twice the reads: removals are
