--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -19,11 +19,11 @@
 /** The parts of a process that operators act on. */
 export type Operated = Pick<
   Instance,
-  'source' | 'surroundings' | 'replica' | 'distributor' | 'roster'
+  'source' | 'surroundings' | 'replica' | 'surveyor' | 'roster'
 >;
 
 export function operatorMethods(instance: Operated): JSONRPCServer {
-  const { source, surroundings, replica, distributor, roster } = instance;
+  const { source, surroundings, replica, surveyor, roster } = instance;
   const deadline = () => surroundings.clock.now() + ACCEPT_TIMEOUT_MS;
   const methods = new OperatorMethods();
   const handIn = async (action: 'submit' | 'amend', params: unknown) => {
@@ -48,7 +48,7 @@
   });
   methods.on('status', z.unknown(), async () => ({
     head: replica.current.number,
-    survey: await distributor.survey('fleet'),
+    survey: await surveyor.survey(),
   }));
   methods.on('fleet', z.unknown(), async () => roster.all());
   return methods.server;
--- a/src/source/snapshots.ts
+++ b/src/source/snapshots.ts
@@ -32,12 +32,12 @@
    */
   async load(after: number, deadline: number): Promise<Snapshot | undefined> {
     const latest = await this.#latest(deadline);
-    if (!latest || latest.record.number <= after) return undefined;
+    if (!latest?.record || latest.record.number <= after) return undefined;
     try {
       return await this.#read(latest.record, deadline);
     } catch (error) {
-      if (error instanceof OutcomeError && error.reason === 'corrupt') return undefined;
-      throw error;
+      if (error instanceof OutcomeError && error.reason !== 'corrupt') throw error;
+      return undefined;
     }
   }
 
@@ -49,7 +49,8 @@
   async publish(snapshot: Snapshot, deadline: number): Promise<number> {
     for (;;) {
       const latest = await this.#latest(deadline);
-      if (latest && latest.record.number >= snapshot.number) return latest.record.number;
+      const overtaken = latest?.record?.number ?? 0;
+      if (overtaken >= snapshot.number) return overtaken;
       const record = await this.#store(snapshot, latest?.record, deadline);
       const value = JSON.stringify(record);
       const written = latest
@@ -61,7 +62,7 @@
 
   async #latest(deadline: number): Promise<Latest | undefined> {
     const stored = await this.platform.get(KEY, deadline);
-    return stored && { stored, record: SnapshotRecord.parse(JSON.parse(stored.value)) };
+    return stored && { stored, record: parse(stored.value) };
   }
 
   async #read(record: SnapshotRecord, deadline: number): Promise<Snapshot> {
@@ -104,5 +105,14 @@
 
 interface Latest {
   readonly stored: Stored;
-  readonly record: SnapshotRecord;
+  /** Undefined if it cannot be read; the next snapshot then takes its place. */
+  readonly record: SnapshotRecord | undefined;
+}
+
+function parse(text: string): SnapshotRecord | undefined {
+  try {
+    return SnapshotRecord.parse(JSON.parse(text));
+  } catch {
+    return undefined;
+  }
 }
