Let the tool's commands run again where no --to is given

The tests called the commands below that point. Change: commands get the address with their options when they run. Before: exit code 2 from submit, status and all others; after: a test runs all of them through main against a real process. Conclusion: mended.

--- /dev/null
+++ b/src/test/tool/main_test.ts
@@ -0,0 +1,51 @@
+import { expect } from 'chai';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Fleet } from '../../bench/fleet.js';
+import { MachineClock } from '../../runtime/clock.js';
+import { EXIT } from '../../tool/exit.js';
+import { main } from '../../tool/main.js';
+
+const NOTE = 'id: opening\nauthor: dana\nadd: { upstreams: [{ name: listings }] }\n';
+
+describe('the tool', () => {
+  // Every command once ended with an unknown option that nobody had given: the address from the
+  // environment was written among the flags. So all of them run here against a real process.
+  it('asks where the environment says, and ends with the documented codes', async () => {
+    await using fleet = await Fleet.start(new MachineClock(), {
+      dataCentres: ['arima'],
+      upstreams: ['listings'],
+    });
+    const port = fleet.stations[0]!.instance.operatorsPort;
+    const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
+    const file = join(folder, 'note.yaml');
+    await writeFile(file, NOTE);
+    const run = (...args: string[]) => quietly(args, { BARLEYHAVEN_TO: `127.0.0.1:${port}` });
+    expect(await run('check', file)).to.equal(EXIT.ok);
+    expect(await run('submit', file)).to.equal(EXIT.ok);
+    await writeFile(file, 'id: other\nauthor: omar\nadd: { colours: [] }\n');
+    expect(await run('submit', file)).to.equal(EXIT.refused);
+    expect(await run('withdraw', 'opening', '--author', 'dana')).to.equal(EXIT.ok);
+    for (const command of ['status', 'audit', 'fleet']) {
+      expect(await run(command, '--json')).to.equal(EXIT.ok);
+    }
+    expect(await run('status', '--colour')).to.equal(EXIT.usage);
+    expect(await run('frobnicate')).to.equal(EXIT.usage);
+    await rm(folder, { recursive: true });
+  });
+});
+
+/** Runs the tool and drops what it prints. */
+async function quietly(args: string[], environment: NodeJS.ProcessEnv): Promise<number> {
+  const { stdout, stderr } = process;
+  const [out, error] = [stdout.write, stderr.write];
+  stdout.write = () => true;
+  stderr.write = () => true;
+  try {
+    return await main(['node', 'barleyhaven', ...args], environment);
+  } finally {
+    stdout.write = out;
+    stderr.write = error;
+  }
+}
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -19,21 +19,25 @@
 /** Runs one command; resolves to the exit code. */
 export async function main(argv: string[], environment: NodeJS.ProcessEnv): Promise<number> {
   const tool = cac('barleyhaven');
+  const otherwise = environment.BARLEYHAVEN_TO ?? DEFAULT_ADDRESS;
+  const addressed = (command: Command) => withAddress(command, otherwise);
   tool.option('--to <address>', `host:port of a process's operators' port (${DEFAULT_ADDRESS})`);
   tool.option('--json', 'print JSON');
-  tool.command('submit <file>', 'hand in a release note').action(submit);
-  tool.command('amend <file>', 'replace what the note of the same id says').action(amend);
+  tool.command('submit <file>', 'hand in a release note').action(addressed(submit));
+  tool
+    .command('amend <file>', 'replace what the note of the same id says')
+    .action(addressed(amend));
   tool
     .command('withdraw <note>', 'take back what a release note has done')
     .option('--author <name>', 'who withdraws it')
-    .action(withdraw);
+    .action(addressed(withdraw));
   tool
     .command('check <file>', 'check a release note; with --to, against the head as well')
     .option('--amend', 'check it as an amendment')
-    .action(check);
-  tool.command('status', 'where versions stand across the fleet').action(status);
-  tool.command('audit [note]', 'who changed what, and when').action(audit);
-  tool.command('fleet', 'the processes known').action(fleet);
+    .action(addressed(check));
+  tool.command('status', 'where versions stand across the fleet').action(addressed(status));
+  tool.command('audit [note]', 'who changed what, and when').action(addressed(audit));
+  tool.command('fleet', 'the processes known').action(addressed(fleet));
   tool.help();
   try {
     tool.parse(argv, { run: false });
@@ -42,7 +46,6 @@
       tool.outputHelp();
       return EXIT.usage;
     }
-    tool.options.address = tool.options.to ?? environment.BARLEYHAVEN_TO ?? DEFAULT_ADDRESS;
     return (await tool.runMatchedCommand()) as number;
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
@@ -50,6 +53,18 @@
   }
 }
 
+// Actions take what their command names and the options last, so the parameters differ.
+
+type Command = (...given: any[]) => Promise<number>;
+
+/** Tells the command where to ask: `--to`, or `otherwise`. */
+function withAddress(command: Command, otherwise: string): Command {
+  return (...given) => {
+    const options = given.at(-1) as Options;
+    return command(...given.slice(0, -1), { ...options, address: options.to ?? otherwise });
+  };
+}
+
 function exitOf(error: unknown): number {
   if (error instanceof OutcomeError) {
     return error.verdict === 'may-have-run' ? EXIT.unknown : EXIT.failed;
