--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -45,7 +45,7 @@
  * ```
  */
 export class Instance implements AsyncDisposable {
-  readonly replica = new Replica();
+  readonly replica: Replica;
 
   readonly roster: Roster;
 
@@ -84,6 +84,7 @@
     ports: OpenPorts,
   ) {
     const { platform, clock, random, codec } = surroundings;
+    this.replica = ports.replica;
     this.journal = new Journal(self.instance, clock);
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, settings.fanout);
@@ -127,7 +128,7 @@
     });
     this.reader = new Reader(log, this.replica, this.ranking, clock, random);
     this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
-    const balancer = new Balancer(this.roster, random);
+    const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
     this.entry = new Entry(
       () => this.replica.current,
@@ -146,7 +147,9 @@
 
   /** Opens the ports, joins the others and starts all tasks. */
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
-    const ports = { guard: new Guard(surroundings.clock), link: createServer() };
+    const replica = new Replica();
+    const guard = new Guard(surroundings.clock, () => replica.current);
+    const ports = { replica, guard, link: createServer() };
     const { host } = settings;
     const linkPort = await bind(ports.link, host, settings.linkPort);
     const guardPort = await bind(ports.guard.server, host, settings.guardPort);
@@ -220,7 +223,9 @@
   }
 }
 
+/** What stands before the instance does. */
 interface OpenPorts {
+  readonly replica: Replica;
   readonly guard: Guard;
   readonly link: Server;
 }
--- /dev/null
+++ b/src/requests/adaptive_slots.ts
@@ -0,0 +1,112 @@
+/** How much work an upstream instance really bears, found out from how it fares. */
+import { type Clock } from '../runtime/clock.js';
+
+/** Slots at the start of a slow start. */
+const START = 4;
+const MIN_SLOTS = 1;
+/** Latency alone never takes more than this share of the slots away. */
+const LATENCY_FLOOR = 0.25;
+/** What is left of the slots after the instance has shed work, or was late. */
+const SHED_FACTOR = 0.7;
+const LATENCY_FACTOR = 0.9;
+/** Latency over the long-run average that shows work queueing inside the instance. */
+const TOLERATED_RISE = 2;
+/** Answers that make up one look at the latency. */
+const WINDOW = 32;
+/** Weight of a window in the long-run average when latency rises; a fall counts at once. */
+const RISE_WEIGHT = 0.05;
+/** Time between two steps down at least, in milliseconds. */
+const MIN_PAUSE_MS = 50;
+
+/**
+ * Additive increase, multiplicative decrease below the announced slots. What an instance announces
+ * may be more than it bears: then work queues inside it, where it can be neither refused in time
+ * nor sent elsewhere. After a cold start the slots double with each round of answers.
+ */
+export class AdaptiveSlots {
+  #slots: number;
+
+  #ceiling: number;
+
+  /** Whether no step down has been needed since the cold start. */
+  #isStarting = true;
+
+  /** Instant until which one step down counts for all that was in flight at the time. */
+  #pausedUntil = 0;
+
+  #usualMs = 0;
+
+  #windowMs = 0;
+
+  #windowSize = 0;
+
+  constructor(
+    private readonly clock: Clock,
+    ceiling: number,
+  ) {
+    this.#ceiling = ceiling;
+    this.#slots = Math.min(START, ceiling);
+  }
+
+  /** Requests that may be in flight now. */
+  get now(): number {
+    return Math.floor(this.#slots);
+  }
+
+  /** Slots that the instance has announced. */
+  get ceiling(): number {
+    return this.#ceiling;
+  }
+
+  set ceiling(ceiling: number) {
+    this.#ceiling = ceiling;
+    this.#slots = Math.min(this.#slots, ceiling);
+  }
+
+  /** Begins anew, because the instance has just started. */
+  restart(): void {
+    this.#slots = Math.min(START, this.#ceiling);
+    this.#isStarting = true;
+    this.#usualMs = 0;
+    this.#windowSize = 0;
+    this.#windowMs = 0;
+  }
+
+  /** Notes an answer. `isBinding` says whether the slots were all taken at the time. */
+  answered(tookMs: number, isBinding: boolean): void {
+    this.#windowMs += tookMs;
+    this.#windowSize += 1;
+    if (this.#windowSize >= WINDOW) this.#judge(isBinding);
+    if (!isBinding) return;
+    const step = this.#isStarting ? 1 : 1 / this.#slots;
+    this.#slots = Math.min(this.#ceiling, this.#slots + step);
+  }
+
+  /** Notes that the instance refused work for lack of room, or did not answer in time. */
+  overrun(tookMs: number): void {
+    this.#stepDown(SHED_FACTOR, MIN_SLOTS, tookMs);
+  }
+
+  #judge(isBinding: boolean): void {
+    const latestMs = this.#windowMs / this.#windowSize;
+    this.#windowMs = 0;
+    this.#windowSize = 0;
+    const usualMs = this.#usualMs;
+    if (usualMs === 0 || latestMs < usualMs) {
+      this.#usualMs = latestMs;
+      return;
+    }
+    this.#usualMs += (latestMs - usualMs) * RISE_WEIGHT;
+    const floor = Math.max(MIN_SLOTS, this.#ceiling * LATENCY_FLOOR);
+    const hasRisen = latestMs > usualMs * TOLERATED_RISE;
+    if (isBinding && hasRisen) this.#stepDown(LATENCY_FACTOR, floor, latestMs);
+  }
+
+  #stepDown(factor: number, floor: number, tookMs: number): void {
+    this.#isStarting = false;
+    const now = this.clock.now();
+    if (now < this.#pausedUntil) return;
+    this.#pausedUntil = now + Math.max(MIN_PAUSE_MS, tookMs);
+    this.#slots = Math.min(this.#slots, Math.max(floor, this.#slots * factor));
+  }
+}
--- a/src/requests/balancer.ts
+++ b/src/requests/balancer.ts
@@ -1,89 +1,179 @@
 /** Chooses among the endpoints of an upstream. */
-import { type Member } from '../contracts.js';
+import { type Member, type OutcomeError } from '../contracts.js';
 import { type Roster } from '../membership/roster.js';
+import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { Experience } from './experience.js';
+import { type Load } from './load.js';
 
-/** What this process has seen of an endpoint itself. */
-interface Experience {
-  inFlight: number;
-  /** Moving average of answered exchanges, in milliseconds. */
-  latencyMs: number;
+/** The endpoints of one upstream, as seen from the own data centre. */
+interface Group {
+  readonly near: Experience[];
+  readonly far: Experience[];
+  /** Moving average of all answers, in milliseconds. */
+  typicalMs: number;
 }
 
-/** Weight of the newest exchange in the moving average. */
-const NEWEST_WEIGHT = 0.2;
+/** Latency assumed before the first answer from any endpoint, in milliseconds. */
 const FIRST_GUESS_MS = 1;
+/** Weight of the newest answer in the average over the upstream. */
+const NEWEST_WEIGHT = 0.05;
+/** An endpoint that refused for lack of room is avoided for up to this long, in milliseconds. */
+const OVERLOADED_MS = 100;
+/** One that could not be reached, first time and at most; it doubles in between. */
+const UNREACHABLE_MS = 500;
+const UNREACHABLE_MAX_MS = 30_000;
+/** So many failed answers in a row make an outlier. */
+const OUTLIER_FAILURES = 5;
+const MAX_DOUBLINGS = 10;
 
 /**
  * Two random choices by in-flight work times latency, both as seen from here: what endpoints
- * report of their load lags or misleads. The own data centre goes first.
+ * report of their load lags or misleads, so it counts for a moment only. The own data centre goes
+ * first; others are asked when nobody there can serve, or when requests wait there already.
  */
 export class Balancer {
-  readonly #experiences = new Map<string, Experience>();
+  #experiences = new Map<string, Experience>();
 
   #generation = -1;
 
-  #byUpstream = new Map<string, Member[]>();
+  #groups = new Map<string, Group>();
 
   constructor(
     private readonly roster: Roster,
+    private readonly clock: Clock,
     private readonly random: Random,
   ) {}
 
   /** An endpoint that takes work for `upstream`, other than those tried; undefined if none does. */
-  choose(upstream: string, tried: ReadonlySet<string>): Member | undefined {
-    const able = this.#able(upstream).filter((member) => !tried.has(member.instance));
-    const { dataCentre } = this.roster.self;
-    const near = able.filter((member) => member.dataCentre === dataCentre);
-    const among = near.length > 0 ? near : able;
-    if (among.length <= 1) return among[0];
-    const first = this.random.below(among.length);
-    const second = (first + 1 + this.random.below(among.length - 1)) % among.length;
-    const [a, b] = [among[first]!, among[second]!];
-    return this.#cost(a) <= this.#cost(b) ? a : b;
+  choose(upstream: string, tried: ReadonlySet<Experience>): Experience | undefined {
+    const group = this.#group(upstream);
+    if (!group) return undefined;
+    const now = this.clock.now();
+    const near = this.#better(group.near, group, tried, now);
+    if (near && !near.isSaturated(now)) return near;
+    const far = this.#better(group.far, group, tried, now);
+    if (near && far) {
+      return far.cost(group.typicalMs, now) < near.cost(group.typicalMs, now) ? far : near;
+    }
+    return near ?? far ?? firstUntried(group.near, tried) ?? firstUntried(group.far, tried);
   }
 
-  /** Notes that an exchange begins. */
-  begin(instance: string): void {
-    this.#experience(instance).inFlight += 1;
+  /** Notes an answer, which took `tookMs` to begin. Failures of its own do not make it fast. */
+  answered(chosen: Experience, tookMs: number, load: Load | undefined, isFailure: boolean): void {
+    const now = this.clock.now();
+    if (isFailure) {
+      chosen.reported(load, now);
+      this.#failed(chosen, OUTLIER_FAILURES, now);
+      return;
+    }
+    chosen.answered(tookMs, load, now);
+    const group = this.#groups.get(chosen.member.endpoint?.upstream ?? '');
+    if (group) group.typicalMs += (tookMs - group.typicalMs) * NEWEST_WEIGHT;
   }
 
-  /** Notes its end, with the time it took if it was answered. */
-  end(instance: string, tookMs?: number): void {
-    const experience = this.#experience(instance);
-    experience.inFlight -= 1;
-    if (tookMs !== undefined) {
-      experience.latencyMs += (tookMs - experience.latencyMs) * NEWEST_WEIGHT;
+  /** Notes that it refused or could not be reached, so that others are asked for a while. */
+  refused(chosen: Experience, { reason }: OutcomeError, load: Load | undefined): void {
+    const now = this.clock.now();
+    chosen.reported(load, now);
+    if (reason === 'unreachable') this.#failed(chosen, 1, now);
+    else if (reason === 'connection' || reason === 'silent') {
+      this.#failed(chosen, OUTLIER_FAILURES, now);
+    } else if (reason === 'draining' || reason === 'no-endpoint') {
+      // The news of it is still on its way here.
+      chosen.avoidUntil = now + UNREACHABLE_MS;
+    } else if (reason === 'overloaded') {
+      chosen.avoidUntil = Math.max(chosen.avoidUntil, now + this.random.jitter(OVERLOADED_MS));
     }
   }
 
-  #cost(member: Member): number {
-    const { inFlight, latencyMs } = this.#experience(member.instance);
-    return (inFlight + 1) * latencyMs;
+  #failed(chosen: Experience, tolerated: number, now: number): void {
+    chosen.failures += 1;
+    const doublings = Math.min(MAX_DOUBLINGS, chosen.failures - tolerated);
+    if (doublings < 0) return;
+    const longest = Math.min(UNREACHABLE_MAX_MS, UNREACHABLE_MS * 2 ** doublings);
+    // Half of it is certain: full jitter would send some callers back at once.
+    chosen.avoidUntil = now + longest / 2 + this.random.jitter(longest / 2);
+  }
+
+  /** The better of two random ones among those that may be asked now. */
+  #better(
+    members: readonly Experience[],
+    { typicalMs }: Group,
+    tried: ReadonlySet<Experience>,
+    now: number,
+  ): Experience | undefined {
+    const first = this.#any(members, tried, now, undefined);
+    if (!first || members.length === 1) return first;
+    const second = this.#any(members, tried, now, first);
+    if (!second) return first;
+    return second.cost(typicalMs, now) < first.cost(typicalMs, now) ? second : first;
   }
 
-  #experience(instance: string): Experience {
-    let experience = this.#experiences.get(instance);
-    if (!experience) {
-      experience = { inFlight: 0, latencyMs: FIRST_GUESS_MS };
-      this.#experiences.set(instance, experience);
+  /** Walks on from a random place to the first that is willing. */
+  #any(
+    members: readonly Experience[],
+    tried: ReadonlySet<Experience>,
+    now: number,
+    besides: Experience | undefined,
+  ): Experience | undefined {
+    if (members.length === 0) return undefined;
+    const start = this.random.below(members.length);
+    for (let step = 0; step < members.length; step++) {
+      const member = members[(start + step) % members.length]!;
+      if (member === besides || member.avoidUntil > now || tried.has(member)) continue;
+      if (member.member.liveness === 'alive') return member;
     }
-    return experience;
+    return undefined;
   }
 
-  #able(upstream: string): readonly Member[] {
+  #group(upstream: string): Group | undefined {
     if (this.#generation !== this.roster.generation) this.#index();
-    return this.#byUpstream.get(upstream) ?? [];
+    return this.#groups.get(upstream);
   }
 
   #index(): void {
+    const isFirst = this.#generation < 0;
+    const before = this.#groups;
+    const known = this.#experiences;
     this.#generation = this.roster.generation;
-    this.#byUpstream = new Map();
+    this.#groups = new Map();
+    this.#experiences = new Map();
     for (const member of this.roster.live()) {
       if (member.endpoint?.state !== 'ready') continue;
-      const group = this.#byUpstream.get(member.endpoint.upstream);
-      if (group) group.push(member);
-      else this.#byUpstream.set(member.endpoint.upstream, [member]);
+      const experience = known.get(member.instance) ?? this.#meet(member, isFirst);
+      experience.member = member;
+      this.#experiences.set(member.instance, experience);
+      this.#place(experience, member.endpoint.upstream, before);
     }
   }
+
+  /** At the start of this process nobody is known yet, and all are taken for warm. */
+  #meet(member: Member, isFirst: boolean): Experience {
+    const experience = new Experience(member);
+    if (!isFirst) experience.readySince = this.clock.now();
+    return experience;
+  }
+
+  #place(experience: Experience, upstream: string, before: ReadonlyMap<string, Group>): void {
+    let group = this.#groups.get(upstream);
+    if (!group) {
+      const typicalMs = before.get(upstream)?.typicalMs ?? FIRST_GUESS_MS;
+      group = { near: [], far: [], typicalMs };
+      this.#groups.set(upstream, group);
+    }
+    const isNear = experience.member.dataCentre === this.roster.self.dataCentre;
+    (isNear ? group.near : group.far).push(experience);
+  }
+}
+
+/** When all are avoided, one that refused a moment ago is still better than no attempt. */
+function firstUntried(
+  members: readonly Experience[],
+  tried: ReadonlySet<Experience>,
+): Experience | undefined {
+  return members.reduce<Experience | undefined>((best, member) => {
+    if (tried.has(member)) return best;
+    return best && best.avoidUntil <= member.avoidUntil ? best : member;
+  }, undefined);
 }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -1,48 +1,55 @@
 /** Takes requests from callers and brings each to a process beside an upstream. */
-import {
-  Agent,
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
-import { pipeline } from 'node:stream/promises';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
-import { type Member, OutcomeError, type Route } from '../contracts.js';
+import { type OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { Attempts } from './attempts.js';
 import { type Balancer } from './balancer.js';
-import { exchange } from './exchange.js';
+import { type Body, EmptyBody, hasBody, takeBody } from './body.js';
+import { Connections } from './connections.js';
+import { Exchange } from './exchange.js';
+import { type Experience } from './experience.js';
 import {
-  CALLER_TIMEOUT,
-  endToEnd,
-  IDEMPOTENCY_KEY,
+  answerHeaders,
+  headerOf,
+  LIMIT,
+  LOAD,
   PRIORITY,
-  REASON,
   REMAINING,
+  REPEATABLE,
   REQUEST_ID,
+  requestHeaders,
+  TOLD_TO_CALLERS,
   UPSTREAM,
-  VERDICT,
 } from './headers.js';
-import { asOutcome, refuse } from './refusal.js';
-import { routeOf, type Target } from './router.js';
-
-const MAX_ATTEMPTS = 3;
-const MAX_SOCKETS_PER_GUARD = 64;
-
-/** The request's own view of where it goes; it keeps the version it began with. */
-interface Journey {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly route: Route;
-  readonly deadline: number;
-  readonly gone: AbortSignal;
-}
+import { BOUNDS, Hostility } from './hostility.js';
+import { type Journey, journeyOf } from './journey.js';
+import { readLoad } from './load.js';
+import { asOutcome, notRun, refuse } from './refusal.js';
+import { refusalIn } from './relayed_refusal.js';
+import { Traffic } from './traffic.js';
+
+const MAX_SOCKETS_PER_GUARD = 256;
+/** Time for the guard's own refusal at the deadline to come back, in milliseconds. */
+const ANSWER_GRACE_MS = 50;
+/** Repeats of what may have run are spread over this time, in milliseconds. */
+const REPEAT_JITTER_MS = 20;
+const SERVER_ERROR = 500;
 
 export class Entry implements AsyncDisposable {
   readonly server: Server;
 
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_GUARD });
+  readonly traffic: Traffic;
+
+  readonly #connections: Connections;
+
+  readonly #hostility: Hostility;
+
+  /** In front of the number of a request it makes its id unique. */
+  readonly #nonce: string;
+
+  #requests = 0;
 
   constructor(
     private readonly configuration: () => Configuration,
@@ -51,112 +58,131 @@
     private readonly clock: Clock,
     private readonly random: Random,
   ) {
-    this.server = createServer((request, response) => void this.#serve(request, response));
+    this.#nonce = random.nonce();
+    this.#connections = new Connections(clock, MAX_SOCKETS_PER_GUARD);
+    const serve = (request: IncomingMessage, response: ServerResponse) =>
+      void this.#serve(request, response);
+    this.server = createServer(BOUNDS, serve);
+    this.server.on('checkContinue', serve);
+    this.traffic = new Traffic(this.server, clock);
+    this.#hostility = new Hostility(this.server);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.server.close();
-    this.#agent.destroy();
+    this.traffic.cut();
+    this.#connections.destroy();
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.traffic.enter(response);
+    this.#hostility.enter(request, response);
     try {
-      await this.#carry(this.#plan(request, response));
+      if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
+      const journey = journeyOf(request, response, this.configuration(), this.clock.now());
+      const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
+      await this.#carry(journey, body);
     } catch (error) {
-      refuse(response, asOutcome(error), this.clock.now());
+      refuse(request, response, asOutcome(error), this.clock.now());
     }
   }
 
-  #plan(request: IncomingMessage, response: ServerResponse): Journey {
-    if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
-    const route = routeOf(this.configuration(), targetOf(request));
-    if (!route) throw notRun('no-route', `no route for ${request.method} ${request.url}`);
-    if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
-      throw notRun('key-required', 'this route insists on an Idempotency-Key');
-    }
-    const asked = Number(request.headers[CALLER_TIMEOUT] ?? route.timeoutMs);
-    const timeoutMs = Math.min(route.timeoutMs, asked > 0 ? asked : route.timeoutMs);
-    const gone = new AbortController();
-    response.once('close', () => gone.abort());
-    const deadline = this.clock.now() + timeoutMs;
-    return { request, response, route, deadline, gone: gone.signal };
+  async #take({ request, response, route, deadline }: Journey): Promise<Body> {
+    const { maxBodyBytes } = route;
+    const isTooLarge = Number(request.headers['content-length'] ?? 0) > maxBodyBytes;
+    if (request.headers.expect !== undefined && !isTooLarge) response.writeContinue();
+    const body = await takeBody(request, maxBodyBytes, deadline - this.clock.now());
+    this.#hostility.handOver(request);
+    return body;
   }
 
-  async #carry(journey: Journey): Promise<void> {
-    const tried = new Set<string>();
-    for (;;) {
-      const member = this.balancer.choose(journey.route.upstream, tried);
-      if (!member) throw notRun('no-endpoint', `nobody serves ${journey.route.upstream}`);
-      tried.add(member.instance);
-      try {
-        await this.#attempt(journey, member);
-        return;
-      } catch (error) {
-        const outcome = asOutcome(error);
-        const bodyUntouched = !journey.request.readableDidRead;
-        const again = outcome.verdict === 'not-run' && bodyUntouched && tried.size < MAX_ATTEMPTS;
-        if (!again || journey.response.headersSent) throw outcome;
-      }
+  /** Tries one endpoint after the other, as long as nothing can have run twice. */
+  async #carry(journey: Journey, body: Body): Promise<void> {
+    const attempts = new Attempts(journey, body, this.balancer, this.clock);
+    let endpoint = attempts.first();
+    while (true) {
+      const failure = await this.#attempt(journey, body, endpoint, attempts);
+      if (!failure) return;
+      endpoint = attempts.next(endpoint, failure);
+      if (failure.verdict !== 'not-run') await this.#pause();
     }
   }
 
-  async #attempt(journey: Journey, member: Member): Promise<void> {
-    const { request, response, deadline, gone } = journey;
-    const startedAt = this.clock.now();
-    let tookMs: number | undefined;
-    this.balancer.begin(member.instance);
+  /** Resolves to what went wrong, or to nothing when the caller has its answer. */
+  async #attempt(
+    journey: Journey,
+    body: Body,
+    endpoint: Experience,
+    attempts: Attempts,
+  ): Promise<OutcomeError | undefined> {
+    endpoint.inFlight += 1;
     try {
-      const answer = await exchange(
-        {
-          agent: this.#agent,
-          host: member.host,
-          port: member.guardPort,
-          method: request.method ?? 'GET',
-          path: request.url ?? '/',
-          headers: this.#inward(journey),
-          body: hasBody(request) ? request : undefined,
-          deadline,
-          cancelled: gone,
-        },
-        this.clock,
-      );
-      tookMs = this.clock.now() - startedAt;
-      if (answer.headers[VERDICT] === 'not-run') throw await refusedBy(answer);
-      response.writeHead(answer.statusCode ?? 502, endToEnd(answer.headers, true));
-      await pipeline(answer, response);
+      return await this.#ask(journey, body, endpoint, attempts);
+    } catch (error) {
+      const outcome = asOutcome(error);
+      this.balancer.refused(endpoint, outcome, undefined);
+      return outcome;
     } finally {
-      this.balancer.end(member.instance, tookMs);
+      endpoint.inFlight -= 1;
     }
   }
 
-  #inward({ request, route, deadline }: Journey): Record<string, string | string[]> {
-    return {
-      ...endToEnd(request.headers, false),
-      [UPSTREAM]: route.upstream,
-      [REQUEST_ID]: this.random.nonce(),
-      [REMAINING]: String(Math.max(1, Math.floor(deadline - this.clock.now()))),
-      [PRIORITY]: String(route.priority),
-    };
+  async #ask(
+    journey: Journey,
+    body: Body,
+    endpoint: Experience,
+    attempts: Attempts,
+  ): Promise<OutcomeError | undefined> {
+    const startedAt = this.clock.now();
+    const id = this.#nextId();
+    const exchange = this.#exchange(journey, body, endpoint, id);
+    const answer = await exchange.answer();
+    if (answer.headers[REQUEST_ID] !== id) throw exchange.distrust();
+    const now = this.clock.now();
+    const load = readLoad(headerOf(answer, LOAD));
+    const refusal = refusalIn(answer, now);
+    if (refusal && (refusal.verdict !== 'ran' || attempts.wouldReplace(endpoint, refusal))) {
+      exchange.drop(answer);
+      this.balancer.refused(endpoint, refusal, load);
+      return refusal;
+    }
+    const status = answer.statusCode ?? SERVER_ERROR;
+    this.balancer.answered(endpoint, now - startedAt, load, status >= SERVER_ERROR);
+    journey.response.writeHead(status, answerHeaders(answer, TOLD_TO_CALLERS));
+    await exchange.relay(answer, journey.response);
+    return undefined;
   }
-}
-
-function targetOf(request: IncomingMessage): Target {
-  const { method = 'GET', url = '/', headers } = request;
-  const [path = '/'] = url.split('?', 1);
-  return { method, path, headers, host: (headers.host ?? '').replace(/:\d+$/, '') };
-}
 
-function hasBody(request: IncomingMessage): boolean {
-  const { headers } = request;
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-}
+  #exchange(journey: Journey, body: Body, { member }: Experience, id: string): Exchange {
+    const { request, response, asked, route, deadline, isRepeatable } = journey;
+    const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
+    const headers = requestHeaders(request);
+    headers.push(UPSTREAM, route.upstream, REQUEST_ID, id, REMAINING, String(remaining));
+    headers.push(PRIORITY, String(route.priority));
+    if (!isRepeatable) headers.push(REPEATABLE, '0');
+    if (route.limit !== undefined) headers.push(LIMIT, route.limit);
+    return new Exchange(
+      {
+        connections: this.#connections,
+        host: member.host,
+        port: member.guardPort,
+        method: asked.method,
+        path: asked.url,
+        headers,
+        body,
+        deadline: deadline + ANSWER_GRACE_MS,
+        isRepeatable,
+        caller: response,
+      },
+      this.clock,
+    );
+  }
 
-function notRun(reason: string, message: string): OutcomeError {
-  return new OutcomeError(message, { verdict: 'not-run', reason });
-}
+  #nextId(): string {
+    this.#requests += 1;
+    return `${this.#nonce}-${this.#requests}`;
+  }
 
-async function refusedBy(answer: IncomingMessage): Promise<OutcomeError> {
-  answer.resume();
-  const reason = String(answer.headers[REASON] ?? 'refused');
-  return notRun(reason, `refused by the process beside the upstream: ${reason}`);
+  #pause(): Promise<void> {
+    return this.clock.sleepUntil(this.clock.now() + this.random.jitter(REPEAT_JITTER_MS));
+  }
 }
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -1,65 +1,165 @@
-/** One request and its answer over HTTP, streamed both ways. */
+/** One request and its answer over one connection, streamed both ways. */
 import {
-  type Agent,
+  type ClientRequest,
   type IncomingMessage,
-  type OutgoingHttpHeaders,
   request as httpRequest,
+  type ServerResponse,
 } from 'node:http';
-import { type Readable } from 'node:stream';
+import { type Socket } from 'node:net';
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { type Body } from './body.js';
+import { type Connections } from './connections.js';
+import { trailersOf } from './headers.js';
+
+/** A new connection takes about a millisecond; one that takes this long will not stand. */
+const CONNECT_MS = 500;
+/** An answer of which nothing has moved for this long is cut, in milliseconds. */
+export const PROGRESS_MS = 10_000;
 
 /** Where a request goes and what it carries. */
 export interface Outgoing {
-  readonly agent: Agent;
+  readonly connections: Connections;
   readonly host: string;
   readonly port: number;
   readonly method: string;
   readonly path: string;
-  readonly headers: OutgoingHttpHeaders;
-  readonly body: Readable | undefined;
-  /** No answer by then ends the exchange, in milliseconds since the epoch. */
+  /** Names and values in turn, without those that frame the body. */
+  readonly headers: string[];
+  readonly body: Body;
+  /** No head of an answer by then ends the exchange, in milliseconds since the epoch. */
   readonly deadline: number;
-  /** Aborts when the caller has gone. */
-  readonly cancelled: AbortSignal;
+  /** Whether it may run twice; if not it goes only over a proved connection or a new one. */
+  readonly isRepeatable: boolean;
+  /** Whoever waits for the answer; when it goes away, so does the exchange. */
+  readonly caller: ServerResponse;
 }
 
 /**
- * Sends the request and resolves to the answer as soon as its head is there. A failure before a
- * connection stood is `not-run`; after that the far end may have begun.
+ * Any end but a clean one destroys the connection: a late answer that came over it afterwards
+ * would be taken for the answer to another request.
  */
-export function exchange(outgoing: Outgoing, clock: Clock): Promise<IncomingMessage> {
-  return new Promise((resolve, reject) => {
-    let verdict: Verdict = 'not-run';
-    const { agent, host, port, method, path, headers, body, deadline, cancelled } = outgoing;
-    const request = httpRequest({ agent, host, port, method, path, headers });
-    const timer = setTimeout(
-      () => request.destroy(new OutcomeError('no answer in time', { verdict, reason: 'deadline' })),
-      Math.max(0, deadline - clock.now()),
-    );
-    const cancel = () => request.destroy(new Error('cancelled by the caller'));
-    cancelled.addEventListener('abort', cancel, { once: true });
-    const settle = () => {
-      clearTimeout(timer);
-      cancelled.removeEventListener('abort', cancel);
-    };
-    request.once('socket', (socket) => {
-      const connected = () => {
-        verdict = 'may-have-run';
-      };
-      if (socket.connecting) socket.once('connect', connected);
-      else connected();
+export class Exchange {
+  /** `not-run` until a connection stands; after that the far end may have begun. */
+  #verdict: Verdict = 'not-run';
+
+  #request: ClientRequest | undefined;
+
+  #timer: NodeJS.Timeout | undefined;
+
+  /** Ends the wait for the answer. */
+  #abandon: (error: OutcomeError) => void = () => {};
+
+  constructor(
+    private readonly outgoing: Outgoing,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Sends the request; resolves to the answer when its head is there. */
+  answer(): Promise<IncomingMessage> {
+    return new Promise((resolve, reject) => {
+      const { outgoing } = this;
+      const { connections, host, port, method, path, body, deadline } = outgoing;
+      if (!outgoing.isRepeatable) connections.retireUnproved(host, port);
+      const headers = [...outgoing.headers, ...body.framing];
+      const request = httpRequest({ agent: connections, host, port, method, path, headers });
+      this.#request = request;
+      this.#abandon = reject;
+      const left = Math.max(0, deadline - this.clock.now());
+      this.#timer = setTimeout(() => this.#fail('deadline', 'no answer in time'), left);
+      outgoing.caller.once('close', () => this.#fail('cancelled', 'the caller has gone'));
+      request.once('socket', (socket) => this.#watch(socket));
+      request.once('response', (answer) => {
+        clearTimeout(this.#timer);
+        resolve(answer);
+      });
+      request.on('error', (cause) => reject(this.#outcome(cause)));
+      request.once('close', () => reject(this.#outcome(new Error('closed without an answer'))));
+      body.send(request);
     });
-    request.on('error', (cause) => {
-      settle();
-      const reason = cause instanceof OutcomeError ? cause.reason : 'connection';
-      reject(new OutcomeError(cause.message, { verdict, reason }, { cause }));
+  }
+
+  /**
+   * Streams the answer to the caller, with back-pressure; resolves when the far end is done.
+   * Rejects when the answer breaks off or nothing moves any more; the caller's connection is then
+   * to be cut, as a clean end would make a part look whole.
+   */
+  relay(answer: IncomingMessage, response: ServerResponse): Promise<void> {
+    return new Promise((resolve, reject) => {
+      const silent = () => this.#fail('silent', 'the answer came to a standstill');
+      const timer = setTimeout(silent, PROGRESS_MS);
+      answer.on('data', (chunk: Buffer) => {
+        timer.refresh();
+        if (!response.write(chunk)) answer.pause();
+      });
+      response.on('drain', () => {
+        timer.refresh();
+        answer.resume();
+      });
+      answer.once('end', () => {
+        clearTimeout(timer);
+        this.#finish(answer, response);
+        resolve();
+      });
+      answer.once('error', (cause) => {
+        clearTimeout(timer);
+        reject(this.#outcome(cause));
+      });
+      answer.once('close', () => {
+        clearTimeout(timer);
+        if (!answer.complete) reject(this.#outcome(new Error('cut')));
+      });
     });
-    request.once('response', (answer) => {
-      answer.once('close', settle);
-      resolve(answer);
+  }
+
+  /** Reads the rest of an answer that nobody wants, so that its connection can be used again. */
+  drop(answer: IncomingMessage): void {
+    answer.on('error', () => {});
+    answer.resume();
+  }
+
+  /** Ends the exchange because the far end cannot be trusted. */
+  distrust(): OutcomeError {
+    this.#request?.destroy();
+    const props = { verdict: 'may-have-run', reason: 'crossed' } as const;
+    return new OutcomeError('the answer belongs to another request', props);
+  }
+
+  #watch(socket: Socket): void {
+    if (!socket.connecting) {
+      this.#verdict = 'may-have-run';
+      return;
+    }
+    const timer = setTimeout(() => this.#fail('unreachable', 'no connection in time'), CONNECT_MS);
+    socket.once('close', () => clearTimeout(timer));
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      this.#verdict = 'may-have-run';
     });
-    if (body) body.pipe(request);
-    else request.end();
-  });
+  }
+
+  #finish(answer: IncomingMessage, response: ServerResponse): void {
+    const trailers = trailersOf(answer.trailers);
+    if (trailers && response.chunkedEncoding) response.addTrailers(trailers);
+    response.end();
+    // The far end answered before it had the whole body: what it does with the rest is unknown.
+    if (!this.#request?.writableFinished) this.#request?.destroy();
+  }
+
+  #fail(reason: string, message: string): void {
+    clearTimeout(this.#timer);
+    if (!this.#request || this.#request.destroyed) return;
+    const error = new OutcomeError(message, { verdict: this.#verdict, reason });
+    this.#request.destroy(error);
+    // A request that still waits for a connection would not tell of its end.
+    this.#abandon(error);
+  }
+
+  #outcome(cause: Error): OutcomeError {
+    clearTimeout(this.#timer);
+    if (cause instanceof OutcomeError) return cause;
+    const verdict = this.#verdict;
+    const reason = verdict === 'not-run' ? 'unreachable' : 'connection';
+    return new OutcomeError(cause.message, { verdict, reason }, { cause });
+  }
 }
--- /dev/null
+++ b/src/requests/experience.ts
@@ -0,0 +1,89 @@
+/** What this process has seen of one endpoint itself. */
+import { type Member } from '../contracts.js';
+import { type Load } from './load.js';
+
+/** A latency that has not been seen again for this long counts half, in milliseconds. */
+const LATENCY_HALF_LIFE_MS = 10_000;
+/** The same for a reported load, which is out of date sooner. */
+const LOAD_HALF_LIFE_MS = 200;
+/** Weight of the newest answer in the moving average. */
+const NEWEST_WEIGHT = 0.2;
+/** An endpoint that has just become ready gets less work at first, for so long. */
+const WARM_UP_MS = 10_000;
+/** How much dearer it is at the start of that. */
+const COLD_FACTOR = 4;
+
+export class Experience {
+  inFlight = 0;
+
+  /** Instant before which it is chosen only if there is no other, in milliseconds. */
+  avoidUntil = 0;
+
+  /** Failures since the last answer. */
+  failures = 0;
+
+  /** Instant at which it became ready after something else. */
+  readySince = 0;
+
+  #latencyMs: number | undefined;
+
+  #latencyAt = 0;
+
+  #load: Load | undefined;
+
+  #loadAt = 0;
+
+  constructor(public member: Member) {}
+
+  /** Notes an answer that took `tookMs`, with the load reported on it. */
+  answered(tookMs: number, load: Load | undefined, now: number): void {
+    const before = this.#latencyMs;
+    this.#latencyMs = before === undefined ? tookMs : before + (tookMs - before) * NEWEST_WEIGHT;
+    this.#latencyAt = now;
+    this.failures = 0;
+    this.reported(load, now);
+  }
+
+  reported(load: Load | undefined, now: number): void {
+    if (!load) return;
+    this.#load = load;
+    this.#loadAt = now;
+  }
+
+  /** Whether requests were waiting there a moment ago. */
+  isSaturated(now: number): boolean {
+    return (
+      this.#load !== undefined && this.#load.waiting > 0 && now - this.#loadAt < LOAD_HALF_LIFE_MS
+    );
+  }
+
+  /**
+   * Expected time of one more request: work in flight times latency. What was seen long ago fades
+   * into what is typical for the upstream, so that an endpoint that once was slow is tried again.
+   */
+  cost(typicalMs: number, now: number): number {
+    const latency = typicalMs + this.#latencyGap(typicalMs, now);
+    return (1 + this.#busy(now)) * latency * this.#coldness(now);
+  }
+
+  #latencyGap(typicalMs: number, now: number): number {
+    if (this.#latencyMs === undefined) return 0;
+    return (this.#latencyMs - typicalMs) * fading(now - this.#latencyAt, LATENCY_HALF_LIFE_MS);
+  }
+
+  /** The reported load counts the work of all others too, but only for a moment. */
+  #busy(now: number): number {
+    if (!this.#load) return this.inFlight;
+    const reported = this.#load.inFlight + this.#load.waiting;
+    return Math.max(this.inFlight, reported * fading(now - this.#loadAt, LOAD_HALF_LIFE_MS));
+  }
+
+  #coldness(now: number): number {
+    const age = now - this.readySince;
+    return age >= WARM_UP_MS ? 1 : 1 + (COLD_FACTOR - 1) * (1 - age / WARM_UP_MS);
+  }
+}
+
+function fading(age: number, halfLife: number): number {
+  return 2 ** (-age / halfLife);
+}
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -1,26 +1,33 @@
 /** The process beside an upstream instance: all work for that instance passes here. */
-import {
-  Agent,
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
-import { pipeline } from 'node:stream/promises';
-import { type Endpoint, OutcomeError } from '../contracts.js';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type Configuration } from '../configuration/configuration.js';
+import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
-import { exchange } from './exchange.js';
+import { type Body, EmptyBody, hasBody, StreamedBody } from './body.js';
+import { Connections } from './connections.js';
+import { Exchange } from './exchange.js';
 import {
-  endToEnd,
-  INTERNAL_PREFIX,
+  answerHeaders,
+  CALLER_TIMEOUT,
+  headerOf,
+  LIMIT,
+  LOAD,
+  NONE,
   PRIORITY,
   REASON,
   REMAINING,
+  REPEATABLE,
+  REQUEST_ID,
+  requestHeaders,
+  RETRY_AFTER,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
-import { Limit } from './limit.js';
-import { asOutcome, refuse } from './refusal.js';
+import { Limit, type Outcome, type Ticket } from './limit.js';
+import { writeLoad } from './load.js';
+import { asOutcome, notRun, refuse } from './refusal.js';
+import { SHED } from './relayed_refusal.js';
+import { Traffic } from './traffic.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
 export interface Announced extends Endpoint {
@@ -28,98 +35,175 @@
   readonly port: number;
 }
 
+/** A request that came from an entry. */
+interface Admission extends Ticket {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly announced: Announced;
+}
+
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
-const MAX_CONNECTIONS = 64;
+const MAX_CONNECTIONS = 100;
 const DEFAULT_SLOTS = 20;
-const DEFAULT_WAITING = 100;
 const DEFAULT_REMAINING_MS = 10_000;
+const DEFAULT_PRIORITY = 5;
+const MAX_PRIORITY = 9;
+/** Entries close idle connections well before, so that none is closed under a request. */
+const KEEP_ALIVE_MS = 75_000;
+const SERVICE_UNAVAILABLE = 503;
+const TOO_MANY_REQUESTS = 429;
 
 export class Guard implements AsyncDisposable {
   readonly server: Server;
 
   readonly limit: Limit;
 
+  readonly traffic: Traffic;
+
   announced: Announced | undefined;
 
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
+  readonly #connections: Connections;
+
+  /** Whether this process is stopping. */
+  #isLeaving = false;
 
-  constructor(private readonly clock: Clock) {
-    this.limit = new Limit(clock, DEFAULT_SLOTS, DEFAULT_WAITING);
-    this.server = createServer((request, response) => void this.#serve(request, response));
+  constructor(
+    private readonly clock: Clock,
+    private readonly configuration: () => Configuration,
+  ) {
+    this.limit = new Limit(clock, DEFAULT_SLOTS);
+    this.#connections = new Connections(clock, MAX_CONNECTIONS);
+    const serve = (request: IncomingMessage, response: ServerResponse) =>
+      void this.#serve(request, response);
+    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, serve);
+    this.server.on('checkContinue', serve);
+    this.traffic = new Traffic(this.server, clock);
   }
 
   /** Takes over what the upstream instance says of itself. */
   announce(announced: Announced): void {
+    const before = this.announced;
     this.announced = announced;
     this.limit.slots = announced.slots;
+    this.#weighDrain();
+    const wasReady = before?.state === 'ready' || before?.state === 'draining';
+    const isOther = before?.port !== announced.port || before.host !== announced.host;
+    if (announced.state === 'ready' && (!wasReady || isOther)) this.limit.restart();
+  }
+
+  /** This process is stopping: takes no new work, also none that waits. */
+  leave(): void {
+    this.#isLeaving = true;
+    this.#weighDrain();
+    this.traffic.leave();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.server.close();
-    this.#agent.destroy();
+    this.traffic.cut();
+    this.#connections.destroy();
+  }
+
+  #weighDrain(): void {
+    this.limit.isDraining = this.#isLeaving || this.announced?.state === 'draining';
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.traffic.enter(response);
     try {
-      const announced = this.#admitting(String(request.headers[UPSTREAM]));
-      const remaining = Number(request.headers[REMAINING] ?? DEFAULT_REMAINING_MS);
-      const deadline = this.clock.now() + remaining;
-      const priority = Number(request.headers[PRIORITY] ?? 0);
-      await this.limit.run(priority, deadline, () =>
-        this.#forward(announced, request, response, deadline),
-      );
+      const admission = this.#admit(request, response);
+      await this.limit.run(admission, () => this.#forward(admission));
     } catch (error) {
-      refuse(response, asOutcome(error), this.clock.now());
+      if (!response.headersSent) this.#sign(request, response);
+      refuse(request, response, asOutcome(error), this.clock.now());
     }
   }
 
-  #admitting(upstream: string): Announced {
+  #admit(request: IncomingMessage, response: ServerResponse): Admission {
+    const announced = this.#serving(headerOf(request, UPSTREAM) ?? 'nothing');
+    const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
+    const priority = within(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
+    const named = headerOf(request, LIMIT);
+    return {
+      request,
+      response,
+      announced,
+      priority: Math.floor(priority),
+      deadline: this.clock.now() + remaining,
+      limit: named === undefined ? undefined : this.configuration().find('limit', named),
+      onGone: (callback) => response.once('close', callback),
+    };
+  }
+
+  #serving(upstream: string): Announced {
     const { announced } = this;
     if (announced?.upstream !== upstream || announced.state === 'down') {
-      const props = { verdict: 'not-run', reason: 'no-endpoint' } as const;
-      throw new OutcomeError(`${upstream} is not served here`, props);
-    }
-    if (announced.state === 'draining') {
-      const props = { verdict: 'not-run', reason: 'draining' } as const;
-      throw new OutcomeError(`${upstream} is leaving`, props);
+      throw notRun('no-endpoint', `${upstream} is not served here`);
     }
+    if (this.limit.isDraining) throw notRun('draining', `${upstream} is leaving`);
     return announced;
   }
 
-  async #forward(
-    { host, port }: Announced,
-    request: IncomingMessage,
-    response: ServerResponse,
-    deadline: number,
-  ): Promise<void> {
-    const gone = new AbortController();
-    response.once('close', () => gone.abort());
-    const answer = await exchange(
+  async #forward(admission: Admission): Promise<Outcome> {
+    const { request, response } = admission;
+    const startedAt = this.clock.now();
+    if (request.headers.expect !== undefined) response.writeContinue();
+    const exchange = this.#exchange(admission);
+    const answer = await exchange.answer();
+    const headMs = this.clock.now() - startedAt;
+    const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
+    const isShed = hasShed(status, answer);
+    // An upstream cannot speak for barleyhaven: its own internal headers are dropped here.
+    const headers = answerHeaders(answer, NONE);
+    headers.push(VERDICT, 'ran', REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
+    headers.push(LOAD, writeLoad(this.limit.load));
+    if (isShed) headers.push(REASON, SHED);
+    response.writeHead(status, headers);
+    await exchange.relay(answer, response);
+    return { headMs, isShed };
+  }
+
+  #exchange({ request, response, announced, deadline }: Admission): Exchange {
+    const { host, port } = announced;
+    const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
+    const headers = requestHeaders(request);
+    headers.push(CALLER_TIMEOUT, String(remaining));
+    return new Exchange(
       {
-        agent: this.#agent,
+        connections: this.#connections,
         host,
         port,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        headers: outward(request),
-        body: request,
+        headers,
+        body: bodyOf(request),
         deadline,
-        cancelled: gone.signal,
+        isRepeatable: headerOf(request, REPEATABLE) !== '0',
+        caller: response,
       },
       this.clock,
     );
-    const headers = endToEnd(answer.headers, false);
-    response.writeHead(answer.statusCode ?? 502, { ...headers, [VERDICT]: 'ran' });
-    // An upstream cannot speak for barleyhaven: its own verdict headers were dropped above.
-    await pipeline(answer, response);
   }
-}
 
-function outward(request: IncomingMessage): Record<string, string | string[]> {
-  const headers = endToEnd(request.headers, true);
-  const remaining = headers[REMAINING];
-  for (const name of Object.keys(headers)) {
-    if (name.startsWith(INTERNAL_PREFIX) && name !== REASON) delete headers[name];
+  /** Headers by which an entry knows that a refusal is for its request. */
+  #sign(request: IncomingMessage, response: ServerResponse): void {
+    response.setHeader(REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
+    response.setHeader(LOAD, writeLoad(this.limit.load));
   }
-  return remaining === undefined ? headers : { ...headers, 'request-timeout-ms': remaining };
+}
+
+/** The entry has bounded the body; here it is passed on as it comes. */
+function bodyOf(request: IncomingMessage): Body {
+  if (!hasBody(request)) return new EmptyBody(request.method);
+  return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
+}
+
+/** An upstream instance that has no room says 429, or 503 with the time to come back. */
+function hasShed(status: number, { headers }: IncomingMessage): boolean {
+  if (status === TOO_MANY_REQUESTS) return true;
+  return status === SERVICE_UNAVAILABLE && headers[RETRY_AFTER] !== undefined;
+}
+
+function within(text: string | undefined, otherwise: number, most: number): number {
+  const value = Number(text ?? otherwise);
+  return value >= 0 ? Math.min(value, most) : otherwise;
 }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -1,26 +1,37 @@
-/** Names of the headers that barleyhaven reads and sets. */
+/** Names of the headers that barleyhaven reads and sets, and which of a message go further. */
 
 /** Headers between processes; taken from a caller they would be forged, so entry strips them. */
 export const INTERNAL_PREFIX = 'barleyhaven-';
 export const UPSTREAM = 'barleyhaven-upstream';
+/** Echoed on the answer; one that differs belongs to another request. */
 export const REQUEST_ID = 'barleyhaven-request-id';
 /** Time left, in milliseconds: an instant would be misread where clocks differ. */
 export const REMAINING = 'barleyhaven-remaining-ms';
+/** Name of the limit that the route sets. */
 export const LIMIT = 'barleyhaven-limit';
 export const PRIORITY = 'barleyhaven-priority';
+/** `0` on a request that must not run twice. */
+export const REPEATABLE = 'barleyhaven-repeatable';
+/** On answers between processes: what the guard has in hand, see `Load`. */
+export const LOAD = 'barleyhaven-load';
 
 /** On answers to callers: whether the request may have run. */
 export const VERDICT = 'barleyhaven-verdict';
 /** On answers to callers: the stable name of the cause. */
 export const REASON = 'barleyhaven-reason';
 
-/** From callers: time left for the request, in milliseconds. */
+/** From callers, and towards upstreams: time left for the request, in milliseconds. */
 export const CALLER_TIMEOUT = 'request-timeout-ms';
 /** From callers: the same key means the same request. */
 export const IDEMPOTENCY_KEY = 'idempotency-key';
+export const RETRY_AFTER = 'retry-after';
+
+/** Internal headers that callers get to see on answers. */
+export const TOLD_TO_CALLERS: ReadonlySet<string> = new Set([VERDICT, REASON]);
+export const NONE: ReadonlySet<string> = new Set();
 
 /** Headers that belong to one connection and are never passed on. */
-export const HOP_BY_HOP: ReadonlySet<string> = new Set([
+const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
   'keep-alive',
   'proxy-authenticate',
@@ -32,22 +43,61 @@
   'upgrade',
 ]);
 
-/**
- * End-to-end headers of a message. Those that `Connection` names belong to the connection too,
- * and internal ones are dropped where `trusted` is false.
- */
-export function endToEnd(
-  headers: NodeJS.Dict<string | string[]>,
-  trusted: boolean,
-): Record<string, string | string[]> {
-  const named = String(headers.connection ?? '')
-    .toLowerCase()
-    .split(/\s*,\s*/);
-  const kept: Record<string, string | string[]> = {};
-  for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || HOP_BY_HOP.has(name) || named.includes(name)) continue;
-    if (!trusted && name.startsWith(INTERNAL_PREFIX)) continue;
-    kept[name] = value;
+/** What a request's body and deadline say anew at each hop. */
+const SAID_ANEW: ReadonlySet<string> = new Set(['content-length', 'expect', CALLER_TIMEOUT]);
+
+/** The parts of a message's head that are looked at here. */
+export interface Head {
+  /** Names and values in turn, as they came. */
+  readonly rawHeaders: readonly string[];
+  readonly headers: { readonly connection?: string | undefined };
+}
+
+/** Headers of a request that go to the next hop, as names and values in turn. */
+export function requestHeaders(head: Head): string[] {
+  return endToEnd(head, NONE, SAID_ANEW);
+}
+
+/** Headers of an answer that go to the next hop; of the internal ones only those in `internal`. */
+export function answerHeaders(head: Head, internal: ReadonlySet<string>): string[] {
+  return endToEnd(head, internal, NONE);
+}
+
+/** The value of a header that is expected once. */
+export function headerOf(
+  { headers }: { headers: NodeJS.Dict<string | string[]> },
+  name: string,
+): string | undefined {
+  const value = headers[name];
+  return typeof value === 'string' ? value : value?.[0];
+}
+
+/** Trailers without those that an outsider may not set. */
+export function trailersOf(trailers: NodeJS.Dict<string>): NodeJS.Dict<string> | undefined {
+  const kept = Object.entries(trailers).filter(([name]) => !name.startsWith(INTERNAL_PREFIX));
+  return kept.length > 0 ? Object.fromEntries(kept) : undefined;
+}
+
+function endToEnd(
+  { rawHeaders, headers: { connection } }: Head,
+  internal: ReadonlySet<string>,
+  dropped: ReadonlySet<string>,
+): string[] {
+  const named = connection === undefined ? NONE : namesIn(connection);
+  const kept: string[] = [];
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    const name = rawHeaders[index]!;
+    const lower = name.toLowerCase();
+    if (HOP_BY_HOP.has(lower) || dropped.has(lower) || named.has(lower)) continue;
+    if (lower.startsWith(INTERNAL_PREFIX) && !internal.has(lower)) continue;
+    kept.push(name, rawHeaders[index + 1]!);
   }
   return kept;
 }
+
+/** Headers that `Connection` names belong to the connection too. */
+function namesIn(connection: string): ReadonlySet<string> {
+  const lower = connection.toLowerCase();
+  if (lower === 'keep-alive' || lower === 'close') return NONE;
+  return new Set(lower.split(/\s*,\s*/));
+}
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -1,13 +1,15 @@
 /** Answers to requests that barleyhaven itself has to end. */
-import { type ServerResponse } from 'node:http';
+import { type IncomingMessage, type ServerResponse, STATUS_CODES } from 'node:http';
 import { OutcomeError, type Verdict } from '../contracts.js';
-import { REASON, VERDICT } from './headers.js';
+import { REASON, RETRY_AFTER, VERDICT } from './headers.js';
 
 /** Status by reason; anything else is a 502. */
 const STATUS: Readonly<Record<string, number>> = {
   'no-route': 404,
   'bad-request': 400,
+  'expectation-failed': 417,
   'key-required': 428,
+  'slow-request': 408,
   'body-too-large': 413,
   'headers-too-large': 431,
   'not-ready': 503,
@@ -20,6 +22,8 @@
 };
 const BAD_GATEWAY = 502;
 const MS_PER_SECOND = 1000;
+/** How long the rest of a refused body is read and dropped, in milliseconds. */
+const LINGER_MS = 1_000;
 
 /** What callers get as JSON with every refusal. */
 export interface RefusalBody {
@@ -28,6 +32,11 @@
   readonly message: string;
 }
 
+export function notRun(reason: string, message: string, retryAt?: number): OutcomeError {
+  const when = retryAt === undefined ? {} : { retryAt };
+  return new OutcomeError(message, { verdict: 'not-run', reason, ...when });
+}
+
 export function asOutcome(error: unknown): OutcomeError {
   if (error instanceof OutcomeError) return error;
   return new OutcomeError(
@@ -41,20 +50,65 @@
  * Ends a request with a refusal. Once the answer has begun it can only be cut: the connection is
  * destroyed, because a clean end would make a part look whole.
  */
-export function refuse(response: ServerResponse, error: OutcomeError, now: number): void {
-  if (response.headersSent) {
+export function refuse(
+  request: IncomingMessage,
+  response: ServerResponse,
+  error: OutcomeError,
+  now: number,
+): void {
+  if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
-  const { verdict, reason, message, retryAt } = error;
-  const body = JSON.stringify({ verdict, reason, message } satisfies RefusalBody);
-  const retryAfter = retryAt && Math.max(1, Math.ceil((retryAt - now) / MS_PER_SECOND));
-  response.writeHead(STATUS[reason] ?? BAD_GATEWAY, {
+  const body = bodyOf(error);
+  response.writeHead(statusOf(error), headersOf(error, body, now));
+  if (request.complete || request.destroyed) {
+    response.end(body);
+    return;
+  }
+  linger(request, response, body);
+}
+
+/** A refusal as bytes for a connection on which there is no response object. */
+export function rawRefusal(error: OutcomeError): string {
+  const body = bodyOf(error);
+  const status = statusOf(error);
+  const headers = { ...headersOf(error, body, 0), connection: 'close' };
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+  return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines.join('')}\r\n${body}`;
+}
+
+/**
+ * Were the connection closed while the caller still sends its body, the caller's system would
+ * throw away the refusal that it has not read yet. So the rest is read and dropped, for a while.
+ */
+function linger(request: IncomingMessage, response: ServerResponse, body: string): void {
+  response.write(body);
+  request.on('error', () => {});
+  request.resume();
+  const timer = setTimeout(() => response.destroy(), LINGER_MS);
+  request.once('end', () => response.end());
+  response.once('close', () => clearTimeout(timer));
+}
+
+function statusOf({ reason }: OutcomeError): number {
+  return STATUS[reason] ?? BAD_GATEWAY;
+}
+
+function bodyOf({ verdict, reason, message }: OutcomeError): string {
+  return JSON.stringify({ verdict, reason, message } satisfies RefusalBody);
+}
+
+function headersOf(error: OutcomeError, body: string, now: number): Record<string, string> {
+  const { verdict, reason, retryAt } = error;
+  const headers: Record<string, string> = {
     'content-type': 'application/json',
-    'content-length': Buffer.byteLength(body),
+    'content-length': String(Buffer.byteLength(body)),
     [VERDICT]: verdict,
     [REASON]: reason,
-    ...(retryAfter && { 'retry-after': String(retryAfter) }),
-  });
-  response.end(body);
+  };
+  if (retryAt !== undefined) {
+    headers[RETRY_AFTER] = String(Math.max(1, Math.ceil((retryAt - now) / MS_PER_SECOND)));
+  }
+  return headers;
 }
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -6,11 +6,25 @@
 /** What routing looks at. */
 export interface Target {
   readonly method: string;
+  /** In lower case, without port. */
   readonly host: string;
   readonly path: string;
   readonly headers: IncomingHttpHeaders;
 }
 
+/** Routes by first path segment, each list in order of specificity. */
+interface Table {
+  readonly bySegment: ReadonlyMap<string, readonly Route[]>;
+  /** Those whose prefix is `/`: they cover segments that no other route names. */
+  readonly others: readonly Route[];
+}
+
+/** Tables by host; `anyHost` holds the routes that name none. */
+interface Compiled {
+  readonly byHost: ReadonlyMap<string, Table>;
+  readonly anyHost: Table;
+}
+
 const COMPILED = Symbol('compiled routes');
 const REPEATABLE_METHODS: ReadonlySet<string> = new Set([
   'GET',
@@ -25,7 +39,10 @@
  * longer prefix, then more header conditions, then a method list, then the name.
  */
 export function routeOf(configuration: Configuration, target: Target): Route | undefined {
-  return compiled(configuration).find((route) => matches(route, target));
+  const { byHost, anyHost } = compiled(configuration);
+  const { bySegment, others } = byHost.get(target.host) ?? anyHost;
+  const routes = bySegment.get(firstSegment(target.path)) ?? others;
+  return routes.find((route) => matches(route, target));
 }
 
 /** Whether a request of that method may be run twice under the route. */
@@ -33,12 +50,38 @@
   return route.repeatable ?? REPEATABLE_METHODS.has(method);
 }
 
-function compiled(configuration: Configuration): readonly Route[] {
-  const known = configuration.derived.get(COMPILED) as readonly Route[] | undefined;
+function compiled(configuration: Configuration): Compiled {
+  const known = configuration.derived.get(COMPILED) as Compiled | undefined;
   if (known) return known;
-  const routes = [...configuration.all('route')].sort(bySpecificity);
-  configuration.derived.set(COMPILED, routes);
-  return routes;
+  const fresh = compile([...configuration.all('route')].sort(bySpecificity));
+  configuration.derived.set(COMPILED, fresh);
+  return fresh;
+}
+
+function compile(routes: readonly Route[]): Compiled {
+  const hosts = new Set(routes.map(({ host }) => host?.toLowerCase()));
+  const byHost = new Map<string, Table>();
+  for (const host of hosts) {
+    if (host === undefined) continue;
+    const covers = (route: Route) => route.host === undefined || route.host.toLowerCase() === host;
+    byHost.set(host, tableOf(routes.filter(covers)));
+  }
+  return { byHost, anyHost: tableOf(routes.filter(({ host }) => host === undefined)) };
+}
+
+function tableOf(routes: readonly Route[]): Table {
+  const others = routes.filter(({ pathPrefix }) => firstSegment(pathPrefix) === '');
+  const bySegment = new Map<string, readonly Route[]>();
+  for (const segment of new Set(routes.map(({ pathPrefix }) => firstSegment(pathPrefix)))) {
+    const covers = ({ pathPrefix }: Route) => ['', segment].includes(firstSegment(pathPrefix));
+    bySegment.set(segment, routes.filter(covers));
+  }
+  return { bySegment, others };
+}
+
+function firstSegment(path: string): string {
+  const end = path.indexOf('/', 1);
+  return end < 0 ? path.slice(1) : path.slice(1, end);
 }
 
 function bySpecificity(a: Route, b: Route): number {
@@ -55,11 +98,12 @@
   return Object.keys(route.headers ?? {}).length;
 }
 
-function matches(route: Route, { method, host, path, headers }: Target): boolean {
-  if (route.host !== undefined && route.host !== host) return false;
+/** Whether the route covers the target; its host has been looked at already. */
+function matches(route: Route, { method, path, headers }: Target): boolean {
   if (!underPrefix(path, route.pathPrefix)) return false;
   if (route.methods && !route.methods.includes(method)) return false;
-  return Object.entries(route.headers ?? {}).every(([name, value]) => headers[name] === value);
+  if (!route.headers) return true;
+  return Object.entries(route.headers).every(([name, value]) => headers[name] === value);
 }
 
 /** `/menus` covers `/menus` and `/menus/today`, not `/menuscript`. */
--- /dev/null
+++ b/src/requests/traffic.ts
@@ -0,0 +1,56 @@
+/** What a server has in hand, and how it stops without cutting any of it. */
+import { type Server, type ServerResponse } from 'node:http';
+import { type Clock } from '../runtime/clock.js';
+
+/** How often is looked whether everything has been answered, in milliseconds. */
+const LOOK_EVERY_MS = 10;
+
+export class Traffic {
+  #inFlight = 0;
+
+  #isLeaving = false;
+
+  constructor(
+    private readonly server: Server,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Requests whose answer is not wholly written yet. */
+  get inFlight(): number {
+    return this.#inFlight;
+  }
+
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
+  /** Counts a request until its answer is wholly written or its connection is gone. */
+  enter(response: ServerResponse): void {
+    this.#inFlight += 1;
+    response.once('close', () => {
+      this.#inFlight -= 1;
+    });
+    if (this.#isLeaving) response.setHeader('connection', 'close');
+  }
+
+  /** From now on each answer asks the other end to close its connection. */
+  leave(): void {
+    this.#isLeaving = true;
+  }
+
+  /** Resolves when nothing is in flight, or at the deadline; true if nothing was left. */
+  async finish(deadline: number): Promise<boolean> {
+    while (this.#inFlight > 0) {
+      const now = this.clock.now();
+      if (now >= deadline) return false;
+      await this.clock.sleepUntil(Math.min(deadline, now + LOOK_EVERY_MS));
+    }
+    return true;
+  }
+
+  /** Stops at once: whatever is still open is cut. */
+  cut(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
--- a/src/standins/upstream_server.ts
+++ b/src/standins/upstream_server.ts
@@ -1,4 +1,5 @@
 /** Stand-in for an upstream instance: answers over HTTP, announces itself, counts what it runs. */
+import { EventEmitter } from 'node:events';
 import {
   createServer,
   type IncomingMessage,
@@ -9,18 +10,25 @@
 import { type EndpointState } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { listen, LOOPBACK, shut } from './listen.js';
+import { type Conduct, conductOf } from './upstream_conduct.js';
 
 export interface UpstreamOptions {
   readonly upstream: string;
   readonly slots?: number;
   /** Time an answer takes, in milliseconds. */
   readonly delayMs?: number;
+  /** How it treats requests that ask for nothing else by `x-conduct`. */
+  readonly conduct?: Conduct;
 }
 
 const DEFAULT_SLOTS = 20;
 const ANNOUNCE_EVERY_MS = 500;
 
-export class UpstreamServer implements AsyncDisposable {
+/**
+ * Emits `run` with the `x-request` of each request that it begins, `answered` when it is done
+ * with it, `cancelled` when the other end goes away before, and `disconnected` for each connection.
+ */
+export class UpstreamServer extends EventEmitter implements AsyncDisposable {
   /** How often each `x-request` of a caller was run. */
   readonly runs = new Map<string, number>();
 
@@ -28,21 +36,31 @@
 
   delayMs: number;
 
+  conduct: Conduct | undefined;
+
   readonly #server: Server;
 
   #port = 0;
 
   #inFlight = 0;
 
+  #connections = 0;
+
   readonly #stopping = new AbortController();
 
   private constructor(
     private readonly clock: Clock,
     private readonly options: UpstreamOptions,
   ) {
+    super();
     this.delayMs = options.delayMs ?? 0;
+    this.conduct = options.conduct;
     this.#server = createServer((incoming, response) => void this.#serve(incoming, response));
     this.#server.keepAliveTimeout = 60_000;
+    this.#server.on('connection', (socket) => {
+      this.#connections += 1;
+      socket.once('close', () => this.emit('disconnected'));
+    });
   }
 
   static async start(clock: Clock, options: UpstreamOptions): Promise<UpstreamServer> {
@@ -59,6 +77,11 @@
     return this.#inFlight;
   }
 
+  /** Connections accepted so far. */
+  get connections(): number {
+    return this.#connections;
+  }
+
   /** Announces itself to the process beside it, again and again until disposed. */
   async announceTo(operatorsPort: number): Promise<void> {
     while (!this.#stopping.signal.aborted) {
@@ -88,24 +111,45 @@
     });
   }
 
+  /** Dies as a process does: the port closes and all connections break. */
+  async crash(): Promise<void> {
+    await shut(this.#server);
+  }
+
+  /** Starts anew at the same port. */
+  async restart(): Promise<void> {
+    await listen(this.#server, this.#port);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
-    await shut(this.#server);
+    if (this.#server.listening) await shut(this.#server);
   }
 
   async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.#inFlight += 1;
     const id = String(incoming.headers['x-request'] ?? 'unnamed');
+    this.#inFlight += 1;
     this.runs.set(id, (this.runs.get(id) ?? 0) + 1);
-    incoming.resume();
-    if (this.delayMs > 0) await this.clock.sleepUntil(this.clock.now() + this.delayMs);
-    const body = JSON.stringify({ upstream: this.options.upstream, request: id });
-    response.writeHead(200, {
-      'content-type': 'application/json',
-      'content-length': Buffer.byteLength(body),
-      'x-request': id,
+    response.once('close', () => {
+      this.#inFlight -= 1;
+      this.emit(response.writableFinished ? 'answered' : 'cancelled', id);
     });
-    response.end(body);
-    this.#inFlight -= 1;
+    this.emit('run', id, incoming);
+    if (this.delayMs > 0) await this.clock.sleepUntil(this.clock.now() + this.delayMs);
+    const { upstream } = this.options;
+    const conduct = conductOf(incoming.headers['x-conduct']) ?? this.conduct;
+    await this.#treat(conduct ?? conductOf('whole')!, { incoming, response, id, upstream });
   }
+
+  async #treat(conduct: Conduct, call: Call): Promise<void> {
+    if (await conduct.answer(call)) await this.crash();
+  }
+}
+
+/** One request in hand. */
+export interface Call {
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly id: string;
+  readonly upstream: string;
 }
--- /dev/null
+++ b/src/test/requests/hostility_test.ts
@@ -0,0 +1,81 @@
+import { expect } from 'chai';
+import { Path } from './path.js';
+
+const HOST = 'Host: suppers.example\r\n';
+const POST = `POST /seats/1 HTTP/1.1\r\n${HOST}x-request: hostile\r\n`;
+
+/** Requests as a hostile or broken caller writes them. */
+const REQUESTS: Readonly<Record<string, string>> = {
+  'headers larger than allowed': `GET /menus HTTP/1.1\r\n${HOST}X: ${'x'.repeat(20_000)}\r\n\r\n`,
+  'a body longer than allowed': `${POST}Content-Length: 99999999\r\n\r\n`,
+  'a body longer than allowed, in chunks': `${POST}Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n${`10000\r\n${'x'.repeat(0x10000)}\r\n`.repeat(17)}0\r\n\r\n`,
+  'both length headers': `${POST}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n`,
+  'two lengths': `${POST}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd`,
+  'a coding that is not chunked': `${POST}Transfer-Encoding: gzip\r\n\r\n`,
+  'a malformed chunk': `${POST}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nzz\r\n`,
+  'two hosts': `GET /menus HTTP/1.1\r\n${HOST}Host: other.example\r\n\r\n`,
+  'no host': 'GET /menus HTTP/1.1\r\nConnection: close\r\n\r\n',
+  'another host in the target': `GET http://other.example/menus HTTP/1.1\r\n${HOST}\r\n`,
+  'a target that is no path': `OPTIONS * HTTP/1.1\r\n${HOST}Connection: close\r\n\r\n`,
+  'dot segments': `GET /menus/%2e%2e/seats HTTP/1.1\r\n${HOST}Connection: close\r\n\r\n`,
+  'a tunnel': `CONNECT other.example:443 HTTP/1.1\r\n${HOST}\r\n`,
+  'an upgrade': `GET /menus HTTP/1.1\r\n${HOST}Connection: upgrade, close\r\nUpgrade: websocket\r\n\r\n`,
+  'an unknown expectation': `GET /menus HTTP/1.1\r\n${HOST}Connection: close\r\nExpect: miracles\r\n\r\n`,
+  'a malformed header': `GET /menus HTTP/1.1\r\n${HOST}X Y: 1\r\n\r\n`,
+};
+
+function parts(answer: string) {
+  const [head = '', body = ''] = answer.split('\r\n\r\n');
+  const [status] = head.split('\r\n', 1);
+  return { status, body: JSON.parse(body) as unknown };
+}
+
+describe('Hostility', () => {
+  // Input that the next hop could read differently is how one caller gets at another's answer.
+  // Each is refused here, with a status of its own and a verdict that is true.
+  for (const [name, text] of Object.entries(REQUESTS)) {
+    it(`refuses ${name}`, async () => {
+      await using path = await Path.start();
+      const { status, body } = parts(await path.raw(closing(text)));
+      expect(status).to.match(/^HTTP\/1.1 4\d\d /);
+      // The upstream may have begun before the chunks turned out to be too many.
+      const verdict = name.includes('in chunks') ? 'may-have-run' : 'not-run';
+      expect(body).to.have.property('verdict', verdict);
+      expect({ status, body }).toMatchSnapshot();
+      expect(path.runs('hostile')).to.equal(verdict === 'not-run' ? 0 : 1);
+    });
+  }
+
+  // A request is running when its caller writes rubbish behind it. A refusal written then would
+  // be taken for the answer to the first, and would say "not run" of it.
+  it('answers no running request with the refusal of what follows it', async () => {
+    await using path = await Path.start();
+    const first = `${POST}Content-Length: 1\r\nx-conduct: silent\r\n\r\nx`;
+    const received = await path.raw(`${first}RUBBISH\r\n\r\n`);
+    expect(received).to.equal('');
+  });
+
+  it('strips internal headers that a caller has forged', async () => {
+    await using path = await Path.start();
+    const headers = { 'Barleyhaven-Upstream': 'nobody', 'barleyhaven-remaining-ms': '0' };
+    const { status } = await path.ask({ path: '/menus', headers });
+    expect(status).to.equal(200);
+  });
+
+  it('does not ask for a body that it will refuse', async () => {
+    await using path = await Path.start();
+    const head = `${POST}Content-Length: 99999999\r\nExpect: 100-continue\r\n\r\n`;
+    expect(await path.raw(closing(head))).to.match(/^HTTP\/1.1 413 /);
+  });
+
+  it('asks for a body that it will take', async () => {
+    await using path = await Path.start();
+    const head = `${POST}Content-Length: 1\r\nExpect: 100-continue\r\n\r\nx`;
+    expect(await path.raw(closing(head))).to.match(/^HTTP\/1.1 100 Continue\r\n\r\nHTTP\/1.1 200 /);
+  });
+});
+
+/** Has the connection closed after the answer. */
+function closing(text: string): string {
+  return text.includes('Connection:') ? text : text.replace('\r\n', '\r\nConnection: close\r\n');
+}
--- /dev/null
+++ b/src/test/requests/path.ts
@@ -0,0 +1,171 @@
+/** One entry and some guards with upstream instances beside them, over real HTTP on loopback. */
+import { Agent, type IncomingMessage, type OutgoingHttpHeaders, request } from 'node:http';
+import { connect } from 'node:net';
+import { Configuration } from '../../configuration/configuration.js';
+import { type Endpoint, type Member, Resource } from '../../contracts.js';
+import { Roster } from '../../membership/roster.js';
+import { Balancer } from '../../requests/balancer.js';
+import { Entry } from '../../requests/entry.js';
+import { Guard } from '../../requests/guard.js';
+import { type Clock, MachineClock } from '../../runtime/clock.js';
+import { Ownership } from '../../runtime/ownership.js';
+import { SeededRandom } from '../../runtime/random.js';
+import { listen, LOOPBACK } from '../../standins/listen.js';
+import { UpstreamServer } from '../../standins/upstream_server.js';
+
+const RESOURCES: readonly Resource[] = [
+  { kind: 'upstream', name: 'bookings' },
+  { kind: 'limit', name: 'standard', slots: 20 },
+  { kind: 'limit', name: 'narrow', slots: 1, queue: 1 },
+  { kind: 'route', name: 'menus', pathPrefix: '/menus', upstream: 'bookings', limit: 'standard' },
+  { kind: 'route', name: 'short', pathPrefix: '/short', upstream: 'bookings', timeoutMs: 150 },
+  { kind: 'route', name: 'narrow', pathPrefix: '/narrow', upstream: 'bookings', limit: 'narrow' },
+  { kind: 'route', name: 'nobody', pathPrefix: '/nobody', upstream: 'nobody' },
+  {
+    kind: 'route',
+    name: 'seats',
+    pathPrefix: '/seats',
+    upstream: 'bookings',
+    repeatable: false,
+    maxBodyBytes: 1 << 20,
+  },
+].map((resource) => Resource.parse(resource));
+
+/** An endpoint of the path: a guard with an upstream instance beside it. */
+export interface Station {
+  readonly name: string;
+  readonly guard: Guard;
+  readonly upstream: UpstreamServer;
+}
+
+export interface Ask {
+  readonly path: string;
+  readonly method?: string;
+  readonly headers?: OutgoingHttpHeaders;
+  readonly body?: string | Buffer;
+  /** A new connection for each request when absent. */
+  readonly agent?: Agent;
+}
+
+export interface Answer {
+  readonly status: number;
+  readonly headers: NodeJS.Dict<string | string[]>;
+  readonly trailers: NodeJS.Dict<string>;
+  readonly body: string;
+}
+
+export class Path implements AsyncDisposable {
+  readonly stations: Station[] = [];
+
+  readonly roster: Roster;
+
+  readonly entry: Entry;
+
+  #port = 0;
+
+  readonly #owned = new Ownership();
+
+  private constructor(readonly clock: Clock) {
+    const configuration = Configuration.empty.next({ put: [...RESOURCES], remove: [] });
+    this.roster = new Roster(memberOf('entry', 1));
+    const random = new SeededRandom(7);
+    const balancer = new Balancer(this.roster, clock, random);
+    this.entry = this.#owned.use(
+      new Entry(
+        () => configuration,
+        () => true,
+        balancer,
+        clock,
+        random,
+      ),
+    );
+    this.configuration = configuration;
+  }
+
+  readonly configuration: Configuration;
+
+  static async start(endpoints = 1, clock: Clock = new MachineClock()): Promise<Path> {
+    const path = new Path(clock);
+    path.#port = await listen(path.entry.server);
+    for (let index = 0; index < endpoints; index++) await path.#add(`endpoint-${index}`);
+    return path;
+  }
+
+  get port(): number {
+    return this.#port;
+  }
+
+  /** Runs at all upstream instances together of the request with that `x-request`. */
+  runs(id: string): number {
+    return this.stations.reduce((sum, { upstream }) => sum + (upstream.runs.get(id) ?? 0), 0);
+  }
+
+  /** Resolves to the whole answer; rejects if it was cut. */
+  ask(options: Ask): Promise<Answer> {
+    return ask(this.#port, options);
+  }
+
+  /** Writes bytes as they are and resolves to all that comes back until the connection closes. */
+  raw(text: string): Promise<string> {
+    return new Promise((resolve) => {
+      const socket = connect(this.#port, LOOPBACK);
+      let received = '';
+      socket.setEncoding('latin1');
+      socket.on('data', (chunk: string) => {
+        received += chunk;
+      });
+      socket.on('error', () => {});
+      socket.on('close', () => resolve(received));
+      socket.write(text);
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.#owned[Symbol.asyncDispose]();
+  }
+
+  async #add(name: string): Promise<void> {
+    const guard = this.#owned.use(new Guard(this.clock, () => this.configuration));
+    const upstream = this.#owned.use(
+      await UpstreamServer.start(this.clock, { upstream: 'bookings' }),
+    );
+    const endpoint: Endpoint = { upstream: 'bookings', state: 'ready', slots: 20 };
+    guard.announce({ ...endpoint, host: LOOPBACK, port: upstream.port });
+    const guardPort = await listen(guard.server);
+    this.roster.merge([{ ...memberOf(name, guardPort), endpoint }]);
+    this.stations.push({ name, guard, upstream });
+  }
+}
+
+export function memberOf(instance: string, guardPort: number, dataCentre = 'arima'): Member {
+  return {
+    instance,
+    dataCentre,
+    host: LOOPBACK,
+    linkPort: 1,
+    guardPort,
+    operatorsPort: 1,
+    incarnation: 1,
+    sequence: 1,
+    liveness: 'alive',
+  };
+}
+
+/** Resolves to the whole answer; rejects if it was cut. */
+export function ask(port: number, options: Ask): Promise<Answer> {
+  const { path, method = 'GET', headers = {}, body, agent = false } = options;
+  return new Promise((resolve, reject) => {
+    const sent = request({ host: LOOPBACK, port, path, method, headers, agent }, (answer) => {
+      void collect(answer).then(resolve, reject);
+    });
+    sent.on('error', reject);
+    sent.end(body);
+  });
+}
+
+async function collect(answer: IncomingMessage): Promise<Answer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of answer) chunks.push(chunk as Buffer);
+  const { statusCode: status = 0, headers, trailers } = answer;
+  return { status, headers, trailers, body: Buffer.concat(chunks).toString('latin1') };
+}
