--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -2,28 +2,24 @@
 import { createServer, type Server } from 'node:net';
 import { type Member } from '../contracts.js';
 import { type Codec } from '../link/codec.js';
-import { Methods } from '../link/peer.js';
 import { connect, TcpLink } from '../link/tcp_link.js';
-import { BytesProfile, ConvergenceProfile, Distributor } from '../distribution/distributor.js';
-import { Dialer, Mesh } from '../distribution/mesh.js';
-import { HEARTBEAT } from '../distribution/methods.js';
-import { Reader } from '../distribution/reader.js';
-import { Replica } from '../distribution/replica.js';
-import { Directory } from '../membership/directory.js';
-import { GossipTask } from '../membership/gossip.js';
-import { Ranking } from '../membership/ranking.js';
-import { Roster } from '../membership/roster.js';
+import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
+import { Dialer } from '../distribution/mesh.js';
+import { type Surveyor } from '../distribution/surveyor.js';
+import { type Replica } from '../distribution/replica.js';
+import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { Balancer } from '../requests/balancer.js';
 import { Entry } from '../requests/entry.js';
 import { Guard } from '../requests/guard.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { Log } from '../source/log.js';
 import { Source } from '../source/source.js';
+import { Control } from './control.js';
 import { Journal } from './log.js';
 import { OperatorsPort } from './operators_port.js';
 import { bind } from './bind.js';
+import { RequestMeter } from './request_meter.js';
 import { type Settings } from './settings.js';
 
 /** What the outside world gives to a process. */
@@ -35,8 +31,6 @@
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
-/** How often a starting process looks for others, in milliseconds. */
-const SEEK_EVERY_MS = 500;
 
 /**
  * @example
@@ -45,11 +39,7 @@
  * ```
  */
 export class Instance implements AsyncDisposable {
-  readonly replica: Replica;
-
-  readonly roster: Roster;
-
-  readonly ranking: Ranking;
+  readonly control: Control;
 
   readonly guard: Guard;
 
@@ -57,26 +47,16 @@
 
   readonly source: Source;
 
-  readonly distributor: Distributor;
-
-  readonly mesh: Mesh;
+  readonly entryMeter: RequestMeter;
 
-  readonly reader: Reader;
+  readonly guardMeter: RequestMeter;
 
   readonly journal: Journal;
 
-  readonly #directory: Directory;
-
-  readonly #gossip: GossipTask;
-
   readonly #operators: OperatorsPort;
 
   readonly #linkServer: Server;
 
-  readonly #stopping = new AbortController();
-
-  readonly #tasks: Promise<void>[] = [];
-
   private constructor(
     readonly settings: Settings,
     readonly surroundings: Surroundings,
@@ -84,52 +64,17 @@
     ports: OpenPorts,
   ) {
     const { platform, clock, random, codec } = surroundings;
-    this.replica = ports.replica;
     this.journal = new Journal(self.instance, clock);
-    this.roster = new Roster(self);
-    this.ranking = new Ranking(this.roster, settings.fanout);
-    const log = new Log(platform);
-    this.source = new Source(log, clock, random);
-    const methods = new Methods();
-    this.mesh = new Mesh(
-      this.roster,
-      this.ranking,
-      methods,
-      new TcpDialer(codec),
-      clock,
-      random,
-      () => ({
-        member: this.roster.self,
-        version: this.replica.current.number,
-        digest: this.replica.current.digest,
-      }),
-    );
     const profile = settings.profile === 'bytes' ? new BytesProfile() : new ConvergenceProfile();
-    this.distributor = new Distributor(
-      this.replica,
-      this.mesh,
-      this.roster,
-      this.ranking,
-      profile,
-      clock,
-      methods,
-    );
-    this.#gossip = new GossipTask(
-      this.roster,
-      this.mesh,
-      this.replica,
-      clock,
-      settings.heartbeatMs,
-      methods,
+    this.control = new Control(
+      self,
+      { ...settings, profile },
+      { platform, clock, random, dialer: new TcpDialer(codec) },
     );
-    methods.on(HEARTBEAT, (peer, { version, roster }) => {
-      this.distributor.heard(peer, version);
-      this.#gossip.compare(peer, roster);
-    });
-    this.reader = new Reader(log, this.replica, this.ranking, clock, random);
-    this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    this.source = new Source(platform, clock, random);
     const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
+    this.guard.configuration = () => this.replica.current;
     this.entry = new Entry(
       () => this.replica.current,
       () => this.isReady,
@@ -137,6 +82,8 @@
       clock,
       random,
     );
+    this.entryMeter = new RequestMeter(this.entry.server, clock);
+    this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
     this.replica.onApplied(() => {
@@ -147,9 +94,7 @@
 
   /** Opens the ports, joins the others and starts all tasks. */
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
-    const replica = new Replica();
-    const guard = new Guard(surroundings.clock, () => replica.current);
-    const ports = { replica, guard, link: createServer() };
+    const ports = { guard: new Guard(surroundings.clock), link: createServer() };
     const { host } = settings;
     const linkPort = await bind(ports.link, host, settings.linkPort);
     const guardPort = await bind(ports.guard.server, host, settings.guardPort);
@@ -171,7 +116,19 @@
 
   /** Whether requests may be taken: the configuration held is known not to be an old one. */
   get isReady(): boolean {
-    return this.replica.current.number > 0;
+    return this.control.readiness.isReady;
+  }
+
+  get replica(): Replica {
+    return this.control.replica;
+  }
+
+  get surveyor(): Surveyor {
+    return this.control.surveyor;
+  }
+
+  get roster(): Roster {
+    return this.control.roster;
   }
 
   get callerPort(): number {
@@ -184,48 +141,28 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.roster.leave();
-    this.#stopping.abort();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
-    await this.mesh[Symbol.asyncDispose]();
+    await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
-    await Promise.all(this.#tasks);
     this.journal.record('stopped');
   }
 
   async #open(): Promise<void> {
     const { codec } = this.surroundings;
     const { host, callerPort, operatorsPort } = this.settings;
-    this.#linkServer.on('connection', (socket) => this.mesh.accept(new TcpLink(socket, codec)));
+    this.#linkServer.on('connection', (socket) =>
+      this.control.mesh.accept(new TcpLink(socket, codec)),
+    );
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, callerPort);
-    const { signal } = this.#stopping;
-    this.#tasks.push(
-      this.#seek(signal),
-      this.reader.run(signal),
-      this.#directory.run(signal),
-      this.#gossip.run(signal),
-    );
+    this.control.start();
     this.journal.record('started', { callerPort: this.callerPort });
   }
-
-  /** Looks for others, first at the addresses from the settings, until one is found. */
-  async #seek(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.surroundings;
-    while (!signal.aborted && this.mesh.peers.length === 0) {
-      for (const address of this.settings.peers) await this.mesh.introduce(address);
-      if (this.mesh.peers.length > 0) return;
-      await this.#directory.read().catch(() => {});
-      const wait = SEEK_EVERY_MS + random.jitter(SEEK_EVERY_MS);
-      await clock.sleepUntil(clock.now() + wait, signal);
-    }
-  }
 }
 
-/** What stands before the instance does. */
 interface OpenPorts {
-  readonly replica: Replica;
   readonly guard: Guard;
   readonly link: Server;
 }
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -5,14 +5,22 @@
 import { type Body } from './body.js';
 import { type Experience } from './experience.js';
 import { type Journey } from './journey.js';
+import { RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
+import { type FailedAttempt, type RetryBudgets } from './retry_budget.js';
 
-const MAX_ATTEMPTS = 3;
 /** How long a caller is told to wait when nobody serves what it asks for, in milliseconds. */
 const NO_ENDPOINT_MS = 1_000;
 const NONE_TRIED: ReadonlySet<Experience> = new Set();
 const STRENGTH: Record<Verdict, number> = { 'not-run': 0, 'may-have-run': 1, ran: 2 };
 
+/** A further attempt. */
+export interface Further {
+  readonly endpoint: Experience;
+  /** In milliseconds since the epoch. */
+  readonly startAt: number;
+}
+
 /** This process is the one hop that retries; a guard never does. */
 export class Attempts {
   #count = 1;
@@ -26,6 +34,7 @@
     private readonly journey: Journey,
     private readonly body: Body,
     private readonly balancer: Balancer,
+    private readonly budgets: RetryBudgets,
     private readonly clock: Clock,
   ) {}
 
@@ -38,30 +47,41 @@
     throw notRun('no-endpoint', `nobody serves ${upstream}`, retryAt);
   }
 
-  /** The endpoint to try after `endpoint` has failed; throws the outcome if there is none. */
-  next(endpoint: Experience, outcome: OutcomeError): Experience {
+  /** What to try after `endpoint` has failed; throws the outcome if there is nothing. */
+  next(endpoint: Experience, outcome: OutcomeError): Further {
     this.#note(outcome.verdict);
-    const next = this.#mayRepeat(outcome) ? this.#another(endpoint, outcome.reason) : undefined;
+    const next = this.#maySend(outcome) ? this.#another(endpoint, outcome.reason) : undefined;
     if (!next) throw this.#final(outcome);
+    const { response, route, retryPercent } = this.journey;
+    const retry = this.budgets.of(route.upstream).retry(this.#failed(outcome), retryPercent);
+    if (!retry) throw this.#final(outcome);
+    // On the answer too, whatever it will be: hops above must not retry what was retried here.
+    if (!retry.isFailover) response.setHeader(RETRIED, '1');
     this.#tried = new Set(this.#tried).add(endpoint);
     this.#count += 1;
-    return next;
-  }
-
-  /** Whether an answer by which `endpoint` shed work should be dropped and another one asked. */
-  wouldReplace(endpoint: Experience, shed: OutcomeError): boolean {
-    return this.#mayRepeat(shed) && this.#another(endpoint, shed.reason) !== undefined;
+    return { endpoint: next, startAt: retry.startAt };
   }
 
   #note(verdict: Verdict): void {
     if (STRENGTH[verdict] > STRENGTH[this.#verdict]) this.#verdict = verdict;
   }
 
-  #mayRepeat({ verdict, reason }: OutcomeError): boolean {
-    const { response, isRepeatable, deadline } = this.journey;
-    if (this.#count >= MAX_ATTEMPTS || !this.body.isWhole) return false;
-    if (response.headersSent || response.destroyed || reason === 'cancelled') return false;
-    return (verdict === 'not-run' || isRepeatable) && this.clock.now() < deadline;
+  #maySend({ reason }: OutcomeError): boolean {
+    const { response } = this.journey;
+    const isAwaited = !response.headersSent && !response.destroyed && reason !== 'cancelled';
+    return isAwaited && this.body.isWhole;
+  }
+
+  #failed({ verdict, reason }: OutcomeError): FailedAttempt {
+    const { isRepeatable, isRetriedElsewhere, deadline } = this.journey;
+    return {
+      verdict,
+      reason,
+      attempts: this.#count,
+      repeatable: isRepeatable,
+      retriedElsewhere: isRetriedElsewhere,
+      deadline,
+    };
   }
 
   #another(endpoint: Experience, reason: string): Experience | undefined {
--- a/src/requests/balancer.ts
+++ b/src/requests/balancer.ts
@@ -83,10 +83,16 @@
       // The news of it is still on its way here.
       chosen.avoidUntil = now + UNREACHABLE_MS;
     } else if (reason === 'overloaded') {
-      chosen.avoidUntil = Math.max(chosen.avoidUntil, now + this.random.jitter(OVERLOADED_MS));
+      this.shed(chosen);
     }
   }
 
+  /** Notes that the upstream instance had no room for a request. */
+  shed(chosen: Experience): void {
+    const until = this.clock.now() + this.random.jitter(OVERLOADED_MS);
+    chosen.avoidUntil = Math.max(chosen.avoidUntil, until);
+  }
+
   #failed(chosen: Experience, tolerated: number, now: number): void {
     chosen.failures += 1;
     const doublings = Math.min(MAX_DOUBLINGS, chosen.failures - tolerated);
--- a/src/requests/body.ts
+++ b/src/requests/body.ts
@@ -1,5 +1,6 @@
 /** Bodies of requests on their way to the next hop. */
 import { type ClientRequest, type IncomingMessage } from 'node:http';
+import { pipeline, type Readable } from 'node:stream';
 import { OutcomeError } from '../contracts.js';
 import { trailersOf } from './headers.js';
 
@@ -73,9 +74,7 @@
     private readonly options: StreamOptions,
   ) {
     super();
-    const length = source.headers['content-length'];
-    const size =
-      length === undefined ? ['transfer-encoding', 'chunked'] : ['content-length', length];
+    const size = framingOf(source);
     this.framing = options.waits ? [...size, 'expect', '100-continue'] : size;
   }
 
@@ -115,6 +114,26 @@
   }
 }
 
+/** A body of which the beginning was looked at; it can be sent once. */
+export class OpenedBody extends Body {
+  readonly framing: readonly string[];
+
+  readonly isWhole = false;
+
+  constructor(
+    request: IncomingMessage,
+    private readonly source: Readable,
+  ) {
+    super();
+    this.framing = framingOf(request);
+  }
+
+  send(request: ClientRequest): void {
+    // A body that breaks off leaves the exchange in doubt, and so does an early answer.
+    pipeline(this.source, request, () => {});
+  }
+}
+
 /** Whether the message head announces a body. */
 export function hasBody({ headers }: IncomingMessage): boolean {
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
@@ -164,6 +183,12 @@
   });
 }
 
+/** How the next hop is told where the body ends: as it was told here. */
+function framingOf(request: IncomingMessage): readonly string[] {
+  const length = request.headers['content-length'];
+  return length === undefined ? ['transfer-encoding', 'chunked'] : ['content-length', length];
+}
+
 function tooLarge(maxBytes: number, verdict: 'not-run' | 'may-have-run'): OutcomeError {
   const message = `the route takes ${maxBytes} bytes of body at most`;
   return new OutcomeError(message, { verdict, reason: 'body-too-large' });
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -12,7 +12,9 @@
 import { type Experience } from './experience.js';
 import {
   answerHeaders,
+  CLAIM,
   headerOf,
+  IDEMPOTENCY_KEY,
   LIMIT,
   LOAD,
   PRIORITY,
@@ -20,6 +22,8 @@
   REPEATABLE,
   REQUEST_ID,
   requestHeaders,
+  RETRIED,
+  SHED,
   TOLD_TO_CALLERS,
   UPSTREAM,
 } from './headers.js';
@@ -28,13 +32,12 @@
 import { readLoad } from './load.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
+import { RetryBudgets } from './retry_budget.js';
 import { Traffic } from './traffic.js';
 
 const MAX_SOCKETS_PER_GUARD = 256;
 /** Time for the guard's own refusal at the deadline to come back, in milliseconds. */
 const ANSWER_GRACE_MS = 50;
-/** Repeats of what may have run are spread over this time, in milliseconds. */
-const REPEAT_JITTER_MS = 20;
 const SERVER_ERROR = 500;
 
 export class Entry implements AsyncDisposable {
@@ -46,6 +49,8 @@
 
   readonly #hostility: Hostility;
 
+  readonly #budgets: RetryBudgets;
+
   /** In front of the number of a request it makes its id unique. */
   readonly #nonce: string;
 
@@ -56,8 +61,9 @@
     private readonly isReady: () => boolean,
     private readonly balancer: Balancer,
     private readonly clock: Clock,
-    private readonly random: Random,
+    random: Random,
   ) {
+    this.#budgets = new RetryBudgets(clock, random);
     this.#nonce = random.nonce();
     this.#connections = new Connections(clock, MAX_SOCKETS_PER_GUARD);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -82,7 +88,7 @@
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
     } catch (error) {
-      refuse(request, response, asOutcome(error), this.clock.now());
+      refuse(response, asOutcome(error), this.clock.now());
     }
   }
 
@@ -97,13 +103,14 @@
 
   /** Tries one endpoint after the other, as long as nothing can have run twice. */
   async #carry(journey: Journey, body: Body): Promise<void> {
-    const attempts = new Attempts(journey, body, this.balancer, this.clock);
+    const attempts = new Attempts(journey, body, this.balancer, this.#budgets, this.clock);
     let endpoint = attempts.first();
     while (true) {
-      const failure = await this.#attempt(journey, body, endpoint, attempts);
+      const failure = await this.#attempt(journey, body, endpoint);
       if (!failure) return;
-      endpoint = attempts.next(endpoint, failure);
-      if (failure.verdict !== 'not-run') await this.#pause();
+      const further = attempts.next(endpoint, failure);
+      if (further.startAt > this.clock.now()) await this.clock.sleepUntil(further.startAt);
+      endpoint = further.endpoint;
     }
   }
 
@@ -112,11 +119,10 @@
     journey: Journey,
     body: Body,
     endpoint: Experience,
-    attempts: Attempts,
   ): Promise<OutcomeError | undefined> {
     endpoint.inFlight += 1;
     try {
-      return await this.#ask(journey, body, endpoint, attempts);
+      return await this.#ask(journey, body, endpoint);
     } catch (error) {
       const outcome = asOutcome(error);
       this.balancer.refused(endpoint, outcome, undefined);
@@ -130,7 +136,6 @@
     journey: Journey,
     body: Body,
     endpoint: Experience,
-    attempts: Attempts,
   ): Promise<OutcomeError | undefined> {
     const startedAt = this.clock.now();
     const id = this.#nextId();
@@ -140,13 +145,16 @@
     const now = this.clock.now();
     const load = readLoad(headerOf(answer, LOAD));
     const refusal = refusalIn(answer, now);
-    if (refusal && (refusal.verdict !== 'ran' || attempts.wouldReplace(endpoint, refusal))) {
+    if (answer.headers[RETRIED] !== undefined) journey.isRetriedElsewhere = true;
+    if (refusal) {
       exchange.drop(answer);
       this.balancer.refused(endpoint, refusal, load);
       return refusal;
     }
     const status = answer.statusCode ?? SERVER_ERROR;
     this.balancer.answered(endpoint, now - startedAt, load, status >= SERVER_ERROR);
+    if (answer.headers[SHED] !== undefined) this.balancer.shed(endpoint);
+    this.#budgets.of(journey.route.upstream).credit(journey.retryPercent);
     journey.response.writeHead(status, answerHeaders(answer, TOLD_TO_CALLERS));
     await exchange.relay(answer, journey.response);
     return undefined;
@@ -159,6 +167,10 @@
     headers.push(UPSTREAM, route.upstream, REQUEST_ID, id, REMAINING, String(remaining));
     headers.push(PRIORITY, String(route.priority));
     if (!isRepeatable) headers.push(REPEATABLE, '0');
+    if (isRetried(journey)) headers.push(RETRIED, '1');
+    if (!isRepeatable && request.headers[IDEMPOTENCY_KEY] !== undefined) {
+      headers.push(CLAIM, route.name);
+    }
     if (route.limit !== undefined) headers.push(LIMIT, route.limit);
     return new Exchange(
       {
@@ -181,8 +193,8 @@
     this.#requests += 1;
     return `${this.#nonce}-${this.#requests}`;
   }
+}
 
-  #pause(): Promise<void> {
-    return this.clock.sleepUntil(this.clock.now() + this.random.jitter(REPEAT_JITTER_MS));
-  }
+function isRetried({ isRetriedElsewhere, response }: Journey): boolean {
+  return isRetriedElsewhere || response.hasHeader(RETRIED);
 }
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -32,7 +32,7 @@
   /** Whether it may run twice; if not it goes only over a proved connection or a new one. */
   readonly isRepeatable: boolean;
   /** Whoever waits for the answer; when it goes away, so does the exchange. */
-  readonly caller: ServerResponse;
+  readonly caller: ServerResponse | undefined;
 }
 
 /**
@@ -67,7 +67,7 @@
       this.#abandon = reject;
       const left = Math.max(0, deadline - this.clock.now());
       this.#timer = setTimeout(() => this.#fail('deadline', 'no answer in time'), left);
-      outgoing.caller.once('close', () => this.#fail('cancelled', 'the caller has gone'));
+      outgoing.caller?.once('close', () => this.#fail('cancelled', 'the caller has gone'));
       request.once('socket', (socket) => this.#watch(socket));
       request.once('response', (answer) => {
         clearTimeout(this.#timer);
@@ -112,6 +112,21 @@
     });
   }
 
+  /** Awaits `reading` of the answer by somebody else, with the same progress deadline. */
+  async watch<T>(answer: IncomingMessage, reading: Promise<T>): Promise<T> {
+    let read = answer.socket.bytesRead;
+    const timer = setInterval(() => {
+      const before = read;
+      read = answer.socket.bytesRead;
+      if (read === before) this.#fail('silent', 'the answer came to a standstill');
+    }, PROGRESS_MS);
+    try {
+      return await reading;
+    } finally {
+      clearInterval(timer);
+    }
+  }
+
   /** Reads the rest of an answer that nobody wants, so that its connection can be used again. */
   drop(answer: IncomingMessage): void {
     answer.on('error', () => {});
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -1,32 +1,39 @@
 /** The process beside an upstream instance: all work for that instance passes here. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
-import { type Configuration } from '../configuration/configuration.js';
+import { type Readable } from 'node:stream';
+import { Configuration } from '../configuration/configuration.js';
 import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
-import { type Body, EmptyBody, hasBody, StreamedBody } from './body.js';
+import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
+import { type Claims } from './claims.js';
 import { Connections } from './connections.js';
 import { Exchange } from './exchange.js';
 import {
   answerHeaders,
   CALLER_TIMEOUT,
+  CLAIM,
+  FROM_UPSTREAMS,
   headerOf,
+  IDEMPOTENCY_KEY,
   LIMIT,
   LOAD,
-  NONE,
   PRIORITY,
-  REASON,
   REMAINING,
   REPEATABLE,
   REQUEST_ID,
   requestHeaders,
+  RETRIED,
   RETRY_AFTER,
+  SHED,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
 import { Limit, type Outcome, type Ticket } from './limit.js';
 import { writeLoad } from './load.js';
+import { type HeldClaim } from './held_claim.js';
+import { runOnce } from './once.js';
+import { relayAndKeep } from './outcome.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
-import { SHED } from './relayed_refusal.js';
 import { Traffic } from './traffic.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
@@ -62,15 +69,18 @@
 
   announced: Announced | undefined;
 
+  /** Set before the first request; without it requests with a key are refused. */
+  claims: Claims | undefined;
+
+  /** Where the limits are looked up that routes name. */
+  configuration = () => Configuration.empty;
+
   readonly #connections: Connections;
 
   /** Whether this process is stopping. */
   #isLeaving = false;
 
-  constructor(
-    private readonly clock: Clock,
-    private readonly configuration: () => Configuration,
-  ) {
+  constructor(private readonly clock: Clock) {
     this.limit = new Limit(clock, DEFAULT_SLOTS);
     this.#connections = new Connections(clock, MAX_CONNECTIONS);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -111,13 +121,30 @@
     this.traffic.enter(response);
     try {
       const admission = this.#admit(request, response);
-      await this.limit.run(admission, () => this.#forward(admission));
+      const route = headerOf(request, CLAIM);
+      if (route === undefined) await this.#run(admission, () => bodyOf(request));
+      else await this.#once(admission, route);
     } catch (error) {
       if (!response.headersSent) this.#sign(request, response);
-      refuse(request, response, asOutcome(error), this.clock.now());
+      refuse(response, asOutcome(error), this.clock.now());
     }
   }
 
+  async #run(admission: Admission, body: () => Body, claim?: HeldClaim): Promise<void> {
+    await this.limit.run(admission, () => this.#forward(admission, body(), claim));
+  }
+
+  async #once(admission: Admission, route: string): Promise<void> {
+    if (!this.claims) throw notRun('store-unavailable', 'this process cannot make claims');
+    const { request, response, deadline } = admission;
+    const key = headerOf(request, IDEMPOTENCY_KEY) ?? '';
+    if (request.headers.expect !== undefined) response.writeContinue();
+    this.#sign(request, response);
+    await runOnce(this.claims, { request, response, route, key, deadline }, (source, claim) =>
+      this.#run(admission, () => openedBodyOf(request, source), claim),
+    );
+  }
+
   #admit(request: IncomingMessage, response: ServerResponse): Admission {
     const announced = this.#serving(headerOf(request, UPSTREAM) ?? 'nothing');
     const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
@@ -143,30 +170,34 @@
     return announced;
   }
 
-  async #forward(admission: Admission): Promise<Outcome> {
+  async #forward(admission: Admission, body: Body, claim?: HeldClaim): Promise<Outcome> {
     const { request, response } = admission;
     const startedAt = this.clock.now();
-    if (request.headers.expect !== undefined) response.writeContinue();
-    const exchange = this.#exchange(admission);
+    if (!claim && request.headers.expect !== undefined) response.writeContinue();
+    claim?.start();
+    const exchange = this.#exchange(admission, body, claim);
     const answer = await exchange.answer();
     const headMs = this.clock.now() - startedAt;
     const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
     const isShed = hasShed(status, answer);
     // An upstream cannot speak for barleyhaven: its own internal headers are dropped here.
-    const headers = answerHeaders(answer, NONE);
+    const headers = answerHeaders(answer, FROM_UPSTREAMS);
     headers.push(VERDICT, 'ran', REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
     headers.push(LOAD, writeLoad(this.limit.load));
-    if (isShed) headers.push(REASON, SHED);
+    if (isShed) headers.push(SHED, '1');
     response.writeHead(status, headers);
-    await exchange.relay(answer, response);
+    if (claim) claim.settle(await exchange.watch(answer, relayAndKeep(answer, response)));
+    else await exchange.relay(answer, response);
     return { headMs, isShed };
   }
 
-  #exchange({ request, response, announced, deadline }: Admission): Exchange {
+  #exchange(admission: Admission, body: Body, claim: HeldClaim | undefined): Exchange {
+    const { request, response, announced, deadline } = admission;
     const { host, port } = announced;
     const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
     const headers = requestHeaders(request);
     headers.push(CALLER_TIMEOUT, String(remaining));
+    if (request.headers[RETRIED] !== undefined) headers.push(RETRIED, '1');
     return new Exchange(
       {
         connections: this.#connections,
@@ -175,10 +206,11 @@
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers,
-        body: bodyOf(request),
+        body,
         deadline,
         isRepeatable: headerOf(request, REPEATABLE) !== '0',
-        caller: response,
+        // The end of a claimed request is awaited even when its caller has gone: it will ask again.
+        caller: claim ? undefined : response,
       },
       this.clock,
     );
@@ -197,6 +229,10 @@
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
 }
 
+function openedBodyOf(request: IncomingMessage, source: Readable): Body {
+  return hasBody(request) ? new OpenedBody(request, source) : new EmptyBody(request.method);
+}
+
 /** An upstream instance that has no room says 429, or 503 with the time to come back. */
 function hasShed(status: number, { headers }: IncomingMessage): boolean {
   if (status === TOO_MANY_REQUESTS) return true;
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -12,14 +12,28 @@
 export const PRIORITY = 'barleyhaven-priority';
 /** `0` on a request that must not run twice. */
 export const REPEATABLE = 'barleyhaven-repeatable';
+/** On answers between processes: the upstream instance refused the work for lack of room. */
+export const SHED = 'barleyhaven-shed';
 /** On answers between processes: what the guard has in hand, see `Load`. */
 export const LOAD = 'barleyhaven-load';
 
+/** Name of the route, on a request that must run under a claim. */
+export const CLAIM = 'barleyhaven-claim';
+
 /** On answers to callers: whether the request may have run. */
 export const VERDICT = 'barleyhaven-verdict';
 /** On answers to callers: the stable name of the cause. */
 export const REASON = 'barleyhaven-reason';
 
+/** On answers to callers: this is the recorded outcome of an earlier request with the same key. */
+export const REPLAYED = 'barleyhaven-replayed';
+
+/**
+ * On answers and requests: one hop has retried this request, so no other one does. Applications
+ * that make calls of their own for a request pass it on.
+ */
+export const RETRIED = 'barleyhaven-retried';
+
 /** From callers, and towards upstreams: time left for the request, in milliseconds. */
 export const CALLER_TIMEOUT = 'request-timeout-ms';
 /** From callers: the same key means the same request. */
@@ -27,7 +41,9 @@
 export const RETRY_AFTER = 'retry-after';
 
 /** Internal headers that callers get to see on answers. */
-export const TOLD_TO_CALLERS: ReadonlySet<string> = new Set([VERDICT, REASON]);
+export const TOLD_TO_CALLERS: ReadonlySet<string> = new Set([VERDICT, REASON, REPLAYED, RETRIED]);
+/** The one internal header that upstreams may set. */
+export const FROM_UPSTREAMS: ReadonlySet<string> = new Set([RETRIED]);
 export const NONE: ReadonlySet<string> = new Set();
 
 /** Headers that belong to one connection and are never passed on. */
--- a/src/requests/hostility.ts
+++ b/src/requests/hostility.ts
@@ -44,9 +44,9 @@
     server.on('connect', (_, socket) => {
       socket.end(rawRefusal(notRun('bad-request', 'tunnels are not offered')));
     });
-    server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    server.on('checkExpectation', (_: IncomingMessage, response: ServerResponse) => {
       const error = notRun('expectation-failed', 'this expectation cannot be met');
-      refuse(request, response, error, 0);
+      refuse(response, error, 0);
     });
   }
 
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -2,11 +2,14 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
 import { type Route } from '../contracts.js';
-import { CALLER_TIMEOUT, IDEMPOTENCY_KEY } from './headers.js';
+import { CALLER_TIMEOUT, IDEMPOTENCY_KEY, RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
 import { isRepeatable, routeOf } from './router.js';
 import { type Asked, askedBy } from './target.js';
 
+/** Share of retries for routes without a limit, in percent. */
+const DEFAULT_RETRY_PERCENT = 10;
+
 /** It keeps the version of the configuration that it began with. */
 export interface Journey {
   readonly request: IncomingMessage;
@@ -17,6 +20,10 @@
   readonly deadline: number;
   /** Whether it may run twice. */
   readonly isRepeatable: boolean;
+  /** Retries allowed, as a percentage of answered requests. */
+  readonly retryPercent: number;
+  /** Whether a hop above or below has retried it. */
+  isRetriedElsewhere: boolean;
 }
 
 /** Decides about a request; throws `not-run` if it cannot be carried. */
@@ -33,6 +40,7 @@
     throw notRun('key-required', 'this route insists on an Idempotency-Key');
   }
   const deadline = now + timeoutOf(request, route);
+  const limit = route.limit === undefined ? undefined : configuration.find('limit', route.limit);
   return {
     request,
     response,
@@ -40,6 +48,8 @@
     route,
     deadline,
     isRepeatable: isRepeatable(route, asked.method),
+    retryPercent: limit?.retryPercent ?? DEFAULT_RETRY_PERCENT,
+    isRetriedElsewhere: request.headers[RETRIED] !== undefined,
   };
 }
 
--- a/src/requests/limit.ts
+++ b/src/requests/limit.ts
@@ -56,9 +56,18 @@
     this.#queue = new PQueue({ concurrency: this.#slots.now });
   }
 
+  get inFlight(): number {
+    return this.#queue.pending;
+  }
+
+  get waiting(): number {
+    return this.#waiting.reduce((sum, count) => sum + count, 0);
+  }
+
+  /** As it is told to entries. */
   get load(): Load {
-    const waiting = this.#waiting.reduce((sum, count) => sum + count, 0);
-    return { inFlight: this.#queue.pending, slots: this.#slots.now, waiting };
+    const { inFlight, waiting } = this;
+    return { inFlight, slots: this.#slots.now, waiting };
   }
 
   /** Slots that the upstream instance has announced; it gets that many at most. */
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -9,6 +9,10 @@
   'bad-request': 400,
   'expectation-failed': 417,
   'key-required': 428,
+  'key-reused': 422,
+  'in-progress': 409,
+  'outcome-unknown': 409,
+  'answer-not-kept': 409,
   'slow-request': 408,
   'body-too-large': 413,
   'headers-too-large': 431,
@@ -50,18 +54,18 @@
  * Ends a request with a refusal. Once the answer has begun it can only be cut: the connection is
  * destroyed, because a clean end would make a part look whole.
  */
-export function refuse(
-  request: IncomingMessage,
-  response: ServerResponse,
-  error: OutcomeError,
-  now: number,
-): void {
+export function refuse(response: ServerResponse, error: OutcomeError, now: number): void {
+  const request = response.req;
   if (response.headersSent || response.destroyed) {
     response.destroy();
     return;
   }
   const body = bodyOf(error);
-  response.writeHead(statusOf(error), headersOf(error, body, now));
+  // Set one by one, because the meter reads them back and `writeHead` alone would not keep them.
+  for (const [name, value] of Object.entries(headersOf(error, body, now))) {
+    response.setHeader(name, value);
+  }
+  response.writeHead(statusOf(error));
   if (request.complete || request.destroyed) {
     response.end(body);
     return;
--- a/src/standins/upstream_server.ts
+++ b/src/standins/upstream_server.ts
@@ -7,6 +7,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import PQueue from 'p-queue';
 import { type EndpointState } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { listen, LOOPBACK, shut } from './listen.js';
@@ -46,6 +47,9 @@
 
   #connections = 0;
 
+  /** Requests beyond the slots wait inside the upstream, whether or not anybody still does. */
+  readonly #slots: PQueue;
+
   readonly #stopping = new AbortController();
 
   private constructor(
@@ -55,6 +59,7 @@
     super();
     this.delayMs = options.delayMs ?? 0;
     this.conduct = options.conduct;
+    this.#slots = new PQueue({ concurrency: options.slots ?? DEFAULT_SLOTS });
     this.#server = createServer((incoming, response) => void this.#serve(incoming, response));
     this.#server.keepAliveTimeout = 60_000;
     this.#server.on('connection', (socket) => {
@@ -135,12 +140,17 @@
       this.emit(response.writableFinished ? 'answered' : 'cancelled', id);
     });
     this.emit('run', id, incoming);
-    if (this.delayMs > 0) await this.clock.sleepUntil(this.clock.now() + this.delayMs);
+    await this.#work();
     const { upstream } = this.options;
     const conduct = conductOf(incoming.headers['x-conduct']) ?? this.conduct;
     await this.#treat(conduct ?? conductOf('whole')!, { incoming, response, id, upstream });
   }
 
+  async #work(): Promise<void> {
+    if (this.delayMs === 0) return;
+    await this.#slots.add(() => this.clock.sleepUntil(this.clock.now() + this.delayMs));
+  }
+
   async #treat(conduct: Conduct, call: Call): Promise<void> {
     if (await conduct.answer(call)) await this.crash();
   }
--- a/src/test/requests/path.ts
+++ b/src/test/requests/path.ts
@@ -125,7 +125,8 @@
   }
 
   async #add(name: string): Promise<void> {
-    const guard = this.#owned.use(new Guard(this.clock, () => this.configuration));
+    const guard = this.#owned.use(new Guard(this.clock));
+    guard.configuration = () => this.configuration;
     const upstream = this.#owned.use(
       await UpstreamServer.start(this.clock, { upstream: 'bookings' }),
     );
