--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -18,6 +18,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Log } from '../source/log.js';
+import { Snapshots } from '../source/snapshots.js';
 
 /** What the control part is given of the outside world. */
 export interface ControlSurroundings {
@@ -51,6 +52,9 @@
 
   readonly log: Log;
 
+  /** What this process answers on its links. */
+  readonly methods = new Methods();
+
   readonly mesh: Mesh;
 
   readonly distributor: Distributor;
@@ -75,11 +79,10 @@
     private readonly surroundings: ControlSurroundings,
   ) {
     const { platform, clock, random, dialer } = surroundings;
-    const { replica } = this;
+    const { methods, replica } = this;
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, options.fanout);
     this.log = new Log(platform);
-    const methods = new Methods();
     this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, () => ({
       member: this.roster.self,
       version: replica.current.number,
@@ -110,7 +113,8 @@
       this.distributor.heard(peer, heartbeat);
       this.#gossip.compare(peer, heartbeat.roster);
     });
-    this.reader = new Reader(this.log, replica, this.ranking, clock, random);
+    const snapshots = new Snapshots(platform, this.log);
+    this.reader = new Reader(this.log, snapshots, replica, this.ranking, clock, random);
     const confirmation = new Confirmation(
       this.reader,
       this.mesh,
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -12,6 +12,7 @@
 import { Balancer } from '../requests/balancer.js';
 import { Entry } from '../requests/entry.js';
 import { Guard } from '../requests/guard.js';
+import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Source } from '../source/source.js';
@@ -53,6 +54,8 @@
 
   readonly journal: Journal;
 
+  readonly safeguards: Safeguards;
+
   readonly #operators: OperatorsPort;
 
   readonly #linkServer: Server;
@@ -82,6 +85,10 @@
       clock,
       random,
     );
+    const { mesh, methods, ranking } = this.control;
+    const grounds = { platform, clock, random, mesh, methods, ranking };
+    this.safeguards = new Safeguards(self.instance, grounds);
+    this.safeguards.protect(this.entry, this.guard);
     this.entryMeter = new RequestMeter(this.entry.server, clock);
     this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
@@ -143,7 +150,9 @@
     this.roster.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
+    await this.safeguards[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
+    await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
     this.journal.record('stopped');
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -3,7 +3,8 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Ranking } from '../membership/ranking.js';
-import { type Log } from '../source/log.js';
+import { type Log, PAGE } from '../source/log.js';
+import { type Snapshots } from '../source/snapshots.js';
 import { type Replica } from './replica.js';
 
 /** How long one watch waits; a watch on a connection gone silent costs this long at most. */
@@ -26,8 +27,12 @@
   /** Refusals since the last step forward. */
   #refusals = 0;
 
+  /** Whether it was looked for a snapshot to start from. */
+  #hasLeapt = false;
+
   constructor(
     private readonly log: Log,
+    private readonly snapshots: Snapshots,
     private readonly replica: Replica,
     private readonly ranking: Ranking,
     private readonly clock: Clock,
@@ -54,6 +59,7 @@
    * follows it, if anything does, was refused here and so by every process.
    */
   async confirm(deadline: number): Promise<number> {
+    if (!this.#hasLeapt) await this.#leap(deadline);
     for (;;) {
       const records = await this.log.read(this.replica.current.number, deadline);
       const isWhole = this.replica.apply(records.map((record) => record.version));
@@ -63,6 +69,7 @@
 
   async #follow(signal: AbortSignal): Promise<void> {
     const deadline = this.clock.now() + WATCH_MS;
+    if (!this.#hasLeapt) await this.#leap(deadline);
     const after = this.replica.current.number;
     const records = this.caughtUp
       ? await this.log.watch(after, deadline, signal)
@@ -93,4 +100,14 @@
     const wait = RETRY_CAP_MS + this.random.jitter(cap);
     await this.clock.sleepUntil(this.clock.now() + wait, signal);
   }
+
+  /**
+   * Starts from the latest snapshot where that saves more than one page of the log. One that the
+   * replica refuses costs nothing but the replay that it should have saved.
+   */
+  async #leap(deadline: number): Promise<void> {
+    const snapshot = await this.snapshots.load(this.replica.current.number + PAGE, deadline);
+    this.#hasLeapt = true;
+    if (snapshot) this.replica.install(snapshot);
+  }
 }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -30,8 +30,10 @@
 import { BOUNDS, Hostility } from './hostility.js';
 import { type Journey, journeyOf } from './journey.js';
 import { readLoad } from './load.js';
+import { type Quarantine } from './quarantine.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
+import { headFingerprint } from './request_fingerprint.js';
 import { RetryBudgets } from './retry_budget.js';
 import { Traffic } from './traffic.js';
 
@@ -45,6 +47,9 @@
 
   readonly traffic: Traffic;
 
+  /** Set before the first request; the guards check again. */
+  quarantine: Quarantine | undefined;
+
   readonly #connections: Connections;
 
   readonly #hostility: Hostility;
@@ -85,6 +90,7 @@
     try {
       if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
       const journey = journeyOf(request, response, this.configuration(), this.clock.now());
+      this.#check(journey);
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
     } catch (error) {
@@ -92,6 +98,12 @@
     }
   }
 
+  #check({ request, route }: Journey): void {
+    if (!this.quarantine || this.quarantine.isIdle) return;
+    // Those that only their body gives away are refused by the guard.
+    this.quarantine.check(headFingerprint(route.upstream, request));
+  }
+
   async #take({ request, response, route, deadline }: Journey): Promise<Body> {
     const { maxBodyBytes } = route;
     const isTooLarge = Number(request.headers['content-length'] ?? 0) > maxBodyBytes;
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -30,10 +30,14 @@
 } from './headers.js';
 import { Limit, type Outcome, type Ticket } from './limit.js';
 import { writeLoad } from './load.js';
+import { openBody } from './fingerprint.js';
+import { type Flights } from './flights.js';
 import { type HeldClaim } from './held_claim.js';
 import { runOnce } from './once.js';
 import { relayAndKeep } from './outcome.js';
+import { type Quarantine } from './quarantine.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
+import { headFingerprint, wholeFingerprint } from './request_fingerprint.js';
 import { Traffic } from './traffic.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
@@ -51,6 +55,7 @@
 
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
 const MAX_CONNECTIONS = 100;
+const FIRST_SERVER_ERROR = 500;
 const DEFAULT_SLOTS = 20;
 const DEFAULT_REMAINING_MS = 10_000;
 const DEFAULT_PRIORITY = 5;
@@ -72,6 +77,11 @@
   /** Set before the first request; without it requests with a key are refused. */
   claims: Claims | undefined;
 
+  /** Set before the first request; without them no death is looked into. */
+  flights: Flights | undefined;
+
+  quarantine: Quarantine | undefined;
+
   /** Where the limits are looked up that routes name. */
   configuration = () => Configuration.empty;
 
@@ -122,7 +132,8 @@
     try {
       const admission = this.#admit(request, response);
       const route = headerOf(request, CLAIM);
-      if (route === undefined) await this.#run(admission, () => bodyOf(request));
+      const source = await this.#checked(admission);
+      if (route === undefined) await this.#run(admission, source);
       else await this.#once(admission, route);
     } catch (error) {
       if (!response.headersSent) this.#sign(request, response);
@@ -130,18 +141,31 @@
     }
   }
 
-  async #run(admission: Admission, body: () => Body, claim?: HeldClaim): Promise<void> {
-    await this.limit.run(admission, () => this.#forward(admission, body(), claim));
+  /** The body, still whole, of a request that is not quarantined. */
+  async #checked({ announced, request, response }: Admission): Promise<Readable> {
+    const { quarantine } = this;
+    if (!quarantine || quarantine.isIdle) return request;
+    const head = headFingerprint(announced.upstream, request);
+    quarantine.check(head);
+    if (!quarantine.needsBody(head)) return request;
+    askForBody(request, response);
+    const { prefix, body } = await openBody(request);
+    quarantine.check(wholeFingerprint(head, prefix));
+    return body;
+  }
+
+  async #run(admission: Admission, source: Readable, claim?: HeldClaim): Promise<void> {
+    await this.limit.run(admission, () => this.#watched(admission, source, claim));
   }
 
   async #once(admission: Admission, route: string): Promise<void> {
     if (!this.claims) throw notRun('store-unavailable', 'this process cannot make claims');
     const { request, response, deadline } = admission;
     const key = headerOf(request, IDEMPOTENCY_KEY) ?? '';
-    if (request.headers.expect !== undefined) response.writeContinue();
+    askForBody(request, response);
     this.#sign(request, response);
     await runOnce(this.claims, { request, response, route, key, deadline }, (source, claim) =>
-      this.#run(admission, () => openedBodyOf(request, source), claim),
+      this.#run(admission, source, claim),
     );
   }
 
@@ -170,12 +194,28 @@
     return announced;
   }
 
-  async #forward(admission: Admission, body: Body, claim?: HeldClaim): Promise<Outcome> {
+  /** Forwards, and looks into the death of the upstream instance if that is why it breaks. */
+  async #watched(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
+    const { announced, request, response } = admission;
+    const { upstream } = announced;
+    const flight = this.flights?.begin(upstream, request, source);
+    try {
+      const outcome = await this.#forward(admission, source, claim);
+      if (flight && response.statusCode < FIRST_SERVER_ERROR) this.flights?.answered(flight);
+      return outcome;
+    } catch (error) {
+      const isHandedOver = asOutcome(error).verdict !== 'not-run';
+      if (flight && isHandedOver) this.flights?.broke(flight, upstream, announced);
+      throw error;
+    }
+  }
+
+  async #forward(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
     const { request, response } = admission;
     const startedAt = this.clock.now();
-    if (!claim && request.headers.expect !== undefined) response.writeContinue();
+    if (source === request) askForBody(request, response);
     claim?.start();
-    const exchange = this.#exchange(admission, body, claim);
+    const exchange = this.#exchange(admission, bodyOf(request, source), claim);
     const answer = await exchange.answer();
     const headMs = this.clock.now() - startedAt;
     const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
@@ -223,16 +263,17 @@
   }
 }
 
+function askForBody(request: IncomingMessage, response: ServerResponse): void {
+  if (request.headers.expect !== undefined) response.writeContinue();
+}
+
 /** The entry has bounded the body; here it is passed on as it comes. */
-function bodyOf(request: IncomingMessage): Body {
+function bodyOf(request: IncomingMessage, source: Readable): Body {
   if (!hasBody(request)) return new EmptyBody(request.method);
+  if (source !== request) return new OpenedBody(request, source);
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
 }
 
-function openedBodyOf(request: IncomingMessage, source: Readable): Body {
-  return hasBody(request) ? new OpenedBody(request, source) : new EmptyBody(request.method);
-}
-
 /** An upstream instance that has no room says 429, or 503 with the time to come back. */
 function hasShed(status: number, { headers }: IncomingMessage): boolean {
   if (status === TOO_MANY_REQUESTS) return true;
