--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -75,8 +75,9 @@
       { platform, clock, random, dialer: new TcpDialer(codec) },
     );
     this.source = new Source(platform, clock, random);
-    const balancer = new Balancer(this.roster, random);
+    const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
+    this.guard.configuration = () => this.replica.current;
     this.entry = new Entry(
       () => this.replica.current,
       () => this.isReady,
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -1,37 +1,44 @@
 /** The process beside an upstream instance: all work for that instance passes here. */
-import {
-  Agent,
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Readable } from 'node:stream';
-import { pipeline } from 'node:stream/promises';
-import { type Endpoint, OutcomeError } from '../contracts.js';
+import { Configuration } from '../configuration/configuration.js';
+import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
 import { type Claims } from './claims.js';
-import { exchange } from './exchange.js';
-import { openBody } from './fingerprint.js';
-import { type Flights } from './flights.js';
+import { Connections } from './connections.js';
+import { Exchange } from './exchange.js';
 import {
+  answerHeaders,
+  CALLER_TIMEOUT,
   CLAIM,
-  endToEnd,
+  FROM_UPSTREAMS,
+  headerOf,
   IDEMPOTENCY_KEY,
-  INTERNAL_PREFIX,
+  LIMIT,
+  LOAD,
   PRIORITY,
   REMAINING,
+  REPEATABLE,
+  REQUEST_ID,
+  requestHeaders,
   RETRIED,
+  RETRY_AFTER,
+  SHED,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
+import { Limit, type Outcome, type Ticket } from './limit.js';
+import { writeLoad } from './load.js';
+import { openBody } from './fingerprint.js';
+import { type Flights } from './flights.js';
 import { type HeldClaim } from './held_claim.js';
-import { Limit } from './limit.js';
 import { runOnce } from './once.js';
 import { relayAndKeep } from './outcome.js';
 import { type Quarantine } from './quarantine.js';
-import { asOutcome, refuse } from './refusal.js';
+import { asOutcome, notRun, refuse } from './refusal.js';
 import { headFingerprint, wholeFingerprint } from './request_fingerprint.js';
+import { Traffic } from './traffic.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
 export interface Announced extends Endpoint {
@@ -39,18 +46,32 @@
   readonly port: number;
 }
 
+/** A request that came from an entry. */
+interface Admission extends Ticket {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly announced: Announced;
+}
+
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
-const MAX_CONNECTIONS = 64;
+const MAX_CONNECTIONS = 100;
 const FIRST_SERVER_ERROR = 500;
 const DEFAULT_SLOTS = 20;
-const DEFAULT_WAITING = 100;
 const DEFAULT_REMAINING_MS = 10_000;
+const DEFAULT_PRIORITY = 5;
+const MAX_PRIORITY = 9;
+/** Entries close idle connections well before, so that none is closed under a request. */
+const KEEP_ALIVE_MS = 75_000;
+const SERVICE_UNAVAILABLE = 503;
+const TOO_MANY_REQUESTS = 429;
 
 export class Guard implements AsyncDisposable {
   readonly server: Server;
 
   readonly limit: Limit;
 
+  readonly traffic: Traffic;
+
   announced: Announced | undefined;
 
   /** Set before the first request; without it requests with a key are refused. */
@@ -61,97 +82,127 @@
 
   quarantine: Quarantine | undefined;
 
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_CONNECTIONS });
+  /** Where the limits are looked up that routes name. */
+  configuration = () => Configuration.empty;
+
+  readonly #connections: Connections;
+
+  /** Whether this process is stopping. */
+  #isLeaving = false;
 
   constructor(private readonly clock: Clock) {
-    this.limit = new Limit(clock, DEFAULT_SLOTS, DEFAULT_WAITING);
-    this.server = createServer((request, response) => void this.#serve(request, response));
+    this.limit = new Limit(clock, DEFAULT_SLOTS);
+    this.#connections = new Connections(clock, MAX_CONNECTIONS);
+    const serve = (request: IncomingMessage, response: ServerResponse) =>
+      void this.#serve(request, response);
+    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, serve);
+    this.server.on('checkContinue', serve);
+    this.traffic = new Traffic(this.server, clock);
   }
 
   /** Takes over what the upstream instance says of itself. */
   announce(announced: Announced): void {
+    const before = this.announced;
     this.announced = announced;
     this.limit.slots = announced.slots;
+    this.#weighDrain();
+    const wasReady = before?.state === 'ready' || before?.state === 'draining';
+    const isOther = before?.port !== announced.port || before.host !== announced.host;
+    if (announced.state === 'ready' && (!wasReady || isOther)) this.limit.restart();
+  }
+
+  /** This process is stopping: takes no new work, also none that waits. */
+  leave(): void {
+    this.#isLeaving = true;
+    this.#weighDrain();
+    this.traffic.leave();
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.server.close();
-    this.#agent.destroy();
+    this.traffic.cut();
+    this.#connections.destroy();
+  }
+
+  #weighDrain(): void {
+    this.limit.isDraining = this.#isLeaving || this.announced?.state === 'draining';
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.traffic.enter(response);
     try {
-      const announced = this.#admitting(String(request.headers[UPSTREAM]));
-      const body = await this.#checked(announced.upstream, request);
-      const remaining = Number(request.headers[REMAINING] ?? DEFAULT_REMAINING_MS);
-      const deadline = this.clock.now() + remaining;
-      const priority = Number(request.headers[PRIORITY] ?? 0);
-      const run = (content: Readable, claim?: HeldClaim) =>
-        this.limit.run(priority, deadline, () =>
-          this.#watched(announced, request, response, deadline, content, claim),
-        );
-      const route = request.headers[CLAIM];
-      if (route === undefined) await run(body);
-      else await this.#once(request, response, String(route), deadline, run);
+      const admission = this.#admit(request, response);
+      const route = headerOf(request, CLAIM);
+      const source = await this.#checked(admission);
+      if (route === undefined) await this.#run(admission, source);
+      else await this.#once(admission, route);
     } catch (error) {
+      if (!response.headersSent) this.#sign(request, response);
       refuse(response, asOutcome(error), this.clock.now());
     }
   }
 
   /** The body, still whole, of a request that is not quarantined. */
-  async #checked(upstream: string, request: IncomingMessage): Promise<Readable> {
+  async #checked({ announced, request, response }: Admission): Promise<Readable> {
     const { quarantine } = this;
     if (!quarantine || quarantine.isIdle) return request;
-    const head = headFingerprint(upstream, request);
+    const head = headFingerprint(announced.upstream, request);
     quarantine.check(head);
     if (!quarantine.needsBody(head)) return request;
+    askForBody(request, response);
     const { prefix, body } = await openBody(request);
     quarantine.check(wholeFingerprint(head, prefix));
     return body;
   }
 
-  async #once(
-    request: IncomingMessage,
-    response: ServerResponse,
-    route: string,
-    deadline: number,
-    run: (body: Readable, claim: HeldClaim) => Promise<void>,
-  ): Promise<void> {
-    if (!this.claims) {
-      const props = { verdict: 'not-run', reason: 'store-unavailable' } as const;
-      throw new OutcomeError('this process cannot make claims', props);
-    }
-    const key = String(request.headers[IDEMPOTENCY_KEY]);
-    await runOnce(this.claims, { request, response, route, key, deadline }, run);
+  async #run(admission: Admission, source: Readable, claim?: HeldClaim): Promise<void> {
+    await this.limit.run(admission, () => this.#watched(admission, source, claim));
+  }
+
+  async #once(admission: Admission, route: string): Promise<void> {
+    if (!this.claims) throw notRun('store-unavailable', 'this process cannot make claims');
+    const { request, response, deadline } = admission;
+    const key = headerOf(request, IDEMPOTENCY_KEY) ?? '';
+    askForBody(request, response);
+    this.#sign(request, response);
+    await runOnce(this.claims, { request, response, route, key, deadline }, (source, claim) =>
+      this.#run(admission, source, claim),
+    );
+  }
+
+  #admit(request: IncomingMessage, response: ServerResponse): Admission {
+    const announced = this.#serving(headerOf(request, UPSTREAM) ?? 'nothing');
+    const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
+    const priority = within(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
+    const named = headerOf(request, LIMIT);
+    return {
+      request,
+      response,
+      announced,
+      priority: Math.floor(priority),
+      deadline: this.clock.now() + remaining,
+      limit: named === undefined ? undefined : this.configuration().find('limit', named),
+      onGone: (callback) => response.once('close', callback),
+    };
   }
 
-  #admitting(upstream: string): Announced {
+  #serving(upstream: string): Announced {
     const { announced } = this;
     if (announced?.upstream !== upstream || announced.state === 'down') {
-      const props = { verdict: 'not-run', reason: 'no-endpoint' } as const;
-      throw new OutcomeError(`${upstream} is not served here`, props);
-    }
-    if (announced.state === 'draining') {
-      const props = { verdict: 'not-run', reason: 'draining' } as const;
-      throw new OutcomeError(`${upstream} is leaving`, props);
+      throw notRun('no-endpoint', `${upstream} is not served here`);
     }
+    if (this.limit.isDraining) throw notRun('draining', `${upstream} is leaving`);
     return announced;
   }
 
   /** Forwards, and looks into the death of the upstream instance if that is why it breaks. */
-  async #watched(
-    announced: Announced,
-    request: IncomingMessage,
-    response: ServerResponse,
-    deadline: number,
-    body: Readable,
-    claim?: HeldClaim,
-  ): Promise<void> {
+  async #watched(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
+    const { announced, request, response } = admission;
     const { upstream } = announced;
-    const flight = this.flights?.begin(upstream, request, body);
+    const flight = this.flights?.begin(upstream, request, source);
     try {
-      await this.#forward(announced, request, response, deadline, body, claim);
+      const outcome = await this.#forward(admission, source, claim);
       if (flight && response.statusCode < FIRST_SERVER_ERROR) this.flights?.answered(flight);
+      return outcome;
     } catch (error) {
       const isHandedOver = asOutcome(error).verdict !== 'not-run';
       if (flight && isHandedOver) this.flights?.broke(flight, upstream, announced);
@@ -159,49 +210,77 @@
     }
   }
 
-  async #forward(
-    { host, port }: Announced,
-    request: IncomingMessage,
-    response: ServerResponse,
-    deadline: number,
-    body: Readable,
-    claim?: HeldClaim,
-  ): Promise<void> {
-    const gone = new AbortController();
-    // The end of a claimed request is awaited even when its caller has gone: it will ask again.
-    if (!claim) response.once('close', () => gone.abort());
+  async #forward(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
+    const { request, response } = admission;
+    const startedAt = this.clock.now();
+    if (source === request) askForBody(request, response);
     claim?.start();
-    const answer = await exchange(
+    const exchange = this.#exchange(admission, bodyOf(request, source), claim);
+    const answer = await exchange.answer();
+    const headMs = this.clock.now() - startedAt;
+    const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
+    const isShed = hasShed(status, answer);
+    // An upstream cannot speak for barleyhaven: its own internal headers are dropped here.
+    const headers = answerHeaders(answer, FROM_UPSTREAMS);
+    headers.push(VERDICT, 'ran', REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
+    headers.push(LOAD, writeLoad(this.limit.load));
+    if (isShed) headers.push(SHED, '1');
+    response.writeHead(status, headers);
+    if (claim) claim.settle(await exchange.watch(answer, relayAndKeep(answer, response)));
+    else await exchange.relay(answer, response);
+    return { headMs, isShed };
+  }
+
+  #exchange(admission: Admission, body: Body, claim: HeldClaim | undefined): Exchange {
+    const { request, response, announced, deadline } = admission;
+    const { host, port } = announced;
+    const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
+    const headers = requestHeaders(request);
+    headers.push(CALLER_TIMEOUT, String(remaining));
+    if (request.headers[RETRIED] !== undefined) headers.push(RETRIED, '1');
+    return new Exchange(
       {
-        agent: this.#agent,
+        connections: this.#connections,
         host,
         port,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        headers: outward(request),
+        headers,
         body,
         deadline,
-        cancelled: gone.signal,
+        isRepeatable: headerOf(request, REPEATABLE) !== '0',
+        // The end of a claimed request is awaited even when its caller has gone: it will ask again.
+        caller: claim ? undefined : response,
       },
       this.clock,
     );
-    const headers = endToEnd(answer.headers, false);
-    response.writeHead(answer.statusCode ?? 502, {
-      ...headers,
-      [VERDICT]: 'ran',
-      ...(answer.headers[RETRIED] !== undefined && { [RETRIED]: '1' }),
-    });
-    // An upstream cannot speak for barleyhaven: its own verdict headers were dropped above.
-    if (claim) claim.settle(await relayAndKeep(answer, response));
-    else await pipeline(answer, response);
   }
-}
 
-function outward(request: IncomingMessage): Record<string, string | string[]> {
-  const headers = endToEnd(request.headers, true);
-  const remaining = headers[REMAINING];
-  for (const name of Object.keys(headers)) {
-    if (name.startsWith(INTERNAL_PREFIX) && name !== RETRIED) delete headers[name];
+  /** Headers by which an entry knows that a refusal is for its request. */
+  #sign(request: IncomingMessage, response: ServerResponse): void {
+    response.setHeader(REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
+    response.setHeader(LOAD, writeLoad(this.limit.load));
   }
-  return remaining === undefined ? headers : { ...headers, 'request-timeout-ms': remaining };
+}
+
+function askForBody(request: IncomingMessage, response: ServerResponse): void {
+  if (request.headers.expect !== undefined) response.writeContinue();
+}
+
+/** The entry has bounded the body; here it is passed on as it comes. */
+function bodyOf(request: IncomingMessage, source: Readable): Body {
+  if (!hasBody(request)) return new EmptyBody(request.method);
+  if (source !== request) return new OpenedBody(request, source);
+  return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
+}
+
+/** An upstream instance that has no room says 429, or 503 with the time to come back. */
+function hasShed(status: number, { headers }: IncomingMessage): boolean {
+  if (status === TOO_MANY_REQUESTS) return true;
+  return status === SERVICE_UNAVAILABLE && headers[RETRY_AFTER] !== undefined;
+}
+
+function within(text: string | undefined, otherwise: number, most: number): number {
+  const value = Number(text ?? otherwise);
+  return value >= 0 ? Math.min(value, most) : otherwise;
 }
