Keep links, news and rosters bounded, and suspect on evidence only

Cause: whole rosters were exchanged on every opened link, news was flooded back to where it came from, any closed link raised a suspicion (a duplicate's or a retired one's too), links were never given up, and a cut between data centres was never mended.

Change: news goes to neighbours that do not know it; rosters are compared by 64 bucket hashes and only differing statements travel, with a bounded rate; a death told in bulk is taken as a suspicion. Upkeep redials with full jitter and a growing cap, suspects only after a dial that failed, and closes links that serve neither end. Links are admitted at 50 a second. Readers probe the dead. Suspicions have deadlines, which start anew after a pause; the dead are remembered for an hour and 2,048 at most. The upstream's announcement is a lease. The directory holds registrations only, within a budget of calls, and lone processes read it in growing windows. A stop tells its neighbours before links close.

Directory, bootstrap, probe and lease still lack tests of their own.

--- a/src/contracts/member.ts
+++ b/src/contracts/member.ts
@@ -31,7 +31,7 @@
   operatorsPort: z.number().int(),
   /** Start of the process, in milliseconds since the epoch; raised to refute what others say. */
   incarnation: z.number().int(),
-  /** Raised by the member itself with every change of its endpoint. */
+  /** Raised by the member itself with every change of its endpoint; -1 in a registration. */
   sequence: z.number().int(),
   liveness: Liveness,
   endpoint: Endpoint.optional(),
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -9,8 +9,11 @@
 import { HEARTBEAT } from '../distribution/methods.js';
 import { Reader } from '../distribution/reader.js';
 import { Replica } from '../distribution/replica.js';
+import { EndpointLease } from '../membership/announcement.js';
+import { Bootstrap } from '../membership/bootstrap.js';
 import { Directory } from '../membership/directory.js';
 import { GossipTask } from '../membership/gossip.js';
+import { Probe } from '../membership/probe.js';
 import { Ranking } from '../membership/ranking.js';
 import { Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
@@ -35,8 +38,8 @@
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
-/** How often a starting process looks for others, in milliseconds. */
-const SEEK_EVERY_MS = 500;
+/** How long a stop waits for the neighbours to hear of it, in milliseconds. */
+const FAREWELL_MS = 500;
 
 /**
  * @example
@@ -65,9 +68,16 @@
 
   readonly journal: Journal;
 
-  readonly #directory: Directory;
+  readonly directory: Directory;
 
-  readonly #gossip: GossipTask;
+  readonly gossip: GossipTask;
+
+  /** What the upstream instance beside this process announces. */
+  readonly endpointLease: EndpointLease;
+
+  readonly #bootstrap: Bootstrap;
+
+  readonly #probe: Probe;
 
   readonly #operators: OperatorsPort;
 
@@ -113,22 +123,27 @@
       clock,
       methods,
     );
-    this.#gossip = new GossipTask(
+    this.gossip = new GossipTask(
       this.roster,
       this.mesh,
       this.replica,
       clock,
+      random,
       settings.heartbeatMs,
       methods,
     );
     methods.on(HEARTBEAT, (peer, { version, roster }) => {
       this.distributor.heard(peer, version);
-      this.#gossip.compare(peer, roster);
+      this.gossip.compare(peer, roster);
     });
     this.reader = new Reader(log, this.replica, this.ranking, clock, random);
-    this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    this.directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    this.#bootstrap = new Bootstrap(settings.peers, this.mesh, this.directory, clock, random);
+    this.#probe = new Probe(this.roster, this.ranking, this.mesh, clock, random, settings.peers);
     const balancer = new Balancer(this.roster, random);
     this.guard = ports.guard;
+    this.endpointLease = new EndpointLease(this.roster, clock);
+    this.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
     this.entry = new Entry(
       () => this.replica.current,
       () => this.isReady,
@@ -181,6 +196,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.roster.leave();
+    await this.gossip.news.settle(this.surroundings.clock.now() + FAREWELL_MS);
     this.#stopping.abort();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
@@ -199,25 +215,16 @@
     await bind(this.entry.server, host, callerPort);
     const { signal } = this.#stopping;
     this.#tasks.push(
-      this.#seek(signal),
+      this.#bootstrap.run(signal),
+      this.mesh.run(signal),
+      this.#probe.run(signal),
+      this.endpointLease.run(signal),
       this.reader.run(signal),
-      this.#directory.run(signal),
-      this.#gossip.run(signal),
+      this.directory.run(signal),
+      this.gossip.run(signal),
     );
     this.journal.record('started', { callerPort: this.callerPort });
   }
-
-  /** Looks for others, first at the addresses from the settings, until one is found. */
-  async #seek(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.surroundings;
-    while (!signal.aborted && this.mesh.peers.length === 0) {
-      for (const address of this.settings.peers) await this.mesh.introduce(address);
-      if (this.mesh.peers.length > 0) return;
-      await this.#directory.read().catch(() => {});
-      const wait = SEEK_EVERY_MS + random.jitter(SEEK_EVERY_MS);
-      await clock.sleepUntil(clock.now() + wait, signal);
-    }
-  }
 }
 
 interface OpenPorts {
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { JSONRPCErrorException, JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
 import { z } from 'zod';
-import { Endpoint, OutcomeError, ReleaseNote } from '../contracts.js';
+import { OutcomeError, ReleaseNote } from '../contracts.js';
+import { Announcement } from '../membership/announcement.js';
 import { type Instance } from './instance.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
@@ -10,7 +11,6 @@
 /** JSON-RPC error code for calls whose outcome is told by a verdict. */
 export const OUTCOME_CODE = -32_000;
 
-const Announcement = Endpoint.extend({ host: z.string(), port: z.number().int() });
 const History = z.strictObject({ note: z.string().optional() });
 
 export class OperatorsPort implements AsyncDisposable {
@@ -72,8 +72,7 @@
         return;
       }
       case '/announcement': {
-        const announced = Announcement.parse(JSON.parse(await read(request)));
-        this.#announce(announced);
+        this.instance.endpointLease.take(Announcement.parse(JSON.parse(await read(request))));
         answer(response, 200, {});
         return;
       }
@@ -105,15 +104,6 @@
     response.once('close', () => gone.abort());
     await replica.above(above, until, surroundings.clock, gone.signal);
   }
-
-  #announce(announced: z.infer<typeof Announcement>): void {
-    const { guard, roster } = this.instance;
-    const { upstream, state, slots } = announced;
-    const before = roster.self.endpoint;
-    guard.announce(announced);
-    const same = before?.upstream === upstream && before.state === state && before.slots === slots;
-    if (!same) roster.announce({ upstream, state, slots });
-  }
 }
 
 function answer(response: ServerResponse, status: number, body: unknown): void {
--- a/src/distribution/mesh.ts
+++ b/src/distribution/mesh.ts
@@ -1,35 +1,33 @@
 /** The links of one process: kept to its neighbours, answered from anybody. */
-import { type Hello, type Member } from '../contracts.js';
+import { setMaxListeners } from 'node:events';
+import { type Hello, OutcomeError } from '../contracts.js';
 import { type Link } from '../link/link.js';
 import { type Methods, Peer } from '../link/peer.js';
 import { type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
+import { Upkeep } from '../membership/upkeep.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { HELLO } from './methods.js';
+import { TokenBucket } from '../runtime/token_bucket.js';
+import { type Address, type Dialer } from './dialer.js';
+import { GOSSIP, HELLO } from './methods.js';
 
-/** Opens links; rejects when the other end is not there. */
-export abstract class Dialer {
-  abstract dial(host: string, port: number): Promise<Link>;
-}
-
-/** Where a process may be found: a member that is known, or an address from the settings. */
-export interface Address {
-  readonly host: string;
-  readonly port: number;
-}
+export { type Address, Dialer } from './dialer.js';
 
 const HELLO_TIMEOUT_MS = 2_000;
-/** Cap of the jittered wait before the next attempt to open a link, in milliseconds. */
-const REDIAL_CAP_MS = 1_000;
+/** Links accepted per second, and at once after a quiet time; the rest is turned away. */
+const ACCEPTED_PER_SECOND = 50;
+const ACCEPTED_AT_ONCE = 100;
 
 export class Mesh implements AsyncDisposable {
   readonly #peers = new Map<string, Peer>();
 
-  /** All open links, those that have not introduced themselves included. */
-  readonly #links = new Set<Link>();
+  /** The far ends of all open links, those that have not introduced themselves included. */
+  readonly #open = new Set<Peer>();
+
+  readonly #admission: TokenBucket;
 
-  readonly #dialling = new Set<string>();
+  readonly #upkeep: Upkeep;
 
   readonly #stopping = new AbortController();
 
@@ -37,20 +35,25 @@
 
   readonly #closeListeners = new Set<(peer: Peer) => void>();
 
+  #turnedAway = 0;
+
   constructor(
     private readonly roster: Roster,
-    private readonly ranking: Ranking,
+    ranking: Ranking,
     private readonly methods: Methods,
     private readonly dialer: Dialer,
     private readonly clock: Clock,
-    private readonly random: Random,
+    random: Random,
     private readonly hello: () => Hello,
   ) {
+    // A wait for each neighbour that is dialled; the default bound would log a warning at ten.
+    setMaxListeners(0, this.#stopping.signal);
+    this.#admission = new TokenBucket(clock, ACCEPTED_PER_SECOND, ACCEPTED_AT_ONCE);
+    this.#upkeep = new Upkeep(this, roster, ranking, clock, random, this.#stopping.signal);
     methods.on(HELLO, (peer, theirs) => {
       this.#opened(peer, theirs);
       return this.hello();
     });
-    roster.onNews(() => this.#tend());
   }
 
   /** Peers that have introduced themselves. */
@@ -58,6 +61,16 @@
     return [...this.#peers.values()];
   }
 
+  /** Links that are open, those that have not introduced themselves included. */
+  get linksOpen(): number {
+    return this.#open.size;
+  }
+
+  /** Links that were turned away because too many came at once. */
+  get turnedAway(): number {
+    return this.#turnedAway;
+  }
+
   peer(instance: string): Peer | undefined {
     return this.#peers.get(instance);
   }
@@ -70,66 +83,99 @@
     this.#closeListeners.add(listener);
   }
 
-  /** Answers a link that another process has opened. */
-  accept(link: Link): void {
-    this.#watchOver(new Peer(link, this.methods, this.clock));
+  /** Closes links that serve neither end any more, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await this.#upkeep.run(signal);
   }
 
-  /** Opens links to the neighbours that have none yet. */
-  #tend(): void {
-    for (const member of this.ranking.neighbours) void this.#keep(member);
+  /**
+   * Answers a link that another process has opened. After a herd's death all others dial at once;
+   * a relay that greeted them all would miss its heartbeats and be taken for dead itself. Whoever
+   * is turned away comes back later, with jitter, and takes it for no sign of death.
+   */
+  accept(link: Link): void {
+    if (this.#stopping.signal.aborted || !this.#admission.take()) {
+      this.#turnedAway += 1;
+      link.close();
+      return;
+    }
+    const peer = new Peer(link, this.methods, this.clock);
+    this.#watchOver(peer);
+    void this.#awaitHello(peer);
   }
 
-  /** Opens a link to an address from the settings; undefined if nobody is there. */
-  async introduce({ host, port }: Address): Promise<Peer | undefined> {
+  /**
+   * Opens a link. Rejects with an `OutcomeError` of reason `unreachable`, or `turned-away` if the
+   * far end closed the link before it introduced itself.
+   */
+  async dial({ host, port }: Address): Promise<Peer> {
+    const link = await this.dialer.dial(host, port);
+    const peer = new Peer(link, this.methods, this.clock);
+    peer.isDialled = true;
+    this.#watchOver(peer);
+    if (this.#stopping.signal.aborted) link.close();
     try {
-      const link = await this.dialer.dial(host, port);
-      const peer = new Peer(link, this.methods, this.clock);
-      peer.isDialled = true;
-      this.#watchOver(peer);
       const theirs = await peer.request(HELLO, this.hello(), this.clock.now() + HELLO_TIMEOUT_MS);
       this.#opened(peer, theirs);
       return peer;
-    } catch {
-      return undefined;
+    } catch (cause) {
+      const reason = link.closed.aborted ? 'turned-away' : 'unreachable';
+      link.close();
+      throw new OutcomeError(
+        `no hello from ${host}:${port}`,
+        { verdict: 'not-run', reason },
+        {
+          cause,
+        },
+      );
     }
   }
 
+  /** Opens a link to an address from the settings; undefined if nobody is there. */
+  async introduce(address: Address): Promise<Peer | undefined> {
+    return this.dial(address).catch(() => undefined);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
-    for (const link of [...this.#links]) link.close();
-  }
-
-  /** Keeps a link to `member` as long as it is a neighbour. */
-  async #keep(member: Member): Promise<void> {
-    const { instance } = member;
-    if (this.#dialling.has(instance) || this.#peers.has(instance)) return;
-    this.#dialling.add(instance);
-    while (!this.#stopping.signal.aborted && !this.#peers.has(instance)) {
-      const current = this.ranking.neighbours.find((other) => other.instance === instance);
-      if (!current) break;
-      const peer = await this.introduce({ host: current.host, port: current.linkPort });
-      if (peer || this.#peers.has(instance)) break;
-      this.roster.mark(instance, 'suspect');
-      const wait = this.random.jitter(REDIAL_CAP_MS);
-      await this.clock.sleepUntil(this.clock.now() + wait, this.#stopping.signal);
-    }
-    this.#dialling.delete(instance);
+    for (const peer of [...this.#open]) peer.link.close();
   }
 
   #watchOver(peer: Peer): void {
-    this.#links.add(peer.link);
+    this.#open.add(peer);
     peer.link.closed.addEventListener('abort', () => this.#closed(peer), { once: true });
   }
 
+  /** A link on which nobody introduces itself would be kept for good: no heartbeat judges it. */
+  async #awaitHello(peer: Peer): Promise<void> {
+    await this.clock.sleepUntil(this.clock.now() + HELLO_TIMEOUT_MS, peer.link.closed);
+    if (!peer.hello) peer.link.close();
+  }
+
   #opened(peer: Peer, hello: Hello): void {
+    const { instance } = hello.member;
+    if (instance === this.roster.self.instance) {
+      // One of the addresses in the settings is often the process's own.
+      peer.link.close();
+      return;
+    }
     peer.hello = hello;
     peer.version = Math.max(peer.version, hello.version);
     if (!this.#enter(peer, hello)) return;
-    this.roster.merge([hello.member]);
+    this.roster.merge([hello.member], { instance });
+    this.#contradict(peer);
     for (const listener of this.#openListeners) listener(peer);
   }
 
+  /** A peer that is believed dead, or has a clock behind its earlier life's, must learn of it. */
+  #contradict(peer: Peer): void {
+    const held = this.roster.get(peer.member!.instance)!;
+    const { incarnation } = peer.member!;
+    if (held.incarnation > incarnation || held.liveness !== 'alive') {
+      peer.notify(GOSSIP, { members: [held] });
+    }
+  }
+
   /**
    * Two processes that dial each other at once end up with two links, and each might use another
    * one: both would look silent. The link dialled by the lower instance prevails. Only its dialler
@@ -147,11 +193,16 @@
   }
 
   #closed(peer: Peer): void {
-    this.#links.delete(peer.link);
+    this.#open.delete(peer);
     const instance = peer.member?.instance;
     if (instance === undefined || this.#peers.get(instance) !== peer) return;
     this.#peers.delete(instance);
+    // The far end may have chosen the other one of two links to the same process.
+    const other = [...this.#open].find(({ member }) => member?.instance === instance);
+    if (other) {
+      this.#peers.set(instance, other);
+      return;
+    }
     for (const listener of this.#closeListeners) listener(peer);
-    if (!this.#stopping.signal.aborted) this.#tend();
   }
 }
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -1,6 +1,7 @@
 /** The methods that processes offer each other. */
 import { z } from 'zod';
 import {
+  BucketHashes,
   Gossip,
   Heartbeat,
   Hello,
@@ -9,6 +10,8 @@
   Push,
   Recall,
   Recalled,
+  RosterDifference,
+  RosterExchange,
   Scope,
   Survey,
 } from '../contracts.js';
@@ -25,10 +28,16 @@
 export const PUSH: Method<Push, unknown> = { name: 'push', params: Push, result: Nothing };
 export const PULL: Method<Pull, Pulled> = { name: 'pull', params: Pull, result: Pulled };
 export const GOSSIP: Method<Gossip, unknown> = { name: 'gossip', params: Gossip, result: Nothing };
-/** Exchanges whole rosters; run when two neighbours' rosters differ for long. */
-export const RECONCILE: Method<Gossip, Gossip> = {
+/** Asks where the rosters of two neighbours differ. */
+export const RECONCILE: Method<BucketHashes, RosterDifference> = {
   name: 'reconcile',
-  params: Gossip,
+  params: BucketHashes,
+  result: RosterDifference,
+};
+/** Exchanges the statements that differ. */
+export const EXCHANGE: Method<RosterExchange, Gossip> = {
+  name: 'exchange',
+  params: RosterExchange,
   result: Gossip,
 };
 export const RECALL: Method<Recall, Recalled> = {
--- /dev/null
+++ b/src/membership/announcement.ts
@@ -0,0 +1,82 @@
+/** What the upstream instance beside a process says of itself, again and again. */
+import { z } from 'zod';
+import { Endpoint } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Roster } from './roster.js';
+
+/** Body of `PUT /announcement`: the endpoint, and where this process reaches it. */
+export const Announcement = Endpoint.extend({ host: z.string(), port: z.number().int() });
+export type Announcement = z.infer<typeof Announcement>;
+
+/** An announcement holds for this long, in milliseconds; upstreams repeat it several times. */
+export const LEASE_MS = 3_000;
+/** Announcements do not bring back an endpoint that has just refused, for so long. */
+export const REFUSED_MS = 1_000;
+const CHECK_EVERY_MS = 250;
+/** Waking up so much too late means that the process was paused, in milliseconds. */
+const PAUSED_MS = 1_000;
+
+/**
+ * An upstream that crashes cannot say that it is down, so what it announces is a lease. Each
+ * change goes out to all processes at once.
+ */
+export class EndpointLease {
+  #last: Announcement | undefined;
+
+  #deadline = 0;
+
+  #refusedUntil = 0;
+
+  readonly #listeners = new Set<(announcement: Announcement) => void>();
+
+  constructor(
+    private readonly roster: Roster,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Calls `listener` with each announcement taken, and with the state `down` if it ends. */
+  onTaken(listener: (announcement: Announcement) => void): void {
+    this.#listeners.add(listener);
+  }
+
+  /** Takes an announcement and renews the lease. */
+  take(announcement: Announcement): void {
+    const now = this.clock.now();
+    this.#deadline = now + LEASE_MS;
+    // An upstream that is dying may still announce itself while its port refuses.
+    const isRefusing = now < this.#refusedUntil && announcement.state === 'ready';
+    this.#set(isRefusing ? { ...announcement, state: 'down' } : announcement);
+  }
+
+  /** Ends the lease at once: a connection to the upstream instance was refused. */
+  refused(): void {
+    this.#refusedUntil = this.clock.now() + REFUSED_MS;
+    this.#end();
+  }
+
+  /** Ends the lease when announcements stay away, until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      const wakeAt = this.clock.now() + CHECK_EVERY_MS;
+      await this.clock.sleepUntil(wakeAt, signal);
+      const now = this.clock.now();
+      // After a pause of this process the announcements of that time are still unread.
+      if (now - wakeAt > PAUSED_MS) this.#deadline = now + LEASE_MS;
+      if (now >= this.#deadline && !signal.aborted) this.#end();
+    }
+  }
+
+  #end(): void {
+    const last = this.#last;
+    if (last && last.state !== 'down') this.#set({ ...last, state: 'down' });
+  }
+
+  #set(announcement: Announcement): void {
+    this.#last = announcement;
+    for (const listener of this.#listeners) listener(announcement);
+    const { upstream, state, slots } = announcement;
+    const held = this.roster.self.endpoint;
+    const isSame = held?.upstream === upstream && held.state === state && held.slots === slots;
+    if (!isSame) this.roster.announce({ upstream, state, slots });
+  }
+}
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -1,31 +1,50 @@
-/** Registration in the platform: one object per data centre, written by its readers only. */
-import { z } from 'zod';
-import { Member } from '../contracts.js';
+/** Registration in the platform: one object per data centre, written by its root only. */
 import { type Platform, type Stored } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { TokenBucket } from '../runtime/token_bucket.js';
 import { type Ranking } from './ranking.js';
+import { type Registration, registrationOf, Registrations, statementOf } from './registration.js';
 import { type Roster } from './roster.js';
+import { isGone } from './statement.js';
 
 const PREFIX = 'directory/';
-const Listing = z.strictObject({ members: z.array(Member) });
 
 const CALL_TIMEOUT_MS = 2_000;
-/** A data centre's object is written this often at most, in milliseconds. */
-const WRITE_EVERY_MS = 1_000;
-/** Whether others have registered is looked up this often, in milliseconds. */
-const READ_EVERY_MS = 10_000;
-/** Members that have been dead this long are left out, in milliseconds. */
-const FORGET_MS = 60_000;
+/** Calls to the platform for membership by one process: one in five seconds, never two at once. */
+export const CALLS_PER_SECOND = 0.2;
+const CALLS_AT_ONCE = 1;
+/** First look of a root after its start, and the pace of the later ones, in milliseconds. */
+const FIRST_LOOK_MS = 5_000;
+const LOOK_EVERY_MS = 10_000;
+/** What was read so long ago is read again before a write, in milliseconds. */
+const FRESH_MS = 10_000;
+/** Dead members that one write removes at most. */
+export const CLEANED_PER_WRITE = 16;
+/** Members that are registered at most, about 0.7 MB; any of them leads to the others. */
+export const MAX_REGISTERED = 4_000;
+
+/** The own data centre's object as last seen. */
+interface Seen {
+  readonly stored: Stored | undefined;
+  readonly registered: readonly Registration[];
+  readonly until: number;
+}
 
 /**
  * Were each process to register itself, a herd of 740 that starts at once would need 740 writes
- * and as many listings. One object per data centre costs the readers a few, whatever the size.
+ * and as many listings. One object per data centre costs its root a few, whatever the size.
+ *
+ * Two roots, or one that was paused, may write at once: updates are conditional on the revision
+ * that was read and merged, so the later one fails, reads again and adds to what the other wrote.
+ * The same settles a write whose answer was lost.
  */
 export class Directory {
-  #written = '';
+  readonly #calls: TokenBucket;
+
+  #seen: Seen | undefined;
 
-  #readAt = 0;
+  #conflicts = 0;
 
   constructor(
     private readonly platform: Platform,
@@ -33,58 +52,103 @@
     private readonly ranking: Ranking,
     private readonly clock: Clock,
     private readonly random: Random,
-  ) {}
+  ) {
+    this.#calls = new TokenBucket(clock, CALLS_PER_SECOND, CALLS_AT_ONCE);
+  }
 
-  /** Reads who is registered anywhere. */
-  async read(): Promise<void> {
-    const deadline = this.clock.now() + CALL_TIMEOUT_MS;
-    const stored = await this.platform.list({ prefix: PREFIX }, deadline);
-    for (const { value } of stored) this.roster.merge(Listing.parse(JSON.parse(value)).members);
-    this.#readAt = this.clock.now();
+  /** Writes that came too late, because another process had written first. */
+  get conflicts(): number {
+    return this.#conflicts;
+  }
+
+  /** Reads who is registered anywhere, when the budget of calls allows it. */
+  async read(signal: AbortSignal): Promise<void> {
+    if (await this.#calls.admit(signal)) await this.#list();
   }
 
   /** Keeps the own data centre's object up to date while this process is its root. */
   async run(signal: AbortSignal): Promise<void> {
+    let wait = FIRST_LOOK_MS + this.random.jitter(FIRST_LOOK_MS);
     while (!signal.aborted) {
-      const wait = WRITE_EVERY_MS + this.random.jitter(WRITE_EVERY_MS);
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
+      wait = LOOK_EVERY_MS;
       if (signal.aborted || !this.ranking.isRoot) continue;
       try {
-        await this.#tend();
+        await this.#tend(signal);
       } catch {
-        // The platform is away; links and heartbeats carry membership meanwhile.
+        // The platform is away, or an answer was lost: what is stored is not known any more.
+        // Links and heartbeats carry membership meanwhile.
+        this.#seen = undefined;
       }
     }
   }
 
-  async #tend(): Promise<void> {
-    if (this.clock.now() - this.#readAt >= READ_EVERY_MS) await this.read();
-    const members = this.#listed();
-    const value = JSON.stringify({ members });
-    if (value === this.#written) return;
+  async #tend(signal: AbortSignal): Promise<void> {
+    if (!this.#seen || this.#seen.until <= this.clock.now()) await this.read(signal);
+    if (!this.#seen || !this.ranking.isRoot || !this.#wanted(this.#seen.registered)) return;
+    if (!(await this.#calls.admit(signal)) || !this.ranking.isRoot) return;
+    await this.#write(this.#seen);
+  }
+
+  async #list(): Promise<void> {
     const deadline = this.clock.now() + CALL_TIMEOUT_MS;
-    const key = PREFIX + this.roster.self.dataCentre;
-    const held = await this.platform.get(key, deadline);
-    if (held) this.roster.merge(Listing.parse(JSON.parse(held.value)).members);
-    if (await this.#write(key, held, deadline)) this.#written = value;
+    const all = await this.platform.list({ prefix: PREFIX }, deadline);
+    const stored = all.find(({ key }) => key === this.#key);
+    const until = this.clock.now() + FRESH_MS;
+    this.#seen = { stored, registered: stored ? registeredIn(stored) : [], until };
+    const members = all.flatMap((object) => registeredIn(object)).map(statementOf);
+    this.roster.merge(members, { isBulk: true });
   }
 
-  async #write(key: string, held: Stored | undefined, deadline: number): Promise<boolean> {
-    const value = JSON.stringify({ members: this.#listed() });
-    const written = held
-      ? await this.platform.update(key, value, held.revision, deadline)
-      : await this.platform.create(key, value, deadline);
-    return written !== undefined;
+  async #write({ stored, registered }: Seen): Promise<void> {
+    this.#seen = undefined;
+    const members = this.#wanted(registered);
+    if (!members) return;
+    const value = JSON.stringify({ members });
+    const deadline = this.clock.now() + CALL_TIMEOUT_MS;
+    const written = stored
+      ? await this.platform.update(this.#key, value, stored.revision, deadline)
+      : await this.platform.create(this.#key, value, deadline);
+    if (!written) {
+      this.#conflicts += 1;
+      return;
+    }
+    const until = this.clock.now() + FRESH_MS;
+    this.#seen = { stored: written, registered: members, until };
   }
 
-  #listed(): Member[] {
+  /** What should be registered instead; undefined if that is what is. */
+  #wanted(registered: readonly Registration[]): Registration[] | undefined {
     const { dataCentre } = this.roster.self;
-    const oldest = this.clock.now() - FORGET_MS;
-    return this.roster
-      .all()
-      .filter((member) => member.dataCentre === dataCentre)
-      .filter((member) => member.liveness !== 'left')
-      .filter((member) => member.liveness !== 'dead' || member.incarnation > oldest)
-      .sort((a, b) => (a.instance < b.instance ? -1 : 1));
+    const members = new Map(registered.map((member) => [member.instance, member]));
+    for (const { instance } of this.#dead(registered)) members.delete(instance);
+    for (const member of this.roster.live()) {
+      if (member.dataCentre !== dataCentre) continue;
+      members.set(member.instance, registrationOf(member));
+    }
+    const sorted = [...members.values()].sort((a, b) => (a.instance < b.instance ? -1 : 1));
+    const wanted = sorted.slice(0, MAX_REGISTERED);
+    return JSON.stringify(wanted) === JSON.stringify(registered) ? undefined : wanted;
+  }
+
+  #dead(registered: readonly Registration[]): Registration[] {
+    const dead = registered.filter(({ instance, incarnation }) => {
+      const held = this.roster.get(instance);
+      return held && isGone(held) && held.incarnation >= incarnation;
+    });
+    return dead.slice(0, CLEANED_PER_WRITE);
+  }
+
+  get #key(): string {
+    return PREFIX + this.roster.self.dataCentre;
+  }
+}
+
+/** An object that cannot be read counts as empty: its root writes it anew. */
+function registeredIn({ value }: Stored): Registration[] {
+  try {
+    return Registrations.parse(JSON.parse(value)).members;
+  } catch {
+    return [];
   }
 }
--- a/src/membership/roster_digest.ts
+++ b/src/membership/roster_digest.ts
@@ -13,6 +13,8 @@
 export class RosterDigest {
   readonly #hashes = new Map<string, number>();
 
+  readonly #bucketOf = new Map<string, number>();
+
   /** Hash over each bucket, the same whatever the order in which statements came. */
   readonly buckets: number[] = Array.from({ length: BUCKETS }, () => 0);
 
@@ -28,27 +30,34 @@
     return this.#hashes.get(instance);
   }
 
+  /** The bucket in which an instance counts. */
+  bucketOf(instance: string): number {
+    return this.#bucketOf.get(instance) ?? bucketOf(instance);
+  }
+
   replace(before: Member | undefined, after: Member): void {
+    const bucket = this.bucketOf(after.instance);
     if (before) this.remove(before);
     const hash = hashOf(after);
     this.#hashes.set(after.instance, hash);
+    this.#bucketOf.set(after.instance, bucket);
     if (!isGone(after)) this.#toggle(after.instance, hash);
   }
 
   remove(member: Member): void {
     const hash = this.#hashes.get(member.instance) ?? 0;
-    this.#hashes.delete(member.instance);
     if (!isGone(member)) this.#toggle(member.instance, hash);
+    this.#hashes.delete(member.instance);
+    this.#bucketOf.delete(member.instance);
   }
 
   #toggle(instance: string, hash: number): void {
-    const bucket = bucketOf(instance);
+    const bucket = this.bucketOf(instance);
     this.buckets[bucket] = this.buckets[bucket]! ^ hash;
     this.#total ^= hash;
   }
 }
 
-/** The bucket in which an instance counts. */
-export function bucketOf(instance: string): number {
+function bucketOf(instance: string): number {
   return createHash('sha1').update(instance).digest()[0]! % BUCKETS;
 }
--- a/src/runtime/random.ts
+++ b/src/runtime/random.ts
@@ -13,6 +13,16 @@
     return Math.floor(this.next() * bound);
   }
 
+  /** The items in random order. */
+  shuffled<T>(items: readonly T[]): T[] {
+    const shuffled = [...items];
+    for (let end = shuffled.length; end > 1; end--) {
+      const chosen = this.below(end);
+      [shuffled[end - 1], shuffled[chosen]] = [shuffled[chosen]!, shuffled[end - 1]!];
+    }
+    return shuffled;
+  }
+
   /** Full jitter: a delay in [0, cap) milliseconds, which spreads a herd evenly. */
   jitter(capMs: number): number {
     return this.next() * capMs;
--- /dev/null
+++ b/src/test/membership/fleet.ts
@@ -0,0 +1,143 @@
+/** Processes that do nothing but membership, in this process and on fake timers. */
+import { install, type Clock as Timers } from '@sinonjs/fake-timers';
+import { type Member } from '../../contracts.js';
+import { type Address, Mesh } from '../../distribution/mesh.js';
+import { HEARTBEAT } from '../../distribution/methods.js';
+import { Replica } from '../../distribution/replica.js';
+import { Methods } from '../../link/peer.js';
+import { Bootstrap } from '../../membership/bootstrap.js';
+import { Directory } from '../../membership/directory.js';
+import { GossipTask } from '../../membership/gossip.js';
+import { Probe } from '../../membership/probe.js';
+import { Ranking } from '../../membership/ranking.js';
+import { Roster } from '../../membership/roster.js';
+import { TimerClock } from '../../runtime/clock.js';
+import { SeededRandom } from '../../runtime/random.js';
+import { PlatformStore } from '../../standins/platform_store.js';
+import { memberOf } from './member.js';
+import { Network, PairDialer } from './pair_link.js';
+
+const HEARTBEAT_MS = 1_000;
+const FANOUT = 8;
+
+export class Node {
+  readonly roster: Roster;
+
+  readonly ranking: Ranking;
+
+  readonly mesh: Mesh;
+
+  readonly gossip: GossipTask;
+
+  readonly directory: Directory;
+
+  readonly #stopping = new AbortController();
+
+  constructor(
+    private readonly fleet: Fleet,
+    readonly self: Member,
+    seed: number,
+    peers: readonly Address[],
+  ) {
+    const { clock, network, platform } = fleet;
+    const random = new SeededRandom(seed);
+    const replica = new Replica();
+    const methods = new Methods();
+    const port = self.linkPort;
+    this.roster = new Roster(self);
+    this.ranking = new Ranking(this.roster, FANOUT);
+    const dialer = new PairDialer(network, port);
+    const hello = () => ({ member: this.roster.self, version: 0, digest: replica.current.digest });
+    this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, hello);
+    this.gossip = new GossipTask(
+      this.roster,
+      this.mesh,
+      replica,
+      clock,
+      random,
+      HEARTBEAT_MS,
+      methods,
+    );
+    methods.on(HEARTBEAT, (peer, { roster }) => this.gossip.compare(peer, roster));
+    this.directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    network.listening.set(port, (link) => this.mesh.accept(link));
+    const { signal } = this.#stopping;
+    void new Bootstrap(peers, this.mesh, this.directory, clock, random).run(signal);
+    void new Probe(this.roster, this.ranking, this.mesh, clock, random, peers).run(signal);
+    void this.directory.run(signal);
+    void this.gossip.run(signal);
+    void this.mesh.run(signal);
+  }
+
+  get instance(): string {
+    return this.self.instance;
+  }
+
+  /** Dies as a killed process does: its port refuses and its links close. */
+  async kill(): Promise<void> {
+    this.fleet.network.listening.delete(this.self.linkPort);
+    this.#stopping.abort();
+    await this.mesh[Symbol.asyncDispose]();
+  }
+
+  /** Stops as planned. */
+  async stop(): Promise<void> {
+    this.roster.leave();
+    await this.gossip.news.settle(this.fleet.clock.now() + HEARTBEAT_MS);
+    await this.kill();
+  }
+}
+
+export class Fleet implements AsyncDisposable {
+  readonly timers: Timers = install();
+
+  readonly clock = new TimerClock();
+
+  readonly network = new Network(this.clock);
+
+  readonly platform = new PlatformStore(this.clock);
+
+  readonly nodes: Node[] = [];
+
+  /** Starts a process; its port in the network is its number. */
+  start(number: number, dataCentre = 'arima', peers: readonly number[] = []): Node {
+    const self = memberOf(`i${number}`, {
+      dataCentre,
+      linkPort: number,
+      incarnation: this.clock.now() + 1,
+    });
+    const addresses = peers.map((port) => ({ host: self.host, port }));
+    const node = new Node(this, self, number + 1, addresses);
+    this.nodes.push(node);
+    return node;
+  }
+
+  startMany(size: number, dataCentres: readonly string[] = ['arima'], peers = [0]): void {
+    for (let number = 0; number < size; number++) {
+      this.start(number, dataCentres[number % dataCentres.length], peers);
+    }
+  }
+
+  /** Passes time until `condition` holds; resolves to the time passed in milliseconds. */
+  async until(condition: () => boolean, limitMs: number, stepMs = 100): Promise<number> {
+    const from = this.clock.now();
+    while (!condition()) {
+      if (this.clock.now() - from >= limitMs) return Infinity;
+      await this.timers.tickAsync(stepMs);
+    }
+    return this.clock.now() - from;
+  }
+
+  /** Whether all of `nodes` hold exactly `size` members for alive. */
+  agrees(size: number, nodes: readonly Node[] = this.nodes): boolean {
+    const [first] = nodes;
+    return nodes.every(
+      ({ roster }) => roster.counts.alive === size && roster.hash === first!.roster.hash,
+    );
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const node of this.nodes) await node.kill();
+    this.timers.uninstall();
+  }
+}
