--- /dev/null
+++ b/src/bench/main.ts
@@ -0,0 +1,81 @@
+/** The load and experiment tool: `npm run bench -- EXPERIMENT [--json] [--processes N] [--seed S]`. */
+import { cac } from 'cac';
+import { MachineClock } from '../runtime/clock.js';
+import { type Experiment } from './experiment.js';
+import { drawReport } from './drawing.js';
+import { report as keep } from './report.js';
+import { AddedLatency } from './experiments/added_latency.js';
+import { ControlBytes } from './experiments/control_bytes.js';
+import { Convergence } from './experiments/convergence.js';
+import { Herd } from './experiments/herd.js';
+import { Overload } from './experiments/overload.js';
+import { Slopes } from './experiments/slopes.js';
+
+const clock = new MachineClock();
+const RESULTS = new URL('../../bench/results/', import.meta.url);
+const DEFAULT_SEED = 1;
+/** More would take more than half of the machine's memory. */
+const MAX_PROCESSES = 200;
+const EXIT_USAGE = 2;
+
+const experiments: readonly Experiment[] = [
+  new Convergence(clock),
+  new ControlBytes(clock),
+  new Herd(clock),
+  new AddedLatency(clock),
+  new Overload(clock),
+  new Slopes(clock),
+];
+
+interface Flags {
+  readonly json?: boolean;
+  readonly processes?: number;
+  readonly seed?: number;
+  readonly keep?: string;
+}
+
+async function run(name: string, flags: Flags): Promise<number> {
+  if (name === 'report') return draw();
+  const experiment = experiments.find((one) => one.name === name);
+  if (!experiment) {
+    console.error(
+      `no experiment ${name}; there are ${experiments.map((one) => one.name).join(', ')}`,
+    );
+    return EXIT_USAGE;
+  }
+  const processes = flags.processes ?? experiment.defaultProcesses;
+  if (!Number.isInteger(processes) || processes < 2 || processes > MAX_PROCESSES) {
+    console.error(
+      `--processes: ${processes} is not allowed: a whole number from 2 to ${MAX_PROCESSES}`,
+    );
+    return EXIT_USAGE;
+  }
+  const startedAt = clock.now();
+  const progress = (text: string) => {
+    if (flags.json) return;
+    console.error(`${((clock.now() - startedAt) / 1000).toFixed(1).padStart(6)} s  ${text}`);
+  };
+  const result = await experiment.run({ processes, seed: flags.seed ?? DEFAULT_SEED, progress });
+  const figures = { experiment: name, ...result };
+  if (flags.keep) await keep(flags.keep, figures);
+  console.log(JSON.stringify(figures));
+  return 0;
+}
+
+async function draw(): Promise<number> {
+  const drawings = await drawReport(RESULTS);
+  console.log(drawings.join('\n'));
+  return 0;
+}
+
+const tool = cac('bench');
+tool.option('--json', 'print nothing but the result');
+tool.option('--processes <n>', 'how many processes');
+tool.option('--seed <s>', 'seed of whatever is random in the bench');
+tool.option('--keep <name>', 'keep the result under bench/results/<name>.json');
+tool
+  .command('<experiment>', `${experiments.map((one) => one.name).join(', ')}, or report`)
+  .action(run);
+tool.help();
+tool.parse(process.argv, { run: false });
+process.exitCode = tool.matchedCommand ? ((await tool.runMatchedCommand()) as number) : EXIT_USAGE;
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -87,6 +87,11 @@
     return this.#live;
   }
 
+  /** How many live members have an endpoint that takes work. */
+  get endpoints(): number {
+    return this.live().filter((member) => member.endpoint?.state === 'ready').length;
+  }
+
   /** Calls `listener` with the statements that were news. */
   onNews(listener: NewsListener): void {
     this.#listeners.add(listener);
--- /dev/null
+++ b/src/requests/safeguards.ts
@@ -0,0 +1,64 @@
+/** At most once and quarantine, as one process has them: put together and handed to its parts. */
+import { type Mesh } from '../distribution/mesh.js';
+import { type Methods } from '../link/peer.js';
+import { type Ranking } from '../membership/ranking.js';
+import { type Platform } from '../platform/platform.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
+import { Bulletins } from './bulletins.js';
+import { ClaimSweep } from './claim_sweep.js';
+import { Claims } from './claims.js';
+import { type Entry } from './entry.js';
+import { Flights } from './flights.js';
+import { type Guard } from './guard.js';
+import { SingleClaims } from './single_claims.js';
+
+/** The parts of the process that the safeguards stand on. */
+export interface Grounds {
+  readonly platform: Platform;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly mesh: Mesh;
+  readonly methods: Methods;
+  readonly ranking: Ranking;
+}
+
+export class Safeguards implements AsyncDisposable {
+  readonly claims: Claims;
+
+  readonly #bulletins: Bulletins;
+
+  readonly #sweep: ClaimSweep;
+
+  readonly #stopping = new AbortController();
+
+  #sweeping: Promise<void> | undefined;
+
+  constructor(
+    instance: string,
+    private readonly grounds: Grounds,
+  ) {
+    const { platform, clock, random, mesh, methods, ranking } = grounds;
+    const store = new SingleClaims(platform, clock, random);
+    this.claims = new Claims(store, instance, clock, random);
+    this.#sweep = new ClaimSweep(platform, () => ranking.isFirst, clock);
+    this.#bulletins = new Bulletins(mesh, methods, clock, random);
+  }
+
+  /** Puts the safeguards into force; called before the first request. */
+  protect(entry: Entry, guard: Guard): void {
+    const { quarantine } = this.#bulletins;
+    entry.quarantine = quarantine;
+    guard.quarantine = quarantine;
+    guard.claims = this.claims;
+    guard.flights = new Flights(quarantine, this.grounds.clock);
+    this.#sweeping = this.#sweep.run(this.#stopping.signal);
+  }
+
+  /** Gives the ends of claims that are not written yet a last try. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stopping.abort();
+    await this.claims[Symbol.asyncDispose]();
+    await this.#sweeping;
+  }
+}
--- a/src/test/membership/fleet.ts
+++ b/src/test/membership/fleet.ts
@@ -47,7 +47,8 @@
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, FANOUT);
     const dialer = new PairDialer(network, port);
-    const hello = () => ({ member: this.roster.self, version: 0, digest: replica.current.digest });
+    const { digest } = replica.current;
+    const hello = () => ({ member: this.roster.self, version: 0, digest, isReady: true });
     this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, hello);
     this.gossip = new GossipTask(
       this.roster,
--- a/src/test/membership/pair_link.ts
+++ b/src/test/membership/pair_link.ts
@@ -1,6 +1,7 @@
 /** Links and addresses in memory: the smallest network that can refuse, swallow and cut. */
 import { OutcomeError } from '../../contracts.js';
 import { Dialer } from '../../distribution/mesh.js';
+import { HEARTBEAT } from '../../distribution/methods.js';
 import { MsgpackCodec } from '../../link/codec.js';
 import { Link } from '../../link/link.js';
 import { type Clock } from '../../runtime/clock.js';
@@ -43,7 +44,7 @@
 
   count(message: unknown): void {
     const { method = '' } = message as { method?: string };
-    if (method === 'heartbeat') return;
+    if (method === HEARTBEAT.name) return;
     const { messages, bytes } = this.traffic(method);
     const { length } = this.#codec.encode(message);
     this.sent.set(method, { messages: messages + 1, bytes: bytes + length });
