--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -78,6 +78,7 @@
     const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
     this.guard.configuration = () => this.replica.current;
+    this.control.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
     this.entry = new Entry(
       () => this.replica.current,
       () => this.isReady,
@@ -147,7 +148,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.roster.leave();
+    await this.control.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
     await this.safeguards[Symbol.asyncDispose]();
