--- a/src/bench/request_path.ts
+++ b/src/bench/request_path.ts
@@ -29,14 +29,24 @@
   static async start(clock: Clock, options: RequestPathOptions): Promise<RequestPath> {
     const shape = { processes: options.daemons, dataCentres: 1, profile: 'convergence' } as const;
     const path = new RequestPath(new Ours(shape, clock), clock);
-    await path.ours.open();
-    for (const { program } of path.ours.proxies.slice(-options.upstreams)) {
+    try {
+      await path.#open(options);
+      return path;
+    } catch (error) {
+      // Its processes would outlive the bench and keep it from ending.
+      await path[Symbol.asyncDispose]();
+      throw error;
+    }
+  }
+
+  async #open(options: RequestPathOptions): Promise<void> {
+    await this.ours.open();
+    for (const { program } of this.ours.proxies.slice(-options.upstreams)) {
       const args = ['suppers', program.ports.operatorsPort, options.slots, options.delayMs];
-      path.upstreams.push(await Program.start('bench/upstream_main', args.map(String)));
+      this.upstreams.push(await Program.start('bench/upstream_main', args.map(String)));
     }
-    await path.ours.accept(note(options));
-    await path.#answering();
-    return path;
+    await this.ours.accept(note(options));
+    await this.#answering();
   }
 
   /** Ports that callers use: of the daemons with no upstream instance beside them. */
@@ -62,9 +72,9 @@
 
   async #answering(): Promise<void> {
     const deadline = this.clock.now() + READY_MS;
-    for (const { program } of this.ours.proxies) {
+    for (const { name, program } of this.ours.proxies) {
       while (!(await this.#seesAll(program.ports.operatorsPort!))) {
-        if (this.clock.now() > deadline) throw new Error('the daemons did not become ready');
+        if (this.clock.now() > deadline) throw new Error(`${name} did not become ready`);
         await this.clock.sleepUntil(this.clock.now() + POLL_MS);
       }
     }
