--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -37,6 +37,8 @@
 
 /** How often a starting process looks for others, in milliseconds. */
 const SEEK_EVERY_MS = 500;
+/** How often one process of a data centre that is lost whole is tried, in milliseconds. */
+const REJOIN_EVERY_MS = 2_000;
 /** How long a process that finds nobody waits before it takes itself for the only one. */
 const ACQUAINT_MS = 500;
 /** How long the rosters of the first peers take to come in, in milliseconds. */
@@ -138,6 +140,7 @@
     const { signal } = this.#stopping;
     this.#tasks = [
       this.#seek(signal),
+      this.#rejoin(signal),
       this.#follow(signal),
       this.#directory.run(signal),
       this.#gossip.run(signal),
@@ -150,6 +153,25 @@
     await Promise.all(this.#tasks);
   }
 
+  /**
+   * While two data centres are cut off from each other, each takes all of the other for dead, and
+   * links are kept to the living only: with the platform away as well, they would stay apart for
+   * good. So the readers knock at a random one of the dead; those that live refute their death.
+   */
+  async #rejoin(signal: AbortSignal): Promise<void> {
+    const { clock, random } = this.surroundings;
+    while (!signal.aborted) {
+      const wait = REJOIN_EVERY_MS + random.jitter(REJOIN_EVERY_MS);
+      await clock.sleepUntil(clock.now() + wait, signal);
+      if (signal.aborted || !this.ranking.isReader) continue;
+      const reached = new Set(this.ranking.dataCentres());
+      const lost = this.roster.all().filter(({ dataCentre }) => !reached.has(dataCentre));
+      const dead = lost.filter(({ liveness }) => liveness === 'dead');
+      const member = dead[random.below(dead.length)];
+      if (member) await this.mesh.introduce({ host: member.host, port: member.linkPort });
+    }
+  }
+
   /**
    * A process that knows nobody yet ranks first and would read the log itself. When a herd starts,
    * all would do so at once; hence it gets acquainted first, for a moment.
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -6,6 +6,7 @@
 import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
 import { type Replica } from '../distribution/replica.js';
+import { type Surveyor } from '../distribution/surveyor.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { Balancer } from '../requests/balancer.js';
@@ -65,7 +66,7 @@
       { ...settings, profile },
       { platform, clock, random, dialer: new TcpDialer(codec) },
     );
-    this.source = new Source(this.control.log, clock, random);
+    this.source = new Source(platform, clock, random);
     const balancer = new Balancer(this.roster, random);
     this.guard = ports.guard;
     this.entry = new Entry(
@@ -114,6 +115,10 @@
     return this.control.replica;
   }
 
+  get surveyor(): Surveyor {
+    return this.control.surveyor;
+  }
+
   get roster(): Roster {
     return this.control.roster;
   }
