--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -5,6 +5,7 @@
 import { connect, TcpLink } from '../link/tcp_link.js';
 import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
+import { type Surveyor } from '../distribution/surveyor.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Surveyor } from '../distribution/surveyor.js';
 import { type Roster } from '../membership/roster.js';
@@ -19,6 +20,7 @@
 import { Journal } from './log.js';
 import { OperatorsPort } from './operators_port.js';
 import { bind } from './bind.js';
+import { RequestMeter } from './request_meter.js';
 import { type Settings } from './settings.js';
 
 /** What the outside world gives to a process. */
@@ -46,6 +48,10 @@
 
   readonly source: Source;
 
+  readonly entryMeter: RequestMeter;
+
+  readonly guardMeter: RequestMeter;
+
   readonly journal: Journal;
 
   readonly #operators: OperatorsPort;
@@ -76,6 +82,8 @@
       clock,
       random,
     );
+    this.entryMeter = new RequestMeter(this.entry.server, clock);
+    this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
     this.replica.onApplied(() => {
