--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -5,7 +5,6 @@
 import { connect, TcpLink } from '../link/tcp_link.js';
 import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
-import { type Surveyor } from '../distribution/surveyor.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Surveyor } from '../distribution/surveyor.js';
 import { type Roster } from '../membership/roster.js';
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -48,7 +48,7 @@
 
   readonly log = new Log(this.platform);
 
-  /** Data centres that the platform is out of reach of. */
+  /** Data centres, or single processes, that are cut off from the platform. */
   readonly cutOff = new Set<string>();
 
   /** Accepted configurations by version. */
@@ -139,7 +139,7 @@
   launch(name: string, dataCentre: string): Node {
     const gate = new Gate();
     const clock = new GatedClock(this.clock, gate);
-    const isCut = () => this.cutOff.has(dataCentre);
+    const isCut = () => this.cutOff.has(dataCentre) || this.cutOff.has(name);
     const platform = new ReachedPlatform(this.platform, clock, gate, isCut);
     const port = 1_000 + [...this.nodes.keys(), name].indexOf(name);
     const host: Host = {
