--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -4,6 +4,7 @@
   Ahead,
   Confirm,
   Confirmed,
+  Bulletin,
   Gossip,
   Heartbeat,
   Hello,
@@ -48,3 +49,9 @@
   result: Confirmed,
 };
 export const SURVEY: Method<Scope, Survey> = { name: 'survey', params: Scope, result: Survey };
+/** Deaths of upstreams and clearances of suspected requests that are news to the sender. */
+export const BULLETIN: Method<Bulletin, unknown> = {
+  name: 'bulletin',
+  params: Bulletin,
+  result: Nothing,
+};
