--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,7 +1,9 @@
 /** Runs one process of the system until it is told to stop. */
 import { once } from 'node:events';
 import { cac } from 'cac';
-import { JsonCodec, MsgpackCodec } from '../link/codec.js';
+import { type Codec, JsonCodec, MsgpackCodec } from '../link/codec.js';
+import { DeflateCodec } from '../link/deflate_codec.js';
+import { MAX_FRAME_BYTES } from '../link/tcp_link.js';
 import { HttpPlatform } from '../platform/http_platform.js';
 import { MachineClock } from '../runtime/clock.js';
 import { MachineRandom } from '../runtime/random.js';
@@ -33,7 +35,7 @@
 async function serve(settings: Settings): Promise<void> {
   const clock = new MachineClock();
   await using platform = new HttpPlatform(new URL(settings.platform), clock);
-  const codec = settings.codec === 'json' ? new JsonCodec() : new MsgpackCodec();
+  const codec = codecFor(settings);
   const random = new MachineRandom();
   await using instance = await Instance.start(settings, { platform, clock, random, codec });
   const { callerPort, operatorsPort } = instance;
@@ -42,3 +44,8 @@
   process.stdout.write(`${JSON.stringify({ event: 'listening', ...ports })}\n`);
   await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
 }
+
+function codecFor({ codec, profile }: Settings): Codec {
+  const inner = codec === 'json' ? new JsonCodec() : new MsgpackCodec();
+  return profile === 'bytes' ? new DeflateCodec(inner, MAX_FRAME_BYTES) : inner;
+}
--- a/src/link/link.ts
+++ b/src/link/link.ts
@@ -8,7 +8,10 @@
 
   abstract readonly bytesReceived: number;
 
-  /** Hands a message over for sending. A message on a closed link is dropped. */
+  /**
+   * Hands a message over for sending. A message on a closed link is dropped. Throws with verdict
+   * `not-run` if it is too large.
+   */
   abstract send(message: unknown): void;
 
   /** Sets the one receiver. Messages that came before are kept for it. */
--- a/src/link/tcp_link.ts
+++ b/src/link/tcp_link.ts
@@ -5,8 +5,11 @@
 import { Link } from './link.js';
 
 const HEADER_BYTES = 4;
-/** Larger than any snapshot page; a longer frame means that the other end talks nonsense. */
-const MAX_FRAME_BYTES = 64 * 1024 * 1024;
+/**
+ * Longest frame, in bytes: several times a page of a snapshot or the roster of a large fleet. A
+ * longer one means that the other end talks nonsense.
+ */
+export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 
 export class TcpLink extends Link {
   readonly #closing = new AbortController();
@@ -43,6 +46,7 @@
   send(message: unknown): void {
     if (this.socket.destroyed) return;
     const payload = this.codec.encode(message);
+    if (payload.length > MAX_FRAME_BYTES) throw tooLarge(payload.length);
     const header = Buffer.allocUnsafe(HEADER_BYTES);
     header.writeUInt32BE(payload.length);
     this.socket.cork();
@@ -65,7 +69,7 @@
     let buffer = this.#buffered.length > 0 ? Buffer.concat([this.#buffered, chunk]) : chunk;
     while (buffer.length >= HEADER_BYTES) {
       const end = HEADER_BYTES + buffer.readUInt32BE(0);
-      if (end > MAX_FRAME_BYTES) {
+      if (end > HEADER_BYTES + MAX_FRAME_BYTES) {
         this.close();
         return;
       }
@@ -90,6 +94,12 @@
   }
 }
 
+/** The other end would close the link on such a frame, and it would be sent again on the next. */
+function tooLarge(bytes: number): OutcomeError {
+  const message = `a message of ${bytes} bytes; ${MAX_FRAME_BYTES} are allowed`;
+  return new OutcomeError(message, { verdict: 'not-run', reason: 'too-large' });
+}
+
 /** Opens a link; rejects with verdict `not-run` when the other end is not there in time. */
 export function connect(
   host: string,
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -3,7 +3,7 @@
 import { type Change, Route, Upstream, type Version, type VersionRecord } from '../../contracts.js';
 import { Control } from '../../daemon/control.js';
 import { ConvergenceProfile, type Profile } from '../../distribution/profile.js';
-import { MsgpackCodec } from '../../link/codec.js';
+import { type Codec, MsgpackCodec } from '../../link/codec.js';
 import { type Clock } from '../../runtime/clock.js';
 import { type Random, SeededRandom } from '../../runtime/random.js';
 import { Gate, GatedClock } from '../../standins/gate.js';
@@ -27,6 +27,7 @@
   readonly profile?: Profile;
   readonly fanout?: number;
   readonly seed?: number;
+  readonly codec?: Codec;
 }
 
 const SETTLE_MS = 8_000;
@@ -56,7 +57,8 @@
 
   private constructor(private readonly options: FleetOptions) {
     this.random = new SeededRandom(options.seed ?? 7);
-    this.network = new MemoryNetwork(this.clock, this.random, new MsgpackCodec());
+    const codec = options.codec ?? new MsgpackCodec();
+    this.network = new MemoryNetwork(this.clock, this.random, codec);
   }
 
   /** Starts all processes and lets them get acquainted. */
