--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -10,14 +10,18 @@
 import { Replica } from '../distribution/replica.js';
 import { Surveyor } from '../distribution/surveyor.js';
 import { Methods } from '../link/peer.js';
+import { EndpointLease } from '../membership/announcement.js';
+import { Bootstrap } from '../membership/bootstrap.js';
 import { Directory } from '../membership/directory.js';
 import { GossipTask } from '../membership/gossip.js';
+import { Probe } from '../membership/probe.js';
 import { Ranking } from '../membership/ranking.js';
 import { Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Log } from '../source/log.js';
+import { Snapshots } from '../source/snapshots.js';
 
 /** What the control part is given of the outside world. */
 export interface ControlSurroundings {
@@ -35,14 +39,12 @@
   readonly peers: readonly Address[];
 }
 
-/** How often a starting process looks for others, in milliseconds. */
-const SEEK_EVERY_MS = 500;
-/** How often one process of a data centre that is lost whole is tried, in milliseconds. */
-const REJOIN_EVERY_MS = 2_000;
 /** How long a process that finds nobody waits before it takes itself for the only one. */
 const ACQUAINT_MS = 500;
 /** How long the rosters of the first peers take to come in, in milliseconds. */
-const ROSTER_MS = 100;
+const ROSTER_MS = 300;
+/** How long a stop waits for the neighbours to hear of it, in milliseconds. */
+const FAREWELL_MS = 500;
 
 export class Control implements AsyncDisposable {
   readonly replica = new Replica();
@@ -66,9 +68,16 @@
 
   readonly reader: Reader;
 
-  readonly #directory: Directory;
+  readonly directory: Directory;
 
-  readonly #gossip: GossipTask;
+  readonly gossip: GossipTask;
+
+  /** What the upstream instance beside this process announces. */
+  readonly endpointLease: EndpointLease;
+
+  readonly #bootstrap: Bootstrap;
+
+  readonly #probe: Probe;
 
   readonly #stopping = new AbortController();
 
@@ -76,7 +85,7 @@
 
   constructor(
     self: Member,
-    private readonly options: ControlOptions,
+    options: ControlOptions,
     private readonly surroundings: ControlSurroundings,
   ) {
     const { platform, clock, random, dialer } = surroundings;
@@ -102,19 +111,21 @@
       () => this.readiness.isReady,
     );
     this.surveyor = new Surveyor(replica, this.mesh, this.roster, this.ranking, clock, methods);
-    this.#gossip = new GossipTask(
+    this.gossip = new GossipTask(
       this.roster,
       this.mesh,
       replica,
       clock,
+      random,
       options.heartbeatMs,
       methods,
     );
     methods.on(HEARTBEAT, (peer, heartbeat) => {
       this.distributor.heard(peer, heartbeat);
-      this.#gossip.compare(peer, heartbeat.roster);
+      this.gossip.compare(peer, heartbeat.roster);
     });
-    this.reader = new Reader(this.log, replica, this.ranking, clock, random);
+    const snapshots = new Snapshots(platform, this.log);
+    this.reader = new Reader(this.log, snapshots, replica, this.ranking, clock, random);
     const confirmation = new Confirmation(
       this.reader,
       this.mesh,
@@ -134,46 +145,39 @@
       random,
     );
     this.readiness.onReady(() => this.distributor.announce());
-    this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    const { roster, ranking, mesh } = this;
+    this.directory = new Directory(platform, roster, ranking, clock, random);
+    this.endpointLease = new EndpointLease(roster, clock);
+    this.#bootstrap = new Bootstrap(options.peers, mesh, this.directory, clock, random);
+    this.#probe = new Probe(roster, ranking, mesh, clock, random, options.peers);
   }
 
   /** Joins the others and starts all tasks. */
   start(): void {
     const { signal } = this.#stopping;
     this.#tasks = [
-      this.#seek(signal),
-      this.#rejoin(signal),
+      this.#bootstrap.run(signal),
+      this.#probe.run(signal),
+      this.endpointLease.run(signal),
+      this.mesh.run(signal),
       this.#follow(signal),
-      this.#directory.run(signal),
-      this.#gossip.run(signal),
+      this.directory.run(signal),
+      this.gossip.run(signal),
     ];
   }
 
+  /** Says that this process leaves; resolves when its neighbours know. */
+  async leave(): Promise<void> {
+    this.roster.leave();
+    await this.gossip.news.settle(this.surroundings.clock.now() + FAREWELL_MS);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
     await this.mesh[Symbol.asyncDispose]();
     await Promise.all(this.#tasks);
   }
 
-  /**
-   * While two data centres are cut off from each other, each takes all of the other for dead, and
-   * links are kept to the living only: with the platform away as well, they would stay apart for
-   * good. So the readers knock at a random one of the dead; those that live refute their death.
-   */
-  async #rejoin(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.surroundings;
-    while (!signal.aborted) {
-      const wait = REJOIN_EVERY_MS + random.jitter(REJOIN_EVERY_MS);
-      await clock.sleepUntil(clock.now() + wait, signal);
-      if (signal.aborted || !this.ranking.isReader) continue;
-      const reached = new Set(this.ranking.dataCentres());
-      const lost = this.roster.all().filter(({ dataCentre }) => !reached.has(dataCentre));
-      const dead = lost.filter(({ liveness }) => liveness === 'dead');
-      const member = dead[random.below(dead.length)];
-      if (member) await this.mesh.introduce({ host: member.host, port: member.linkPort });
-    }
-  }
-
   /**
    * A process that knows nobody yet ranks first and would read the log itself. When a herd starts,
    * all would do so at once; hence it gets acquainted first, for a moment.
@@ -187,16 +191,4 @@
     await clock.sleepUntil(clock.now() + ROSTER_MS, signal);
     await Promise.all([this.reader.run(signal), this.readiness.run(signal)]);
   }
-
-  /** Looks for others, first at the addresses from the settings, until one is found. */
-  async #seek(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.surroundings;
-    while (!signal.aborted && this.mesh.peers.length === 0) {
-      for (const address of this.options.peers) await this.mesh.introduce(address);
-      if (this.mesh.peers.length > 0) return;
-      await this.#directory.read().catch(() => {});
-      const wait = SEEK_EVERY_MS + random.jitter(SEEK_EVERY_MS);
-      await clock.sleepUntil(clock.now() + wait, signal);
-    }
-  }
 }
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -75,8 +75,10 @@
       { platform, clock, random, dialer: new TcpDialer(codec) },
     );
     this.source = new Source(platform, clock, random);
-    const balancer = new Balancer(this.roster, random);
+    const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
+    this.guard.configuration = () => this.replica.current;
+    this.control.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
     this.entry = new Entry(
       () => this.replica.current,
       () => this.isReady,
@@ -146,11 +148,12 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.roster.leave();
+    await this.control.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
     await this.safeguards[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
+    await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
     this.journal.record('stopped');
--- a/src/distribution/surveyor.ts
+++ b/src/distribution/surveyor.ts
@@ -9,10 +9,12 @@
 import { type Replica } from './replica.js';
 import { mergeSurveys, surveyOf, unknownSurvey } from './survey.js';
 
-/** Each level answers this much sooner than the one above gives up, in milliseconds. */
-const LEVEL_MS = 150;
+/** Each level has this share of the time of the one above, so that it answers in time. */
+const LEVEL_SHARE = 0.8;
 /** One attempt to have a survey made by the root. */
-const ATTEMPT_MS = 1_500;
+const ATTEMPT_MS = 2_000;
+/** Processes of another data centre that are asked, one after the other. */
+const MAX_TRIES = 2;
 /** How long a survey goes on trying while the root is being replaced, in milliseconds. */
 const SURVEY_MS = 8_000;
 const RETRY_MS = 250;
@@ -104,9 +106,8 @@
     const linked = this.mesh.peers
       .filter((peer) => peer.member?.dataCentre === name)
       .sort((a, b) => Number(b.member?.instance === root) - Number(a.member?.instance === root));
-    const turns = linked.length;
-    for (const [turn, peer] of linked.entries()) {
-      const span = (inquiry.deadline - this.clock.now()) / (turns - turn);
+    const span = (inquiry.deadline - this.clock.now()) / Math.min(linked.length, MAX_TRIES);
+    for (const peer of linked.slice(0, MAX_TRIES)) {
       try {
         const deadline = this.clock.now() + span;
         return await this.#ask(peer, 'data-centre', { ...inquiry, deadline });
@@ -118,7 +119,7 @@
   }
 
   #ask(peer: Peer, scope: Scope['scope'], { head, deadline }: Inquiry): Promise<Survey> {
-    const withinMs = Math.max(0, deadline - this.clock.now() - LEVEL_MS);
+    const withinMs = (deadline - this.clock.now()) * LEVEL_SHARE;
     return peer.request(SURVEY, { scope, head, withinMs }, deadline);
   }
 
--- /dev/null
+++ b/src/requests/attempts.ts
@@ -0,0 +1,102 @@
+/** The attempts at one request: which endpoint is next, and when to give up. */
+import { OutcomeError, type Verdict } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Balancer } from './balancer.js';
+import { type Body } from './body.js';
+import { type Experience } from './experience.js';
+import { type Journey } from './journey.js';
+import { RETRIED } from './headers.js';
+import { notRun } from './refusal.js';
+import { type FailedAttempt, type RetryBudgets } from './retry_budget.js';
+
+/** How long a caller is told to wait when nobody serves what it asks for, in milliseconds. */
+const NO_ENDPOINT_MS = 1_000;
+const NONE_TRIED: ReadonlySet<Experience> = new Set();
+const STRENGTH: Record<Verdict, number> = { 'not-run': 0, 'may-have-run': 1, ran: 2 };
+
+/** A further attempt. */
+export interface Further {
+  readonly endpoint: Experience;
+  /** In milliseconds since the epoch. */
+  readonly startAt: number;
+}
+
+/** This process is the one hop that retries; a guard never does. */
+export class Attempts {
+  #count = 1;
+
+  #tried = NONE_TRIED;
+
+  /** The strongest verdict of all attempts so far. */
+  #verdict: Verdict = 'not-run';
+
+  constructor(
+    private readonly journey: Journey,
+    private readonly body: Body,
+    private readonly balancer: Balancer,
+    private readonly budgets: RetryBudgets,
+    private readonly clock: Clock,
+  ) {}
+
+  /** The endpoint to begin with. */
+  first(): Experience {
+    const { upstream } = this.journey.route;
+    const endpoint = this.balancer.choose(upstream, NONE_TRIED);
+    if (endpoint) return endpoint;
+    const retryAt = this.clock.now() + NO_ENDPOINT_MS;
+    throw notRun('no-endpoint', `nobody serves ${upstream}`, retryAt);
+  }
+
+  /** What to try after `endpoint` has failed; throws the outcome if there is nothing. */
+  next(endpoint: Experience, outcome: OutcomeError): Further {
+    this.#note(outcome.verdict);
+    const next = this.#maySend(outcome) ? this.#another(endpoint, outcome.reason) : undefined;
+    if (!next) throw this.#final(outcome);
+    const { response, route, retryPercent } = this.journey;
+    const retry = this.budgets.of(route.upstream).retry(this.#failed(outcome), retryPercent);
+    if (!retry) throw this.#final(outcome);
+    // On the answer too, whatever it will be: hops above must not retry what was retried here.
+    if (!retry.isFailover) response.setHeader(RETRIED, '1');
+    this.#tried = new Set(this.#tried).add(endpoint);
+    this.#count += 1;
+    return { endpoint: next, startAt: retry.startAt };
+  }
+
+  #note(verdict: Verdict): void {
+    if (STRENGTH[verdict] > STRENGTH[this.#verdict]) this.#verdict = verdict;
+  }
+
+  #maySend({ reason }: OutcomeError): boolean {
+    const { response } = this.journey;
+    const isAwaited = !response.headersSent && !response.destroyed && reason !== 'cancelled';
+    return isAwaited && this.body.isWhole;
+  }
+
+  #failed({ verdict, reason }: OutcomeError): FailedAttempt {
+    const { isRepeatable, isRetriedElsewhere, deadline } = this.journey;
+    return {
+      verdict,
+      reason,
+      attempts: this.#count,
+      repeatable: isRepeatable,
+      retriedElsewhere: isRetriedElsewhere,
+      deadline,
+    };
+  }
+
+  #another(endpoint: Experience, reason: string): Experience | undefined {
+    const tried = new Set(this.#tried).add(endpoint);
+    const other = this.balancer.choose(this.journey.route.upstream, tried);
+    // A connection that broke says little about the endpoint, if that is the only one.
+    return other ?? (reason === 'connection' ? endpoint : undefined);
+  }
+
+  /** "Not run" may be said of the last attempt only if it holds for those before it too. */
+  #final(outcome: OutcomeError): OutcomeError {
+    const verdict = this.#verdict;
+    if (verdict === outcome.verdict) return outcome;
+    const { message, reason, retryAt } = outcome;
+    const when = retryAt === undefined ? {} : { retryAt };
+    return new OutcomeError(message, { verdict, reason, ...when }, { cause: outcome });
+  }
+}
