--- a/src/distribution/remembered.ts
+++ b/src/distribution/remembered.ts
@@ -40,8 +40,9 @@
    */
   before(instance: string, incarnation: number): number | undefined {
     const entry = this.#entries.get(instance);
-    if (!entry) return undefined;
-    if (entry.incarnation >= incarnation) return entry.earlier;
+    // A higher incarnation is that of an earlier process if the instance's clock jumped back.
+    if (!entry || entry.incarnation > incarnation) return undefined;
+    if (entry.incarnation === incarnation) return entry.earlier;
     return entry.isSure ? entry.version : undefined;
   }
 }
