--- a/src/membership/bootstrap.ts
+++ b/src/membership/bootstrap.ts
@@ -10,7 +10,7 @@
 const KNOCK_FIRST_CAP_MS = 250;
 const KNOCK_CAP_MS = 5_000;
 /** Windows in which a process without links reads the directory, in milliseconds. */
-export const LOOKUP_FIRST_WINDOW_MS = 5_000;
+const LOOKUP_FIRST_WINDOW_MS = 8_000;
 const LOOKUP_WINDOW_MS = 60_000;
 
 /**
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -11,14 +11,16 @@
 const PREFIX = 'directory/';
 
 const CALL_TIMEOUT_MS = 2_000;
-/** Calls to the platform for membership by one process: one in five seconds, never two at once. */
-export const CALLS_PER_SECOND = 0.2;
+/** Calls to the platform for membership by one process: one in eight seconds, never two at once. */
+export const CALLS_PER_SECOND = 0.125;
 const CALLS_AT_ONCE = 1;
 /** First look of a root after its start, and the pace of the later ones, in milliseconds. */
-const FIRST_LOOK_MS = 5_000;
+const FIRST_LOOK_MS = 8_000;
 const LOOK_EVERY_MS = 10_000;
+/** Pace after failed calls at most, in milliseconds. */
+const LOOK_FAILING_MS = 40_000;
 /** What was read so long ago is read again before a write, in milliseconds. */
-const FRESH_MS = 10_000;
+const FRESH_MS = 20_000;
 /** Dead members that one write removes at most. */
 export const CLEANED_PER_WRITE = 16;
 /** Members that are registered at most, about 0.7 MB; any of them leads to the others. */
@@ -71,11 +73,12 @@
     let wait = FIRST_LOOK_MS + this.random.jitter(FIRST_LOOK_MS);
     while (!signal.aborted) {
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
-      wait = LOOK_EVERY_MS;
-      if (signal.aborted || !this.ranking.isRoot) continue;
+      if (signal.aborted) return;
       try {
-        await this.#tend(signal);
+        if (this.ranking.isRoot) await this.#tend(signal);
+        wait = LOOK_EVERY_MS;
       } catch {
+        wait = Math.min(LOOK_FAILING_MS, 2 * wait) - this.random.jitter(FIRST_LOOK_MS);
         // The platform is away, or an answer was lost: what is stored is not known any more.
         // Links and heartbeats carry membership meanwhile.
         this.#seen = undefined;
--- a/src/membership/statement.ts
+++ b/src/membership/statement.ts
@@ -25,11 +25,26 @@
     statement.sequence - held.sequence ||
     PRECEDENCE[statement.liveness] - PRECEDENCE[held.liveness];
   if (order !== 0) return order > 0;
+  // Most of what arrives is known already, and canonical texts are costly.
+  if (isSame(statement, held)) return false;
   // Two lives of an instance may have started in the same millisecond. The text decides alike
   // everywhere; the living one sees that it differs and takes a higher incarnation.
   return canonical(statement) > canonical(held);
 }
 
+function isSame(one: Member, other: Member): boolean {
+  return (
+    one.host === other.host &&
+    one.linkPort === other.linkPort &&
+    one.guardPort === other.guardPort &&
+    one.operatorsPort === other.operatorsPort &&
+    one.dataCentre === other.dataCentre &&
+    one.endpoint?.state === other.endpoint?.state &&
+    one.endpoint?.slots === other.endpoint?.slots &&
+    one.endpoint?.upstream === other.endpoint?.upstream
+  );
+}
+
 /** Short hash of a statement, a signed 32-bit number. */
 export function hashOf(member: Member): number {
   return createHash('sha1').update(canonical(member)).digest().readInt32BE(0);
--- a/src/test/distribution/mesh_test.ts
+++ b/src/test/distribution/mesh_test.ts
@@ -11,7 +11,7 @@
     await fleet.until(() => fleet.agrees(30), RETIRED_MS);
     const busiest = () => Math.max(...fleet.nodes.map(({ mesh }) => mesh.linksOpen));
     expect(busiest()).to.equal(29);
-    await fleet.timers.tickAsync(RETIRED_MS);
+    await fleet.time.advance(RETIRED_MS);
     // The parent, eight children, two members after it on the ring and two before.
     expect(busiest()).to.be.at.most(13);
     const kept = fleet.nodes.every(({ mesh, ranking }) =>
@@ -26,7 +26,7 @@
     await using fleet = new Fleet();
     const one = fleet.start(0, 'arima', [1]);
     const other = fleet.start(1, 'arima', [0]);
-    await fleet.timers.tickAsync(RETIRED_MS);
+    await fleet.time.advance(RETIRED_MS);
     expect([one.mesh.linksOpen, other.mesh.linksOpen]).to.eql([1, 1]);
     expect([one.roster.counts, other.roster.counts]).toMatchSnapshot();
     expect(one.gossip.suspicions.raised + other.gossip.suspicions.raised).to.equal(0);
@@ -40,12 +40,12 @@
     const herd = Array.from({ length: 300 }, () =>
       fleet.network.connect(9, 0, (far: Link) => relay.mesh.accept(far)),
     );
-    await fleet.timers.tickAsync(10);
+    await fleet.time.advance(10);
     expect(herd.filter(({ closed }) => !closed.aborted).length).to.equal(relay.mesh.linksOpen);
     expect([relay.mesh.linksOpen, relay.mesh.turnedAway]).toMatchSnapshot();
     const late = fleet.start(1, 'arima', [0]);
     late.roster.merge([relay.roster.self]);
-    await fleet.timers.tickAsync(15);
+    await fleet.time.advance(15);
     expect(late.mesh.peers.length).to.equal(0);
     expect(await fleet.until(() => fleet.agrees(2), 5_000)).to.be.below(5_000);
     expect(late.gossip.suspicions.raised).to.equal(0);
@@ -56,9 +56,9 @@
     await using fleet = new Fleet();
     const { mesh } = fleet.start(0);
     const link = fleet.network.connect(9, 0, (far: Link) => mesh.accept(far));
-    await fleet.timers.tickAsync(1_000);
+    await fleet.time.advance(1_000);
     expect(mesh.linksOpen).to.equal(1);
-    await fleet.timers.tickAsync(1_500);
+    await fleet.time.advance(1_500);
     expect(mesh.linksOpen).to.equal(0);
     expect(link.closed.aborted).to.equal(true);
   });
@@ -66,7 +66,7 @@
   it('keeps no link to itself', async () => {
     await using fleet = new Fleet();
     const { mesh } = fleet.start(0, 'arima', [0]);
-    await fleet.timers.tickAsync(1_000);
+    await fleet.time.advance(1_000);
     expect(mesh.linksOpen).to.equal(0);
   });
 
@@ -80,7 +80,7 @@
     await old.kill();
     const heir = fleet.start(2, 'arima', [0]);
     fleet.network.listening.set(1, (link) => heir.mesh.accept(link));
-    await fleet.timers.tickAsync(6_000);
+    await fleet.time.advance(6_000);
     expect(first.roster.get(old.instance)!.liveness).to.equal('dead');
     expect(first.roster.get(heir.instance)!.liveness).to.equal('alive');
   });
--- a/src/test/membership/fleet.ts
+++ b/src/test/membership/fleet.ts
@@ -1,5 +1,4 @@
 /** Processes that do nothing but membership, in this process and on fake timers. */
-import { install, type Clock as Timers } from '@sinonjs/fake-timers';
 import { type Member } from '../../contracts.js';
 import { type Address, Mesh } from '../../distribution/mesh.js';
 import { HEARTBEAT } from '../../distribution/methods.js';
@@ -11,9 +10,9 @@
 import { Probe } from '../../membership/probe.js';
 import { Ranking } from '../../membership/ranking.js';
 import { Roster } from '../../membership/roster.js';
-import { TimerClock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { PlatformStore } from '../../standins/platform_store.js';
+import { FakeTime } from '../fake_time.js';
 import { memberOf } from './member.js';
 import { Network, PairDialer } from './pair_link.js';
 
@@ -90,9 +89,9 @@
 }
 
 export class Fleet implements AsyncDisposable {
-  readonly timers: Timers = install();
+  readonly time = new FakeTime();
 
-  readonly clock = new TimerClock();
+  readonly clock = this.time.clock;
 
   readonly network = new Network(this.clock);
 
@@ -124,7 +123,7 @@
     const from = this.clock.now();
     while (!condition()) {
       if (this.clock.now() - from >= limitMs) return Infinity;
-      await this.timers.tickAsync(stepMs);
+      await this.time.advance(stepMs);
     }
     return this.clock.now() - from;
   }
@@ -139,6 +138,6 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     for (const node of this.nodes) await node.kill();
-    this.timers.uninstall();
+    this.time[Symbol.dispose]();
   }
 }
--- a/src/test/membership/gossip_test.ts
+++ b/src/test/membership/gossip_test.ts
@@ -9,7 +9,7 @@
   const fleet = new Fleet();
   fleet.startMany(size);
   expect(await fleet.until(() => fleet.agrees(size), JOIN_MS)).to.be.below(JOIN_MS);
-  await fleet.timers.tickAsync(QUIET_MS);
+  await fleet.time.advance(QUIET_MS);
   return fleet;
 }
 
@@ -34,7 +34,7 @@
           ({ roster }) => roster.get(changed!.instance)?.endpoint?.state === 'draining',
         );
       const tookMs = await fleet.until(isKnown, JOIN_MS, 5);
-      await fleet.timers.tickAsync(1_000);
+      await fleet.time.advance(1_000);
       const after = fleet.network.traffic('gossip');
       const links = fleet.nodes.map(({ mesh }) => mesh.linksOpen);
       const ends = links.reduce((sum, count) => sum + count, 0);
@@ -70,7 +70,7 @@
     fleet.network.isCut = (from, to) => from === 0 || to === 0;
     const tookMs = await fleet.until(() => holds(rest, victim!.instance, 'dead'), JOIN_MS);
     expect(tookMs).to.be.below(10_000);
-    await fleet.timers.tickAsync(30_000);
+    await fleet.time.advance(30_000);
     expect(rest.every(({ roster }) => roster.counts.alive === 19)).to.equal(true);
     // It was cut off long enough to believe all others dead. Nobody may take that over.
     expect(victim!.roster.counts.alive).to.equal(1);
@@ -108,7 +108,7 @@
     const tookMs = await fleet.until(() => holds(rest, leaving!.instance, 'left'), JOIN_MS, 10);
     await stopping;
     expect(tookMs).to.be.below(500);
-    await fleet.timers.tickAsync(5_000);
+    await fleet.time.advance(5_000);
     expect(suspicions(rest)).to.equal(0);
     expect(holds(rest, leaving!.instance, 'left')).to.equal(true);
   });
--- a/src/test/membership/pair_link.ts
+++ b/src/test/membership/pair_link.ts
@@ -18,6 +18,8 @@
   /** What was sent besides heartbeats, by method; answers count under the empty name. */
   readonly sent = new Map<string, Traffic>();
 
+  dials = 0;
+
   readonly #links = new Set<PairLink>();
 
   readonly #codec = new MsgpackCodec();
@@ -127,6 +129,7 @@
 
   async dial(_host: string, port: number): Promise<Link> {
     const { network, from } = this;
+    network.dials += 1;
     if (network.isCut(from, port)) {
       await network.clock.sleepUntil(network.clock.now() + DIAL_TIMEOUT_MS);
       throw unreachable();
--- /dev/null
+++ b/src/test/membership/probe_test.ts
@@ -0,0 +1,40 @@
+import { expect } from 'chai';
+import { Fleet } from './fleet.js';
+
+const SIZE = 12;
+const PER_DATA_CENTRE = 6;
+
+describe('Probe', () => {
+  // Two data centres lose each other for five minutes. Each goes on alone and believes the other
+  // dead. When the cut is mended nobody would dial the dead; the probes bring both together.
+  it('brings data centres together again after a cut', async () => {
+    await using fleet = new Fleet();
+    fleet.startMany(SIZE, ['arima', 'couva']);
+    await fleet.until(() => fleet.agrees(SIZE), 20_000);
+    fleet.network.isCut = (from, to) => from % 2 !== to % 2;
+    const isApart = () =>
+      fleet.nodes.every(({ roster }) => roster.counts.alive === PER_DATA_CENTRE);
+    const apartMs = await fleet.until(isApart, 60_000);
+    await fleet.time.advance(300_000);
+    expect(isApart()).to.equal(true);
+    fleet.network.isCut = () => false;
+    const togetherMs = await fleet.until(() => fleet.agrees(SIZE), 60_000);
+    expect(togetherMs).to.be.below(30_000);
+    expect({ apartMs, togetherMs }).toMatchSnapshot();
+  });
+
+  // Probes of what stays dead cost dials for good, so their rate must not depend on the size.
+  it('probes at a bounded rate', async () => {
+    await using fleet = new Fleet();
+    fleet.startMany(20);
+    await fleet.until(() => fleet.agrees(20), 20_000);
+    const [one, other, ...herd] = fleet.nodes;
+    await Promise.all(herd.map((node) => node.kill()));
+    await fleet.until(() => fleet.agrees(2, [one!, other!]), 20_000);
+    await fleet.time.advance(20_000);
+    const before = fleet.network.dials;
+    await fleet.time.advance(60_000);
+    // Two readers, each with at most two targets in five seconds or more.
+    expect(fleet.network.dials - before).to.be.within(1, 48);
+  });
+});
