--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -75,8 +75,9 @@
       { platform, clock, random, dialer: new TcpDialer(codec) },
     );
     this.source = new Source(platform, clock, random);
-    const balancer = new Balancer(this.roster, random);
+    const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
+    this.guard.configuration = () => this.replica.current;
     this.control.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
     this.entry = new Entry(
       () => this.replica.current,
@@ -152,6 +153,7 @@
     await this.guard[Symbol.asyncDispose]();
     await this.safeguards[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
+    await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
     this.journal.record('stopped');
