Prove reconciliation by digest, a pause, and replacements

Cause: nothing showed what a reconciliation costs, that a paused process comes back, or that a fleet replaced under new names gets past a directory full of dead ones.

Change: tests for the three, the pause over the whole control part behind a gate.

--- a/src/test/membership/bootstrap_test.ts
+++ b/src/test/membership/bootstrap_test.ts
@@ -66,4 +66,20 @@
     expect(after.tookMs).to.be.below(60_000);
     expect({ outage, after }).toMatchSnapshot();
   });
+
+  // All processes of a fleet die, and others take their place under new names and addresses. All
+  // that the directory holds is dead. The new ones must still meet, and clear the dead away.
+  it('brings replacements together though all that is registered is dead', async () => {
+    await using fleet = new Fleet();
+    fleet.startMany(12, ['arima'], []);
+    await fleet.until(() => fleet.agrees(12), 60_000);
+    await fleet.time.advance(60_000);
+    await Promise.all(fleet.nodes.splice(0).map((node) => node.kill()));
+    for (let number = 100; number < 112; number++) fleet.start(number);
+    const tookMs = await fleet.until(() => fleet.agrees(12), 120_000);
+    expect(tookMs).to.be.below(90_000);
+    await fleet.time.advance(60_000);
+    const stored = await fleet.platform.get('directory/arima', fleet.clock.now() + 1);
+    expect(JSON.parse(stored!.value).members.length).to.equal(12);
+  });
 });
--- a/src/test/membership/gossip_test.ts
+++ b/src/test/membership/gossip_test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { TestFleet } from '../distribution/test_fleet.js';
 import { Fleet, type Node } from './fleet.js';
 
 const JOIN_MS = 20_000;
@@ -121,4 +122,21 @@
     const tookMs = await fleet.until(() => fleet.agrees(2, [one!, other!]), 60_000);
     expect(tookMs).to.be.below(6_000);
   });
+
+  // A process is paused for half a minute and wakes. The others took it for dead; it may neither
+  // declare them dead nor stay dead itself.
+  it('brings a paused process back without suspecting the others', async () => {
+    await using fleet = await TestFleet.start({ sizes: { arima: 6 } });
+    const [paused, ...rest] = fleet.alive;
+    paused!.host.gate.shut();
+    await fleet.time.advance(30_000);
+    const liveness = () => rest.map(({ control }) => control.roster.get(paused!.name)!.liveness);
+    expect(new Set(liveness())).to.eql(new Set(['dead']));
+    paused!.host.gate.open();
+    const isBack = () => fleet.alive.every(({ control }) => control.roster.counts.alive === 6);
+    expect(await fleet.time.until(isBack, 30_000)).to.equal(true);
+    const suspects = rest.map(({ control }) => control.roster.self.incarnation);
+    expect(new Set(suspects).size).to.equal(1);
+    expect(paused!.control.roster.refutations).to.be.above(0);
+  });
 });
--- /dev/null
+++ b/src/test/membership/reconciliation_test.ts
@@ -0,0 +1,103 @@
+import { expect } from 'chai';
+import { type Member } from '../../contracts.js';
+import { type Mesh } from '../../distribution/mesh.js';
+import { MsgpackCodec } from '../../link/codec.js';
+import { Methods, Peer } from '../../link/peer.js';
+import { Reconciliation } from '../../membership/reconciliation.js';
+import { Roster } from '../../membership/roster.js';
+import { SeededRandom } from '../../runtime/random.js';
+import { FakeTime } from '../fake_time.js';
+import { memberOf } from './member.js';
+import { Network } from './pair_link.js';
+
+const FLEET = 740;
+const HEARTBEATS = 2;
+
+/** Two processes with a link between them that do nothing but reconcile. */
+class Pair implements Disposable {
+  readonly time = new FakeTime();
+
+  readonly network = new Network(this.time.clock);
+
+  readonly one = new Roster(memberOf('one'));
+
+  readonly other = new Roster(memberOf('other'));
+
+  readonly #peers: Peer[] = [];
+
+  readonly #tasks: Reconciliation[] = [];
+
+  constructor() {
+    const links = [this.network.connect(1, 2, (far) => links.push(far))];
+    queueMicrotask(() => {
+      this.#add(this.one, links[0]!, this.other);
+      this.#add(this.other, links[1]!, this.one);
+    });
+  }
+
+  /** Heartbeats of `one` tell it what hash `other` has. */
+  async reconcile(): Promise<void> {
+    await this.time.advance(5_000);
+    const [peer] = this.#peers;
+    for (let beat = 0; beat < HEARTBEATS; beat++) this.#tasks[0]!.compare(peer!, this.other.hash);
+    await this.time.advance(1_000);
+  }
+
+  /** Bytes that crossed the link so far. */
+  get bytes(): number {
+    return [...this.network.sent.values()].reduce((sum, { bytes }) => sum + bytes, 0);
+  }
+
+  [Symbol.dispose](): void {
+    this.time[Symbol.dispose]();
+  }
+
+  #add(roster: Roster, link: Peer['link'], far: Roster): void {
+    const { clock } = this.time;
+    const methods = new Methods();
+    const mesh = { onOpen: () => {} } as unknown as Mesh;
+    const random = new SeededRandom(1);
+    this.#tasks.push(new Reconciliation(roster, mesh, clock, random, methods));
+    const peer = new Peer(link, methods, clock);
+    peer.isDialled = true;
+    peer.hello = { member: far.self, version: 0, digest: '', isReady: true };
+    this.#peers.push(peer);
+  }
+}
+
+function fleet(): Member[] {
+  return Array.from({ length: FLEET }, (_, index) =>
+    memberOf(`bookings-${index}`, { incarnation: 1_790_000_000_000 }),
+  );
+}
+
+describe('Reconciliation', () => {
+  it('sends what differs, and not two whole rosters', async () => {
+    using pair = new Pair();
+    const members = fleet();
+    pair.one.merge(members);
+    pair.other.merge(members);
+    await pair.reconcile();
+    const before = pair.bytes;
+    pair.one.merge([memberOf('bookings-1', { incarnation: 1_790_000_000_001 })]);
+    pair.other.merge([memberOf('bookings-2', { incarnation: 1_790_000_000_002 })]);
+    await pair.reconcile();
+    expect(pair.one.hash).to.equal(pair.other.hash);
+    const whole = 2 * new MsgpackCodec().encode(members).length;
+    const differing = pair.bytes - before;
+    expect(differing).to.be.below(whole / 50);
+    expect({ differing, whole }).toMatchSnapshot();
+  });
+
+  // A process was cut off and believes all others dead. What it says after its return must not
+  // take their work away, and what it has forgotten or buried must not come back either.
+  it('takes deaths for suspicions, and offers no dead to who does not know them', async () => {
+    using pair = new Pair();
+    pair.one.merge([memberOf('b'), memberOf('c', { liveness: 'left' })]);
+    pair.other.merge([memberOf('b', { liveness: 'dead' }), memberOf('d', { liveness: 'dead' })]);
+    await pair.reconcile();
+    expect(pair.one.get('b')!.liveness).to.equal('suspect');
+    expect(pair.other.get('b')!.liveness).to.equal('dead');
+    expect([pair.one.get('d'), pair.other.get('c')]).to.eql([undefined, undefined]);
+  });
+});
