--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -63,14 +63,14 @@
   }
 
   #gather(members: readonly Member[], origin: Origin): void {
-    if (origin.isBulk) return;
     for (const member of members) {
       // What became news as a refutation is not what the neighbour has sent.
       const isOwn = member.instance === this.roster.self.instance;
+      if (origin.isBulk && !isOwn) continue;
       const knownTo = new Set(origin.instance === undefined || isOwn ? [] : [origin.instance]);
       this.#items.set(member.instance, { member, knownTo });
     }
-    this.#flushing ??= this.#flushLater();
+    if (this.#items.size > 0) this.#flushing ??= this.#flushLater();
   }
 
   async #flushLater(): Promise<void> {
--- /dev/null
+++ b/src/test/membership/faults_test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { Fleet } from './fleet.js';
+
+const SEED = 4;
+const RUNS = 12;
+const SIZE = 8;
+const DATA_CENTRES = ['arima', 'couva'];
+const HEAL_MS = 120_000;
+
+type Fault = 'kill' | 'stop' | 'restart' | 'cut' | 'heal' | 'silence';
+
+interface Step {
+  readonly fault: Fault;
+  readonly number: number;
+  /** Time until the next step, in milliseconds. */
+  readonly waitMs: number;
+}
+
+const step = fc.record<Step>({
+  fault: fc.constantFrom('kill', 'stop', 'restart', 'cut', 'heal', 'silence'),
+  number: fc.nat(SIZE - 1),
+  waitMs: fc.constantFrom(0, 50, 2_000, 6_000),
+});
+
+/** A fleet whose processes die, restart and lose each other. */
+class FaultyFleet extends Fleet {
+  override start(number: number, dataCentre = DATA_CENTRES[number % 2]!) {
+    return super.start(number, dataCentre, [0, 1, 2]);
+  }
+
+  async provoke({ fault, number, waitMs }: Step): Promise<void> {
+    const node = this.nodes.find(({ self }) => self.linkPort === number);
+    switch (fault) {
+      case 'kill':
+      case 'stop':
+        if (node) {
+          this.nodes.splice(this.nodes.indexOf(node), 1);
+          void node[fault]();
+        }
+        break;
+      case 'restart':
+        if (!node) this.start(number);
+        break;
+      case 'silence':
+        this.network.silence(number, (number + 2) % SIZE);
+        break;
+      default:
+        this.network.isCut = (from, to) => fault === 'cut' && from % 2 !== to % 2;
+    }
+    await this.time.advance(waitMs);
+  }
+}
+
+describe('membership under faults', () => {
+  // Processes are killed, stopped and restarted, links go silent, and the data centres lose each
+  // other, in any order. Once that ends, all that live must agree on exactly who lives.
+  it('agrees on who lives once faults end', async function test() {
+    this.timeout(60_000);
+    const property = fc.asyncProperty(fc.array(step, { maxLength: 12 }), async (steps) => {
+      await using fleet = new FaultyFleet();
+      for (let number = 0; number < SIZE; number++) fleet.start(number);
+      await fleet.time.advance(1_000);
+      for (const each of steps) await fleet.provoke(each);
+      fleet.network.isCut = () => false;
+      const size = fleet.nodes.length;
+      const tookMs = await fleet.until(() => fleet.agrees(size), HEAL_MS);
+      expect(tookMs, JSON.stringify(steps)).to.be.below(HEAL_MS);
+      const own = fleet.nodes.every(({ roster }) => roster.self.liveness === 'alive');
+      expect(own).to.equal(true);
+    });
+    await fc.assert(property, { seed: SEED, numRuns: RUNS });
+  });
+});
