--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -32,7 +32,7 @@
     private readonly heartbeatMs: number,
     methods: Methods,
   ) {
-    this.news = new News(roster, mesh, clock, methods);
+    this.news = new News(roster, mesh, clock, random, methods);
     this.suspicions = new Suspicions(roster, clock);
     this.reconciliation = new Reconciliation(roster, mesh, clock, random, methods);
     this.#retention = new Retention(roster, clock);
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -4,11 +4,15 @@
 import { GOSSIP } from '../distribution/methods.js';
 import { type Methods, type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
 import { type Origin, type Roster } from './roster.js';
 import { isNewer } from './statement.js';
 
-/** News gathered for this long goes out in one message, in milliseconds. */
-const GATHER_MS = 20;
+/**
+ * News is gathered for so long at least and as long again at most, in milliseconds. Were it the
+ * same everywhere, neighbours would send each other the same news at the same moment.
+ */
+const GATHER_MS = 10;
 
 /** A statement that waits to be sent. */
 interface Item {
@@ -34,6 +38,7 @@
     private readonly roster: Roster,
     private readonly mesh: Mesh,
     private readonly clock: Clock,
+    private readonly random: Random,
     methods: Methods,
   ) {
     roster.onNews((members, origin) => this.#gather(members, origin));
@@ -74,7 +79,8 @@
   }
 
   async #flushLater(): Promise<void> {
-    await this.clock.sleepUntil(this.clock.now() + GATHER_MS);
+    const wait = GATHER_MS + this.random.jitter(GATHER_MS);
+    await this.clock.sleepUntil(this.clock.now() + wait);
     this.#flushing = undefined;
     const items = this.#drain();
     for (const peer of this.mesh.peers) {
