--- a/src/source/head.ts
+++ b/src/source/head.ts
@@ -9,7 +9,7 @@
   type VersionRecord,
 } from '../contracts.js';
 import { touched } from './evaluate.js';
-import { type Log } from './log.js';
+import { type Log, PAGE } from './log.js';
 import { type Snapshots } from './snapshots.js';
 
 /** What is remembered of a version. */
@@ -66,8 +66,8 @@
     if (!this.#isStarted) await this.#start(deadline);
     for (;;) {
       const records = await this.log.read(this.#configuration.number, deadline);
-      if (records.length === 0) return;
       records.forEach((record) => this.advance(record));
+      if (records.length < PAGE) return;
     }
   }
 
--- a/src/source/source.ts
+++ b/src/source/source.ts
@@ -129,16 +129,16 @@
   }
 
   async #accept(proposal: Proposal, deadline: number): Promise<Acceptance> {
-    await this.#head.catchUp(deadline);
+    await beforeWriting(this.#head.catchUp(deadline));
     const nonce = this.random.nonce();
     const base = proposal.base ?? this.#head.configuration.number;
     for (;;) {
-      const decision = await this.#review.decide(proposal, base, deadline);
+      const decision = await beforeWriting(this.#review.decide(proposal, base, deadline));
       if ('outcome' in decision) return decision;
       const record = this.#record(proposal, nonce, decision);
       const isMine = await this.#appender.append(record, deadline);
       if (isMine) this.#head.advance(record);
-      else await this.#head.catchUp(deadline);
+      else await beforeWriting(this.#head.catchUp(deadline));
       if (isMine) return { outcome: 'accepted', record, repeated: false };
     }
   }
@@ -176,6 +176,20 @@
   }
 }
 
+/**
+ * A read without an answer says that it may have run, and so it may. The note was not accepted by
+ * it: either nothing was written yet, or another record holds the number for good.
+ */
+async function beforeWriting<T>(reading: Promise<T>): Promise<T> {
+  try {
+    return await reading;
+  } catch (error) {
+    const reason = error instanceof OutcomeError ? error.reason : 'unreadable';
+    const message = `the log cannot be read, nothing was accepted: ${(error as Error).message}`;
+    throw new OutcomeError(message, { verdict: 'not-run', reason }, { cause: error });
+  }
+}
+
 /** Who and what a text that is no release note speaks of, as far as it says so. */
 export function attemptOf(action: Action, data: unknown): Attempt {
   const fields = typeof data === 'object' && data !== null ? data : {};
