--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -1,213 +1,212 @@
 /** Takes requests from callers and brings each to a process beside an upstream. */
-import {
-  Agent,
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from 'node:http';
-import { pipeline } from 'node:stream/promises';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
-import { type Member, OutcomeError, type Route } from '../contracts.js';
+import { type OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { Attempts } from './attempts.js';
 import { type Balancer } from './balancer.js';
-import { exchange } from './exchange.js';
+import { type Body, EmptyBody, hasBody, takeBody } from './body.js';
+import { Connections } from './connections.js';
+import { Exchange } from './exchange.js';
+import { type Experience } from './experience.js';
 import {
-  CALLER_TIMEOUT,
+  answerHeaders,
   CLAIM,
-  endToEnd,
+  headerOf,
   IDEMPOTENCY_KEY,
+  LIMIT,
+  LOAD,
   PRIORITY,
-  REASON,
   REMAINING,
+  REPEATABLE,
   REQUEST_ID,
+  requestHeaders,
   RETRIED,
+  SHED,
+  TOLD_TO_CALLERS,
   UPSTREAM,
-  VERDICT,
 } from './headers.js';
-import { asOutcome, refuse } from './refusal.js';
+import { BOUNDS, Hostility } from './hostility.js';
+import { type Journey, journeyOf } from './journey.js';
+import { readLoad } from './load.js';
 import { type Quarantine } from './quarantine.js';
+import { asOutcome, notRun, refuse } from './refusal.js';
+import { refusalIn } from './relayed_refusal.js';
 import { headFingerprint } from './request_fingerprint.js';
 import { RetryBudgets } from './retry_budget.js';
-import { isRepeatable, routeOf, type Target } from './router.js';
-
-/** Share of retries for routes without a limit, in percent. */
-const DEFAULT_RETRY_PERCENT = 10;
-const MAX_SOCKETS_PER_GUARD = 64;
-
-/** The request's own view of where it goes; it keeps the version it began with. */
-interface Journey {
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly route: Route;
-  /** Whether it may run twice. */
-  readonly repeatable: boolean;
-  readonly retryPercent: number;
-  readonly deadline: number;
-  readonly gone: AbortSignal;
-  /** Whether a hop above or below has retried it. */
-  retriedElsewhere: boolean;
-}
+import { Traffic } from './traffic.js';
+
+const MAX_SOCKETS_PER_GUARD = 256;
+/** Time for the guard's own refusal at the deadline to come back, in milliseconds. */
+const ANSWER_GRACE_MS = 50;
+const SERVER_ERROR = 500;
 
 export class Entry implements AsyncDisposable {
   readonly server: Server;
 
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS_PER_GUARD });
-
-  readonly #budgets: RetryBudgets;
+  readonly traffic: Traffic;
 
   /** Set before the first request; the guards check again. */
   quarantine: Quarantine | undefined;
 
+  readonly #connections: Connections;
+
+  readonly #hostility: Hostility;
+
+  readonly #budgets: RetryBudgets;
+
+  /** In front of the number of a request it makes its id unique. */
+  readonly #nonce: string;
+
+  #requests = 0;
+
   constructor(
     private readonly configuration: () => Configuration,
     private readonly isReady: () => boolean,
     private readonly balancer: Balancer,
     private readonly clock: Clock,
-    private readonly random: Random,
+    random: Random,
   ) {
     this.#budgets = new RetryBudgets(clock, random);
-    this.server = createServer((request, response) => void this.#serve(request, response));
+    this.#nonce = random.nonce();
+    this.#connections = new Connections(clock, MAX_SOCKETS_PER_GUARD);
+    const serve = (request: IncomingMessage, response: ServerResponse) =>
+      void this.#serve(request, response);
+    this.server = createServer(BOUNDS, serve);
+    this.server.on('checkContinue', serve);
+    this.traffic = new Traffic(this.server, clock);
+    this.#hostility = new Hostility(this.server);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.server.close();
-    this.#agent.destroy();
+    this.traffic.cut();
+    this.#connections.destroy();
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.traffic.enter(response);
+    this.#hostility.enter(request, response);
     try {
-      await this.#carry(this.#plan(request, response));
+      if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
+      const journey = journeyOf(request, response, this.configuration(), this.clock.now());
+      this.#check(journey);
+      const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
+      await this.#carry(journey, body);
     } catch (error) {
       refuse(response, asOutcome(error), this.clock.now());
     }
   }
 
-  #plan(request: IncomingMessage, response: ServerResponse): Journey {
-    if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
-    const configuration = this.configuration();
-    const route = routeOf(configuration, targetOf(request));
-    if (!route) throw notRun('no-route', `no route for ${request.method} ${request.url}`);
-    if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
-      throw notRun('key-required', 'this route insists on an Idempotency-Key');
-    }
-    if (this.quarantine && !this.quarantine.isIdle) {
-      // Those that only their body gives away are refused by the guard.
-      this.quarantine.check(headFingerprint(route.upstream, request));
-    }
-    const asked = Number(request.headers[CALLER_TIMEOUT] ?? route.timeoutMs);
-    const timeoutMs = Math.min(route.timeoutMs, asked > 0 ? asked : route.timeoutMs);
-    const gone = new AbortController();
-    response.once('close', () => gone.abort());
-    const deadline = this.clock.now() + timeoutMs;
-    const limit = route.limit === undefined ? undefined : configuration.find('limit', route.limit);
-    return {
-      request,
-      response,
-      route,
-      repeatable: isRepeatable(route, request.method ?? 'GET'),
-      retryPercent: limit?.retryPercent ?? DEFAULT_RETRY_PERCENT,
-      deadline,
-      gone: gone.signal,
-      retriedElsewhere: request.headers[RETRIED] !== undefined,
-    };
+  #check({ request, route }: Journey): void {
+    if (!this.quarantine || this.quarantine.isIdle) return;
+    // Those that only their body gives away are refused by the guard.
+    this.quarantine.check(headFingerprint(route.upstream, request));
   }
 
-  async #carry(journey: Journey): Promise<void> {
-    const { upstream } = journey.route;
-    const tried = new Set<string>();
-    for (let failure: OutcomeError | undefined; ;) {
-      const member = this.balancer.choose(upstream, tried);
-      if (!member) throw failure ?? notRun('no-endpoint', `nobody serves ${upstream}`);
-      tried.add(member.instance);
-      try {
-        await this.#attempt(journey, member);
-        this.#budgets.of(upstream).credit(journey.retryPercent);
-        return;
-      } catch (error) {
-        failure = asOutcome(error);
-        await this.#beforeRetry(journey, failure, tried.size);
-      }
-    }
+  async #take({ request, response, route, deadline }: Journey): Promise<Body> {
+    const { maxBodyBytes } = route;
+    const isTooLarge = Number(request.headers['content-length'] ?? 0) > maxBodyBytes;
+    if (request.headers.expect !== undefined && !isTooLarge) response.writeContinue();
+    const body = await takeBody(request, maxBodyBytes, deadline - this.clock.now());
+    this.#hostility.handOver(request);
+    return body;
   }
 
-  /** Resolves when the request may go out again; throws the failure if it must not. */
-  async #beforeRetry(journey: Journey, failure: OutcomeError, attempts: number): Promise<void> {
-    const { request, response, repeatable, retriedElsewhere, deadline, retryPercent } = journey;
-    if (request.readableDidRead || response.headersSent) throw failure;
-    const { verdict, reason } = failure;
-    const failed = { verdict, reason, attempts, repeatable, retriedElsewhere, deadline };
-    const retry = this.#budgets.of(journey.route.upstream).retry(failed, retryPercent);
-    if (!retry) throw failure;
-    // On the answer too, whatever it will be: hops above must not retry what was retried here.
-    if (!retry.isFailover) response.setHeader(RETRIED, '1');
-    await this.clock.sleepUntil(retry.startAt, journey.gone);
+  /** Tries one endpoint after the other, as long as nothing can have run twice. */
+  async #carry(journey: Journey, body: Body): Promise<void> {
+    const attempts = new Attempts(journey, body, this.balancer, this.#budgets, this.clock);
+    let endpoint = attempts.first();
+    while (true) {
+      const failure = await this.#attempt(journey, body, endpoint);
+      if (!failure) return;
+      const further = attempts.next(endpoint, failure);
+      if (further.startAt > this.clock.now()) await this.clock.sleepUntil(further.startAt);
+      endpoint = further.endpoint;
+    }
   }
 
-  async #attempt(journey: Journey, member: Member): Promise<void> {
-    const { request, response, deadline, gone } = journey;
-    const startedAt = this.clock.now();
-    let tookMs: number | undefined;
-    this.balancer.begin(member.instance);
+  /** Resolves to what went wrong, or to nothing when the caller has its answer. */
+  async #attempt(
+    journey: Journey,
+    body: Body,
+    endpoint: Experience,
+  ): Promise<OutcomeError | undefined> {
+    endpoint.inFlight += 1;
     try {
-      const answer = await exchange(
-        {
-          agent: this.#agent,
-          host: member.host,
-          port: member.guardPort,
-          method: request.method ?? 'GET',
-          path: request.url ?? '/',
-          headers: this.#inward(journey),
-          body: hasBody(request) ? request : undefined,
-          deadline,
-          cancelled: gone,
-        },
-        this.clock,
-      );
-      tookMs = this.clock.now() - startedAt;
-      if (answer.headers[RETRIED] !== undefined) journey.retriedElsewhere = true;
-      if (answer.headers[VERDICT] === 'not-run') throw await refusedBy(answer);
-      response.writeHead(answer.statusCode ?? 502, endToEnd(answer.headers, true));
-      await pipeline(answer, response);
+      return await this.#ask(journey, body, endpoint);
+    } catch (error) {
+      const outcome = asOutcome(error);
+      this.balancer.refused(endpoint, outcome, undefined);
+      return outcome;
     } finally {
-      this.balancer.end(member.instance, tookMs);
+      endpoint.inFlight -= 1;
     }
   }
 
-  #inward(journey: Journey): Record<string, string | string[]> {
-    const { request, response, route, deadline, repeatable, retriedElsewhere } = journey;
-    const isClaimed = !repeatable && request.headers[IDEMPOTENCY_KEY] !== undefined;
-    const isRetried = retriedElsewhere || response.hasHeader(RETRIED);
-    return {
-      ...endToEnd(request.headers, false),
-      [UPSTREAM]: route.upstream,
-      [REQUEST_ID]: this.random.nonce(),
-      [REMAINING]: String(Math.max(1, Math.floor(deadline - this.clock.now()))),
-      [PRIORITY]: String(route.priority),
-      ...(isClaimed && { [CLAIM]: route.name }),
-      ...(isRetried && { [RETRIED]: '1' }),
-    };
+  async #ask(
+    journey: Journey,
+    body: Body,
+    endpoint: Experience,
+  ): Promise<OutcomeError | undefined> {
+    const startedAt = this.clock.now();
+    const id = this.#nextId();
+    const exchange = this.#exchange(journey, body, endpoint, id);
+    const answer = await exchange.answer();
+    if (answer.headers[REQUEST_ID] !== id) throw exchange.distrust();
+    const now = this.clock.now();
+    const load = readLoad(headerOf(answer, LOAD));
+    const refusal = refusalIn(answer, now);
+    if (answer.headers[RETRIED] !== undefined) journey.isRetriedElsewhere = true;
+    if (refusal) {
+      exchange.drop(answer);
+      this.balancer.refused(endpoint, refusal, load);
+      return refusal;
+    }
+    const status = answer.statusCode ?? SERVER_ERROR;
+    this.balancer.answered(endpoint, now - startedAt, load, status >= SERVER_ERROR);
+    if (answer.headers[SHED] !== undefined) this.balancer.shed(endpoint);
+    this.#budgets.of(journey.route.upstream).credit(journey.retryPercent);
+    journey.response.writeHead(status, answerHeaders(answer, TOLD_TO_CALLERS));
+    await exchange.relay(answer, journey.response);
+    return undefined;
   }
-}
 
-function targetOf(request: IncomingMessage): Target {
-  const { method = 'GET', url = '/', headers } = request;
-  const [path = '/'] = url.split('?', 1);
-  return { method, path, headers, host: (headers.host ?? '').replace(/:\d+$/, '') };
-}
-
-function hasBody(request: IncomingMessage): boolean {
-  const { headers } = request;
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
-}
+  #exchange(journey: Journey, body: Body, { member }: Experience, id: string): Exchange {
+    const { request, response, asked, route, deadline, isRepeatable } = journey;
+    const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
+    const headers = requestHeaders(request);
+    headers.push(UPSTREAM, route.upstream, REQUEST_ID, id, REMAINING, String(remaining));
+    headers.push(PRIORITY, String(route.priority));
+    if (!isRepeatable) headers.push(REPEATABLE, '0');
+    if (isRetried(journey)) headers.push(RETRIED, '1');
+    if (!isRepeatable && request.headers[IDEMPOTENCY_KEY] !== undefined) {
+      headers.push(CLAIM, route.name);
+    }
+    if (route.limit !== undefined) headers.push(LIMIT, route.limit);
+    return new Exchange(
+      {
+        connections: this.#connections,
+        host: member.host,
+        port: member.guardPort,
+        method: asked.method,
+        path: asked.url,
+        headers,
+        body,
+        deadline: deadline + ANSWER_GRACE_MS,
+        isRepeatable,
+        caller: response,
+      },
+      this.clock,
+    );
+  }
 
-function notRun(reason: string, message: string): OutcomeError {
-  return new OutcomeError(message, { verdict: 'not-run', reason });
+  #nextId(): string {
+    this.#requests += 1;
+    return `${this.#nonce}-${this.#requests}`;
+  }
 }
 
-async function refusedBy(answer: IncomingMessage): Promise<OutcomeError> {
-  answer.resume();
-  const reason = String(answer.headers[REASON] ?? 'refused');
-  return notRun(reason, `refused by the process beside the upstream: ${reason}`);
+function isRetried({ isRetriedElsewhere, response }: Journey): boolean {
+  return isRetriedElsewhere || response.hasHeader(RETRIED);
 }
