Show where each note stands, as aligned text, with truthful unknowns

Cause: `status` and `fleet` printed JSON only; `status` knew no notes, no ages and nothing beyond the process asked. The client lost the verdict of a call that found no process: exit code 5 ("may have been accepted") instead of 1.

Change: `status [note]` joins the log's latest versions, or those of one note, with the survey: who handed it in, its age, how many hold it, do not hold it, or are unknown; who is behind and why; data centres not reached. Without the platform it shows what the process asked holds, and says so. `fleet` is a table. `--json` prints the data as before. The client keeps the error of a call without an answer.

Conclusion: reading commands are whole but for `audit NOTE`, which still reads every page.

--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -6,6 +6,7 @@
 export * from './contracts/message.js';
 export * from './contracts/note.js';
 export * from './contracts/resource.js';
+export * from './contracts/status.js';
 export * from './contracts/survey.js';
 export * from './contracts/verdict.js';
 export * from './contracts/version.js';
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -5,6 +5,7 @@
 import { checkNote, parseNote, type Reading } from '../source/note_text.js';
 import { attemptOf } from '../source/source.js';
 import { type Instance } from './instance.js';
+import { statusOf } from './status.js';
 
 const ACCEPT_TIMEOUT_MS = 10_000;
 /** JSON-RPC error code for calls whose outcome is told by a verdict. */
@@ -14,6 +15,7 @@
 const Text = z.strictObject({ text: z.string() });
 const Withdrawn = z.strictObject({ note: z.string(), author: z.string().min(1).max(200) });
 const Checked = z.strictObject({ text: z.string(), action: z.enum(['submit', 'amend']) });
+const About = z.strictObject({ note: z.string().optional() });
 const History = z.strictObject({ note: z.string().optional(), cursor: AuditCursor.optional() });
 
 /** The parts of a process that operators act on. */
@@ -23,7 +25,7 @@
 >;
 
 export function operatorMethods(instance: Operated): JSONRPCServer {
-  const { source, surroundings, replica, surveyor, roster } = instance;
+  const { source, surroundings, roster } = instance;
   const deadline = () => surroundings.clock.now() + ACCEPT_TIMEOUT_MS;
   const methods = new OperatorMethods();
   const handIn = async (action: 'submit' | 'amend', params: unknown) => {
@@ -46,10 +48,7 @@
     const wanted = entries.filter((entry) => note === undefined || entry.note === note);
     return { entries: wanted, ...(next && { next }) };
   });
-  methods.on('status', z.unknown(), async () => ({
-    head: replica.current.number,
-    survey: await surveyor.survey(),
-  }));
+  methods.on('status', About, ({ note }) => statusOf(instance, note));
   methods.on('fleet', z.unknown(), async () => roster.all());
   return methods.server;
 }
--- a/src/source/source.ts
+++ b/src/source/source.ts
@@ -17,7 +17,7 @@
 import { Audit, TRAIL_START } from './audit.js';
 import { touched } from './evaluate.js';
 import { Head } from './head.js';
-import { Log } from './log.js';
+import { Log, PAGE } from './log.js';
 import { Amendment, type Proposal, Submission, Withdrawal } from './proposal.js';
 import { NoteIndex } from './note_index.js';
 import { Publisher, SNAPSHOT_EVERY } from './publisher.js';
@@ -40,6 +40,8 @@
   /** What became of the notes handed in here, and how many refusals could not be audited. */
   readonly counts = { accepted: 0, repeated: 0, refused: 0, conflict: 0, unaudited: 0 };
 
+  readonly #log: Log;
+
   readonly #head: Head;
 
   readonly #review: Review;
@@ -61,6 +63,7 @@
     snapshotEvery = SNAPSHOT_EVERY,
   ) {
     const log = new Log(platform);
+    this.#log = log;
     const index = new NoteIndex(platform);
     const snapshots = new Snapshots(platform, log);
     this.#head = new Head(log, snapshots);
@@ -108,6 +111,27 @@
     return this.#audit.page(cursor, deadline);
   }
 
+  /** The last `count` records of the log, oldest first, none up to version `after`. */
+  async recent(after: number, count: number, deadline: number): Promise<VersionRecord[]> {
+    let records: VersionRecord[] = [];
+    for (let read = after; ;) {
+      const page = await this.#log.read(read, deadline);
+      records = [...records, ...page].slice(-count);
+      if (page.length < PAGE) return records;
+      read += page.length;
+    }
+  }
+
+  /** The last `count` records of one note, oldest first. */
+  versionsOf(note: string, count: number, deadline: number): Promise<VersionRecord[]> {
+    return this.#inTurn(async () => {
+      await this.#head.catchUp(deadline);
+      const versions = await this.#review.versionsOf(note, deadline);
+      const records = versions.slice(-count).map(({ number }) => this.#log.get(number, deadline));
+      return (await Promise.all(records)).filter((record) => record !== undefined);
+    });
+  }
+
   /** Waits for what was handed in, and for a snapshot that is being published. */
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#queue.onIdle();
--- /dev/null
+++ b/src/test/daemon/status_test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import { type Survey } from '../../contracts.js';
+import { type Operated } from '../../daemon/operator_methods.js';
+import { statusOf } from '../../daemon/status.js';
+import { Replica } from '../../distribution/replica.js';
+import { Fixture, note, OPENING, upstreams } from '../source/fixture.js';
+
+const SURVEY: Survey = {
+  holding: [{ version: 1, processes: 4 }],
+  laggards: [],
+  unknownProcesses: 0,
+  unknown: [],
+  unreached: [],
+};
+
+/** A process that holds the first of three accepted versions. */
+async function processBehind(fixture: Fixture): Promise<Operated> {
+  const source = fixture.source();
+  await source.submit(OPENING, fixture.deadline);
+  await source.submit(note('more', { add: upstreams('bookings') }), fixture.deadline);
+  await source.withdraw('opening', 'omar', fixture.deadline);
+  const replica = new Replica();
+  const [first] = await fixture.records();
+  replica.apply([first!.version]);
+  const surveyor = { survey: async () => SURVEY };
+  return {
+    source,
+    replica,
+    surveyor,
+    surroundings: { clock: fixture.clock },
+  } as unknown as Operated;
+}
+
+describe('statusOf', () => {
+  it('shows versions that no process holds yet, and the versions of one note', async () => {
+    using fixture = new Fixture();
+    const process = await processBehind(fixture);
+    const all = await statusOf(process);
+    const opening = await statusOf(process, 'opening');
+    expect([all.head, all.isLogRead]).to.deep.equal([3, true]);
+    expect(all.versions.map(({ number }) => number)).to.deep.equal([3, 2, 1]);
+    expect(opening.versions).toMatchSnapshot();
+  });
+
+  // The platform is away while an operator asks. The process answers with what it holds itself,
+  // and says so: a later version may well have been accepted.
+  it('falls back to what the process holds, and says so', async () => {
+    using fixture = new Fixture();
+    const process = await processBehind(fixture);
+    fixture.store.faults.down = true;
+    const answers = [await statusOf(process), await statusOf(process, 'opening')];
+    expect(answers).toMatchSnapshot();
+  });
+});
--- a/src/tool/client.ts
+++ b/src/tool/client.ts
@@ -1,34 +1,54 @@
 /** Calls the operators' port of a process. */
 import { request } from 'node:http';
-import { JSONRPCClient, type JSONRPCResponse } from 'json-rpc-2.0';
+import {
+  createJSONRPCRequest,
+  JSONRPCClient,
+  type JSONRPCError,
+  type JSONRPCID,
+  type JSONRPCRequest,
+  type JSONRPCResponse,
+} from 'json-rpc-2.0';
+import { z } from 'zod';
 import { OutcomeError, Verdict } from '../contracts.js';
 
 /** Longer than a process takes to answer, so that its own verdict arrives first. */
 const TIMEOUT_MS = 30_000;
 const STATUS_OK = 200;
 
+/** What a process adds to an error. */
+const Told = z.object({ verdict: Verdict.optional(), reason: z.string().optional() });
+
 export class Client {
   readonly #rpc: JSONRPCClient;
 
+  /** Why calls got no answer, by their id; the library keeps no more of it than the message. */
+  readonly #unanswered = new Map<JSONRPCID, OutcomeError>();
+
+  #lastId = 0;
+
   constructor(private readonly address: string) {
-    let lastId = 0;
-    const nextId = () => {
-      lastId += 1;
-      return lastId;
-    };
-    const rpc: JSONRPCClient = new JSONRPCClient(async (payload) => {
-      const answer = await this.#post(JSON.stringify(payload));
-      rpc.receive(JSON.parse(answer) as JSONRPCResponse);
-    }, nextId);
-    this.#rpc = rpc;
+    this.#rpc = new JSONRPCClient((payload: JSONRPCRequest) => this.#send(payload));
   }
 
   /** Throws `OutcomeError`, whose verdict tells whether the process may have acted on the call. */
   async call<T>(method: string, params: unknown = {}): Promise<T> {
+    this.#lastId += 1;
+    const id = this.#lastId;
+    const answer = await this.#rpc.requestAdvanced(createJSONRPCRequest(id, method, params));
+    if (!answer.error) return answer.result as T;
+    const failure = this.#unanswered.get(id);
+    this.#unanswered.delete(id);
+    throw failure ?? outcomeOf(answer.error);
+  }
+
+  async #send(payload: JSONRPCRequest): Promise<void> {
     try {
-      return (await this.#rpc.request(method, params)) as T;
+      const answer = await this.#post(JSON.stringify(payload));
+      this.#rpc.receive(JSON.parse(answer) as JSONRPCResponse);
     } catch (error) {
-      throw outcomeOf(error);
+      const outcome = error instanceof OutcomeError ? error : garbled(error);
+      this.#unanswered.set(payload.id ?? null, outcome);
+      throw outcome;
     }
   }
 
@@ -62,11 +82,15 @@
 }
 
 /** The error as the process told it; one that comes without a verdict proves nothing. */
-function outcomeOf(error: unknown): OutcomeError {
-  if (error instanceof OutcomeError) return error;
-  const { message, data } = error as { message: string; data?: Record<string, unknown> };
-  const verdict = Verdict.catch('may-have-run').parse(data?.verdict);
-  return new OutcomeError(message, { verdict, reason: String(data?.reason ?? 'failed') });
+function outcomeOf({ message, data }: JSONRPCError): OutcomeError {
+  const told = Told.catch({}).parse(data);
+  const { verdict = 'may-have-run', reason = 'failed' } = told;
+  return new OutcomeError(message, { verdict, reason });
+}
+
+function garbled(cause: unknown): OutcomeError {
+  const message = 'the answer cannot be read';
+  return new OutcomeError(message, { verdict: 'may-have-run', reason: 'garbled' }, { cause });
 }
 
 function unanswered(address: string, verdict: Verdict, cause: Error): OutcomeError {
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -6,13 +6,15 @@
   type AuditPage,
   type Member,
   OutcomeError,
-  type Survey,
+  type Status,
 } from '../contracts.js';
 import { Client } from './client.js';
 import { EXIT } from './exit.js';
 import { amend, check, submit, withdraw } from './note_commands.js';
 import { type Options, print } from './output.js';
 import { renderAudit } from './render_audit.js';
+import { renderFleet } from './render_fleet.js';
+import { renderStatus } from './render_status.js';
 
 const DEFAULT_ADDRESS = '127.0.0.1:8083';
 
@@ -35,7 +37,9 @@
     .command('check <file>', 'check a release note; with --to, against the head as well')
     .option('--amend', 'check it as an amendment')
     .action(addressed(check));
-  tool.command('status', 'where versions stand across the fleet').action(addressed(status));
+  tool
+    .command('status [note]', 'where the latest versions, or those of a note, stand')
+    .action(addressed(status));
   tool.command('audit [note]', 'who changed what, and when').action(addressed(audit));
   tool.command('fleet', 'the processes known').action(addressed(fleet));
   tool.help();
@@ -73,8 +77,10 @@
   return isUsage ? EXIT.usage : EXIT.failed;
 }
 
-async function status(options: Options): Promise<number> {
-  return print(await new Client(options.address).call<Survey>('status'), EXIT.ok);
+async function status(given: string | undefined, options: Options): Promise<number> {
+  const note = given === undefined ? undefined : String(given);
+  const found = await new Client(options.address).call<Status>('status', { note });
+  return print(found, EXIT.ok, options, renderStatus);
 }
 
 async function audit(given: string | undefined, options: Options): Promise<number> {
@@ -98,5 +104,6 @@
 }
 
 async function fleet(options: Options): Promise<number> {
-  return print(await new Client(options.address).call<Member[]>('fleet'), EXIT.ok);
+  const members = await new Client(options.address).call<Member[]>('fleet');
+  return print(members, EXIT.ok, options, renderFleet);
 }
--- /dev/null
+++ b/src/tool/render_status.ts
@@ -0,0 +1,95 @@
+/** Text for where versions stand. */
+import { type Standing, type Status, type Survey } from '../contracts.js';
+import { instant } from './render_audit.js';
+import { table } from './table.js';
+
+const SECOND_MS = 1_000;
+/** Units of an age, each with the number of seconds from which on it is used. */
+const UNITS = [
+  { name: 'd', seconds: 86_400 },
+  { name: 'h', seconds: 3_600 },
+  { name: 'min', seconds: 60 },
+  { name: 's', seconds: 1 },
+] as const;
+
+const HEADINGS = [
+  'VERSION',
+  'NOTE',
+  'ACTION',
+  'AUTHOR',
+  'ACCEPTED',
+  'AGO',
+  'HELD BY',
+  'NOT HELD BY',
+  'UNKNOWN',
+];
+
+export function renderStatus(status: Status): string {
+  const { head, asOf, isLogRead, versions, survey } = status;
+  const lines = [`latest version known: ${head}, at ${instant(asOf)}`];
+  if (!isLogRead) lines.push('the platform was not reached: later versions may have been accepted');
+  const rows = versions.map((version) => rowOf(version, asOf, survey));
+  if (rows.length > 0) lines.push(...table([HEADINGS, ...rows]));
+  else lines.push('no versions');
+  return [...lines, ...behind(survey), ...unheard(survey)].join('\n');
+}
+
+/** A process that did not answer counts as unknown, never as one that holds the version. */
+function rowOf(
+  { number, note, action, author, acceptedAt }: Standing,
+  asOf: number,
+  survey: Survey,
+): string[] {
+  const count = (holds: (version: number) => boolean) =>
+    survey.holding
+      .filter(({ version }) => holds(version))
+      .reduce((sum, { processes }) => sum + processes, 0);
+  return [
+    `v${number}`,
+    note,
+    action ?? '-',
+    author ?? '-',
+    instant(acceptedAt),
+    age(asOf - acceptedAt),
+    String(count((version) => version >= number)),
+    String(count((version) => version < number)),
+    unknownOf(survey),
+  ];
+}
+
+function unknownOf({ unknownProcesses, unreached }: Survey): string {
+  if (unreached.length === 0) return String(unknownProcesses);
+  const centres = unreached.length === 1 ? '1 data centre' : `${unreached.length} data centres`;
+  return unknownProcesses === 0 ? centres : `${unknownProcesses} and ${centres}`;
+}
+
+function behind({ laggards }: Survey): string[] {
+  if (laggards.length === 0) return [];
+  const rows = laggards.map(({ instance, dataCentre, version, reason }) => [
+    `  ${instance}`,
+    dataCentre,
+    `holds v${version}`,
+    reason,
+  ]);
+  return ['behind:', ...table(rows)];
+}
+
+function unheard({ unknown, unknownProcesses, unreached }: Survey): string[] {
+  const lines: string[] = [];
+  const more = unknownProcesses - unknown.length;
+  if (unknownProcesses > 0) {
+    const rest = more > 0 ? ` and ${more} more` : '';
+    lines.push(`unknown, no answer: ${unknown.join(' ')}${rest}`);
+  }
+  if (unreached.length > 0) {
+    lines.push(`unknown, data centres not reached: ${unreached.join(' ')}`);
+  }
+  return lines;
+}
+
+/** An age in the largest unit that fits, such as `4 min`. */
+function age(ms: number): string {
+  const seconds = Math.max(0, Math.floor(ms / SECOND_MS));
+  const unit = UNITS.find((candidate) => seconds >= candidate.seconds) ?? UNITS[3];
+  return `${Math.floor(seconds / unit.seconds)} ${unit.name}`;
+}
