--- a/src/requests/claims.ts
+++ b/src/requests/claims.ts
@@ -73,7 +73,7 @@
     if (this.#held.get(id)?.isReleased) await this.#awaitRelease(id, request.deadline);
     const own = this.#held.get(id);
     if (own) return this.#repeat(own.claim, request);
-    if (this.#held.size >= MAX_OUTSTANDING || !this.#window.enter()) throw this.#storeUnavailable();
+    if (this.#held.size >= MAX_OUTSTANDING) throw this.#storeUnavailable();
     return this.#acquire(id, request);
   }
 
@@ -125,18 +125,13 @@
    * run, and it is removed in the background: until then repeats elsewhere are refused, not run.
    */
   async #ask(id: string, held: HeldClaim, deadline: number): Promise<Claim> {
-    const askedAt = this.clock.now();
-    let isAnswered = false;
     try {
-      const there = await this.store.acquire(id, held.claim, deadline);
-      isAnswered = true;
-      return there;
+      const acquire = () => this.store.acquire(id, held.claim, deadline);
+      return await this.#window.run(deadline, acquire);
     } catch (error) {
       if (error instanceof OutcomeError && error.verdict !== 'not-run') held.release();
       else this.#forget(id, held);
       throw this.#storeUnavailable(error);
-    } finally {
-      this.#window.leave(askedAt, isAnswered);
     }
   }
 
