Refuse a claim within 200 ms when the platform's writes queue up

Cause: keyed requests waited up to a second for a place under StoreWindow before they were refused; a caller that has been given up on gets its final answer at once. Change: a claim waits 200 ms for a place at most.

--- a/src/requests/store_window.ts
+++ b/src/requests/store_window.ts
@@ -9,6 +9,8 @@
 const LARGEST_SIZE = 64;
 /** Claims that may wait for a place; a burst of bookings at one process is not refused. */
 const MAX_WAITING = 64;
+/** How long they may wait; a caller is better told at once to come back, in milliseconds. */
+const WAIT_MS = 200;
 /** A claim that takes longer tells that the platform's writes queue up, in milliseconds. */
 const TARGET_MS = 100;
 const SHRINK = 0.7;
@@ -41,15 +43,16 @@
     private readonly random: Random,
   ) {}
 
-  /** Runs `ask` when there is a place; refuses as `not-run` if there is none by the deadline. */
+  /** Runs `ask` when there is a place; refuses as `not-run` if there is none soon. */
   async run<T>(deadline: number, ask: () => Promise<T>): Promise<T> {
     if (this.#queue.size >= MAX_WAITING) throw unsettled(false);
-    return this.#queue.add(() => this.#ask(deadline, ask));
+    const startBy = Math.min(deadline, this.clock.now() + WAIT_MS);
+    return this.#queue.add(() => this.#ask(startBy, ask));
   }
 
-  async #ask<T>(deadline: number, ask: () => Promise<T>): Promise<T> {
+  async #ask<T>(startBy: number, ask: () => Promise<T>): Promise<T> {
     const askedAt = this.clock.now();
-    if (askedAt >= deadline || askedAt < this.#pausedUntil) throw unsettled(false);
+    if (askedAt >= startBy || askedAt < this.#pausedUntil) throw unsettled(false);
     let isAnswered = false;
     try {
       const answer = await ask();
