--- a/src/requests/safeguards.ts
+++ b/src/requests/safeguards.ts
@@ -49,7 +49,6 @@
   protect(entry: Entry, guard: Guard): void {
     const { quarantine } = this.#bulletins;
     entry.quarantine = quarantine;
-    guard.quarantine = quarantine;
     guard.claims = this.claims;
     guard.flights = new Flights(quarantine, this.grounds.clock);
     this.#sweeping = this.#sweep.run(this.#stopping.signal);
