--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -18,6 +18,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Log } from '../source/log.js';
+import { Snapshots } from '../source/snapshots.js';
 
 /** What the control part is given of the outside world. */
 export interface ControlSurroundings {
@@ -112,7 +113,8 @@
       this.distributor.heard(peer, heartbeat);
       this.#gossip.compare(peer, heartbeat.roster);
     });
-    this.reader = new Reader(this.log, replica, this.ranking, clock, random);
+    const snapshots = new Snapshots(platform, this.log);
+    this.reader = new Reader(this.log, snapshots, replica, this.ranking, clock, random);
     const confirmation = new Confirmation(
       this.reader,
       this.mesh,
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -152,6 +152,7 @@
     await this.guard[Symbol.asyncDispose]();
     await this.safeguards[Symbol.asyncDispose]();
     await this.#operators[Symbol.asyncDispose]();
+    await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
     this.journal.record('stopped');
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -90,7 +90,7 @@
     try {
       if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
       const journey = journeyOf(request, response, this.configuration(), this.clock.now());
-      this.#checkQuarantine(journey);
+      this.#check(journey);
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
     } catch (error) {
@@ -99,7 +99,7 @@
   }
 
   /** Those that only their body gives away are refused by the guard. */
-  #checkQuarantine({ request, route, asked }: Journey): void {
+  #check({ request, route, asked }: Journey): void {
     const { quarantine } = this;
     if (!quarantine || quarantine.isIdle) return;
     const { method, url } = asked;
--- a/src/requests/flights.ts
+++ b/src/requests/flights.ts
@@ -23,6 +23,13 @@
   readonly upstream: string;
 }
 
+/** An exchange with the upstream instance. */
+export interface Watched {
+  readonly announced: Announcement;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /** Tells whether a new connection is refused, which proves that nobody listens any more. */
 export type RefusalProbe = (whereabouts: Whereabouts) => Promise<boolean>;
 
@@ -103,9 +110,7 @@
    * death of the upstream instance if it breaks.
    */
   async watch<T>(
-    announced: Announcement,
-    request: IncomingMessage,
-    response: ServerResponse,
+    { announced, request, response }: Watched,
     exchange: () => Promise<T>,
   ): Promise<T> {
     const flight = new Flight(announced.upstream, request, this.#known.get(request));
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -8,7 +8,6 @@
 import { type Claims } from './claims.js';
 import { Connections } from './connections.js';
 import { Exchange } from './exchange.js';
-import { type Flights } from './flights.js';
 import {
   answerHeaders,
   CALLER_TIMEOUT,
@@ -31,6 +30,7 @@
 } from './headers.js';
 import { Limit, type Outcome, type Ticket } from './limit.js';
 import { writeLoad } from './load.js';
+import { type Flights } from './flights.js';
 import { type HeldClaim } from './held_claim.js';
 import { runOnce } from './once.js';
 import { relayAndKeep } from './outcome.js';
@@ -125,9 +125,9 @@
     this.traffic.enter(response);
     try {
       const admission = this.#admit(request, response);
-      const opening = await this.flights?.admit(admission.announced.upstream, request, response);
       const route = headerOf(request, CLAIM);
-      if (route === undefined) await this.#run(admission, () => bodyOf(request, opening?.body));
+      const opening = await this.flights?.admit(admission.announced.upstream, request, response);
+      if (route === undefined) await this.#run(admission, opening?.body ?? request);
       else await this.#once(admission, route);
     } catch (error) {
       if (!response.headersSent) this.#sign(request, response);
@@ -135,11 +135,10 @@
     }
   }
 
-  async #run(admission: Admission, body: () => Body, claim?: HeldClaim): Promise<void> {
-    const { request, response, announced } = admission;
-    const forward = () => this.#forward(admission, body(), claim);
+  async #run(admission: Admission, source: Readable, claim?: HeldClaim): Promise<void> {
     const { flights } = this;
-    const work = flights ? () => flights.watch(announced, request, response, forward) : forward;
+    const forward = () => this.#forward(admission, source, claim);
+    const work = flights ? () => flights.watch(admission, forward) : forward;
     await this.limit.run(admission, work);
   }
 
@@ -147,10 +146,10 @@
     if (!this.claims) throw notRun('store-unavailable', 'this process cannot make claims');
     const { request, response, deadline } = admission;
     const key = headerOf(request, IDEMPOTENCY_KEY) ?? '';
-    if (request.headers.expect !== undefined) response.writeContinue();
+    askForBody(request, response);
     this.#sign(request, response);
     await runOnce(this.claims, { request, response, route, key, deadline }, (source, claim) =>
-      this.#run(admission, () => bodyOf(request, source), claim),
+      this.#run(admission, source, claim),
     );
   }
 
@@ -179,12 +178,12 @@
     return announced;
   }
 
-  async #forward(admission: Admission, body: Body, claim?: HeldClaim): Promise<Outcome> {
+  async #forward(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
     const { request, response } = admission;
     const startedAt = this.clock.now();
-    if (!claim && request.headers.expect !== undefined) response.writeContinue();
+    if (source === request) askForBody(request, response);
     claim?.start();
-    const exchange = this.#exchange(admission, body, claim);
+    const exchange = this.#exchange(admission, bodyOf(request, source), claim);
     const answer = await exchange.answer();
     const headMs = this.clock.now() - startedAt;
     const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
@@ -232,10 +231,14 @@
   }
 }
 
-/** The entry has bounded the body; here it is passed on as it comes, from where it was opened. */
-function bodyOf(request: IncomingMessage, opened?: Readable): Body {
+function askForBody(request: IncomingMessage, response: ServerResponse): void {
+  if (request.headers.expect !== undefined) response.writeContinue();
+}
+
+/** The entry has bounded the body; here it is passed on as it comes. */
+function bodyOf(request: IncomingMessage, source: Readable): Body {
   if (!hasBody(request)) return new EmptyBody(request.method);
-  if (opened) return new OpenedBody(request, opened);
+  if (source !== request) return new OpenedBody(request, source);
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
 }
 
