Refuse a claim at once while the platform is away

Cause: a keyed request waited a second for a platform that had said it was away; a 429 counted as a good answer and cleared a suspected request.

--- a/src/requests/flights.ts
+++ b/src/requests/flights.ts
@@ -37,6 +37,7 @@
 const GATHER_MS = 50;
 const PROBE_TIMEOUT_MS = 500;
 const FIRST_SERVER_ERROR = 500;
+const TOO_MANY_REQUESTS = 429;
 
 /** One request in flight. Nothing is digested unless it has to be. */
 class Flight {
@@ -116,7 +117,7 @@
     const flight = new Flight(announced.upstream, request, this.#known.get(request));
     try {
       const result = await exchange();
-      if (response.statusCode < FIRST_SERVER_ERROR) this.#answered(flight);
+      if (isGood(response.statusCode)) this.#answered(flight);
       return result;
     } catch (error) {
       const { verdict, reason } = asOutcome(error);
@@ -145,6 +146,11 @@
   }
 }
 
+/** An upstream instance that had no room has not run the request, so it is not cleared by that. */
+function isGood(status: number): boolean {
+  return status < FIRST_SERVER_ERROR && status !== TOO_MANY_REQUESTS;
+}
+
 function probe({ host, port }: Whereabouts): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = connect({ host, port, timeout: PROBE_TIMEOUT_MS });
--- a/src/requests/single_claims.ts
+++ b/src/requests/single_claims.ts
@@ -77,6 +77,8 @@
       } catch (error) {
         if (!(error instanceof OutcomeError)) throw error;
         inDoubt ||= error.verdict !== 'not-run';
+        // The platform is away. Nothing is to be settled, so whoever asks is told at once.
+        if (!inDoubt) throw unsettled(false);
       }
       const retryAt = this.clock.now() + this.random.jitter(RETRY_CAP_MS);
       if (retryAt >= deadline) throw unsettled(inDoubt);
