--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -32,6 +32,8 @@
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
+/** Time for others to learn that this process leaves before it closes its ports, in milliseconds. */
+const NOTICE_MS = 1_000;
 
 /**
  * @example
@@ -80,7 +82,7 @@
     this.guard.configuration = () => this.replica.current;
     this.entry = new Entry(
       () => this.replica.current,
-      () => this.isReady,
+      () => this.control.readiness.isReady,
       balancer,
       clock,
       random,
@@ -121,9 +123,30 @@
     return instance;
   }
 
-  /** Whether requests may be taken: the configuration held is known not to be an old one. */
+  /**
+   * Whether callers should be sent here: the configuration held is known not to be an old one, and
+   * this process is not stopping.
+   */
   get isReady(): boolean {
-    return this.control.readiness.isReady;
+    return this.control.readiness.isReady && !this.guard.isLeaving;
+  }
+
+  /**
+   * Stops without cutting what is in flight, by `deadline` at the latest (milliseconds since the
+   * epoch); disposal follows. The ports stay open until the others have heard of it: a request
+   * that meets a port closing under it is lost, and nobody can tell whether it ran.
+   */
+  async stop(deadline: number): Promise<void> {
+    const { clock } = this.surroundings;
+    const { endpoint } = this.roster.self;
+    this.guard.leave();
+    this.entry.traffic.leave();
+    if (endpoint) this.roster.announce({ ...endpoint, state: 'draining' });
+    this.journal.record('stopping');
+    await clock.sleepUntil(Math.min(deadline, clock.now() + NOTICE_MS));
+    this.entry.traffic.close();
+    await this.entry.traffic.finish(deadline);
+    await this.guard.traffic.finish(deadline);
   }
 
   get replica(): Replica {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -41,4 +41,5 @@
   const ports = { callerPort, guardPort, linkPort, operatorsPort };
   process.stdout.write(`${JSON.stringify({ event: 'listening', ...ports })}\n`);
   await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
+  await instance.stop(clock.now() + settings.stopMs);
 }
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -88,7 +88,9 @@
 
   #announce(announced: z.infer<typeof Announcement>): void {
     const { guard, roster } = this.instance;
-    const { upstream, state, slots } = announced;
+    const { upstream, slots } = announced;
+    // The upstream instance may still call itself ready while the process beside it stops.
+    const state = guard.isLeaving ? 'draining' : announced.state;
     const before = roster.self.endpoint;
     guard.announce(announced);
     const same = before?.upstream === upstream && before.state === state && before.slots === slots;
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -45,6 +45,8 @@
 
   #request: ClientRequest | undefined;
 
+  #hasAnswer = false;
+
   #timer: NodeJS.Timeout | undefined;
 
   /** Ends the wait for the answer. */
@@ -71,10 +73,13 @@
       request.once('socket', (socket) => this.#watch(socket));
       request.once('response', (answer) => {
         clearTimeout(this.#timer);
+        this.#hasAnswer = true;
         resolve(answer);
       });
       request.on('error', (cause) => reject(this.#outcome(cause)));
-      request.once('close', () => reject(this.#outcome(new Error('closed without an answer'))));
+      request.once('close', () => {
+        if (!this.#hasAnswer) reject(this.#outcome(new Error('closed without an answer')));
+      });
       body.send(request);
     });
   }
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -111,6 +111,10 @@
     if (announced.state === 'ready' && (!wasReady || isOther)) this.limit.restart();
   }
 
+  get isLeaving(): boolean {
+    return this.#isLeaving;
+  }
+
   /** This process is stopping: takes no new work, also none that waits. */
   leave(): void {
     this.#isLeaving = true;
--- a/src/requests/traffic.ts
+++ b/src/requests/traffic.ts
@@ -38,6 +38,11 @@
     this.#isLeaving = true;
   }
 
+  /** Takes no new connections and closes those that stand idle. */
+  close(): void {
+    this.server.close();
+  }
+
   /** Resolves when nothing is in flight, or at the deadline; true if nothing was left. */
   async finish(deadline: number): Promise<boolean> {
     while (this.#inFlight > 0) {
--- /dev/null
+++ b/src/test/daemon/stop_test.ts
@@ -0,0 +1,87 @@
+import { once } from 'node:events';
+import { Agent } from 'node:http';
+import { expect } from 'chai';
+import { Fleet, type Station } from '../../bench/fleet.js';
+import { ReleaseNote } from '../../contracts.js';
+import { MachineClock } from '../../runtime/clock.js';
+import { Client } from '../../tool/client.js';
+import { ask } from '../requests/path.js';
+
+const clock = new MachineClock();
+const LONG_MS = 10_000;
+const NOTE = ReleaseNote.parse({
+  id: 'opening',
+  author: 'dana',
+  add: {
+    upstreams: [{ name: 'bookings' }],
+    routes: [{ name: 'seats', pathPrefix: '/seats', upstream: 'bookings', repeatable: false }],
+  },
+});
+
+async function serving(): Promise<Fleet> {
+  const upstreams = ['bookings', 'bookings'];
+  const fleet = await Fleet.start(clock, { dataCentres: ['arima'], upstreams });
+  const [first] = fleet.stations;
+  const isAcquainted = ({ instance }: Station) =>
+    instance.isReady &&
+    instance.roster.live().filter((member) => member.endpoint?.state === 'ready').length === 2;
+  const deadline = clock.now() + LONG_MS;
+  await fleet.until(() => fleet.stations.every(isAcquainted), deadline);
+  await new Client(`127.0.0.1:${first!.instance.operatorsPort}`).call('submit', NOTE);
+  await fleet.until(
+    () => fleet.stations.every(({ instance }) => instance.replica.current.number === 1),
+    deadline,
+  );
+  return fleet;
+}
+
+const book = (port: number, id: string, agent?: Agent) =>
+  ask(port, { path: '/seats', method: 'POST', headers: { 'x-request': id }, body: 'x', agent });
+
+describe('Instance.stop', () => {
+  // A booking is running when the process beside its upstream is told to stop, and callers go on
+  // all the while, through both processes. The running one is answered whole; nothing is lost or
+  // refused, and the leaving upstream begins nothing from the moment its process knows.
+  it('finishes what is in flight and begins nothing new', async () => {
+    await using fleet = await serving();
+    const [leaving, staying] = fleet.stations as [Station, Station];
+    const { callerPort } = leaving.instance;
+    const agent = new Agent({ keepAlive: true });
+    staying.upstream.delayMs = 50;
+    leaving.upstream.delayMs = 300;
+    const begun = Promise.race([once(leaving.upstream, 'run'), once(staying.upstream, 'run')]);
+    const running = Array.from({ length: 8 }, (_, index) => book(callerPort, `running-${index}`));
+    await begun;
+    const stopped = leaving.instance.stop(clock.now() + LONG_MS);
+    expect(leaving.instance.isReady).to.equal(false);
+    const later = [];
+    for (let index = 0; index < 10; index++) {
+      const port = index % 2 ? callerPort : staying.instance.callerPort;
+      later.push(await book(port, `later-${index}`, agent));
+    }
+    const answers = [...(await Promise.all(running)), ...later];
+    await stopped;
+    agent.destroy();
+    expect(new Set(answers.map(({ status }) => status))).to.deep.equal(new Set([200]));
+    expect(later[1]!.headers.connection).to.equal('close');
+    expect([...leaving.upstream.runs.keys()].filter((id) => id.startsWith('later'))).to.deep.equal(
+      [],
+    );
+  });
+
+  // The upstream never answers what it has begun. The stop waits for it until its deadline only;
+  // the caller then sees a broken connection, never a part that looks whole.
+  it('is bounded by its deadline', async () => {
+    await using fleet = await serving();
+    const [leaving] = fleet.stations as [Station];
+    for (const { upstream } of fleet.stations) upstream.delayMs = LONG_MS * 6;
+    const cut = book(leaving.instance.callerPort, 'stuck').then(
+      ({ status }) => status,
+      (error: NodeJS.ErrnoException) => error.code,
+    );
+    await Promise.race(fleet.stations.map(({ upstream }) => once(upstream, 'run')));
+    await leaving.instance.stop(clock.now());
+    await leaving.instance.entry[Symbol.asyncDispose]();
+    expect(await cut).to.equal('ECONNRESET');
+  });
+});
