Start the bench's first daemon alone, and keep its upstreams alive

And an upstream stand-in ended when a caller went away while its body was read. Change: the first daemon starts alone and the others are given its address; a gone caller ends its own exchange only; overload names the causes of losses. Joining islands through the directory takes 10 s and more; that is left to the settings, which name peers.

--- a/src/bench/deployment.ts
+++ b/src/bench/deployment.ts
@@ -60,7 +60,9 @@
   async open(): Promise<void> {
     this.platform = this.owned.use(await Program.start('bench/platform_main', []));
     const { processes } = this.options;
-    await this.#startSome(0, Math.min(SEEDS, processes));
+    // The first one alone: were several to start without peers, each would be an island at first.
+    await this.#startSome(0, 1);
+    await this.#startSome(1, Math.min(SEEDS, processes));
     for (let from = SEEDS; from < processes; from += STARTING_AT_ONCE) {
       await this.#startSome(from, Math.min(from + STARTING_AT_ONCE, processes));
     }
--- a/src/bench/experiments/overload.ts
+++ b/src/bench/experiments/overload.ts
@@ -49,6 +49,7 @@
       p99Ms: rounded(own.times.at(99)),
       refusedNotRun: own.notRun.size,
       ...faults(own, runs),
+      ...(own.others.size > 0 && { causes: [...new Set(own.others.values())].slice(0, 5) }),
     };
   }
 
--- a/src/standins/upstream_server.ts
+++ b/src/standins/upstream_server.ts
@@ -151,8 +151,13 @@
     await this.#slots.add(() => this.clock.sleepUntil(this.clock.now() + this.delayMs));
   }
 
+  /** A caller that goes away while its request is read ends only that exchange. */
   async #treat(conduct: Conduct, call: Call): Promise<void> {
-    if (await conduct.answer(call)) await this.crash();
+    try {
+      if (await conduct.answer(call)) await this.crash();
+    } catch (error) {
+      if (!call.incoming.errored) throw error;
+    }
   }
 }
 
