--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -98,10 +98,12 @@
     }
   }
 
-  #check({ request, route }: Journey): void {
-    if (!this.quarantine || this.quarantine.isIdle) return;
-    // Those that only their body gives away are refused by the guard.
-    this.quarantine.check(headFingerprint(route.upstream, request));
+  /** Those that only their body gives away are refused by the guard. */
+  #check({ request, route, asked }: Journey): void {
+    const { quarantine } = this;
+    if (!quarantine || quarantine.isIdle) return;
+    const { method, url } = asked;
+    quarantine.check(headFingerprint(route.upstream, { method, url, headers: request.headers }));
   }
 
   async #take({ request, response, route, deadline }: Journey): Promise<Body> {
--- a/src/test/membership/fleet.ts
+++ b/src/test/membership/fleet.ts
@@ -1,5 +1,4 @@
 /** Processes that do nothing but membership, in this process and on fake timers. */
-import { install, type Clock as Timers } from '@sinonjs/fake-timers';
 import { type Member } from '../../contracts.js';
 import { type Address, Mesh } from '../../distribution/mesh.js';
 import { HEARTBEAT } from '../../distribution/methods.js';
@@ -11,16 +10,20 @@
 import { Probe } from '../../membership/probe.js';
 import { Ranking } from '../../membership/ranking.js';
 import { Roster } from '../../membership/roster.js';
-import { TimerClock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
+import { Gate } from '../../standins/gate.js';
+import { type Host, MemoryNetwork } from '../../standins/memory_network.js';
 import { PlatformStore } from '../../standins/platform_store.js';
+import { FakeTime } from '../fake_time.js';
 import { memberOf } from './member.js';
-import { Network, PairDialer } from './pair_link.js';
+import { CountingCodec } from './traffic.js';
 
 const HEARTBEAT_MS = 1_000;
 const FANOUT = 8;
 
 export class Node {
+  readonly host: Host;
+
   readonly roster: Roster;
 
   readonly ranking: Ranking;
@@ -43,10 +46,17 @@
     const random = new SeededRandom(seed);
     const replica = new Replica();
     const methods = new Methods();
-    const port = self.linkPort;
+    // The network cuts between data centres; here every process stands in one of its own.
+    this.host = {
+      host: self.host,
+      port: self.linkPort,
+      dataCentre: self.instance,
+      gate: new Gate(),
+      accept: (link) => this.mesh.accept(link),
+    };
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, FANOUT);
-    const dialer = new PairDialer(network, port);
+    const dialer = network.attach(this.host);
     const { digest } = replica.current;
     const hello = () => ({ member: this.roster.self, version: 0, digest, isReady: true });
     this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, hello);
@@ -61,7 +71,6 @@
     );
     methods.on(HEARTBEAT, (peer, { roster }) => this.gossip.compare(peer, roster));
     this.directory = new Directory(platform, this.roster, this.ranking, clock, random);
-    network.listening.set(port, (link) => this.mesh.accept(link));
     const { signal } = this.#stopping;
     void new Bootstrap(peers, this.mesh, this.directory, clock, random).run(signal);
     void new Probe(this.roster, this.ranking, this.mesh, clock, random, peers).run(signal);
@@ -76,7 +85,7 @@
 
   /** Dies as a killed process does: its port refuses and its links close. */
   async kill(): Promise<void> {
-    this.fleet.network.listening.delete(this.self.linkPort);
+    this.fleet.network.detach(this.host, 'closed');
     this.#stopping.abort();
     await this.mesh[Symbol.asyncDispose]();
   }
@@ -90,11 +99,13 @@
 }
 
 export class Fleet implements AsyncDisposable {
-  readonly timers: Timers = install();
+  readonly time = new FakeTime();
+
+  readonly clock = this.time.clock;
 
-  readonly clock = new TimerClock();
+  readonly codec = new CountingCodec();
 
-  readonly network = new Network(this.clock);
+  readonly network = new MemoryNetwork(this.clock, new SeededRandom(1), this.codec);
 
   readonly platform = new PlatformStore(this.clock);
 
@@ -119,12 +130,29 @@
     }
   }
 
+  /** Lets all know each other without a word, as if they had met long ago. */
+  acquaint(): void {
+    const members = this.nodes.map(({ self }) => self);
+    for (const { roster } of this.nodes) roster.merge(members, { isBulk: true });
+  }
+
+  /** Cuts all pairs of processes of which `isCut` holds, given by their ports. */
+  cut(isCut: (one: number, other: number) => boolean): void {
+    for (const one of this.nodes) {
+      for (const other of this.nodes) {
+        if (isCut(one.self.linkPort, other.self.linkPort)) {
+          this.network.cut(one.instance, other.instance);
+        }
+      }
+    }
+  }
+
   /** Passes time until `condition` holds; resolves to the time passed in milliseconds. */
   async until(condition: () => boolean, limitMs: number, stepMs = 100): Promise<number> {
     const from = this.clock.now();
     while (!condition()) {
       if (this.clock.now() - from >= limitMs) return Infinity;
-      await this.timers.tickAsync(stepMs);
+      await this.time.advance(stepMs);
     }
     return this.clock.now() - from;
   }
@@ -139,6 +167,6 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     for (const node of this.nodes) await node.kill();
-    this.timers.uninstall();
+    this.time[Symbol.dispose]();
   }
 }
--- a/src/test/requests/flights_test.ts
+++ b/src/test/requests/flights_test.ts
@@ -1,5 +1,4 @@
 import { createServer, type Server } from 'node:http';
-import { Readable } from 'node:stream';
 import { expect } from 'chai';
 import { ask, type Answer } from '../../bench/caller.js';
 import { type Bulletin, type EndpointState } from '../../contracts.js';
@@ -53,7 +52,6 @@
     owned.use({ [Symbol.asyncDispose]: () => shut(upstream) });
     const guard = owned.use(new Guard(clock));
     const quarantine = new Quarantine(clock, new SeededRandom(index), flood);
-    guard.quarantine = quarantine;
     guard.flights = new Flights(quarantine, clock);
     const announce = (state: EndpointState) => {
       const endpoint = { upstream: 'bookings', state, slots: 8 };
@@ -85,7 +83,7 @@
     return server;
   }
 
-  function book({ port }: Station, body: string): Promise<Answer> {
+  function book({ port }: Pick<Station, 'port'>, body: string): Promise<Answer> {
     const headers = { 'barleyhaven-upstream': 'bookings', 'barleyhaven-remaining-ms': '5000' };
     return ask({ port, path: '/seats', method: 'POST', headers, body });
   }
@@ -145,9 +143,15 @@
       probed += 1;
       return false;
     });
-    const request = { method: 'GET', url: '/menus', headers: {} };
-    const flight = flights.begin('bookings', request, Readable.from([]));
-    flights.broke(flight, 'bookings', { host: LOOPBACK, port: 1 });
+    const breaking = new Guard(clock);
+    owned.use(breaking).flights = flights;
+    const upstream = createServer((request) => request.socket.destroy());
+    const port = await listen(upstream);
+    owned.use({ [Symbol.asyncDispose]: () => shut(upstream) });
+    const endpoint = { upstream: 'bookings', state: 'ready', slots: 8 } as const;
+    breaking.announce({ ...endpoint, host: LOOPBACK, port });
+    const answer = await book({ port: await listen(breaking.server) }, INNOCENT);
+    expect(verdictOf(answer)).to.equal('may-have-run connection');
     await new Promise(setImmediate);
     expect([probed, quarantine.isIdle]).to.deep.equal([1, true]);
   });
