--- a/src/test/tool/note_commands_test.ts
+++ b/src/test/tool/note_commands_test.ts
@@ -19,8 +19,8 @@
   return (server.address() as AddressInfo).port;
 }
 
-/** Submits a text to a process that ends the call so; the exit code and what was printed. */
-async function submit(text: string, ending: Ending, isOpen = true) {
+/** Runs a command on a text; the process asked ends the call so. */
+async function run(command: string, text: string, ending: Ending, isOpen = true) {
   const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
   const file = join(folder, 'note.yaml');
   await writeFile(file, text);
@@ -36,7 +36,7 @@
   stdout.write = keep;
   stderr.write = keep;
   try {
-    const code = await main(['node', 'tool', 'submit', file, '--to', `127.0.0.1:${port}`], {});
+    const code = await main(['node', 'tool', command, file, '--to', `127.0.0.1:${port}`], {});
     return { code, printed: printed.join('').replaceAll(String(port), 'PORT') };
   } finally {
     stdout.write = out;
@@ -51,6 +51,8 @@
   (response) =>
     response.end(JSON.stringify({ jsonrpc: '2.0', id: 1, ...body }));
 
+const submit = (text: string, ending: Ending, isOpen = true) => run('submit', text, ending, isOpen);
+
 describe('submit', () => {
   // The process gets the note and dies, or answers without knowing, so it may have been accepted.
   // The tool's exit code says that it is not known, which a script must not take for a failure.
@@ -81,6 +83,17 @@
       note: 'other',
       audited: true,
     };
+    const unaudited = { ...result, audited: false };
     expect(await submit(NOTE, answering({ result }))).toMatchSnapshot();
+    expect(await submit(NOTE, answering({ result: unaudited }))).toMatchSnapshot();
+  });
+});
+
+describe('check', () => {
+  // The process dies while it checks. Nothing could have been accepted by that, so the exit code
+  // is that of a failure, not the one that asks for the note to be handed in again.
+  it('fails without doubt, since it writes nothing', async () => {
+    const { code } = await run('check', NOTE, (response) => response.destroy());
+    expect(code).to.equal(EXIT.failed);
   });
 });
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -53,7 +53,7 @@
     return (await tool.runMatchedCommand()) as number;
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
-    return exitOf(error);
+    return exitOf(error, tool.matchedCommand?.name ?? '');
   }
 }
 
@@ -69,9 +69,13 @@
   };
 }
 
-function exitOf(error: unknown): number {
+/** Commands that change something, so that it matters whether they ran. */
+const WRITING = new Set(['submit', 'amend', 'withdraw']);
+
+function exitOf(error: unknown, command: string): number {
   if (error instanceof OutcomeError) {
-    return error.verdict === 'may-have-run' ? EXIT.unknown : EXIT.failed;
+    const isDoubtful = error.verdict === 'may-have-run' && WRITING.has(command);
+    return isDoubtful ? EXIT.unknown : EXIT.failed;
   }
   const isUsage = error instanceof Error && error.name === 'CACError';
   return isUsage ? EXIT.usage : EXIT.failed;
--- a/src/tool/render_acceptance.ts
+++ b/src/tool/render_acceptance.ts
@@ -8,11 +8,12 @@
     case 'accepted':
       return renderAccepted(acceptance);
     case 'refused':
-      return ['refused:', ...acceptance.problems.map(renderProblem)].join('\n');
+      return ['refused:', ...acceptance.problems.map(renderProblem), ...gap(acceptance)].join('\n');
     default: {
       const rival = acceptance.note === '' ? 'another note' : `note ${acceptance.note}`;
       const lines = acceptance.resources.map((resource) => `  ${resource}`);
-      return [`conflict: ${rival} touched the same resources`, ...lines].join('\n');
+      const title = `conflict: ${rival} touched the same resources`;
+      return [title, ...lines, ...gap(acceptance)].join('\n');
     }
   }
 }
@@ -25,6 +26,11 @@
   return [`valid on top of version ${result.head}; it would touch`, ...lines].join('\n');
 }
 
+/** Says so where the audit trail does not hold the refusal. */
+function gap({ audited }: { readonly audited?: boolean }): string[] {
+  return audited === false ? ['not audited: the platform did not take the entry'] : [];
+}
+
 export function renderProblem({ path, message }: Problem): string {
   return `  ${printable(`${path}: ${message}`)}`;
 }
