Try the relay under a herd, hanging watches and a slow platform

Cause: bounded admission, pages and a platform that hangs or is slow had no test of their own; a reader that had lost the platform always asked the same process of another data centre for the end of the log, so it could wait for good behind one that was cut off too. Change: tests; all linked processes of other data centres are asked, and the first answer is taken.

--- a/src/distribution/confirmation.ts
+++ b/src/distribution/confirmation.ts
@@ -59,7 +59,7 @@
 
   async #find(deadline: number): Promise<number> {
     const { parent, isReader } = this.ranking;
-    if (!isReader) return this.#ask(parent && this.mesh.peer(parent.instance), deadline);
+    if (!isReader) return this.#ask(parent ? [this.mesh.peer(parent.instance)] : [], deadline);
     try {
       const half = (deadline - this.clock.now()) / 2;
       return await this.reader.confirm(this.clock.now() + half);
@@ -68,15 +68,18 @@
     }
   }
 
-  /** A reader of another data centre may reach the platform when those of this one do not. */
-  #elsewhere(): Peer | undefined {
+  /** Readers of other data centres may reach the platform when those of this one do not. */
+  #elsewhere(): Peer[] {
     const { dataCentre } = this.roster.self;
-    return this.mesh.peers.find(({ member }) => member && member.dataCentre !== dataCentre);
+    return this.mesh.peers.filter(({ member }) => member && member.dataCentre !== dataCentre);
   }
 
-  async #ask(peer: Peer | undefined, deadline: number): Promise<number> {
-    if (!peer) throw new Error('no link towards a reader');
+  /** The first answer will do; rejects if there is none. */
+  #ask(peers: readonly (Peer | undefined)[], deadline: number): Promise<number> {
     const withinMs = Math.max(0, deadline - this.clock.now() - LEVEL_MS);
-    return (await peer.request(CONFIRM, { withinMs }, deadline)).head;
+    const linked = peers.filter((peer) => peer !== undefined);
+    return Promise.any(
+      linked.map(async (peer) => (await peer.request(CONFIRM, { withinMs }, deadline)).head),
+    );
   }
 }
--- a/src/test/distribution/distributor_test.ts
+++ b/src/test/distribution/distributor_test.ts
@@ -111,6 +111,31 @@
     await converge(fleet, 2, 12_000);
   });
 
+  // The watches of all readers hang on connections that have gone silent, except in one data
+  // centre. The version comes from there at once, instead of when the other watches run out.
+  it('does not wait for watches that hang', async () => {
+    await using fleet = await TestFleet.start({ sizes: SIZES });
+    await converge(fleet, await fleet.accept());
+    fleet.cutOff.add('chaguanas');
+    await converge(fleet, await fleet.accept(), 500);
+  });
+
+  // The platform takes 400 ms for each call, then is down for a while. A version is late by the
+  // one call, and after the outage by a jittered wait, and the readers need no help to go on.
+  it('follows a platform that is slow and goes away for moments', async () => {
+    await using fleet = await TestFleet.start({ sizes: SIZES });
+    fleet.platform.faults.slowMs = 400;
+    const accepting = fleet.accept();
+    await fleet.time.advance(400);
+    await converge(fleet, await accepting, 450);
+    fleet.platform.faults.slowMs = 0;
+    fleet.platform.faults.down = true;
+    fleet.platform.disturb();
+    await fleet.time.advance(5_000);
+    fleet.platform.faults.down = false;
+    await converge(fleet, await fleet.accept(), HEAL_MS);
+  });
+
   // A version in the log is forged, then followed by one built on it. Every process refuses both
   // whole and keeps what it has; the reason is in the survey; nobody reads or pulls in a loop.
   it('refuses a bad version everywhere, says why and does not loop', async () => {
--- /dev/null
+++ b/src/test/distribution/relay_test.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai';
+import { Configuration } from '../../configuration/configuration.js';
+import { type Pulled, Upstream } from '../../contracts.js';
+import { Relay } from '../../distribution/relay.js';
+import { Replica } from '../../distribution/replica.js';
+import { FakeTime } from '../fake_time.js';
+import { TestFleet } from './test_fleet.js';
+
+const HERD = 300;
+
+function replicaAt(number: number, about = ''): Replica {
+  const replica = new Replica();
+  let before = Configuration.empty;
+  for (let count = 1; count <= number; count++) {
+    const upstream = Upstream.parse({ kind: 'upstream', name: `u-${count}`, about });
+    const change = { put: [upstream], remove: [] };
+    const next = before.next(change);
+    const { digest } = next;
+    replica.apply([
+      { number: count, parent: before.digest, digest, note: 'n', acceptedAt: 0, change },
+    ]);
+    before = next;
+  }
+  return replica;
+}
+
+function isBusy({ busyMs }: Pulled): boolean {
+  return busyMs !== undefined;
+}
+
+describe('Relay', () => {
+  // A herd of 300 reconnects to one relay and pulls at once. It answers so many that its other
+  // messages are not held up, tells the rest at once to come back, and has room for them then.
+  it('answers a bounded number of pulls and turns the rest away at once', async () => {
+    using time = new FakeTime();
+    const relay = new Relay(replicaAt(3), time.clock);
+    const answers: Pulled[] = [];
+    for (let count = 0; count < HERD; count++) {
+      void relay.answer({ after: 0 }).then((answer) => answers.push(answer));
+    }
+    await time.advance(1);
+    const counts = () => ({
+      served: answers.filter((answer) => !isBusy(answer)).length,
+      busy: answers.filter(isBusy).length,
+    });
+    const atOnce = counts();
+    await time.advance(200);
+    const later = counts();
+    expect([atOnce, later]).toMatchSnapshot();
+    expect(isBusy(await relay.answer({ after: 0 }))).to.equal(false);
+  });
+
+  it('answers with versions as far as they are kept and fit, and with pages beyond', async () => {
+    using time = new FakeTime();
+    const relay = new Relay(replicaAt(300, 'x'.repeat(1_500)), time.clock);
+    const near = await relay.answer({ after: 298 });
+    const far = await relay.answer({ after: 100 });
+    const beyond = await relay.answer({ after: 3 });
+    const { number, total, resources } = beyond.page!;
+    const offset = resources.length;
+    const more = await relay.answer({ after: 3, page: { number, offset } });
+    expect(near.versions.map((version) => version.number)).to.deep.equal([299, 300]);
+    expect([far.versions[0]!.number, far.versions.length < 200]).to.deep.equal([101, true]);
+    expect([number, total, offset < total]).to.deep.equal([300, 300, true]);
+    expect([more.page!.number, more.page!.offset]).to.deep.equal([300, offset]);
+  });
+
+  // Half of a data centre loses its links for a while and comes back at once, far behind, to
+  // relays that turn most of them away. All have caught up a few jittered waits later.
+  it('lets a herd that reconnects catch up', async () => {
+    await using fleet = await TestFleet.start({ sizes: { arima: 12 } });
+    const herd = fleet.ranked('arima').slice(6);
+    herd.forEach(({ host }) => host.gate.shut());
+    for (let count = 0; count < 20; count++) await fleet.accept();
+    await fleet.time.advance(6_000);
+    herd.forEach(({ host }) => host.gate.open());
+    expect(await fleet.time.until(() => fleet.holds(20), 6_000)).to.equal(true);
+  });
+});
