--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -30,14 +30,11 @@
 } from './headers.js';
 import { Limit, type Outcome, type Ticket } from './limit.js';
 import { writeLoad } from './load.js';
-import { openBody } from './fingerprint.js';
 import { type Flights } from './flights.js';
 import { type HeldClaim } from './held_claim.js';
 import { runOnce } from './once.js';
 import { relayAndKeep } from './outcome.js';
-import { type Quarantine } from './quarantine.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
-import { headFingerprint, wholeFingerprint } from './request_fingerprint.js';
 import { Traffic } from './traffic.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
@@ -55,7 +52,6 @@
 
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
 const MAX_CONNECTIONS = 100;
-const FIRST_SERVER_ERROR = 500;
 const DEFAULT_SLOTS = 20;
 const DEFAULT_REMAINING_MS = 10_000;
 const DEFAULT_PRIORITY = 5;
@@ -77,11 +73,9 @@
   /** Set before the first request; without it requests with a key are refused. */
   claims: Claims | undefined;
 
-  /** Set before the first request; without them no death is looked into. */
+  /** Set before the first request; without it no death is looked into and nothing kept out. */
   flights: Flights | undefined;
 
-  quarantine: Quarantine | undefined;
-
   /** Where the limits are looked up that routes name. */
   configuration = () => Configuration.empty;
 
@@ -132,8 +126,8 @@
     try {
       const admission = this.#admit(request, response);
       const route = headerOf(request, CLAIM);
-      const source = await this.#checked(admission);
-      if (route === undefined) await this.#run(admission, source);
+      const opening = await this.flights?.admit(admission.announced.upstream, request, response);
+      if (route === undefined) await this.#run(admission, opening?.body ?? request);
       else await this.#once(admission, route);
     } catch (error) {
       if (!response.headersSent) this.#sign(request, response);
@@ -141,21 +135,11 @@
     }
   }
 
-  /** The body, still whole, of a request that is not quarantined. */
-  async #checked({ announced, request, response }: Admission): Promise<Readable> {
-    const { quarantine } = this;
-    if (!quarantine || quarantine.isIdle) return request;
-    const head = headFingerprint(announced.upstream, request);
-    quarantine.check(head);
-    if (!quarantine.needsBody(head)) return request;
-    askForBody(request, response);
-    const { prefix, body } = await openBody(request);
-    quarantine.check(wholeFingerprint(head, prefix));
-    return body;
-  }
-
   async #run(admission: Admission, source: Readable, claim?: HeldClaim): Promise<void> {
-    await this.limit.run(admission, () => this.#watched(admission, source, claim));
+    const { flights } = this;
+    const forward = () => this.#forward(admission, source, claim);
+    const work = flights ? () => flights.watch(admission, forward) : forward;
+    await this.limit.run(admission, work);
   }
 
   async #once(admission: Admission, route: string): Promise<void> {
@@ -194,22 +178,6 @@
     return announced;
   }
 
-  /** Forwards, and looks into the death of the upstream instance if that is why it breaks. */
-  async #watched(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
-    const { announced, request, response } = admission;
-    const { upstream } = announced;
-    const flight = this.flights?.begin(upstream, request, source);
-    try {
-      const outcome = await this.#forward(admission, source, claim);
-      if (flight && response.statusCode < FIRST_SERVER_ERROR) this.flights?.answered(flight);
-      return outcome;
-    } catch (error) {
-      const isHandedOver = asOutcome(error).verdict !== 'not-run';
-      if (flight && isHandedOver) this.flights?.broke(flight, upstream, announced);
-      throw error;
-    }
-  }
-
   async #forward(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
     const { request, response } = admission;
     const startedAt = this.clock.now();
