--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -27,6 +27,8 @@
 
   #refusedUntil = 0;
 
+  #isLeaving = false;
+
   readonly #listeners = new Set<(announcement: Announcement) => void>();
 
   constructor(
@@ -48,6 +50,15 @@
     this.#set(isRefusing ? { ...announcement, state: 'down' } : announcement);
   }
 
+  /**
+   * From now on the endpoint drains, whatever is announced: the upstream instance may still call
+   * itself ready while the process beside it stops.
+   */
+  leave(): void {
+    this.#isLeaving = true;
+    if (this.#last) this.#set(this.#last);
+  }
+
   /** Ends the lease at once: a connection to the upstream instance was refused. */
   refused(): void {
     this.#refusedUntil = this.clock.now() + REFUSED_MS;
@@ -74,7 +85,9 @@
   #set(announcement: Announcement): void {
     this.#last = announcement;
     for (const listener of this.#listeners) listener(announcement);
-    const { upstream, state, slots } = announcement;
+    const { upstream, slots } = announcement;
+    const isDraining = this.#isLeaving && announcement.state !== 'down';
+    const state = isDraining ? 'draining' : announcement.state;
     const held = this.roster.self.endpoint;
     const isSame = held?.upstream === upstream && held.state === state && held.slots === slots;
     if (!isSame) this.roster.announce({ upstream, state, slots });
