Dial three seeds at a time, so that processes starting together form no islands

The test was right: 5 processes that start together each stopped at the first address that answered, formed two islands, and 4 of 5 took themselves for readers and watched the platform; still so after 0.9 s. A joining process also put off fetching the roster if others had dialled it first.

Change: three random addresses are dialled at a time, after 50 ms at most; a process that has joined nobody yet fetches the roster at once. Descendants are found by rank.

--- a/src/membership/bootstrap.ts
+++ b/src/membership/bootstrap.ts
@@ -7,8 +7,13 @@
 /** How often a process that has links looks whether it still has, in milliseconds. */
 const CHECK_EVERY_MS = 1_000;
 /** Caps of the jittered wait between rounds over the addresses, in milliseconds. */
-const KNOCK_FIRST_CAP_MS = 250;
+const KNOCK_FIRST_CAP_MS = 50;
 const KNOCK_CAP_MS = 5_000;
+/**
+ * Addresses dialled at a time. Processes that start together and stop at the first one found form
+ * islands, each with readers of its own, until probes or the directory bring them together.
+ */
+const KNOCKS_AT_ONCE = 3;
 /** Windows in which a process without links reads the directory, in milliseconds. */
 const LOOKUP_FIRST_WINDOW_MS = 8_000;
 const LOOKUP_WINDOW_MS = 60_000;
@@ -36,10 +41,9 @@
     let attempts = 0;
     while (!signal.aborted) {
       attempts = await this.#waitAlone(attempts, KNOCK_FIRST_CAP_MS, KNOCK_CAP_MS, signal);
-      for (const address of this.random.shuffled(this.addresses)) {
-        if (signal.aborted || !this.#isAlone) break;
-        await this.mesh.introduce(address);
-      }
+      if (signal.aborted || !this.#isAlone) continue;
+      const addresses = this.random.shuffled(this.addresses).slice(0, KNOCKS_AT_ONCE);
+      await Promise.all(addresses.map((address) => this.mesh.introduce(address)));
     }
   }
 
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -82,9 +82,9 @@
 
   /** All members of a data centre's tree that hang below one of them. */
   descendants(dataCentre: string, instance: string): readonly Member[] {
-    const ranked = this.ranked(dataCentre);
-    const rank = ranked.findIndex((member) => member.instance === instance);
-    if (rank < 0) return [];
+    const { members: ranked, ranks } = this.#group(dataCentre);
+    const rank = ranks.get(instance);
+    if (rank === undefined) return [];
     const found: Member[] = [];
     let [from, to] = [rank * this.fanout + 1, (rank + 1) * this.fanout + 1];
     while (from < ranked.length) {
--- a/src/membership/reconciliation.ts
+++ b/src/membership/reconciliation.ts
@@ -27,6 +27,9 @@
 
   #notBefore = 0;
 
+  /** Whether a roster was fetched from anybody. */
+  #hasJoined = false;
+
   readonly #differing = new WeakMap<Peer, number>();
 
   readonly #statements: TokenBucket;
@@ -65,11 +68,13 @@
     if (times >= patience) void this.#reconcile(peer);
   }
 
-  /** Only a process that knows nobody yet asks at once; a herd of others would ask together. */
+  /**
+   * A process that has joined nobody yet asks at once: until it knows the others it ranks itself
+   * first and reads the platform. A herd of others, which lost a relay, would ask together.
+   */
   async #opened(peer: Peer): Promise<void> {
     if (!peer.isDialled) return;
-    const isNew = this.roster.size <= 2;
-    const wait = isNew ? 0 : this.random.jitter(EVERY_MS);
+    const wait = this.#hasJoined ? this.random.jitter(EVERY_MS) : 0;
     if (wait > 0) await this.clock.sleepUntil(this.clock.now() + wait, peer.link.closed);
     if (!peer.link.closed.aborted) await this.#reconcile(peer);
   }
@@ -83,6 +88,7 @@
     this.#differing.delete(peer);
     try {
       await this.#exchange(peer, now + TIMEOUT_MS);
+      this.#hasJoined = true;
     } catch {
       // The next differing heartbeats try again.
     } finally {
--- a/src/test/membership/fleet.ts
+++ b/src/test/membership/fleet.ts
@@ -118,8 +118,13 @@
       linkPort: number,
       incarnation: this.clock.now() + 1,
     });
+    return this.add(self, peers);
+  }
+
+  /** Starts a process that is not like the others. */
+  add(self: Member, peers: readonly number[]): Node {
     const addresses = peers.map((port) => ({ host: self.host, port }));
-    const node = new Node(this, self, number + 1, addresses);
+    const node = new Node(this, self, self.linkPort + 1, addresses);
     this.nodes.push(node);
     return node;
   }
--- a/src/test/membership/gossip_test.ts
+++ b/src/test/membership/gossip_test.ts
@@ -124,6 +124,21 @@
     expect(tookMs).to.be.below(6_000);
   });
 
+  // Two processes were given the same name by mistake. Each refutes the other without end; the rest
+  // of the fleet must not be flooded at the pace at which news travels.
+  it('bounds what two processes of one name cost the others', async () => {
+    await using fleet = await settled(10);
+    const { self } = fleet.nodes[0]!;
+    const double = fleet.add({ ...self, linkPort: 11, incarnation: self.incarnation + 1 }, [1]);
+    await fleet.time.advance(20_000);
+    const { messages: before } = fleet.codec.traffic('gossip');
+    const { refutations } = double.roster;
+    await fleet.time.advance(30_000);
+    expect(double.roster.refutations).to.be.above(refutations);
+    const perSecond = (fleet.codec.traffic('gossip').messages - before) / 30;
+    expect(perSecond / fleet.nodes.length).to.be.below(3);
+  });
+
   // A process is paused for half a minute and wakes. The others took it for dead; it may neither
   // declare them dead nor stay dead itself.
   it('brings a paused process back without suspecting the others', async () => {
