--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -19,6 +19,7 @@
     this.#requests('entry', instance.entryMeter);
     this.#requests('guard', instance.guardMeter);
     this.#limit();
+    this.#safeguards();
   }
 
   get contentType(): string {
@@ -94,6 +95,19 @@
     this.#gauge('limit_waiting', 'Requests that wait for a slot', () => limit.waiting);
   }
 
+  #safeguards(): void {
+    const { claims, quarantine, sweep } = this.instance.safeguards;
+    this.#gauge(
+      'claims_outstanding',
+      'Requests with a key that run, or whose end is not in the platform yet',
+      () => claims.outstanding,
+    );
+    this.#gauge('claims_replayed', 'Repeats that were told an outcome', () => claims.replayed);
+    this.#gauge('claims_swept', 'Expired claims removed', () => sweep.removed);
+    this.#gauge('quarantined', 'Requests kept out, by fingerprint', () => quarantine.size);
+    this.#gauge('deaths', 'Deaths of upstream instances remembered', () => quarantine.deaths);
+  }
+
   #gauge(name: string, help: string, value: () => number): void {
     this.#labelled(name, help, [], (gauge) => gauge.set(value()));
   }
--- a/src/requests/claims.ts
+++ b/src/requests/claims.ts
@@ -48,6 +48,8 @@
 
   readonly #window: StoreWindow;
 
+  #replayed = 0;
+
   constructor(
     private readonly store: ClaimStore,
     private readonly instance: string,
@@ -63,6 +65,11 @@
     return this.#held.size;
   }
 
+  /** Repeats that were told an outcome, since the start. */
+  get replayed(): number {
+    return this.#replayed;
+  }
+
   /**
    * Resolves to the right to run, or to the recorded outcome. Throws `key-reused` for another
    * request under the same key, `in-progress` or `outcome-unknown` (both `may-have-run`) where a
@@ -148,7 +155,10 @@
       const props = { verdict: 'not-run', reason: 'key-reused' } as const;
       throw new OutcomeError('the key was used for another request', props);
     }
-    if (claim.outcome) return { kind: 'replay', outcome: claim.outcome };
+    if (claim.outcome) {
+      this.#replayed += 1;
+      return { kind: 'replay', outcome: claim.outcome };
+    }
     const now = this.clock.now();
     const isRunning = now < claim.runBy;
     const retryAt = now + (isRunning ? RETRY_AFTER_MS : UNKNOWN_RETRY_AFTER_MS);
--- a/src/requests/quarantine.ts
+++ b/src/requests/quarantine.ts
@@ -64,6 +64,17 @@
     return this.#deaths.size === 0;
   }
 
+  /** Deaths remembered. */
+  get deaths(): number {
+    return this.#deaths.size;
+  }
+
+  /** Requests kept out now, by fingerprint. */
+  get size(): number {
+    const now = this.clock.now();
+    return [...this.#until.values()].filter((until) => until > now).length;
+  }
+
   /** Whether a request with that head may be quarantined, depending on its body. */
   needsBody(head: string): boolean {
     return this.#heads.has(head);
--- a/src/requests/safeguards.ts
+++ b/src/requests/safeguards.ts
@@ -11,6 +11,7 @@
 import { type Entry } from './entry.js';
 import { Flights } from './flights.js';
 import { type Guard } from './guard.js';
+import { type Quarantine } from './quarantine.js';
 import { SingleClaims } from './single_claims.js';
 
 /** The parts of the process that the safeguards stand on. */
@@ -26,9 +27,9 @@
 export class Safeguards implements AsyncDisposable {
   readonly claims: Claims;
 
-  readonly #bulletins: Bulletins;
+  readonly sweep: ClaimSweep;
 
-  readonly #sweep: ClaimSweep;
+  readonly #bulletins: Bulletins;
 
   readonly #stopping = new AbortController();
 
@@ -41,17 +42,21 @@
     const { platform, clock, random, mesh, methods, ranking } = grounds;
     const store = new SingleClaims(platform, clock, random);
     this.claims = new Claims(store, instance, clock, random);
-    this.#sweep = new ClaimSweep(platform, () => ranking.isFirst, clock);
+    this.sweep = new ClaimSweep(platform, () => ranking.isFirst, clock);
     this.#bulletins = new Bulletins(mesh, methods, clock, random);
   }
 
+  get quarantine(): Quarantine {
+    return this.#bulletins.quarantine;
+  }
+
   /** Puts the safeguards into force; called before the first request. */
   protect(entry: Entry, guard: Guard): void {
-    const { quarantine } = this.#bulletins;
+    const { quarantine } = this;
     entry.quarantine = quarantine;
     guard.claims = this.claims;
     guard.flights = new Flights(quarantine, this.grounds.clock);
-    this.#sweeping = this.#sweep.run(this.#stopping.signal);
+    this.#sweeping = this.sweep.run(this.#stopping.signal);
   }
 
   /** Gives the ends of claims that are not written yet a last try. */
