--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -10,8 +10,11 @@
 import { Replica } from '../distribution/replica.js';
 import { Surveyor } from '../distribution/surveyor.js';
 import { Methods } from '../link/peer.js';
+import { EndpointLease } from '../membership/announcement.js';
+import { Bootstrap } from '../membership/bootstrap.js';
 import { Directory } from '../membership/directory.js';
 import { GossipTask } from '../membership/gossip.js';
+import { Probe } from '../membership/probe.js';
 import { Ranking } from '../membership/ranking.js';
 import { Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
@@ -36,12 +39,12 @@
   readonly peers: readonly Address[];
 }
 
-/** How often a starting process looks for others, in milliseconds. */
-const SEEK_EVERY_MS = 500;
 /** How long a process that finds nobody waits before it takes itself for the only one. */
 const ACQUAINT_MS = 500;
 /** How long the rosters of the first peers take to come in, in milliseconds. */
 const ROSTER_MS = 100;
+/** How long a stop waits for the neighbours to hear of it, in milliseconds. */
+const FAREWELL_MS = 500;
 
 export class Control implements AsyncDisposable {
   readonly replica = new Replica();
@@ -65,9 +68,16 @@
 
   readonly reader: Reader;
 
-  readonly #directory: Directory;
+  readonly directory: Directory;
 
-  readonly #gossip: GossipTask;
+  readonly gossip: GossipTask;
+
+  /** What the upstream instance beside this process announces. */
+  readonly endpointLease: EndpointLease;
+
+  readonly #bootstrap: Bootstrap;
+
+  readonly #probe: Probe;
 
   readonly #stopping = new AbortController();
 
@@ -75,7 +85,7 @@
 
   constructor(
     self: Member,
-    private readonly options: ControlOptions,
+    options: ControlOptions,
     private readonly surroundings: ControlSurroundings,
   ) {
     const { platform, clock, random, dialer } = surroundings;
@@ -101,17 +111,18 @@
       () => this.readiness.isReady,
     );
     this.surveyor = new Surveyor(replica, this.mesh, this.roster, this.ranking, clock, methods);
-    this.#gossip = new GossipTask(
+    this.gossip = new GossipTask(
       this.roster,
       this.mesh,
       replica,
       clock,
+      random,
       options.heartbeatMs,
       methods,
     );
     methods.on(HEARTBEAT, (peer, heartbeat) => {
       this.distributor.heard(peer, heartbeat);
-      this.#gossip.compare(peer, heartbeat.roster);
+      this.gossip.compare(peer, heartbeat.roster);
     });
     const snapshots = new Snapshots(platform, this.log);
     this.reader = new Reader(this.log, snapshots, replica, this.ranking, clock, random);
@@ -134,20 +145,33 @@
       random,
     );
     this.readiness.onReady(() => this.distributor.announce());
-    this.#directory = new Directory(platform, this.roster, this.ranking, clock, random);
+    const { roster, ranking, mesh } = this;
+    this.directory = new Directory(platform, roster, ranking, clock, random);
+    this.endpointLease = new EndpointLease(roster, clock);
+    this.#bootstrap = new Bootstrap(options.peers, mesh, this.directory, clock, random);
+    this.#probe = new Probe(roster, ranking, mesh, clock, random, options.peers);
   }
 
   /** Joins the others and starts all tasks. */
   start(): void {
     const { signal } = this.#stopping;
     this.#tasks = [
-      this.#seek(signal),
+      this.#bootstrap.run(signal),
+      this.#probe.run(signal),
+      this.endpointLease.run(signal),
+      this.mesh.run(signal),
       this.#follow(signal),
-      this.#directory.run(signal),
-      this.#gossip.run(signal),
+      this.directory.run(signal),
+      this.gossip.run(signal),
     ];
   }
 
+  /** Says that this process leaves; resolves when its neighbours know. */
+  async leave(): Promise<void> {
+    this.roster.leave();
+    await this.gossip.news.settle(this.surroundings.clock.now() + FAREWELL_MS);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
     await this.mesh[Symbol.asyncDispose]();
@@ -167,16 +191,4 @@
     await clock.sleepUntil(clock.now() + ROSTER_MS, signal);
     await Promise.all([this.reader.run(signal), this.readiness.run(signal)]);
   }
-
-  /** Looks for others, first at the addresses from the settings, until one is found. */
-  async #seek(signal: AbortSignal): Promise<void> {
-    const { clock, random } = this.surroundings;
-    while (!signal.aborted && this.mesh.peers.length === 0) {
-      for (const address of this.options.peers) await this.mesh.introduce(address);
-      if (this.mesh.peers.length > 0) return;
-      await this.#directory.read().catch(() => {});
-      const wait = SEEK_EVERY_MS + random.jitter(SEEK_EVERY_MS);
-      await clock.sleepUntil(clock.now() + wait, signal);
-    }
-  }
 }
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -80,6 +80,8 @@
     const balancer = new Balancer(this.roster, clock, random);
     this.guard = ports.guard;
     this.guard.configuration = () => this.replica.current;
+    this.control.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
+    this.guard.onRefused = () => this.control.endpointLease.refused();
     this.entry = new Entry(
       () => this.replica.current,
       () => this.control.readiness.isReady,
@@ -138,10 +140,9 @@
    */
   async stop(deadline: number): Promise<void> {
     const { clock } = this.surroundings;
-    const { endpoint } = this.roster.self;
     this.guard.leave();
     this.entry.traffic.leave();
-    if (endpoint) this.roster.announce({ ...endpoint, state: 'draining' });
+    this.control.endpointLease.drain();
     this.journal.record('stopping');
     await clock.sleepUntil(Math.min(deadline, clock.now() + NOTICE_MS));
     this.entry.traffic.close();
@@ -170,7 +171,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.roster.leave();
+    await this.control.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
     await this.safeguards[Symbol.asyncDispose]();
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -1,16 +1,13 @@
 /** What operators, the tool and the upstream instance beside the process talk to. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
-import { z } from 'zod';
-import { Endpoint } from '../contracts.js';
+import { Announcement } from '../membership/announcement.js';
 import { type Instance } from './instance.js';
 import { Metrics } from './metrics.js';
 import { operatorMethods } from './operator_methods.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
-const Announcement = Endpoint.extend({ host: z.string(), port: z.number().int() });
-
 export class OperatorsPort implements AsyncDisposable {
   readonly server: Server;
 
@@ -45,8 +42,8 @@
         return;
       }
       case '/announcement': {
-        const announced = Announcement.parse(JSON.parse(await read(request)));
-        this.#announce(announced);
+        const announcement = Announcement.parse(JSON.parse(await read(request)));
+        this.instance.control.endpointLease.take(announcement);
         answer(response, 200, {});
         return;
       }
@@ -85,17 +82,6 @@
     response.once('close', () => gone.abort());
     await replica.above(above, until, surroundings.clock, gone.signal);
   }
-
-  #announce(announced: z.infer<typeof Announcement>): void {
-    const { guard, roster } = this.instance;
-    const { upstream, slots } = announced;
-    // The upstream instance may still call itself ready while the process beside it stops.
-    const state = guard.isLeaving ? 'draining' : announced.state;
-    const before = roster.self.endpoint;
-    guard.announce(announced);
-    const same = before?.upstream === upstream && before.state === state && before.slots === slots;
-    if (!same) roster.announce({ upstream, state, slots });
-  }
 }
 
 function answer(response: ServerResponse, status: number, body: unknown): void {
--- a/src/requests/experience.ts
+++ b/src/requests/experience.ts
@@ -6,8 +6,13 @@
 const LATENCY_HALF_LIFE_MS = 10_000;
 /** The same for a reported load, which is out of date sooner. */
 const LOAD_HALF_LIFE_MS = 200;
-/** Weight of the newest answer in the moving average. */
+/** Least weight of the newest answer in the moving average. */
 const NEWEST_WEIGHT = 0.2;
+/**
+ * Where nothing is known any more, a little less than what is typical is assumed: were it as much,
+ * an endpoint that is not the quickest would never be tried again while the others are idle.
+ */
+const OPTIMISM = 0.75;
 /** An endpoint that has just become ready gets less work at first, for so long. */
 const WARM_UP_MS = 10_000;
 /** How much dearer it is at the start of that. */
@@ -38,7 +43,10 @@
   /** Notes an answer that took `tookMs`, with the load reported on it. */
   answered(tookMs: number, load: Load | undefined, now: number): void {
     const before = this.#latencyMs;
-    this.#latencyMs = before === undefined ? tookMs : before + (tookMs - before) * NEWEST_WEIGHT;
+    // An old average says little: the newest answer counts for what has faded of it.
+    const faded = 1 - fading(now - this.#latencyAt, LATENCY_HALF_LIFE_MS);
+    const weight = Math.max(NEWEST_WEIGHT, faded);
+    this.#latencyMs = before === undefined ? tookMs : before + (tookMs - before) * weight;
     this.#latencyAt = now;
     this.failures = 0;
     this.reported(load, now);
@@ -62,13 +70,14 @@
    * into what is typical for the upstream, so that an endpoint that once was slow is tried again.
    */
   cost(typicalMs: number, now: number): number {
-    const latency = typicalMs + this.#latencyGap(typicalMs, now);
+    const assumed = typicalMs * OPTIMISM;
+    const latency = assumed + this.#latencyGap(assumed, now);
     return (1 + this.#busy(now)) * latency * this.#coldness(now);
   }
 
-  #latencyGap(typicalMs: number, now: number): number {
+  #latencyGap(assumed: number, now: number): number {
     if (this.#latencyMs === undefined) return 0;
-    return (this.#latencyMs - typicalMs) * fading(now - this.#latencyAt, LATENCY_HALF_LIFE_MS);
+    return (this.#latencyMs - assumed) * fading(now - this.#latencyAt, LATENCY_HALF_LIFE_MS);
   }
 
   /** The reported load counts the work of all others too, but only for a moment. */
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -82,6 +82,9 @@
 
   quarantine: Quarantine | undefined;
 
+  /** Called when the upstream instance refuses a connection: nobody listens there any more. */
+  onRefused: () => void = () => {};
+
   /** Where the limits are looked up that routes name. */
   configuration = () => Configuration.empty;
 
@@ -208,6 +211,7 @@
       if (flight && response.statusCode < FIRST_SERVER_ERROR) this.flights?.answered(flight);
       return outcome;
     } catch (error) {
+      if (isRefusal(error)) this.onRefused();
       const isHandedOver = asOutcome(error).verdict !== 'not-run';
       if (flight && isHandedOver) this.flights?.broke(flight, upstream, announced);
       throw error;
@@ -278,6 +282,11 @@
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
 }
 
+function isRefusal(error: unknown): boolean {
+  const { cause } = asOutcome(error) as { cause?: NodeJS.ErrnoException };
+  return cause?.code === 'ECONNREFUSED';
+}
+
 /** An upstream instance that has no room says 429, or 503 with the time to come back. */
 function hasShed(status: number, { headers }: IncomingMessage): boolean {
   if (status === TOO_MANY_REQUESTS) return true;
--- /dev/null
+++ b/src/test/requests/limit_test.ts
@@ -0,0 +1,162 @@
+import FakeTimers, { type Clock as FakeClock } from '@sinonjs/fake-timers';
+import { expect } from 'chai';
+import { Limit as LimitResource, type OutcomeError } from '../../contracts.js';
+import { Limit, type Outcome } from '../../requests/limit.js';
+import { TimerClock } from '../../runtime/clock.js';
+
+const ANSWERED: Outcome = { headMs: 10, isShed: false };
+const SHED: Outcome = { headMs: 1, isShed: true };
+
+describe('Limit', () => {
+  let timers: FakeClock;
+  let clock: TimerClock;
+  let limit: Limit;
+  let begun: string[];
+  let most: number;
+
+  beforeEach(() => {
+    timers = FakeTimers.install({ now: 1_000_000 });
+    clock = new TimerClock();
+    limit = new Limit(clock, 20);
+    begun = [];
+    most = 0;
+  });
+
+  afterEach(() => timers.uninstall());
+
+  interface Job {
+    readonly name: string;
+    readonly takesMs?: number;
+    readonly priority?: number;
+    readonly withinMs?: number;
+    readonly outcome?: Outcome;
+    readonly resource?: LimitResource;
+    readonly onGone?: (callback: () => void) => void;
+  }
+
+  /** Resolves to how it went. */
+  function run(job: Job): Promise<string> {
+    const { name, takesMs = 10, outcome = ANSWERED, withinMs = 1_000, onGone = () => {} } = job;
+    const ticket = {
+      priority: job.priority ?? 5,
+      deadline: clock.now() + withinMs,
+      limit: job.resource,
+      onGone,
+    };
+    const work = async () => {
+      begun.push(name);
+      most = Math.max(most, limit.inFlight);
+      await clock.sleepUntil(clock.now() + takesMs);
+      return outcome;
+    };
+    return limit.run(ticket, work).then(
+      () => 'done',
+      ({ verdict, reason }: OutcomeError) => `${verdict} ${reason}`,
+    );
+  }
+
+  const batch = (count: number, job: Omit<Job, 'name'> = {}) =>
+    Array.from({ length: count }, (_, index) => run({ name: String(index), ...job }));
+
+  async function settled(runs: Promise<string>[]): Promise<Record<string, number>> {
+    await timers.runAllAsync();
+    const counts: Record<string, number> = {};
+    for (const outcome of await Promise.all(runs)) counts[outcome] = (counts[outcome] ?? 0) + 1;
+    return counts;
+  }
+
+  it('starts slowly and grows to the announced slots', async () => {
+    const slots = [limit.load.slots];
+    for (let round = 0; round < 5; round++) {
+      await settled(batch(40));
+      slots.push(limit.load.slots);
+    }
+    expect(slots).toMatchSnapshot();
+    expect(most).to.equal(20);
+  });
+
+  // The instance announces 20 slots and bears fewer: it sheds what is beyond. Were the limit to
+  // stay, the rest would be shed for good; it steps down instead, once for each round.
+  it('steps down when the instance sheds work, and recovers', async () => {
+    for (let round = 0; round < 5; round++) await settled(batch(40));
+    await settled(batch(40, { outcome: SHED }));
+    const after = limit.load.slots;
+    for (let round = 0; round < 20; round++) await settled(batch(40));
+    expect([after, limit.load.slots]).toMatchSnapshot();
+  });
+
+  it('begins anew after a cold start', async () => {
+    for (let round = 0; round < 5; round++) await settled(batch(40));
+    limit.restart();
+    expect(limit.load.slots).to.equal(4);
+  });
+
+  // More waits than can be done in time. What would come too late is refused at once, before it
+  // runs, so that its caller can go elsewhere; the rest is done.
+  it('refuses at once what could not be done by its deadline', async () => {
+    await settled(batch(4, { takesMs: 100 }));
+    const runs = batch(20, { takesMs: 100, withinMs: 350 });
+    let refused = 0;
+    runs.forEach((outcome) => {
+      void outcome.then((text) => {
+        refused += Number(text !== 'done');
+      });
+    });
+    await timers.tickAsync(0);
+    expect(refused).to.be.greaterThan(0);
+    expect(await settled(runs)).to.deep.equal({
+      done: 20 - refused,
+      'not-run overloaded': refused,
+    });
+    expect(begun).to.have.length(4 + 20 - refused);
+  });
+
+  it('lets the higher priority go first', async () => {
+    const runs = [
+      ...batch(4),
+      run({ name: 'low', priority: 1 }),
+      run({ name: 'high', priority: 9 }),
+    ];
+    await settled(runs);
+    expect(begun.slice(-2)).to.deep.equal(['high', 'low']);
+  });
+
+  it('takes out what nobody waits for any more', async () => {
+    let leave = () => {};
+    const onGone = (callback: () => void) => {
+      leave = callback;
+    };
+    const runs = [...batch(4), run({ name: 'gone', onGone })];
+    expect(limit.waiting).to.equal(1);
+    leave();
+    expect(await settled(runs)).to.deep.equal({ done: 4, 'not-run cancelled': 1 });
+    expect(begun).not.to.include('gone');
+    expect(limit.load).to.include({ inFlight: 0, waiting: 0 });
+  });
+
+  // The caller goes away while its request runs. Its slot is taken until the instance is done:
+  // freed before, it would let the instance be given more than it bears.
+  it('keeps the slot of what runs on without its caller', async () => {
+    const leave: (() => void)[] = [];
+    const runs = [...batch(4), ...batch(4, { onGone: (callback) => leave.push(callback) })];
+    await timers.tickAsync(10);
+    leave.forEach((callback) => callback());
+    expect(limit.inFlight).to.equal(4);
+    expect(await settled(runs)).to.deep.equal({ done: 8 });
+  });
+
+  it('holds a named limit that is narrower than the instance', async () => {
+    const resource = LimitResource.parse({ kind: 'limit', name: 'narrow', slots: 1, queue: 2 });
+    const outcomes = await settled(batch(4, { resource }));
+    expect(outcomes).to.deep.equal({ done: 3, 'not-run overloaded': 1 });
+    expect(most).to.equal(1);
+  });
+
+  // The instance begins to drain while work waits for it. None of that is begun any more, and
+  // what its callers are told lets them go elsewhere.
+  it('begins nothing that waits once the instance drains', async () => {
+    const runs = batch(10);
+    limit.isDraining = true;
+    expect(await settled(runs)).to.deep.equal({ done: 4, 'not-run draining': 6 });
+  });
+});
