--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -42,7 +42,7 @@
 /** How long a process that finds nobody waits before it takes itself for the only one. */
 const ACQUAINT_MS = 500;
 /** How long the rosters of the first peers take to come in, in milliseconds. */
-const ROSTER_MS = 100;
+const ROSTER_MS = 300;
 /** How long a stop waits for the neighbours to hear of it, in milliseconds. */
 const FAREWELL_MS = 500;
 
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -5,8 +5,8 @@
 import { connect, TcpLink } from '../link/tcp_link.js';
 import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
-import { type Surveyor } from '../distribution/surveyor.js';
 import { type Replica } from '../distribution/replica.js';
+import { type Surveyor } from '../distribution/surveyor.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { Balancer } from '../requests/balancer.js';
@@ -142,7 +142,7 @@
     const { clock } = this.surroundings;
     this.guard.leave();
     this.entry.traffic.leave();
-    this.control.endpointLease.drain();
+    this.control.endpointLease.leave();
     this.journal.record('stopping');
     await clock.sleepUntil(Math.min(deadline, clock.now() + NOTICE_MS));
     this.entry.traffic.close();
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -50,18 +50,21 @@
     this.#set(isRefusing ? { ...announcement, state: 'down' } : announcement);
   }
 
+  /**
+   * From now on the endpoint drains, whatever is announced: the upstream instance may still call
+   * itself ready while the process beside it stops.
+   */
+  leave(): void {
+    this.#isLeaving = true;
+    if (this.#last) this.#set(this.#last);
+  }
+
   /** Ends the lease at once: a connection to the upstream instance was refused. */
   refused(): void {
     this.#refusedUntil = this.clock.now() + REFUSED_MS;
     this.#end();
   }
 
-  /** This process stops: the endpoint drains, even if the upstream instance calls itself ready. */
-  drain(): void {
-    this.#isLeaving = true;
-    if (this.#last) this.#set(this.#last);
-  }
-
   /** Ends the lease when announcements stay away, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
@@ -79,12 +82,12 @@
     if (last && last.state !== 'down') this.#set({ ...last, state: 'down' });
   }
 
-  #set(taken: Announcement): void {
-    const isDrained = this.#isLeaving && taken.state !== 'down';
-    const announcement: Announcement = isDrained ? { ...taken, state: 'draining' } : taken;
+  #set(announcement: Announcement): void {
     this.#last = announcement;
     for (const listener of this.#listeners) listener(announcement);
-    const { upstream, state, slots } = announcement;
+    const { upstream, slots } = announcement;
+    const isDraining = this.#isLeaving && announcement.state !== 'down';
+    const state = isDraining ? 'draining' : announcement.state;
     const held = this.roster.self.endpoint;
     const isSame = held?.upstream === upstream && held.state === state && held.slots === slots;
     if (!isSame) this.roster.announce({ upstream, state, slots });
--- a/src/requests/flights.ts
+++ b/src/requests/flights.ts
@@ -1,10 +1,11 @@
 /** The requests in flight at the upstream instance beside this process, and what it died of. */
+import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { connect } from 'node:net';
-import { type Readable } from 'node:stream';
 import { type Clock } from '../runtime/clock.js';
+import { type Opening, openBody } from './fingerprint.js';
 import { type Quarantine } from './quarantine.js';
+import { asOutcome } from './refusal.js';
 import {
-  type FingerprintedMessage,
   headFingerprint,
   MAX_DIGESTED_BYTES,
   needsBody,
@@ -17,28 +18,44 @@
   readonly port: number;
 }
 
+/** What an upstream instance has announced, as far as it is needed here. */
+export interface Announcement extends Whereabouts {
+  readonly upstream: string;
+}
+
+/** An exchange with the upstream instance. */
+export interface Watched {
+  readonly announced: Announcement;
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 /** Tells whether a new connection is refused, which proves that nobody listens any more. */
 export type RefusalProbe = (whereabouts: Whereabouts) => Promise<boolean>;
 
 /** How long the others of the same death have to fail too, in milliseconds. */
 const GATHER_MS = 50;
 const PROBE_TIMEOUT_MS = 500;
+const FIRST_SERVER_ERROR = 500;
+const TOO_MANY_REQUESTS = 429;
 
 /** One request in flight. Nothing is digested unless it has to be. */
-export class Flight {
+class Flight {
   readonly #prefix: Buffer[] = [];
 
   #length = 0;
 
   constructor(
     private readonly upstream: string,
-    private readonly request: FingerprintedMessage,
-    body: Readable,
+    private readonly request: IncomingMessage,
+    /** The fingerprint, if the body was opened to find it out. */
+    private readonly known: string | undefined,
   ) {
-    if (needsBody(request)) body.on('data', this.#keep);
+    if (known === undefined && needsBody(request)) request.on('data', this.#keep);
   }
 
   get fingerprint(): string {
+    if (this.known !== undefined) return this.known;
     const head = headFingerprint(this.upstream, this.request);
     return needsBody(this.request) ? wholeFingerprint(head, this.#prefix) : head;
   }
@@ -57,6 +74,8 @@
 export class Flights {
   #broken = new Set<Flight>();
 
+  readonly #known = new WeakMap<IncomingMessage, string>();
+
   #isExamining = false;
 
   constructor(
@@ -65,33 +84,73 @@
     private readonly isRefused: RefusalProbe = probe,
   ) {}
 
-  /** Called in the same turn in which the body begins to flow to the upstream. */
-  begin(upstream: string, request: FingerprintedMessage, body: Readable): Flight {
-    return new Flight(upstream, request, body);
+  /**
+   * Throws `quarantined` for a request that is kept out. Resolves to the body if it had to be
+   * opened to find that out: it is then to be sent on from there.
+   */
+  async admit(
+    upstream: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<Opening | undefined> {
+    const { quarantine } = this;
+    if (quarantine.isIdle) return undefined;
+    const head = headFingerprint(upstream, request);
+    quarantine.check(head);
+    if (!quarantine.needsBody(head) || !needsBody(request)) return undefined;
+    if (request.headers.expect !== undefined) response.writeContinue();
+    const opening = await openBody(request);
+    const fingerprint = wholeFingerprint(head, opening.prefix);
+    quarantine.check(fingerprint);
+    this.#known.set(request, fingerprint);
+    return opening;
   }
 
-  /** The upstream has answered in whole, and not with an error of its own. */
-  answered(flight: Flight): void {
+  /**
+   * Carries out an exchange whose body begins to flow in the turn of the call, and looks into the
+   * death of the upstream instance if it breaks.
+   */
+  async watch<T>(
+    { announced, request, response }: Watched,
+    exchange: () => Promise<T>,
+  ): Promise<T> {
+    const flight = new Flight(announced.upstream, request, this.#known.get(request));
+    try {
+      const result = await exchange();
+      if (isGood(response.statusCode)) this.#answered(flight);
+      return result;
+    } catch (error) {
+      const { verdict, reason } = asOutcome(error);
+      if (verdict !== 'not-run' && reason !== 'cancelled') this.#broke(flight, announced);
+      throw error;
+    }
+  }
+
+  #answered(flight: Flight): void {
     if (!this.quarantine.isIdle) this.quarantine.completed(flight.fingerprint);
   }
 
-  /** The exchange broke after the request had been handed over. */
-  broke(flight: Flight, upstream: string, whereabouts: Whereabouts): void {
+  #broke(flight: Flight, announced: Announcement): void {
     this.#broken.add(flight);
-    if (!this.#isExamining) void this.#examine(upstream, whereabouts);
+    if (!this.#isExamining) void this.#examine(announced);
   }
 
-  async #examine(upstream: string, whereabouts: Whereabouts): Promise<void> {
+  async #examine(announced: Announcement): Promise<void> {
     this.#isExamining = true;
-    const isDead = await this.isRefused(whereabouts);
+    const isDead = await this.isRefused(announced);
     if (isDead) await this.clock.sleepUntil(this.clock.now() + GATHER_MS);
     const suspects = [...this.#broken].map(({ fingerprint }) => fingerprint);
     this.#broken = new Set();
     this.#isExamining = false;
-    if (isDead) this.quarantine.died(upstream, suspects);
+    if (isDead) this.quarantine.died(announced.upstream, suspects);
   }
 }
 
+/** An upstream instance that had no room has not run the request, so it is not cleared by that. */
+function isGood(status: number): boolean {
+  return status < FIRST_SERVER_ERROR && status !== TOO_MANY_REQUESTS;
+}
+
 function probe({ host, port }: Whereabouts): Promise<boolean> {
   return new Promise((resolve) => {
     const socket = connect({ host, port, timeout: PROBE_TIMEOUT_MS });
