--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -81,6 +81,7 @@
     this.guard = ports.guard;
     this.guard.configuration = () => this.replica.current;
     this.control.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
+    this.guard.onRefused = () => this.control.endpointLease.refused();
     this.entry = new Entry(
       () => this.replica.current,
       () => this.control.readiness.isReady,
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -76,6 +76,9 @@
   /** Set before the first request; without it no death is looked into and nothing kept out. */
   flights: Flights | undefined;
 
+  /** Called when the upstream instance refuses a connection: nobody listens there any more. */
+  onRefused: () => void = () => {};
+
   /** Where the limits are looked up that routes name. */
   configuration = () => Configuration.empty;
 
@@ -134,6 +137,7 @@
       if (route === undefined) await this.#run(admission, opening?.body ?? request);
       else await this.#once(admission, route);
     } catch (error) {
+      if (isRefusal(error)) this.onRefused();
       if (!response.headersSent) this.#sign(request, response);
       refuse(response, asOutcome(error), this.clock.now());
     }
@@ -246,6 +250,11 @@
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, waits: false });
 }
 
+function isRefusal(error: unknown): boolean {
+  const { cause } = asOutcome(error) as { cause?: NodeJS.ErrnoException };
+  return cause?.code === 'ECONNREFUSED';
+}
+
 /** An upstream instance that has no room says 429, or 503 with the time to come back. */
 function hasShed(status: number, { headers }: IncomingMessage): boolean {
   if (status === TOO_MANY_REQUESTS) return true;
--- /dev/null
+++ b/src/test/requests/balancer_test.ts
@@ -0,0 +1,163 @@
+import * as fc from 'fast-check';
+import { expect } from 'chai';
+import { type EndpointState, type Liveness, OutcomeError } from '../../contracts.js';
+import { Roster } from '../../membership/roster.js';
+import { Balancer } from '../../requests/balancer.js';
+import { type Experience } from '../../requests/experience.js';
+import { Clock } from '../../runtime/clock.js';
+import { SeededRandom } from '../../runtime/random.js';
+import { memberOf } from './path.js';
+
+const SEED = 11;
+/** Time between two requests. */
+const STEP_MS = 50;
+const NONE: ReadonlySet<Experience> = new Set();
+
+class StillClock extends Clock {
+  instant = 1_000_000;
+
+  now(): number {
+    return this.instant;
+  }
+
+  async sleepUntil(deadline: number): Promise<void> {
+    this.instant = deadline;
+  }
+}
+
+interface Place {
+  readonly name: string;
+  readonly dataCentre?: string;
+  readonly state?: EndpointState;
+  readonly liveness?: Liveness;
+}
+
+function set(places: readonly Place[]) {
+  const clock = new StillClock();
+  const roster = new Roster(memberOf('entry', 1));
+  const place = ({ name, dataCentre, state = 'ready', liveness = 'alive' }: Place) => ({
+    ...memberOf(name, 1, dataCentre),
+    liveness,
+    endpoint: { upstream: 'bookings', state, slots: 20 },
+  });
+  roster.merge(places.map(place));
+  const balancer = new Balancer(roster, clock, new SeededRandom(SEED));
+  const choose = () => balancer.choose('bookings', NONE);
+  /** How often each is chosen in 200 requests, one after the other. */
+  const shares = (latency: (name: string) => number = () => 1) => {
+    const counts: Record<string, number> = {};
+    for (let request = 0; request < 200; request++) {
+      const chosen = choose()!;
+      const name = chosen.member.instance;
+      counts[name] = (counts[name] ?? 0) + 1;
+      balancer.answered(chosen, latency(name), undefined, false);
+      clock.instant += STEP_MS;
+    }
+    return counts;
+  };
+  return { clock, roster, balancer, choose, shares, place };
+}
+
+const refusal = (reason: string) => new OutcomeError(reason, { verdict: 'not-run', reason });
+
+describe('Balancer', () => {
+  const near: Place[] = [{ name: 'a' }, { name: 'b' }, { name: 'c' }];
+  const far: Place[] = [{ name: 'x', dataCentre: 'tobago' }];
+
+  it('asks the own data centre first', () => {
+    expect(Object.keys(set([...near, ...far]).shares()).sort()).to.deep.equal(['a', 'b', 'c']);
+  });
+
+  it('gives a slow endpoint less, and tries it again after a while', () => {
+    const { shares, clock } = set(near);
+    const slow = shares((name) => (name === 'c' ? 50 : 1));
+    clock.instant += 120_000;
+    const noise = new SeededRandom(SEED);
+    const later = shares(() => 1 + noise.next() / 5);
+    expect(later.c).to.be.greaterThan(30);
+    expect({ slow, later }).toMatchSnapshot();
+  });
+
+  // Everybody in the own data centre has refused for lack of room. The next request goes to the
+  // other one, and comes back when the refusals are a moment old.
+  it('spills over when nobody near can serve', () => {
+    const { balancer, choose, clock } = set([...near, ...far]);
+    for (let refused = 0; refused < 3; refused++) {
+      balancer.refused(choose()!, refusal('overloaded'), undefined);
+    }
+    expect(choose()!.member.instance).to.equal('x');
+    clock.instant += 1_000;
+    expect(choose()!.member.dataCentre).to.equal('arima');
+  });
+
+  // An endpoint cannot be reached. It is left alone for longer each time, not for good.
+  it('avoids what cannot be reached, for longer each time', () => {
+    const { balancer, clock } = set([{ name: 'a' }, { name: 'b' }]);
+    const lost = balancer.choose('bookings', NONE)!;
+    const spans = [1, 2, 3, 4].map(() => {
+      balancer.refused(lost, refusal('unreachable'), undefined);
+      const span = lost.avoidUntil - clock.instant;
+      clock.instant = lost.avoidUntil;
+      return span;
+    });
+    expect(spans.map((span, index) => span >= 250 * 2 ** index)).to.deep.equal(Array(4).fill(true));
+    expect(spans.every((span) => span <= 30_000)).to.equal(true);
+  });
+
+  // An endpoint fails each request at once. By latency alone it would look fast and draw all work.
+  it('does not take quick failures for speed', () => {
+    const { balancer, choose } = set(near);
+    let failing = 0;
+    for (let request = 0; request < 300; request++) {
+      const chosen = choose()!;
+      const isFailing = chosen.member.instance === 'a';
+      failing += Number(isFailing);
+      balancer.answered(chosen, isFailing ? 0.1 : 10, undefined, isFailing);
+    }
+    expect(failing).to.be.lessThan(30);
+  });
+
+  it('still asks somebody when all are avoided', () => {
+    const { balancer, choose } = set([{ name: 'a' }]);
+    balancer.refused(choose()!, refusal('overloaded'), undefined);
+    expect(choose()!.member.instance).to.equal('a');
+  });
+
+  it('gives one that has just become ready less at first', () => {
+    const { roster, shares, place, clock } = set([{ name: 'a' }, { name: 'b' }]);
+    shares();
+    roster.merge([place({ name: 'c' })]);
+    const early = shares().c ?? 0;
+    clock.instant += 60_000;
+    expect([early < 40, shares().c! > 40]).to.deep.equal([true, true]);
+  });
+
+  it('never chooses who is draining, gone, tried, or suspect while others can serve', () => {
+    const state = fc.constantFrom<EndpointState>('ready', 'draining', 'cold', 'down');
+    const liveness = fc.constantFrom<Liveness>('alive', 'suspect', 'dead', 'left');
+    const dataCentre = fc.constantFrom('arima', 'tobago');
+    const places = fc.uniqueArray(
+      fc.record({ name: fc.string({ minLength: 1 }), state, liveness, dataCentre }),
+      { selector: ({ name }) => name, maxLength: 8 },
+    );
+    const property = fc.property(places, fc.nat(8), (all, tries) => {
+      const { balancer } = set(all);
+      const tried = new Set<Experience>();
+      for (let attempt = 0; attempt < tries; attempt++) {
+        const chosen = balancer.choose('bookings', tried);
+        if (!chosen) break;
+        const { member } = chosen;
+        const others = all.filter(
+          ({ name }) => ![...tried].some((e) => e.member.instance === name),
+        );
+        const isAble = (place: Place) => place.state === 'ready' && place.liveness === 'alive';
+        expect(member.endpoint?.state).to.equal('ready');
+        expect(['alive', 'suspect']).to.include(member.liveness);
+        if (others.some(isAble)) expect(member.liveness).to.equal('alive');
+        expect(tried.has(chosen)).to.equal(false);
+        tried.add(chosen);
+      }
+    });
+    fc.assert(property, { seed: SEED, numRuns: 200 });
+  });
+});
--- a/src/test/requests/entry_test.ts
+++ b/src/test/requests/entry_test.ts
@@ -187,6 +187,22 @@
       expect(path.runs('a')).to.equal(1);
     });
 
+    // An upstream instance dies and cannot say so. The first connection that it refuses tells its
+    // guard; the booking that met it has not run, and is sent to the other instance.
+    it('tells of an upstream instance at whose port nobody listens', async () => {
+      await using path = await Path.start(2);
+      const refused: string[] = [];
+      for (const { name, guard } of path.stations) guard.onRefused = () => refused.push(name);
+      await path.stations[0]!.upstream.crash();
+      const ids = ['a', 'b', 'c', 'd', 'e', 'f'];
+      const answers = await Promise.all(
+        ids.map((id) => path.ask({ path: '/seats', method: 'POST', headers: { 'x-request': id } })),
+      );
+      expect(new Set(answers.map(({ status }) => status))).to.deep.equal(new Set([200]));
+      expect(new Set(refused)).to.deep.equal(new Set(['endpoint-0']));
+      expect(path.stations[1]!.upstream.runs.size).to.equal(ids.length);
+    });
+
     // A large upload meets a guard that leaves. The body waits until a guard asks for it, so the
     // refusal leaves it untouched and the other guard gets all of it.
     it('sends an upload elsewhere as long as nobody has asked for its body', async () => {
--- /dev/null
+++ b/src/test/requests/router_test.ts
@@ -0,0 +1,74 @@
+import * as fc from 'fast-check';
+import { expect } from 'chai';
+import { Configuration } from '../../configuration/configuration.js';
+import { Route } from '../../contracts.js';
+import { routeOf, type Target } from '../../requests/router.js';
+
+const SEED = 5;
+
+function route(name: string, rest: Partial<Route>): Route {
+  return Route.parse({ kind: 'route', name, pathPrefix: '/', upstream: 'bookings', ...rest });
+}
+
+const configurationOf = (routes: readonly Route[]) => Configuration.of(1, 'digest', routes);
+
+const targetOf = (path: string, rest: Partial<Target> = {}): Target => ({
+  method: 'GET',
+  host: 'suppers.example',
+  path,
+  headers: {},
+  ...rest,
+});
+
+describe('routeOf', () => {
+  const configuration = configurationOf([
+    route('all', {}),
+    route('menus', { pathPrefix: '/menus' }),
+    route('today', { pathPrefix: '/menus/today' }),
+    route('host', { host: 'Other.example' }),
+    route('post', { pathPrefix: '/menus', methods: ['POST'] }),
+    route('beta', { pathPrefix: '/menus', headers: { 'x-beta': '1' } }),
+  ]);
+
+  it('takes the most specific one that matches', () => {
+    const targets = [
+      targetOf('/'),
+      targetOf('/menuscript'),
+      targetOf('/menus'),
+      targetOf('/menus/today/1'),
+      targetOf('/menus/1', { method: 'POST' }),
+      targetOf('/menus/1', { headers: { 'x-beta': '1' } }),
+      targetOf('/menus/today', { host: 'other.example' }),
+    ];
+    const names = targets.map((target) => routeOf(configuration, target)?.name);
+    expect(names).toMatchSnapshot();
+  });
+
+  // The tables by host and first segment are a shortcut; they must find what a search through all
+  // routes finds, or a request would go to the wrong service.
+  it('finds what a plain search finds', () => {
+    const path = fc
+      .array(fc.constantFrom('a', 'b', 'ab', ''), { maxLength: 3 })
+      .map((parts) => `/${parts.join('/')}`);
+    const host = fc.constantFrom(undefined, 'a.example', 'b.example');
+    const methods = fc.constantFrom<string[] | undefined>(undefined, ['GET'], ['POST']);
+    const routes = fc.array(fc.record({ pathPrefix: path, host, methods }), { maxLength: 8 });
+    const target = fc.record({ path, host: fc.constantFrom('a.example', 'c.example') });
+    const property = fc.property(routes, target, (parts, asked) => {
+      const all = parts.map((part, index) => route(`r${index}`, part));
+      const found = routeOf(configurationOf(all), targetOf(asked.path, asked));
+      const covers = ({ pathPrefix, host: only, methods: some }: Route) =>
+        (only === undefined || only === asked.host) &&
+        (some === undefined || some.includes('GET')) &&
+        (asked.path === pathPrefix || asked.path.startsWith(pathPrefix.replace(/\/?$/, '/')));
+      const rank = ({ host: only, pathPrefix, methods: some }: Route) =>
+        [only ? 1 : 0, pathPrefix.length, some ? 1 : 0] as const;
+      const matching = all.filter(covers).sort((x, y) => {
+        const [a, b] = [rank(x), rank(y)];
+        return b[0] - a[0] || b[1] - a[1] || b[2] - a[2] || (x.name < y.name ? -1 : 1);
+      });
+      expect(found?.name).to.equal(matching[0]?.name);
+    });
+    fc.assert(property, { seed: SEED, numRuns: 500 });
+  });
+});
