Measure the two hops in turns, beside two plain hops

Cause: direct and through ran at once in one client, so each measured the other; 65 calls/s ran on cold code; and nothing told the machine's own share. Change: direct, two plain proxies and ours in turns after a warm-up at 1,000 calls/s; processor time per call; the share of time the host kept for others.

--- a/src/bench/experiments/added_latency.ts
+++ b/src/bench/experiments/added_latency.ts
@@ -1,12 +1,16 @@
 import { ReleaseNote } from '../../contracts.js';
 import { type Clock } from '../../runtime/clock.js';
-import { Experiment, type Options, type Result, rounded } from '../experiment.js';
+import { Experiment, type Options, type Result, rounded, Times } from '../experiment.js';
 import { getJson } from '../http.js';
 import { faults, load, type Outcome, totalRuns } from '../load.js';
+import { PlainHops } from '../plain_hops.js';
 import { RequestPath } from '../request_path.js';
 
-const RATES = [65, 1_000] as const;
-const FOR_MS = 8_000;
+const RATES = [1_000, 65] as const;
+/** Each way is measured in turns: at once, they would measure how busy the bench is. */
+const TURNS = 2;
+const TURN_MS = 2_500;
+const WARM_UP_RATE = 1_000;
 const WARM_UP_MS = 2_000;
 const CHURN_RATE = 300;
 const CHURN_MS = 6_000;
@@ -15,13 +19,13 @@
 const STEPS_BEFORE_STOP = 7;
 const TIMEOUT_MS = 5_000;
 
-interface Added {
-  readonly callsPerSecond: number;
-  readonly directP50Ms: number;
-  readonly throughP50Ms: number;
-  readonly directP99Ms: number;
-  readonly throughP99Ms: number;
-  readonly addedP99Ms: number;
+/** Three ways to the same upstream instance. */
+interface Ways<T> {
+  readonly direct: T;
+  /** Two proxies that only pass requests on: what two hops cost here at the least. */
+  readonly plain: T;
+  /** Entry and guard. */
+  readonly through: T;
 }
 
 /**
@@ -41,37 +45,64 @@
       delayMs: 0,
       timeoutMs: TIMEOUT_MS,
     });
-    await this.#both(path, 200, WARM_UP_MS, 'warm-up');
-    const added: Added[] = [];
+    await using plain = await PlainHops.start(path.upstreams[0]!.ports.port!);
+    const ports = {
+      direct: path.upstreams[0]!.ports.port!,
+      plain: plain.port,
+      through: path.entries[0]!.program.ports.callerPort!,
+    };
+    await this.#turns(ports, WARM_UP_RATE, WARM_UP_MS, 1);
+    const results: Result[] = [];
     for (const rate of RATES) {
       progress(`${rate} calls/s`);
-      added.push(await this.#both(path, rate, FOR_MS, `steady-${rate}`));
+      results.push(await this.#measure(path, ports, rate));
     }
     progress('configuration changes, an endpoint drains, a process stops');
     const churned = await this.#churn(path);
-    const [slow, fast] = added;
+    const [fast, slow] = results;
     return { ...fast, at65: slow, ...churned };
   }
 
-  async #both(path: RequestPath, rate: number, forMs: number, label: string): Promise<Added> {
-    const entry = path.entries[0]!.program.ports.callerPort!;
-    const target = path.upstreams[0]!.ports.port!;
-    const shape = { path: '/suppers/today', callsPerSecond: rate, forMs };
-    const [direct, through] = await Promise.all([
-      load(this.clock, { ...shape, ports: [target], label: `${label}-direct` }),
-      load(this.clock, { ...shape, ports: [entry], label: `${label}-through` }),
-    ]);
-    if (through.others.size > 0) throw new Error([...through.others.values()].join('\n'));
+  async #measure(path: RequestPath, ports: Ways<number>, rate: number): Promise<Result> {
+    const cpuBefore = await cpuOf(path);
+    const times = await this.#turns(ports, rate, TURN_MS, TURNS);
+    const cpuAfter = await cpuOf(path);
+    const calls = times.through.count;
     return {
       callsPerSecond: rate,
-      directP50Ms: rounded(direct.times.at(50)),
-      throughP50Ms: rounded(through.times.at(50)),
-      directP99Ms: rounded(direct.times.at(99)),
-      throughP99Ms: rounded(through.times.at(99)),
-      addedP99Ms: rounded(through.times.at(99) - direct.times.at(99)),
+      directP50Ms: rounded(times.direct.at(50)),
+      plainP50Ms: rounded(times.plain.at(50)),
+      throughP50Ms: rounded(times.through.at(50)),
+      directP99Ms: rounded(times.direct.at(99)),
+      plainP99Ms: rounded(times.plain.at(99)),
+      throughP99Ms: rounded(times.through.at(99)),
+      addedP99Ms: rounded(times.through.at(99) - times.direct.at(99)),
+      plainAddedP99Ms: rounded(times.plain.at(99) - times.direct.at(99)),
+      entryCpuMsPerCall: rounded((cpuAfter.entry - cpuBefore.entry) / calls, 3),
+      guardCpuMsPerCall: rounded((cpuAfter.guards - cpuBefore.guards) / calls, 3),
     };
   }
 
+  /** Sends at the same rate over each way, one after the other, so many times. */
+  async #turns(
+    ports: Ways<number>,
+    callsPerSecond: number,
+    forMs: number,
+    turns: number,
+  ): Promise<Ways<Times>> {
+    const times = { direct: new Times(), plain: new Times(), through: new Times() };
+    const shape = { path: '/suppers/today', callsPerSecond, forMs };
+    for (let turn = 1; turn <= turns; turn++) {
+      for (const way of ['direct', 'plain', 'through'] as const) {
+        const label = `${way}-${callsPerSecond}-${forMs}-${turn}`;
+        const one = { ...shape, ports: [ports[way]], label, times: times[way] };
+        const { others } = await load(this.clock, one);
+        if (others.size > 0) throw new Error([...new Set(others.values())].join('\n'));
+      }
+    }
+    return times;
+  }
+
   async #churn(path: RequestPath) {
     const ports = path.entries.map(({ program }) => program.ports.callerPort!);
     const shape = { ports, path: '/suppers/seats', method: 'POST' };
@@ -104,6 +135,12 @@
   }
 }
 
+async function cpuOf(path: RequestPath): Promise<{ entry: number; guards: number }> {
+  const entry = await path.entries[0]!.program.usage();
+  const guards = await Promise.all(path.guards.map(({ program }) => program.usage()));
+  return { entry: entry.cpuMs, guards: guards.reduce((sum, { cpuMs }) => sum + cpuMs, 0) };
+}
+
 function stepper(clock: Clock): () => Promise<void> {
   return () => clock.sleepUntil(clock.now() + CHURN_STEP_MS);
 }
--- a/src/bench/load.ts
+++ b/src/bench/load.ts
@@ -11,6 +11,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   readonly callsPerSecond: number;
   readonly forMs: number;
+  /** Where the times go; a set of its own when absent. */
+  readonly times?: Times;
   /** Prefix of the ids under which the upstreams count what they run. */
   readonly label: string;
 }
@@ -31,7 +33,7 @@
 export async function load(clock: Clock, options: LoadOptions): Promise<Outcome> {
   const { ports, callsPerSecond, forMs, label } = options;
   const agent = new Agent({ keepAlive: true, scheduling: 'fifo' });
-  const times = new Times();
+  const { times = new Times() } = options;
   const answered = new Set<string>();
   const notRun = new Set<string>();
   const others = new Map<string, string>();
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -10,6 +10,7 @@
 import { Herd } from './experiments/herd.js';
 import { Overload } from './experiments/overload.js';
 import { Slopes } from './experiments/slopes.js';
+import { StolenTime } from './stolen_time.js';
 
 const clock = new MachineClock();
 const RESULTS = new URL('../../bench/results/', import.meta.url);
@@ -51,12 +52,14 @@
     return EXIT_USAGE;
   }
   const startedAt = clock.now();
+  const steal = await StolenTime.begin();
   const progress = (text: string) => {
     if (flags.json) return;
     console.error(`${((clock.now() - startedAt) / 1000).toFixed(1).padStart(6)} s  ${text}`);
   };
   const result = await experiment.run({ processes, seed: flags.seed ?? DEFAULT_SEED, progress });
-  const figures = { experiment: name, ...result };
+  const stealPercent = await steal.percent();
+  const figures = { experiment: name, ...result, stealPercent };
   if (flags.keep) await keep(flags.keep, figures);
   console.log(JSON.stringify(figures));
   return 0;
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -32,7 +32,8 @@
   /** Starts `dist/<name>.js` and waits until it prints its ports. */
   static async start(name: string, args: readonly string[]): Promise<Program> {
     const script = fileURLToPath(new URL(`../${name}.js`, import.meta.url));
-    const child = spawn(process.execPath, [script, ...args], {
+    // Flags of the bench go on, such as `--cpu-prof`.
+    const child = spawn(process.execPath, [...process.execArgv, script, ...args], {
       stdio: ['ignore', 'pipe', 'inherit'],
     });
     const lines = createInterface({ input: child.stdout });
