--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -14,7 +14,7 @@
 /** Cap of the wait after the platform served a version that was refused, in milliseconds. */
 const REFUSED_CAP_MS = 30_000;
 /** How often a process looks whether it has become a reader. */
-const RANK_CHECK_MS = 250;
+const RANK_CHECK_MS = 500;
 
 /**
  * Two processes may both believe that they are the reader: that costs one more watch and nothing
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -12,7 +12,8 @@
 export const LEASE_MS = 3_000;
 /** Announcements do not bring back an endpoint that has just refused, for so long. */
 export const REFUSED_MS = 1_000;
-const CHECK_EVERY_MS = 250;
+/** Longest sleep between two looks, in milliseconds: each wake-up costs an idle process. */
+const CHECK_EVERY_MS = 1_000;
 /** Waking up so much too late means that the process was paused, in milliseconds. */
 const PAUSED_MS = 1_000;
 
@@ -68,7 +69,7 @@
   /** Ends the lease when announcements stay away, until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const wakeAt = this.clock.now() + CHECK_EVERY_MS;
+      const wakeAt = Math.min(this.clock.now() + CHECK_EVERY_MS, this.#due);
       await this.clock.sleepUntil(wakeAt, signal);
       const now = this.clock.now();
       // After a pause of this process the announcements of that time are still unread.
@@ -77,6 +78,11 @@
     }
   }
 
+  /** When the lease runs out; never while there is none. */
+  get #due(): number {
+    return this.#last && this.#last.state !== 'down' ? this.#deadline : Infinity;
+  }
+
   #end(): void {
     const last = this.#last;
     if (last && last.state !== 'down') this.#set({ ...last, state: 'down' });
--- a/src/membership/suspicions.ts
+++ b/src/membership/suspicions.ts
@@ -5,7 +5,7 @@
 
 /** A suspect that does not refute for this long is taken for dead, in milliseconds. */
 export const SUSPICION_MS = 3_000;
-const JUDGE_EVERY_MS = 250;
+const JUDGE_EVERY_MS = 1_000;
 /** Waking up so much too late means that the process was paused, in milliseconds. */
 const PAUSED_MS = 1_000;
 
@@ -36,7 +36,8 @@
   /** Judges until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
-      const wakeAt = this.clock.now() + JUDGE_EVERY_MS;
+      const deadlines = [...this.#held.values()].map(({ deadline }) => deadline);
+      const wakeAt = Math.min(this.clock.now() + JUDGE_EVERY_MS, ...deadlines);
       await this.clock.sleepUntil(wakeAt, signal);
       if (this.clock.now() - wakeAt > PAUSED_MS) this.#restart();
       if (!signal.aborted) this.#judge();
@@ -66,7 +67,10 @@
   #judge(): void {
     const now = this.clock.now();
     for (const [instance, { deadline }] of [...this.#held]) {
-      if (deadline <= now) this.roster.mark(instance, 'dead');
+      if (deadline > now) continue;
+      // Forgotten first: were a passed deadline kept, there would be no sleep until the next look.
+      this.#held.delete(instance);
+      this.roster.mark(instance, 'dead');
     }
   }
 }
--- a/src/requests/claim_sweep.ts
+++ b/src/requests/claim_sweep.ts
@@ -31,8 +31,7 @@
     for (let waitMs = PAGE_EVERY_MS; ;) {
       await this.clock.sleepUntil(this.clock.now() + waitMs, signal);
       if (signal.aborted) return;
-      if (!this.isSweeper()) continue;
-      after = await this.#page(after);
+      if (this.isSweeper()) after = await this.#page(after);
       waitMs = after === CLAIM_PREFIX ? PASS_EVERY_MS : PAGE_EVERY_MS;
     }
   }
