Run ours and the baseline through one piece of the bench

On the way, a measurement returned without await was cut off by the disposal of its deployment: the linter named it before any commit.

--- a/src/bench/acceptance.ts
+++ b/src/bench/acceptance.ts
@@ -14,7 +14,7 @@
 import { Source } from '../source/source.js';
 import { PlatformServer } from '../standins/platform_server.js';
 import { PlatformStore } from '../standins/platform_store.js';
-import { report } from './report.js';
+import { keep } from './results.js';
 import { compareSplits } from './splits.js';
 
 const VERSIONS = 10_000;
@@ -93,5 +93,5 @@
   start: { versions: VERSIONS, resources: RESOURCES, withSnapshots, withoutSnapshots },
   splits: compareSplits(),
 };
-await report('acceptance', result);
+await keep('acceptance', result);
 console.log(JSON.stringify(result, undefined, 2));
--- a/src/bench/claims.ts
+++ b/src/bench/claims.ts
@@ -13,7 +13,7 @@
 import { TimerClock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
 import { PlatformStore } from '../standins/platform_store.js';
-import { report } from './report.js';
+import { keep } from './results.js';
 
 const WRITES_PER_SECOND = 400;
 const READS_PER_SECOND = 2_000;
@@ -189,5 +189,5 @@
   readsPerSecond: READS_PER_SECOND,
   latencyMs: LATENCY_MS,
 };
-await report('claims', { platform, ranges: RANGES, measuredMs: MEASURED_MS, seed: SEED, runs });
+await keep('claims', { platform, ranges: RANGES, measuredMs: MEASURED_MS, seed: SEED, runs });
 console.table(runs);
--- a/src/bench/depth.ts
+++ b/src/bench/depth.ts
@@ -6,7 +6,7 @@
 import { MAX_ATTEMPTS, RetryBudget } from '../requests/retry_budget.js';
 import { Clock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
-import { report } from './report.js';
+import { keep } from './results.js';
 
 const DEPTH = 12;
 /** The design size gives each process 65 calls a second. */
@@ -148,7 +148,7 @@
 const runs = [1, 0.5, 0.05].flatMap((failing) =>
   POLICIES.map((policy) => measure(policy, failing)),
 );
-await report('depth', {
+await keep('depth', {
   depth: DEPTH,
   callsPerSecond: 65,
   retryPercent: RETRY_PERCENT,
--- a/src/bench/experiments/control_bytes.ts
+++ b/src/bench/experiments/control_bytes.ts
@@ -1,10 +1,9 @@
-import { Baseline, type Deployment, Ours } from '../deployment.js';
+import { type Deployment, Ours } from '../deployment.js';
 import { Experiment, type Options, type Result, rounded } from '../experiment.js';
 import { changingNote } from '../notes.js';
+import { SERVICES, sideBySide } from '../side_by_side.js';
 import { type Idle, idleOf } from '../idle.js';
 
-const SERVICES = 110;
-const DATA_CENTRES = 5;
 const VERSIONS = 10;
 const IDLE_MS = 10_000;
 const SETTLE_MS = 4_000;
@@ -14,39 +13,31 @@
 export class ControlBytes extends Experiment {
   readonly name = 'control-bytes';
 
-  async run({ processes, progress }: Options): Promise<Result> {
-    const shape = {
-      processes,
-      dataCentres: DATA_CENTRES,
-      profile: 'bytes',
-      services: SERVICES,
-    } as const;
-    await using ours = new Ours(shape, this.clock);
-    progress(`starting ${processes} daemons`);
-    await ours.open();
-    await this.clock.sleepUntil(this.clock.now() + SETTLE_MS);
-    progress('idle');
-    const idle = await idleOf(ours, IDLE_MS);
-    progress(`${VERSIONS} versions`);
-    const perChange = await this.#perChange(ours, idle);
-    await ours[Symbol.asyncDispose]();
-    await using baseline = new Baseline(shape, this.clock);
-    progress(`starting ${processes} proxies of the baseline`);
-    await baseline.open();
-    const baselineIdle = await idleOf(baseline, IDLE_MS);
-    progress(`${VERSIONS} versions`);
-    const baselinePerChange = await this.#perChange(baseline, baselineIdle);
+  async run(options: Options): Promise<Result> {
+    const { processes, progress } = options;
+    const { own, theirs } = await sideBySide(this.clock, options, 'bytes', (deployment) =>
+      this.#measure(deployment, progress),
+    );
     return {
       processes,
-      bytesPerChange: Math.round(perChange),
-      baselineBytesPerChange: Math.round(baselinePerChange),
-      idleBytesPerSecondPerProcess: Math.round(idle.bytesPerSecond),
-      cpuPercentPerProcess: rounded(idle.cpuPercent),
-      rssMb: rounded(idle.rssMb, 1),
-      baselineIdleBytesPerSecondPerProcess: Math.round(baselineIdle.bytesPerSecond),
+      bytesPerChange: Math.round(own.perChange),
+      baselineBytesPerChange: Math.round(theirs.perChange),
+      idleBytesPerSecondPerProcess: Math.round(own.idle.bytesPerSecond),
+      cpuPercentPerProcess: rounded(own.idle.cpuPercent),
+      rssMb: rounded(own.idle.rssMb, 1),
+      baselineIdleBytesPerSecondPerProcess: Math.round(theirs.idle.bytesPerSecond),
     };
   }
 
+  async #measure(deployment: Deployment, progress: Options['progress']) {
+    // The daemons get acquainted first; the baseline's proxies know nobody.
+    if (deployment instanceof Ours) await this.clock.sleepUntil(this.clock.now() + SETTLE_MS);
+    progress('idle');
+    const idle = await idleOf(deployment, IDLE_MS);
+    progress(`${VERSIONS} versions`);
+    return { idle, perChange: await this.#perChange(deployment, idle) };
+  }
+
   /** Bytes received by all proxies per change, beyond what they receive while idle. */
   async #perChange(deployment: Deployment, idle: Idle): Promise<number> {
     const received = async () =>
--- a/src/bench/experiments/convergence.ts
+++ b/src/bench/experiments/convergence.ts
@@ -1,10 +1,9 @@
-import { Baseline, type Deployment, Ours, type Proxy } from '../deployment.js';
+import { type Deployment, Ours, type Proxy } from '../deployment.js';
 import { Experiment, type Options, type Result, rounded, Times } from '../experiment.js';
 import { platformCalls } from '../http.js';
 import { changingNote } from '../notes.js';
+import { SERVICES, sideBySide } from '../side_by_side.js';
 
-const SERVICES = 110;
-const DATA_CENTRES = 5;
 const VERSIONS = 60;
 const GAP_MS = 60;
 const DEADLINE_MS = 10_000;
@@ -14,6 +13,7 @@
   readonly times: Times;
   readonly callsPerChange: number;
   readonly late: number;
+  readonly rollbacks: number;
 }
 
 /** Time from hand-in until the last proxy is seen to hold the version. */
@@ -24,25 +24,12 @@
 
   #partial = 0;
 
-  async run({ processes, progress }: Options): Promise<Result> {
-    const shape = {
-      processes,
-      dataCentres: DATA_CENTRES,
-      profile: 'convergence',
-      services: SERVICES,
-    } as const;
-    await using ours = new Ours(shape, this.clock);
-    progress(`starting ${processes} daemons`);
-    await ours.open();
-    progress(`${VERSIONS} versions`);
-    const own = await this.#measure(ours, (turn) => this.#inspectSome(ours, turn));
-    const { rollbacks } = ours;
-    await ours[Symbol.asyncDispose]();
-    await using baseline = new Baseline(shape, this.clock);
-    progress(`starting ${processes} proxies of the baseline`);
-    await baseline.open();
-    progress(`${VERSIONS} versions`);
-    const theirs = await this.#measure(baseline, async () => {});
+  async run(options: Options): Promise<Result> {
+    const { processes, progress } = options;
+    const { own, theirs } = await sideBySide(this.clock, options, 'convergence', (deployment) => {
+      progress(`${VERSIONS} versions`);
+      return this.#measure(deployment);
+    });
     return {
       processes,
       versions: VERSIONS,
@@ -54,13 +41,13 @@
       baselineSourceCallsPerChange: rounded(theirs.callsPerChange),
       late: own.late,
       baselineLate: theirs.late,
-      rollbacks,
+      rollbacks: own.rollbacks,
       dangling: this.#dangling,
       partial: this.#partial,
     };
   }
 
-  async #measure(deployment: Deployment, after: (turn: number) => Promise<void>): Promise<Run> {
+  async #measure(deployment: Deployment): Promise<Run> {
     const times = new Times();
     const port = deployment.platform.ports.port!;
     const callsBefore = await platformCalls(port);
@@ -74,11 +61,12 @@
       const held = await Promise.all(holding);
       if (held.includes(undefined)) late += 1;
       else times.add(Math.max(...(held as number[])) - handedInAt);
-      await after(turn);
+      if (deployment instanceof Ours) await this.#inspectSome(deployment, turn);
       await this.clock.sleepUntil(this.clock.now() + GAP_MS);
     }
     const calls = (await platformCalls(port)) - callsBefore;
-    return { times, callsPerChange: calls / VERSIONS, late };
+    const { rollbacks } = deployment;
+    return { times, callsPerChange: calls / VERSIONS, late, rollbacks };
   }
 
   async #inspectSome(ours: Ours, turn: number): Promise<void> {
--- a/src/bench/experiments/herd.ts
+++ b/src/bench/experiments/herd.ts
@@ -2,9 +2,8 @@
 import { Experiment, type Options, type Result } from '../experiment.js';
 import { getJson, platformCalls } from '../http.js';
 import { changingNote } from '../notes.js';
+import { SERVICES, sideBySide } from '../side_by_side.js';
 
-const SERVICES = 110;
-const DATA_CENTRES = 5;
 const DEADLINE_MS = 30_000;
 const SETTLE_MS = 3_000;
 const SAMPLE_MS = 100;
@@ -15,23 +14,12 @@
 export class Herd extends Experiment {
   readonly name = 'herd';
 
-  async run({ processes, progress }: Options): Promise<Result> {
-    const shape = {
-      processes,
-      dataCentres: DATA_CENTRES,
-      profile: 'convergence',
-      services: SERVICES,
-    } as const;
+  async run(options: Options): Promise<Result> {
+    const { processes, progress } = options;
     const killed = Math.ceil(processes / 2);
-    await using ours = new Ours(shape, this.clock);
-    progress(`starting ${processes} daemons`);
-    await ours.open();
-    const own = await this.#provoke(ours, killed, progress);
-    await ours[Symbol.asyncDispose]();
-    await using baseline = new Baseline(shape, this.clock);
-    progress(`starting ${processes} proxies of the baseline`);
-    await baseline.open();
-    const theirs = await this.#provoke(baseline, killed, progress);
+    const { own, theirs } = await sideBySide(this.clock, options, 'convergence', (deployment) =>
+      this.#provoke(deployment, killed, progress),
+    );
     return {
       processes,
       killed,
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -3,7 +3,7 @@
 import { MachineClock } from '../runtime/clock.js';
 import { type Experiment } from './experiment.js';
 import { drawReport } from './drawing.js';
-import { report as keep } from './report.js';
+import { keep, RESULTS } from './results.js';
 import { AddedLatency } from './experiments/added_latency.js';
 import { ControlBytes } from './experiments/control_bytes.js';
 import { Convergence } from './experiments/convergence.js';
@@ -13,7 +13,6 @@
 import { StolenTime } from './stolen_time.js';
 
 const clock = new MachineClock();
-const RESULTS = new URL('../../bench/results/', import.meta.url);
 const DEFAULT_SEED = 1;
 /** More would take more than half of the machine's memory. */
 const MAX_PROCESSES = 200;
--- a/src/standins/platform_server.ts
+++ b/src/standins/platform_server.ts
@@ -1,5 +1,6 @@
 /** Serves the platform stand-in over HTTP, with a port to make it misbehave. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { text } from 'node:stream/consumers';
 import { OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Range } from '../platform/platform.js';
@@ -71,7 +72,7 @@
         return found(await this.store.watch(rangeOf(url), until, gone.signal));
       }
       case 'faults':
-        Object.assign(this.store.faults, JSON.parse(await read(request)) as Partial<Faults>);
+        Object.assign(this.store.faults, JSON.parse(await text(request)) as Partial<Faults>);
         this.store.disturb();
         return found(this.store.faults);
       case 'calls':
@@ -91,7 +92,7 @@
       const removed = await this.store.remove(key, revision, deadline);
       return removed ? found(true) : CONFLICT;
     }
-    const value = await read(request);
+    const value = await text(request);
     const written =
       request.headers['if-none-match'] === '*'
         ? await this.store.create(key, value, deadline)
@@ -124,9 +125,3 @@
     ...(limit !== null && { limit: Number(limit) }),
   };
 }
-
-async function read(request: IncomingMessage): Promise<string> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of request) chunks.push(chunk as Buffer);
-  return Buffer.concat(chunks).toString();
-}
