--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import prettier from 'eslint-config-prettier';
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'bench/results/**'] },
+  { ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**', 'bench/results/**'] },
   plugins.stylistic,
   plugins.importX,
   ...configs.base.recommended,
@@ -50,7 +50,7 @@
     },
   },
   {
-    files: ['src/bench/**'],
+    files: ['src/bench/**', 'deploy/**'],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       // The bench prints its results.
--- a/src/bench/acceptance.ts
+++ b/src/bench/acceptance.ts
@@ -10,6 +10,7 @@
 import { MachineClock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
 import { Log } from '../source/log.js';
+import { LogFeed } from '../source/log_feed.js';
 import { Snapshots } from '../source/snapshots.js';
 import { Source } from '../source/source.js';
 import { PlatformServer } from '../standins/platform_server.js';
@@ -54,7 +55,13 @@
   const nothing = new PlatformStore(clock);
   const snapshots = new Snapshots(hasSnapshots ? platform : nothing, log);
   const ranking = { isReader: true } as Ranking;
-  const reader = new Reader(log, snapshots, replica, ranking, clock, new SeededRandom(1));
+  const reader = new Reader(
+    new LogFeed(log, snapshots, replica),
+    replica,
+    ranking,
+    clock,
+    new SeededRandom(1),
+  );
   const stopping = new AbortController();
   const startedAt = clock.now();
   const running = reader.run(stopping.signal);
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -70,9 +70,22 @@
 
   /** The configuration after `change`, as the next version, with its digest worked out. */
   next(change: Change): Configuration {
-    const held = hold(this.held, change);
-    const number = this.number + 1;
-    return new Configuration(number, chain(number, this.digest, stateDigest(held)), held);
+    return this.#after(change, this.number + 1, this.digest);
+  }
+
+  /** The configuration after `change` as version `number`; its digest covers no parent. */
+  standalone(change: Change, number: number): Configuration {
+    return this.#after(change, number, GENESIS);
+  }
+
+  /** What turns this configuration into one of exactly `resources`. */
+  changeTo(resources: readonly Resource[]): Change {
+    const wanted = new Set(resources.map(resourceKey));
+    const put = resources.filter((resource) => {
+      const held = this.held.get(resourceKey(resource));
+      return held?.resource !== resource && held?.digest !== sha256(canonical(resource));
+    });
+    return { put, remove: [...this.held.keys()].filter((key) => !wanted.has(key)) };
   }
 
   /** Whether the resources are those that the digest was worked out over. */
@@ -84,6 +97,11 @@
   get state(): string {
     return stateDigest(this.held);
   }
+
+  #after(change: Change, number: number, parent: string): Configuration {
+    const held = hold(this.held, change);
+    return new Configuration(number, chain(number, parent, stateDigest(held)), held);
+  }
 }
 
 function hold(before: ReadonlyMap<ResourceKey, Held>, change: Change): Map<ResourceKey, Held> {
--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -52,6 +52,7 @@
     });
   };
   expect('upstream', `upstream/${route.upstream}`);
+  route.split?.forEach(({ upstream }, index) => expect(`split.${index}`, `upstream/${upstream}`));
   if (route.limit) expect('limit', `limit/${route.limit}`);
   route.rules.forEach((rule, index) => expect(`rules.${index}`, `rule/${rule}`));
   return problems;
--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -61,10 +61,21 @@
   methods: z.array(z.string().regex(/^[A-Z]+$/)).optional(),
   /** Header values that must match exactly, by lower-case name. */
   headers: z.record(z.string().regex(/^[a-z0-9-]+$/), z.string()).optional(),
+  /** Where requests go; the first of the parts where there is a split. */
   upstream: Name,
+  /** Upstreams that share the requests by weight. */
+  split: z
+    .array(z.strictObject({ upstream: Name, weight: z.number().min(0) }))
+    .min(1)
+    .refine((parts) => parts.some(({ weight }) => weight > 0), 'all weights are zero')
+    .optional(),
   limit: Name.optional(),
   rules: z.array(Name).default([]),
   timeoutMs: z.number().int().min(1).max(MAX_TIMEOUT_MS).default(10_000),
+  /** Endpoints that one request may be sent to, one after the other. */
+  maxAttempts: z.number().int().min(1).max(10).optional(),
+  /** Time within which an answer is of full use to callers; `timeoutMs` when absent. */
+  targetMs: z.number().int().min(1).max(MAX_TIMEOUT_MS).optional(),
   /** Whether a request may run twice. When absent: GET, HEAD, OPTIONS, PUT and DELETE may. */
   repeatable: z.boolean().optional(),
   /** Requests without an `Idempotency-Key` are refused. */
--- a/src/contracts/version.ts
+++ b/src/contracts/version.ts
@@ -14,10 +14,15 @@
 /** The part of a version that every proxy receives and checks. */
 export const Version = z.strictObject({
   number: z.number().int().min(1),
-  /** Digest of version `number - 1`; of the empty configuration for version 1. */
+  /** Digest of the version that the change is made to; of the empty configuration at first. */
   parent: Digest,
   /** Digest over number, parent and the whole resulting configuration. */
   digest: Digest,
+  /**
+   * Set when the digest covers number and configuration only. A source that holds nothing but the
+   * newest configuration lets readers skip versions, and two that skipped others must agree.
+   */
+  standsAlone: z.literal(true).optional(),
   /** Id of the release note that made it. */
   note: z.string(),
   /** Instant of acceptance by the accepting process, in milliseconds since the epoch. */
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -1,6 +1,7 @@
 /** The control part of a process: configuration and membership, without the carrying of requests. */
 import { type Member } from '../contracts.js';
 import { Confirmation } from '../distribution/confirmation.js';
+import { type Feed } from '../distribution/feed.js';
 import { Distributor } from '../distribution/distributor.js';
 import { type Address, type Dialer, Mesh } from '../distribution/mesh.js';
 import { HEARTBEAT } from '../distribution/methods.js';
@@ -14,14 +15,13 @@
 import { Bootstrap } from '../membership/bootstrap.js';
 import { Directory } from '../membership/directory.js';
 import { GossipTask } from '../membership/gossip.js';
+import { type Pace, STEADY } from '../membership/pace.js';
 import { Probe } from '../membership/probe.js';
 import { Ranking } from '../membership/ranking.js';
 import { Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { Log } from '../source/log.js';
-import { Snapshots } from '../source/snapshots.js';
 
 /** What the control part is given of the outside world. */
 export interface ControlSurroundings {
@@ -29,6 +29,8 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly dialer: Dialer;
+  /** Where versions come from. */
+  readonly feed: (replica: Replica) => Feed;
 }
 
 export interface ControlOptions {
@@ -37,12 +39,11 @@
   readonly profile: Profile;
   /** Where others are looked for first. */
   readonly peers: readonly Address[];
+  readonly pace?: Pace;
+  /** How long an announcement of the upstream instance holds, in milliseconds. */
+  readonly leaseMs?: number;
 }
 
-/** How long a process that finds nobody waits before it takes itself for the only one. */
-const ACQUAINT_MS = 500;
-/** How long the rosters of the first peers take to come in, in milliseconds. */
-const ROSTER_MS = 300;
 /** How long a stop waits for the neighbours to hear of it, in milliseconds. */
 const FAREWELL_MS = 500;
 
@@ -53,8 +54,6 @@
 
   readonly ranking: Ranking;
 
-  readonly log: Log;
-
   /** What this process answers on its links. */
   readonly methods = new Methods();
 
@@ -79,10 +78,15 @@
 
   readonly #probe: Probe;
 
+  readonly #pace: Pace;
+
   readonly #stopping = new AbortController();
 
   #tasks: Promise<void>[] = [];
 
+  /** Where others are looked for first; settings may change while the process runs. */
+  peers: readonly Address[];
+
   constructor(
     self: Member,
     options: ControlOptions,
@@ -90,9 +94,11 @@
   ) {
     const { platform, clock, random, dialer } = surroundings;
     const { methods, replica } = this;
+    const { pace = STEADY } = options;
+    this.#pace = pace;
+    this.peers = options.peers;
     this.roster = new Roster(self);
     this.ranking = new Ranking(this.roster, options.fanout);
-    this.log = new Log(platform);
     this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, () => ({
       member: this.roster.self,
       version: replica.current.number,
@@ -124,8 +130,14 @@
       this.distributor.heard(peer, heartbeat);
       this.gossip.compare(peer, heartbeat.roster);
     });
-    const snapshots = new Snapshots(platform, this.log);
-    this.reader = new Reader(this.log, snapshots, replica, this.ranking, clock, random);
+    this.reader = new Reader(
+      surroundings.feed(replica),
+      replica,
+      this.ranking,
+      clock,
+      random,
+      pace,
+    );
     const confirmation = new Confirmation(
       this.reader,
       this.mesh,
@@ -143,13 +155,15 @@
       this.ranking,
       clock,
       random,
+      pace,
     );
     this.readiness.onReady(() => this.distributor.announce());
     const { roster, ranking, mesh } = this;
-    this.directory = new Directory(platform, roster, ranking, clock, random);
-    this.endpointLease = new EndpointLease(roster, clock);
-    this.#bootstrap = new Bootstrap(options.peers, mesh, this.directory, clock, random);
-    this.#probe = new Probe(roster, ranking, mesh, clock, random, options.peers);
+    this.directory = new Directory(platform, roster, ranking, clock, random, pace);
+    this.endpointLease = new EndpointLease(roster, clock, options.leaseMs);
+    const addresses = () => this.peers;
+    this.#bootstrap = new Bootstrap(addresses, mesh, this.directory, clock, random, pace);
+    this.#probe = new Probe(roster, ranking, mesh, clock, random, addresses);
   }
 
   /** Joins the others and starts all tasks. */
@@ -184,11 +198,14 @@
    */
   async #follow(signal: AbortSignal): Promise<void> {
     const { clock, random } = this.surroundings;
-    const deadline = clock.now() + ACQUAINT_MS + random.jitter(ACQUAINT_MS);
+    const { acquaintMs, rosterMs, isEager } = this.#pace;
+    const deadline = clock.now() + acquaintMs + random.jitter(acquaintMs);
     const acquainted = new AbortController();
     this.mesh.onOpen(() => acquainted.abort());
-    await clock.sleepUntil(deadline, AbortSignal.any([signal, acquainted.signal]));
-    await clock.sleepUntil(clock.now() + ROSTER_MS, signal);
+    if (!isEager) {
+      await clock.sleepUntil(deadline, AbortSignal.any([signal, acquainted.signal]));
+      await clock.sleepUntil(clock.now() + rosterMs, signal);
+    }
     await Promise.all([this.reader.run(signal), this.readiness.run(signal)]);
   }
 }
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -1,20 +1,24 @@
 /** One whole process of the system, put together from its parts. */
 import { createServer, type Server } from 'node:net';
 import { type Member } from '../contracts.js';
+import { type Feed } from '../distribution/feed.js';
 import { type Codec } from '../link/codec.js';
 import { connect, TcpLink } from '../link/tcp_link.js';
 import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { Dialer } from '../distribution/mesh.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Surveyor } from '../distribution/surveyor.js';
+import { type Pace } from '../membership/pace.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
+import { type Dialect } from '../requests/dialect.js';
 import { Balancer } from '../requests/balancer.js';
 import { Entry } from '../requests/entry.js';
 import { Guard } from '../requests/guard.js';
 import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { logFeed } from '../source/log_feed.js';
 import { Source } from '../source/source.js';
 import { Control } from './control.js';
 import { Journal } from './log.js';
@@ -29,11 +33,14 @@
   readonly clock: Clock;
   readonly random: Random;
   readonly codec: Codec;
+  /** What callers and the upstream instance speak; the product's own when absent. */
+  readonly dialect?: Dialect;
+  /** Where versions come from; the log of release notes when absent. */
+  readonly feed?: (replica: Replica) => Feed;
+  readonly pace?: Pace;
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
-/** Time for others to learn that this process leaves before it closes its ports, in milliseconds. */
-const NOTICE_MS = 1_000;
 
 /**
  * @example
@@ -68,13 +75,14 @@
     self: Member,
     ports: OpenPorts,
   ) {
-    const { platform, clock, random, codec } = surroundings;
+    const { platform, clock, random, codec, dialect, pace } = surroundings;
+    const feed = surroundings.feed ?? ((replica) => logFeed(platform, replica));
     this.journal = new Journal(self.instance, clock);
     const profile = settings.profile === 'bytes' ? new BytesProfile() : new ConvergenceProfile();
     this.control = new Control(
       self,
-      { ...settings, profile },
-      { platform, clock, random, dialer: new TcpDialer(codec) },
+      { ...settings, profile, ...(pace && { pace }) },
+      { platform, clock, random, feed, dialer: new TcpDialer(codec) },
     );
     this.source = new Source(platform, clock, random);
     const balancer = new Balancer(this.roster, clock, random);
@@ -88,9 +96,11 @@
       balancer,
       clock,
       random,
+      dialect,
     );
     const { mesh, methods, ranking } = this.control;
-    const grounds = { platform, clock, random, mesh, methods, ranking };
+    const takesKeys = dialect?.takesKeys ?? true;
+    const grounds = { platform, clock, random, mesh, methods, ranking, takesKeys };
     this.safeguards = new Safeguards(self.instance, grounds);
     this.safeguards.protect(this.entry, this.guard);
     this.entryMeter = new RequestMeter(this.entry.server, clock);
@@ -103,9 +113,15 @@
     });
   }
 
+  /** Whether release notes are accepted here, or the configuration comes from elsewhere. */
+  get acceptsNotes(): boolean {
+    return this.surroundings.feed === undefined;
+  }
+
   /** Opens the ports, joins the others and starts all tasks. */
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
-    const ports = { guard: new Guard(surroundings.clock), link: createServer() };
+    const { clock, dialect } = surroundings;
+    const ports = { guard: new Guard(clock, dialect), link: createServer() };
     const { host } = settings;
     const linkPort = await bind(ports.link, host, settings.linkPort);
     const guardPort = await bind(ports.guard.server, host, settings.guardPort);
@@ -116,7 +132,7 @@
       linkPort,
       guardPort,
       operatorsPort: settings.operatorsPort,
-      incarnation: Math.floor(surroundings.clock.now()),
+      incarnation: Math.floor(clock.now()),
       sequence: 0,
       liveness: 'alive',
     };
@@ -144,7 +160,7 @@
     this.entry.traffic.leave();
     this.control.endpointLease.leave();
     this.journal.record('stopping');
-    await clock.sleepUntil(Math.min(deadline, clock.now() + NOTICE_MS));
+    await clock.sleepUntil(Math.min(deadline, clock.now() + this.settings.noticeMs));
     this.entry.traffic.close();
     await this.entry.traffic.finish(deadline);
     await this.guard.traffic.finish(deadline);
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -21,23 +21,30 @@
 /** The parts of a process that operators act on. */
 export type Operated = Pick<
   Instance,
-  'source' | 'surroundings' | 'replica' | 'surveyor' | 'roster'
+  'source' | 'acceptsNotes' | 'surroundings' | 'replica' | 'surveyor' | 'roster'
 >;
 
 export function operatorMethods(instance: Operated): JSONRPCServer {
   const { source, surroundings, roster } = instance;
   const deadline = () => surroundings.clock.now() + ACCEPT_TIMEOUT_MS;
   const methods = new OperatorMethods();
+  const refuseElsewhere = () => {
+    if (instance.acceptsNotes) return;
+    const props = { verdict: 'not-run', reason: 'no-log' } as const;
+    throw new OutcomeError('the configuration is accepted elsewhere', props);
+  };
   const handIn = async (action: 'submit' | 'amend', params: unknown) => {
+    refuseElsewhere();
     const reading = readingOf(params);
     if ('note' in reading) return source[action](reading.note, deadline());
     return source.refuse(attemptOf(action, reading.data), reading.problems);
   };
   methods.on('submit', z.unknown(), (params) => handIn('submit', params));
   methods.on('amend', z.unknown(), (params) => handIn('amend', params));
-  methods.on('withdraw', Withdrawn, ({ note, author }) =>
-    source.withdraw(note, author, deadline()),
-  );
+  methods.on('withdraw', Withdrawn, async ({ note, author }) => {
+    refuseElsewhere();
+    return source.withdraw(note, author, deadline());
+  });
   methods.on('check', Checked, async ({ text, action }) => {
     const reading = parseNote(text);
     if (!('note' in reading)) return { outcome: 'refused', problems: reading.problems };
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -30,6 +30,8 @@
   codec: z.enum(['msgpack', 'json']).default('msgpack'),
   fanout: z.coerce.number().int().min(1).max(64).default(8),
   heartbeatMs: z.coerce.number().int().min(50).max(60_000).default(1_000),
+  noticeMs: z.coerce.number().int().min(0).max(60_000).default(1_000),
+  leaseMs: z.coerce.number().int().min(100).max(600_000).default(3_000),
   stopMs: z.coerce.number().int().min(0).max(600_000).default(30_000),
 };
 
@@ -48,6 +50,8 @@
   codec: 'Encoding on links, the same in the whole fleet: msgpack or json',
   fanout: 'Children per process in the tree',
   heartbeatMs: 'Pace of heartbeats on links, in milliseconds',
+  noticeMs: 'Time for others to learn of a stop before ports are closed, in milliseconds',
+  leaseMs: 'How long an announcement of the upstream instance holds, in milliseconds',
   stopMs: 'Time a stop may take to let requests finish, in milliseconds',
 };
 
--- a/src/distribution/readiness.ts
+++ b/src/distribution/readiness.ts
@@ -1,5 +1,6 @@
 /** When a process that has started may take requests. */
 import { type Member } from '../contracts.js';
+import { type Pace, STEADY } from '../membership/pace.js';
 import { type Ranking } from '../membership/ranking.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -11,8 +12,6 @@
 
 const RECALL_TIMEOUT_MS = 1_000;
 const CONFIRM_TIMEOUT_MS = 3_000;
-/** Cap of the jittered wait before others are asked again, in milliseconds. */
-const RETRY_CAP_MS = 300;
 
 /**
  * A process that starts holds nothing and takes over what its neighbours hold. Had they missed
@@ -35,6 +34,7 @@
     private readonly ranking: Ranking,
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly pace: Pace = STEADY,
   ) {}
 
   get isReady(): boolean {
@@ -51,7 +51,7 @@
     while (!signal.aborted) {
       floor ??= await this.#floor();
       if (floor !== undefined && this.replica.current.number >= floor) break;
-      const wait = this.random.jitter(RETRY_CAP_MS);
+      const wait = this.random.jitter(this.pace.readinessMs);
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
     }
     if (signal.aborted) return;
@@ -62,6 +62,7 @@
   /** The version that this instance cannot have been beyond; undefined as long as unknown. */
   async #floor(): Promise<number | undefined> {
     if (this.reader.caughtUp) return 0;
+    if (this.pace.isEager) return this.#isVouchedFor ? 0 : undefined;
     const remembered = await this.#recall();
     if (remembered !== undefined) return remembered;
     try {
@@ -71,6 +72,15 @@
     }
   }
 
+  /**
+   * Whether a neighbour that takes requests holds no more than this process. With the source away
+   * a process that starts would otherwise take none until it is back.
+   */
+  get #isVouchedFor(): boolean {
+    const held = this.replica.current.number;
+    return held > 0 && this.mesh.peers.some((peer) => peer.isReady && peer.version <= held);
+  }
+
   /**
    * What all neighbours remember together. One that does not answer may be the one that knows
    * most, so its silence leaves the question open until it answers or its link is closed.
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -2,7 +2,7 @@
 import { Configuration } from '../configuration/configuration.js';
 import { GENESIS } from '../configuration/digest.js';
 import { MAX_RESOURCES, type Problem, validate } from '../configuration/validate.js';
-import { type Snapshot, type Version } from '../contracts.js';
+import { type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
 /** Why a version was refused; the configuration before it stays in force. */
@@ -35,6 +35,9 @@
 
   #recent: Version[] = [];
 
+  /** Number of the version that the first recent one was made to. */
+  #recentAfter = 0;
+
   #refusal: Refusal | undefined;
 
   readonly #listeners = new Set<(versions: readonly Version[]) => void>();
@@ -76,7 +79,7 @@
         whole = this.#refuse(version.number, 'chain', []);
         break;
       }
-      whole = version.number === this.#current.number + 1 && this.#applyOne(version);
+      whole = this.#follows(version) && this.#applyOne(version);
       if (!whole) break;
       applied.push(version);
     }
@@ -97,6 +100,7 @@
     this.#current = candidate;
     this.#parent = snapshot.parent;
     this.#recent = [];
+    this.#recentAfter = snapshot.number;
     this.#refusal = undefined;
     this.#announce([]);
     return true;
@@ -116,24 +120,45 @@
   /** Versions after `number`, or undefined if they are not kept any more. */
   since(number: number): readonly Version[] | undefined {
     if (number >= this.#current.number) return [];
-    const first = this.#recent[0]?.number;
-    if (first === undefined || first > number + 1) return undefined;
-    return this.#recent.slice(number + 1 - first);
+    if (number === this.#recentAfter) return this.#recent;
+    const index = this.#recent.findIndex((version) => version.number === number);
+    return index < 0 ? undefined : this.#recent.slice(index + 1);
+  }
+
+  /**
+   * Puts exactly `resources` in force as version `number`, from a source that holds nothing but
+   * the newest version. False if that is not newer, or was refused.
+   */
+  replace(number: number, resources: readonly Resource[], acceptedAt: number): boolean {
+    if (number <= this.#current.number) return false;
+    const change = this.#current.changeTo(resources);
+    const { digest } = this.#current.standalone(change, number);
+    const parent = this.#current.digest;
+    const version = { number, parent, digest, note: '', acceptedAt, change } as const;
+    return this.apply([{ ...version, standsAlone: true }]);
+  }
+
+  /** A gap is no refusal: what lies between is pulled. */
+  #follows({ number, parent, standsAlone }: Version): boolean {
+    return standsAlone ? parent === this.#current.digest : number === this.#current.number + 1;
   }
 
   #applyOne(version: Version): boolean {
     const { number, parent, digest, change } = version;
     if (parent !== this.#current.digest) return this.#refuse(number, 'parent', []);
     if (change.put.length > MAX_RESOURCES) return this.#refuse(number, 'too-large', []);
-    const candidate = this.#current.next(change);
+    const { standsAlone } = version;
+    const candidate = standsAlone
+      ? this.#current.standalone(change, number)
+      : this.#current.next(change);
     if (candidate.digest !== digest) return this.#refuse(number, 'digest', []);
     const problems = validate(candidate);
     if (problems.length > 0) return this.#refuse(number, 'invalid', problems);
-    this.#parent = parent;
+    this.#parent = standsAlone ? GENESIS : parent;
     this.#current = candidate;
     this.#refusal = undefined;
     this.#recent.push(version);
-    if (this.#recent.length > RECENT) this.#recent.shift();
+    if (this.#recent.length > RECENT) this.#recentAfter = this.#recent.shift()!.number;
     return true;
   }
 
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -5,9 +5,21 @@
 import { type Roster } from './roster.js';
 
 /** Body of `PUT /announcement`: the endpoint, and where this process reaches it. */
-export const Announcement = Endpoint.extend({ host: z.string(), port: z.number().int() });
+export const Announcement = Endpoint.extend({
+  host: z.string(),
+  port: z.number().int(),
+  /** The id by which the upstream instance knows itself. */
+  id: z.string().optional(),
+  /** Start of the upstream instance, in milliseconds since the epoch. */
+  born: z.number().int().optional(),
+  /** Rises with each announcement of one life. */
+  sequence: z.number().int().optional(),
+});
 export type Announcement = z.infer<typeof Announcement>;
 
+/** One life of an upstream instance. */
+export type Life = Pick<Announcement, 'id' | 'born'>;
+
 /** An announcement holds for this long, in milliseconds; upstreams repeat it several times. */
 export const LEASE_MS = 3_000;
 /** Announcements do not bring back an endpoint that has just refused, for so long. */
@@ -30,11 +42,14 @@
 
   #isLeaving = false;
 
+  #departed: Life | undefined;
+
   readonly #listeners = new Set<(announcement: Announcement) => void>();
 
   constructor(
     private readonly roster: Roster,
     private readonly clock: Clock,
+    private readonly leaseMs: number = LEASE_MS,
   ) {}
 
   /** Calls `listener` with each announcement taken, and with the state `down` if it ends. */
@@ -42,10 +57,16 @@
     this.#listeners.add(listener);
   }
 
-  /** Takes an announcement and renews the lease. */
+  /**
+   * Takes an announcement and renews the lease. One that was held up on its way, and overtaken by
+   * a later one or by a new life at the same address, would bring back what is leaving: it changes
+   * nothing.
+   */
   take(announcement: Announcement): void {
+    if (this.#last && isOvertaken(announcement, this.#last)) return;
+    if (this.#hasLeft(announcement)) return;
     const now = this.clock.now();
-    this.#deadline = now + LEASE_MS;
+    this.#deadline = now + this.leaseMs;
     // An upstream that is dying may still announce itself while its port refuses.
     const isRefusing = now < this.#refusedUntil && announcement.state === 'ready';
     this.#set(isRefusing ? { ...announcement, state: 'down' } : announcement);
@@ -60,6 +81,15 @@
     if (this.#last) this.#set(this.#last);
   }
 
+  /** Takes note that an upstream instance leaves for good: it drains, whatever it says later. */
+  depart(life: Life): void {
+    this.#departed = life;
+    const last = this.#last;
+    if (!last || !isSameLife(life, last)) return;
+    this.#deadline = Infinity;
+    this.#set({ ...last, state: 'draining' });
+  }
+
   /** Ends the lease at once: a connection to the upstream instance was refused. */
   refused(): void {
     this.#refusedUntil = this.clock.now() + REFUSED_MS;
@@ -73,11 +103,15 @@
       await this.clock.sleepUntil(wakeAt, signal);
       const now = this.clock.now();
       // After a pause of this process the announcements of that time are still unread.
-      if (now - wakeAt > PAUSED_MS) this.#deadline = now + LEASE_MS;
+      if (now - wakeAt > PAUSED_MS) this.#deadline = now + this.leaseMs;
       if (now >= this.#deadline && !signal.aborted) this.#end();
     }
   }
 
+  #hasLeft(life: Life): boolean {
+    return this.#departed !== undefined && isSameLife(life, this.#departed);
+  }
+
   /** When the lease runs out; never while there is none. */
   get #due(): number {
     return this.#last && this.#last.state !== 'down' ? this.#deadline : Infinity;
@@ -99,3 +133,15 @@
     if (!isSame) this.roster.announce({ upstream, state, slots });
   }
 }
+
+function isSameLife(one: Life, other: Life): boolean {
+  return one.id === other.id && (one.born === undefined || one.born === other.born);
+}
+
+/** Whether `held` is of a later life, or was said later in the same one. */
+function isOvertaken(announcement: Announcement, held: Announcement): boolean {
+  const { born, sequence } = announcement;
+  if (born !== undefined && held.born !== undefined && born !== held.born) return born < held.born;
+  if (announcement.id !== held.id) return false;
+  return sequence !== undefined && held.sequence !== undefined && sequence <= held.sequence;
+}
--- a/src/membership/bootstrap.ts
+++ b/src/membership/bootstrap.ts
@@ -3,6 +3,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Directory } from './directory.js';
+import { type Pace, STEADY } from './pace.js';
 
 /** How often a process that has links looks whether it still has, in milliseconds. */
 const CHECK_EVERY_MS = 1_000;
@@ -14,8 +15,7 @@
  * islands, each with readers of its own, until probes or the directory bring them together.
  */
 const KNOCKS_AT_ONCE = 3;
-/** Windows in which a process without links reads the directory, in milliseconds. */
-const LOOKUP_FIRST_WINDOW_MS = 8_000;
+/** Longest window in which a process without links reads the directory, in milliseconds. */
 const LOOKUP_WINDOW_MS = 60_000;
 
 /**
@@ -25,11 +25,13 @@
  */
 export class Bootstrap {
   constructor(
-    private readonly addresses: readonly Address[],
+    /** Link ports from the settings, as they are now. */
+    private readonly addresses: () => readonly Address[],
     private readonly mesh: Mesh,
     private readonly directory: Directory,
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly pace: Pace = STEADY,
   ) {}
 
   /** Looks for others whenever there is no link, until the signal aborts. */
@@ -42,7 +44,7 @@
     while (!signal.aborted) {
       attempts = await this.#waitAlone(attempts, KNOCK_FIRST_CAP_MS, KNOCK_CAP_MS, signal);
       if (signal.aborted || !this.#isAlone) continue;
-      const addresses = this.random.shuffled(this.addresses).slice(0, KNOCKS_AT_ONCE);
+      const addresses = this.random.shuffled(this.addresses()).slice(0, KNOCKS_AT_ONCE);
       await Promise.all(addresses.map((address) => this.mesh.introduce(address)));
     }
   }
@@ -50,7 +52,12 @@
   async #lookUp(signal: AbortSignal): Promise<void> {
     let attempts = 0;
     while (!signal.aborted) {
-      attempts = await this.#waitAlone(attempts, LOOKUP_FIRST_WINDOW_MS, LOOKUP_WINDOW_MS, signal);
+      attempts = await this.#waitAlone(
+        attempts,
+        this.pace.lookupWindowMs,
+        LOOKUP_WINDOW_MS,
+        signal,
+      );
       if (signal.aborted || !this.#isAlone) continue;
       // The platform is away; the next attempt comes in a larger window.
       await this.directory.read(signal).catch(() => {});
--- a/src/membership/directory.ts
+++ b/src/membership/directory.ts
@@ -3,6 +3,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
+import { type Pace, STEADY } from './pace.js';
 import { type Ranking } from './ranking.js';
 import { type Registration, registrationOf, Registrations, statementOf } from './registration.js';
 import { type Roster } from './roster.js';
@@ -11,12 +12,8 @@
 const PREFIX = 'directory/';
 
 const CALL_TIMEOUT_MS = 2_000;
-/** Calls to the platform for membership by one process: one in eight seconds, never two at once. */
-export const CALLS_PER_SECOND = 0.125;
+/** Calls are never made two at once. */
 const CALLS_AT_ONCE = 1;
-/** First look of a root after its start, and the pace of the later ones, in milliseconds. */
-const FIRST_LOOK_MS = 8_000;
-const LOOK_EVERY_MS = 10_000;
 /** Pace after failed calls at most, in milliseconds. */
 const LOOK_FAILING_MS = 40_000;
 /** What was read so long ago is read again before a write, in milliseconds. */
@@ -54,8 +51,9 @@
     private readonly ranking: Ranking,
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly pace: Pace = STEADY,
   ) {
-    this.#calls = new TokenBucket(clock, CALLS_PER_SECOND, CALLS_AT_ONCE);
+    this.#calls = new TokenBucket(clock, pace.callsPerSecond, CALLS_AT_ONCE);
   }
 
   /** Writes that came too late, because another process had written first. */
@@ -70,15 +68,16 @@
 
   /** Keeps the own data centre's object up to date while this process is its root. */
   async run(signal: AbortSignal): Promise<void> {
-    let wait = FIRST_LOOK_MS + this.random.jitter(FIRST_LOOK_MS);
+    const { firstLookMs, lookEveryMs } = this.pace;
+    let wait = firstLookMs + this.random.jitter(firstLookMs);
     while (!signal.aborted) {
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
       if (signal.aborted) return;
       try {
         if (this.ranking.isRoot) await this.#tend(signal);
-        wait = LOOK_EVERY_MS;
+        wait = lookEveryMs;
       } catch {
-        wait = Math.min(LOOK_FAILING_MS, 2 * wait) - this.random.jitter(FIRST_LOOK_MS);
+        wait = Math.min(LOOK_FAILING_MS, 2 * wait) - this.random.jitter(firstLookMs);
         // The platform is away, or an answer was lost: what is stored is not known any more.
         // Links and heartbeats carry membership meanwhile.
         this.#seen = undefined;
--- a/src/membership/probe.ts
+++ b/src/membership/probe.ts
@@ -23,7 +23,7 @@
     private readonly clock: Clock,
     private readonly random: Random,
     /** Link ports from the settings. */
-    private readonly addresses: readonly Address[],
+    private readonly addresses: () => readonly Address[],
   ) {}
 
   /** Probes until the signal aborts. */
@@ -58,7 +58,7 @@
 
   #unmet(): Address[] {
     const met = new Set(this.roster.live().map((member) => textOf(addressOf(member))));
-    return this.#one(this.addresses.filter((address) => !met.has(textOf(address))));
+    return this.#one(this.addresses().filter((address) => !met.has(textOf(address))));
   }
 
   #one<T>(items: readonly T[]): T[] {
--- /dev/null
+++ b/src/platform/host_settings.ts
@@ -0,0 +1,81 @@
+/** The settings file that the platform gives to each process. */
+import { readFile } from 'node:fs/promises';
+import { z } from 'zod';
+import { type Settings, SettingsError } from '../daemon/settings.js';
+import { Duration, HostPort } from './wire.js';
+
+const HostFile = z.object({
+  nodeName: z.string(),
+  ip: z.ipv4(),
+  /** The data centre. */
+  zone: z.string(),
+  listen: z.object({
+    /** Requests from other processes. */
+    inbound: HostPort,
+    /** Requests from callers on this machine. */
+    outbound: HostPort,
+    ready: HostPort,
+    /** Announcements of the upstream instance beside this process. */
+    control: HostPort.optional(),
+  }),
+  internalPortRange: z.tuple([z.number().int(), z.number().int()]),
+  /** Control addresses of some other machines. */
+  seeds: z.array(HostPort).default([]),
+  heartbeat: Duration,
+  bounds: z.object({
+    grace: Duration,
+    retryBudgetRatio: z.number().default(0.2),
+    budgetSlack: z.number().default(0),
+    budgetWindow: Duration,
+  }),
+  limits: z.object({ maxFds: z.number().int() }),
+  service: z.string(),
+  platform: z.object({ address: HostPort }),
+});
+export type HostFile = z.infer<typeof HostFile>;
+
+/** Ports of the internal range, counted from its first. */
+const LINK_PORT = 0;
+const OPERATORS_PORT = 1;
+/** Announcements that may stay away before the upstream instance is taken for down. */
+const MISSED_ANNOUNCEMENTS = 4;
+/** The part of the grace after a stop was asked for that is kept for the end, in milliseconds. */
+const STOP_MARGIN_MS = 400;
+/** Two readiness questions missed, a second apart, and the way of the news to callers, in ms. */
+const NOTICE_MS = 2_800;
+
+/** Reads the settings file. Throws `SettingsError`. */
+export async function readHostFile(path: string): Promise<HostFile> {
+  const text = await readFile(path, 'utf8');
+  const parsed = HostFile.safeParse(JSON.parse(text));
+  if (parsed.success) return parsed.data;
+  throw new SettingsError(`${path}: ${z.prettifyError(parsed.error)}`);
+}
+
+/** Link ports of the machines that the file names as a way in. */
+export function seedsOf({ seeds, internalPortRange }: HostFile) {
+  return seeds.map(({ host }) => ({ host, port: internalPortRange[0] + LINK_PORT }));
+}
+
+/** The product's settings on this machine. */
+export function settingsOf(file: HostFile): Settings {
+  const { listen, internalPortRange, platform, bounds } = file;
+  return {
+    instance: file.nodeName,
+    dataCentre: file.zone,
+    host: file.ip,
+    callerPort: listen.outbound.port,
+    guardPort: listen.inbound.port,
+    linkPort: internalPortRange[0] + LINK_PORT,
+    operatorsPort: internalPortRange[0] + OPERATORS_PORT,
+    platform: `http://${platform.address.host}:${platform.address.port}`,
+    peers: seedsOf(file),
+    profile: 'convergence',
+    codec: 'msgpack',
+    fanout: 8,
+    heartbeatMs: 500,
+    noticeMs: NOTICE_MS,
+    leaseMs: MISSED_ANNOUNCEMENTS * file.heartbeat,
+    stopMs: bounds.grace - STOP_MARGIN_MS,
+  };
+}
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -1,55 +1,120 @@
 /** The platform's object API over HTTP. */
-import { Agent, request } from 'node:http';
 import { type Clock } from '../runtime/clock.js';
-import { OutcomeError, type Verdict } from '../contracts.js';
-import { Platform, type Range, type Stored } from './platform.js';
-
-interface Answer {
-  readonly status: number;
-  readonly body: string;
-}
-
-interface Call {
-  readonly method: string;
-  readonly path: string;
-  readonly headers?: Record<string, string>;
-  readonly body?: string;
-  readonly deadline: number;
-  readonly signal?: AbortSignal;
-}
+import { OutcomeError } from '../contracts.js';
+import {
+  type Changes,
+  HISTORY_GONE,
+  keyParts,
+  type Listing,
+  Platform,
+  type Range,
+  type Stored,
+} from './platform.js';
+import { type Answer, StoreConnection } from './store_connection.js';
+import { parseChanges, parseObject, parsePage } from './store_objects.js';
 
 const STATUS_OK = 200;
+const STATUS_CREATED = 201;
 const STATUS_NOT_FOUND = 404;
-const STATUS_CONFLICT = 412;
-const STATUS_UNAVAILABLE = 503;
-/** How much longer than the watch itself its answer may take, in milliseconds. */
-const WATCH_GRACE_MS = 2_000;
-const MAX_SOCKETS = 16;
-
+const STATUS_CONFLICT = 409;
+const STATUS_GONE = 410;
+/** How much longer than the wait itself the answer to a watch may take, in milliseconds. */
+const WATCH_GRACE_MS = 1_000;
+/** Longest wait that the store grants a watch, in milliseconds. */
+const MAX_WAIT_MS = 30_000;
+
+/**
+ * Keys are `kind/name`; a value is kept as the object's specification, as JSON where it is JSON.
+ *
+ * @example
+ * ```ts
+ * await using platform = new HttpPlatform(new URL('http://127.0.0.1:8627'), clock);
+ * await platform.create('directory/arima', '{"members":[]}', clock.now() + 1_000);
+ * ```
+ */
 export class HttpPlatform extends Platform implements AsyncDisposable {
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS });
-
-  /** Calls made, by this process. */
-  calls = 0;
+  readonly #connection: StoreConnection;
 
   constructor(
-    private readonly base: URL,
+    base: URL,
     private readonly clock: Clock,
   ) {
     super();
+    this.#connection = new StoreConnection(base, clock);
+  }
+
+  /** Calls made by this process, those that failed included. */
+  get calls(): number {
+    return this.#connection.calls;
   }
 
   async get(key: string, deadline: number): Promise<Stored | undefined> {
-    const answer = await this.#call({ method: 'GET', path: objectPath(key), deadline });
-    return answer.status === STATUS_NOT_FOUND ? undefined : parse<Stored>(answer);
+    const { kind } = keyParts(key);
+    const answer = await this.#connection.call({ method: 'GET', path: objectPath(key), deadline });
+    return answer.status === STATUS_NOT_FOUND ? undefined : parseObject(kind, bodyOf(answer));
   }
 
   async list(range: Range, deadline: number): Promise<Stored[]> {
-    return parse(await this.#call({ method: 'GET', path: rangePath('list', range), deadline }));
+    const { kind } = keyParts(range.prefix);
+    const found: Stored[] = [];
+    const { limit = Infinity } = range;
+    for await (const page of this.#pages(kind, nameAfter(range), deadline)) {
+      found.push(...page.objects.filter(({ key }) => key.startsWith(range.prefix)));
+      const isPast = page.objects.some(({ key }) => key > range.prefix && !under(key, range));
+      if (found.length >= limit || isPast) break;
+    }
+    return found.slice(0, limit);
+  }
+
+  async listing(kind: string, deadline: number): Promise<Listing> {
+    const objects: Stored[] = [];
+    // Changes made while the pages came in are seen again by whoever follows from the first one.
+    let asOf: number | undefined;
+    for await (const page of this.#pages(kind, undefined, deadline)) {
+      objects.push(...page.objects);
+      asOf ??= page.asOf;
+    }
+    return { objects, asOf: asOf ?? 0 };
+  }
+
+  async changes(
+    kind: string,
+    asOf: number,
+    deadline: number,
+    signal?: AbortSignal,
+  ): Promise<Changes> {
+    const left = Math.max(0, Math.round(deadline - this.clock.now()));
+    const waitMs = Math.min(left, MAX_WAIT_MS);
+    const path = `${kindPath(kind)}?watch=${asOf}&waitMs=${waitMs}`;
+    const until = this.clock.now() + waitMs + WATCH_GRACE_MS;
+    const call = { method: 'GET', path, deadline: until, ...(signal && { signal }) };
+    const answer = await this.#connection.call(call);
+    if (answer.status === STATUS_GONE) {
+      const props = { verdict: 'not-run', reason: HISTORY_GONE } as const;
+      throw new OutcomeError(`the store has dropped its history since ${asOf}`, props);
+    }
+    return parseChanges(kind, bodyOf(answer));
+  }
+
+  async watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
+    const { kind } = keyParts(range.prefix);
+    let { asOf } = await this.listing(kind, deadline);
+    for (;;) {
+      const found = await this.list(range, deadline);
+      if (found.length > 0 || signal?.aborted || this.clock.now() >= deadline) return found;
+      try {
+        ({ asOf } = await this.changes(kind, asOf, deadline, signal));
+      } catch (error) {
+        if (signal?.aborted) return [];
+        throw error;
+      }
+    }
   }
 
   async create(key: string, value: string, deadline: number): Promise<Stored | undefined> {
-    return this.#write('PUT', key, { 'if-none-match': '*' }, deadline, value);
+    const { kind, name } = keyParts(key);
+    const body = JSON.stringify({ metadata: { name }, spec: specOf(value) });
+    return this.#write(kind, { method: 'POST', path: kindPath(kind), body, deadline });
   }
 
   async update(
@@ -58,110 +123,84 @@
     revision: number,
     deadline: number,
   ): Promise<Stored | undefined> {
-    return this.#write('PUT', key, { 'if-match': String(revision) }, deadline, value);
+    const { kind, name } = keyParts(key);
+    const body = JSON.stringify({ metadata: { name, revision }, spec: specOf(value) });
+    return this.#write(kind, { method: 'PUT', path: objectPath(key), body, deadline });
   }
 
   async remove(key: string, revision: number, deadline: number): Promise<boolean> {
-    const headers = { 'if-match': String(revision) };
-    const answer = await this.#call({ method: 'DELETE', path: objectPath(key), headers, deadline });
-    return answer.status === STATUS_OK;
-  }
-
-  async watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
-    const waitMs = Math.max(0, Math.round(deadline - this.clock.now()));
-    const path = `${rangePath('watch', range)}&wait=${waitMs}`;
-    const until = deadline + WATCH_GRACE_MS;
-    const call = { method: 'GET', path, deadline: until, ...(signal && { signal }) };
-    try {
-      return await this.#watched(call);
-    } catch (error) {
-      if (signal?.aborted) return [];
-      throw error;
-    }
+    const path = `${objectPath(key)}?revision=${revision}`;
+    const answer = await this.#connection.call({ method: 'DELETE', path, deadline });
+    if (answer.status === STATUS_CONFLICT || answer.status === STATUS_NOT_FOUND) return false;
+    bodyOf(answer);
+    return true;
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
-    this.#agent.destroy();
+    await this.#connection[Symbol.asyncDispose]();
   }
 
-  async #watched(call: Call): Promise<Stored[]> {
-    return parse(await this.#call(call));
+  async *#pages(kind: string, from: string | undefined, deadline: number) {
+    let after = from;
+    for (;;) {
+      const query = after === undefined ? '' : `?after=${encodeURIComponent(after)}`;
+      const path = kindPath(kind) + query;
+      const page = parsePage(
+        kind,
+        bodyOf(await this.#connection.call({ method: 'GET', path, deadline })),
+      );
+      yield page;
+      const last = page.objects.at(-1);
+      if (!page.hasMore || !last) return;
+      after = keyParts(last.key).name;
+    }
   }
 
   async #write(
-    method: string,
-    key: string,
-    headers: Record<string, string>,
-    deadline: number,
-    body: string,
+    kind: string,
+    call: { method: string; path: string; body: string; deadline: number },
   ): Promise<Stored | undefined> {
-    const answer = await this.#call({ method, path: objectPath(key), headers, body, deadline });
-    return answer.status === STATUS_CONFLICT ? undefined : parse<Stored>(answer);
+    const answer = await this.#connection.call(call);
+    const isLost = answer.status === STATUS_CONFLICT || answer.status === STATUS_NOT_FOUND;
+    return isLost ? undefined : parseObject(kind, bodyOf(answer));
   }
+}
 
-  #call(call: Call): Promise<Answer> {
-    this.calls += 1;
-    const timeout = Math.max(1, call.deadline - this.clock.now());
-    return new Promise<Answer>((resolve, reject) => {
-      // Until a socket is there nothing can have left, so a failure is surely `not-run`.
-      let verdict: Verdict = 'not-run';
-      const fail = (cause: Error) => {
-        clearTimeout(timer);
-        reject(unreachable(call, verdict, cause));
-      };
-      const outgoing = request(new URL(call.path, this.base), {
-        agent: this.#agent,
-        method: call.method,
-        headers: { ...call.headers, ...(call.body && { 'content-type': 'application/json' }) },
-        ...(call.signal && { signal: call.signal }),
-      });
-      const timer = setTimeout(() => outgoing.destroy(new Error('deadline passed')), timeout);
-      outgoing.on('socket', (socket) => {
-        const sent = () => {
-          verdict = 'may-have-run';
-        };
-        if (socket.connecting) socket.once('connect', sent);
-        else sent();
-      });
-      outgoing.on('error', fail);
-      outgoing.on('response', (incoming) => {
-        const chunks: Buffer[] = [];
-        incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
-        incoming.on('error', fail);
-        incoming.on('end', () => {
-          clearTimeout(timer);
-          resolve({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks).toString() });
-        });
-      });
-      outgoing.end(call.body);
-    });
-  }
+function kindPath(kind: string): string {
+  return `/api/objects/${encodeURIComponent(kind)}`;
 }
 
 function objectPath(key: string): string {
-  return `/objects/${encodeURIComponent(key)}`;
+  const { kind, name } = keyParts(key);
+  return `${kindPath(kind)}/${encodeURIComponent(name)}`;
 }
 
-function rangePath(action: string, { prefix, after, limit }: Range): string {
-  const query = new URLSearchParams({ prefix });
-  if (after !== undefined) query.set('after', after);
-  if (limit !== undefined) query.set('limit', String(limit));
-  return `/${action}?${query}`;
+function under(key: string, { prefix }: Range): boolean {
+  return key.startsWith(prefix);
 }
 
-function parse<T>({ status, body }: Answer): T {
-  if (status === STATUS_OK) return JSON.parse(body) as T;
-  const down = status === STATUS_UNAVAILABLE;
-  throw new OutcomeError(`platform answered ${status}: ${body.slice(0, 200)}`, {
-    verdict: down || (status >= 400 && status < 500) ? 'not-run' : 'may-have-run',
-    reason: down ? 'unavailable' : 'platform-error',
-  });
+/** The name after which a listing begins, so that it reads as little as it can. */
+function nameAfter({ prefix, after }: Range): string | undefined {
+  const from = after !== undefined && after > prefix ? after : prefix;
+  const { name } = keyParts(from);
+  return name === '' ? undefined : name;
 }
 
-function unreachable(call: Call, verdict: Verdict, cause: Error): OutcomeError {
-  return new OutcomeError(
-    `platform ${call.method} failed: ${cause.message}`,
-    { verdict, reason: 'unavailable' },
-    { cause },
-  );
+/** Values that are JSON are readable in the store; others go as text. */
+function specOf(value: string): unknown {
+  try {
+    return JSON.parse(value);
+  } catch {
+    return value;
+  }
+}
+
+function bodyOf({ status, body }: Answer): unknown {
+  if (status === STATUS_OK || status === STATUS_CREATED) return JSON.parse(body);
+  // A refusal by the store says that nothing was done; another failure says nothing.
+  const isRefused = status === 503 || (status >= 400 && status < 500);
+  throw new OutcomeError(`the store answered ${status}: ${body.slice(0, 200)}`, {
+    verdict: isRefused ? 'not-run' : 'may-have-run',
+    reason: isRefused ? 'unavailable' : 'platform-error',
+  });
 }
--- /dev/null
+++ b/src/platform/main.ts
@@ -0,0 +1,60 @@
+/** Runs one process of the system on the operators' platform. */
+import { once } from 'node:events';
+import { watchFile } from 'node:fs';
+import { bind } from '../daemon/bind.js';
+import { Instance } from '../daemon/instance.js';
+import { MsgpackCodec } from '../link/codec.js';
+import { PROMPT } from '../membership/pace.js';
+import { MachineClock } from '../runtime/clock.js';
+import { MachineRandom } from '../runtime/random.js';
+import { endpointReports } from './endpoint_reports.js';
+import { type HostFile, readHostFile, seedsOf, settingsOf } from './host_settings.js';
+import { HttpPlatform } from './http_platform.js';
+import { MeshDialect } from './mesh_dialect.js';
+import { ObjectFeed } from './object_feed.js';
+import { readinessPort } from './readiness_port.js';
+
+/** The variable that names the settings file. */
+const SETTINGS_VARIABLE = 'BARLEYHAVEN_SETTINGS';
+/** How often the settings file is looked at, since it may change without a signal, in ms. */
+const LOOK_EVERY_MS = 2_000;
+
+/** Serves until the process is told to stop. */
+export async function main(environment: NodeJS.ProcessEnv): Promise<void> {
+  const path = environment[SETTINGS_VARIABLE] ?? '';
+  let file = await readHostFile(path);
+  const settings = settingsOf(file);
+  const clock = new MachineClock();
+  await using platform = new HttpPlatform(new URL(settings.platform), clock);
+  await using instance = await Instance.start(settings, {
+    platform,
+    clock,
+    random: new MachineRandom(),
+    codec: new MsgpackCodec(),
+    dialect: new MeshDialect(() => file.service),
+    feed: (replica) => new ObjectFeed(platform, replica, clock),
+    pace: PROMPT,
+  });
+  await openPorts(file, instance);
+  const reload = async () => {
+    file = await readHostFile(path);
+    instance.control.peers = seedsOf(file);
+    instance.journal.record('reloaded');
+  };
+  const onChange = () => {
+    reload().catch((error) => instance.journal.record('reload-failed', { error: String(error) }));
+  };
+  process.on('SIGHUP', onChange);
+  watchFile(path, { interval: LOOK_EVERY_MS, persistent: false }, onChange);
+  await once(process, 'SIGTERM');
+  await instance.stop(clock.now() + settings.stopMs);
+}
+
+async function openPorts({ listen, service }: HostFile, instance: Instance): Promise<void> {
+  if (listen.control) {
+    const reports = endpointReports(() => service, instance.control.endpointLease);
+    await bind(reports, listen.control.host, listen.control.port);
+  }
+  const ready = readinessPort(() => instance.isReady);
+  await bind(ready, listen.ready.host, listen.ready.port);
+}
--- /dev/null
+++ b/src/platform/mesh_dialect.ts
@@ -0,0 +1,82 @@
+/** What callers and upstream instances speak on the operators' platform. */
+import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
+import { Dialect, type Meaning } from '../requests/dialect.js';
+import { headerOf } from '../requests/headers.js';
+import { type Load } from '../requests/load.js';
+import {
+  CALLER_HEADER,
+  INSTANCE_HEADER,
+  LOAD_HEADER,
+  NOT_EXECUTED_HEADER,
+  REQUEST_ID_HEADER,
+  SIGNATURE_HEADER,
+  TARGET_HEADER,
+  TIMEOUT_HEADER,
+} from './wire.js';
+
+const MISDIRECTED = 421;
+const SERVICE_UNAVAILABLE = 503;
+const TOO_MANY_REQUESTS = 429;
+const MS_PER_SECOND = 1_000;
+/** Running, waiting, slots. */
+const LOAD_FORM = /^(\d{1,6}),(\d{1,6}),(\d{1,6})$/;
+
+export class MeshDialect extends Dialect {
+  readonly fromCallers: ReadonlySet<string> = new Set([REQUEST_ID_HEADER]);
+
+  readonly fromEntries: ReadonlySet<string> = new Set([REQUEST_ID_HEADER, CALLER_HEADER]);
+
+  readonly fromUpstreams: ReadonlySet<string> = new Set([
+    REQUEST_ID_HEADER,
+    SIGNATURE_HEADER,
+    INSTANCE_HEADER,
+    NOT_EXECUTED_HEADER,
+  ]);
+
+  /** Which requests may run twice is the route's word alone. */
+  readonly takesKeys = false;
+
+  constructor(
+    /** The service of the upstream instance beside this process. */
+    private readonly service: () => string,
+  ) {
+    super();
+  }
+
+  callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined {
+    const asked = Number(headers[TIMEOUT_HEADER]);
+    return asked > 0 ? asked : undefined;
+  }
+
+  originHeaders(): readonly string[] {
+    return [CALLER_HEADER, this.service()];
+  }
+
+  upstreamHeaders(remainingMs: number, endpoint: string | undefined): readonly string[] {
+    const headers = [TIMEOUT_HEADER, String(remainingMs)];
+    if (endpoint !== undefined) headers.push(TARGET_HEADER, endpoint);
+    return headers;
+  }
+
+  meaningOf(request: IncomingMessage, answer: IncomingMessage): Meaning {
+    const id = headerOf(answer, REQUEST_ID_HEADER);
+    if (id !== undefined && id !== headerOf(request, REQUEST_ID_HEADER)) return 'crossed';
+    const { statusCode } = answer;
+    if (statusCode === MISDIRECTED) return 'elsewhere';
+    if (headerOf(answer, NOT_EXECUTED_HEADER) === undefined) return 'answer';
+    const isShed = statusCode === SERVICE_UNAVAILABLE || statusCode === TOO_MANY_REQUESTS;
+    return isShed ? 'shed' : 'answer';
+  }
+
+  reportedLoad(answer: IncomingMessage): Load | undefined {
+    const found = LOAD_FORM.exec(headerOf(answer, LOAD_HEADER) ?? '');
+    if (!found) return undefined;
+    const [, running, waiting, slots] = found;
+    return { inFlight: Number(running), waiting: Number(waiting), slots: Number(slots) };
+  }
+
+  /** Callers take fractions, and come back sooner for it. */
+  retryAfter(waitMs: number): string {
+    return (Math.max(1, waitMs) / MS_PER_SECOND).toFixed(3);
+  }
+}
--- /dev/null
+++ b/src/platform/object_feed.ts
@@ -0,0 +1,59 @@
+/** Feeds the replica from the operator's object in the store. */
+import { type Clock } from '../runtime/clock.js';
+import { OutcomeError } from '../contracts.js';
+import { Feed } from '../distribution/feed.js';
+import { type Replica } from '../distribution/replica.js';
+import { OperatorObjects } from './operator_object.js';
+import { HISTORY_GONE, type Platform, type Stored } from './platform.js';
+
+const KIND = 'config';
+const KEY = 'config/main';
+
+export class ObjectFeed extends Feed {
+  readonly #objects = new OperatorObjects();
+
+  /** Revision of the store from which changes are followed; unknown when its history is gone. */
+  #asOf: number | undefined;
+
+  constructor(
+    private readonly platform: Platform,
+    private readonly replica: Replica,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  async catchUp(deadline: number): Promise<boolean> {
+    const { objects, asOf } = await this.platform.listing(KIND, deadline);
+    const main = objects.find(({ key }) => key === KEY);
+    if (!main) throw absent();
+    const isWhole = this.#take(main);
+    this.#asOf = asOf;
+    return isWhole;
+  }
+
+  async follow(deadline: number, signal: AbortSignal): Promise<boolean> {
+    if (this.#asOf === undefined) return this.catchUp(deadline);
+    try {
+      const { changes, asOf } = await this.platform.changes(KIND, this.#asOf, deadline, signal);
+      const latest = changes.findLast(({ object, isDeleted }) => object.key === KEY && !isDeleted);
+      const isWhole = latest ? this.#take(latest.object) : true;
+      this.#asOf = asOf;
+      return isWhole;
+    } catch (error) {
+      if (error instanceof OutcomeError && error.reason === HISTORY_GONE) this.#asOf = undefined;
+      throw error;
+    }
+  }
+
+  #take({ value }: Stored): boolean {
+    const { number, resources } = this.#objects.decode(value);
+    if (number <= this.replica.current.number) return true;
+    return this.replica.replace(number, resources, this.clock.now());
+  }
+}
+
+function absent(): OutcomeError {
+  const props = { verdict: 'not-run', reason: 'absent' } as const;
+  return new OutcomeError('the operator has not written a configuration yet', props);
+}
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -15,6 +15,28 @@
   readonly limit?: number;
 }
 
+/** All objects of one kind at one revision of the store. */
+export interface Listing {
+  readonly objects: readonly Stored[];
+  /** Revision from which changes are to be followed. */
+  readonly asOf: number;
+}
+
+/** What became of one object. */
+export interface Changed {
+  readonly object: Stored;
+  readonly isDeleted: boolean;
+}
+
+/** What happened to the objects of one kind since a revision; nothing if the wait was in vain. */
+export interface Changes {
+  readonly changes: readonly Changed[];
+  readonly asOf: number;
+}
+
+/** Reason of the error that `changes` throws when the store does not reach back that far. */
+export const HISTORY_GONE = 'history-gone';
+
 /** The largest value the platform stores, in bytes. */
 export const MAX_VALUE_BYTES = 1_000_000;
 
@@ -43,9 +65,30 @@
   /** Removes the key if its revision is still `revision`. */
   abstract remove(key: string, revision: number, deadline: number): Promise<boolean>;
 
+  /** All objects of a kind, the first part of their keys. */
+  abstract listing(kind: string, deadline: number): Promise<Listing>;
+
+  /**
+   * Waits until something of a kind has changed since `asOf`, or until the deadline. One waiting
+   * call counts as one.
+   */
+  abstract changes(
+    kind: string,
+    asOf: number,
+    deadline: number,
+    signal?: AbortSignal,
+  ): Promise<Changes>;
+
   /**
    * Waits until the range holds at least one value and returns it, or returns an empty list at
-   * the deadline. One waiting watch counts as one call.
+   * the deadline.
    */
   abstract watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]>;
 }
+
+/** Splits `kind/name`; the name may hold slashes too. */
+export function keyParts(key: string): { readonly kind: string; readonly name: string } {
+  const slash = key.indexOf('/');
+  if (slash < 0) return { kind: key, name: '' };
+  return { kind: key.slice(0, slash), name: key.slice(slash + 1) };
+}
--- /dev/null
+++ b/src/platform/store_connection.ts
@@ -0,0 +1,93 @@
+/** Calls to the store over kept connections, each with a deadline of its own. */
+import { Agent, request } from 'node:http';
+import { OutcomeError, type Verdict } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
+
+export interface Answer {
+  readonly status: number;
+  readonly body: string;
+}
+
+export interface Call {
+  readonly method: string;
+  readonly path: string;
+  readonly body?: string;
+  /** Without an answer by then the call has failed, in milliseconds since the epoch. */
+  readonly deadline: number;
+  readonly signal?: AbortSignal;
+}
+
+const MAX_SOCKETS = 16;
+/** Idle connections are closed after this long, in milliseconds: one may have gone silent. */
+const IDLE_MS = 15_000;
+
+export class StoreConnection implements AsyncDisposable {
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, timeout: IDLE_MS });
+
+  /** Calls made, those that failed included. */
+  calls = 0;
+
+  constructor(
+    private readonly base: URL,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Rejects with an `OutcomeError` when there is no whole answer by the deadline. */
+  call(call: Call): Promise<Answer> {
+    this.calls += 1;
+    const timeout = Math.max(1, call.deadline - this.clock.now());
+    return new Promise<Answer>((resolve, reject) => {
+      // Until a socket is there nothing can have left, so a failure is surely `not-run`.
+      let verdict: Verdict = 'not-run';
+      const fail = (cause: Error) => {
+        clearTimeout(timer);
+        reject(unreachable(call, verdict, cause));
+      };
+      const outgoing = request(new URL(call.path, this.base), {
+        agent: this.#agent,
+        method: call.method,
+        headers: call.body === undefined ? {} : framing(call.body),
+        ...(call.signal && { signal: call.signal }),
+      });
+      // The connection goes with the call: a late answer on it would be taken for the next one's.
+      const timer = setTimeout(() => outgoing.destroy(new Error('deadline passed')), timeout);
+      outgoing.on('socket', (socket) => {
+        const sent = () => {
+          verdict = 'may-have-run';
+        };
+        if (socket.connecting) socket.once('connect', sent);
+        else sent();
+      });
+      outgoing.on('error', fail);
+      outgoing.on('response', (incoming) => {
+        const chunks: Buffer[] = [];
+        incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+        incoming.on('error', fail);
+        incoming.on('end', () => {
+          clearTimeout(timer);
+          resolve({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks).toString() });
+        });
+      });
+      outgoing.end(call.body);
+    });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#agent.destroy();
+  }
+}
+
+function framing(body: string): Record<string, string> {
+  return {
+    'content-type': 'application/json',
+    'content-length': String(Buffer.byteLength(body)),
+  };
+}
+
+function unreachable(call: Call, verdict: Verdict, cause: Error): OutcomeError {
+  return new OutcomeError(
+    `platform ${call.method} failed: ${cause.message}`,
+    { verdict, reason: 'unavailable' },
+    { cause },
+  );
+}
--- /dev/null
+++ b/src/platform/store_objects.ts
@@ -0,0 +1,40 @@
+/** Objects as the store sends them, decoded into what the product holds. */
+import { z } from 'zod';
+import { type Changes, type Stored } from './platform.js';
+
+const StoreObject = z.object({
+  metadata: z.object({ name: z.string(), revision: z.number() }),
+  spec: z.unknown(),
+});
+const Page = z.object({
+  items: z.array(StoreObject),
+  hasMore: z.boolean().default(false),
+  asOf: z.number(),
+});
+const Events = z.object({
+  events: z.array(z.object({ object: StoreObject, deleted: z.boolean().default(false) })),
+  asOf: z.number(),
+});
+
+export function parseObject(kind: string, body: unknown): Stored {
+  return storedFrom(kind, StoreObject.parse(body));
+}
+
+export function parsePage(kind: string, body: unknown) {
+  const { items, hasMore, asOf } = Page.parse(body);
+  return { objects: items.map((item) => storedFrom(kind, item)), hasMore, asOf };
+}
+
+export function parseChanges(kind: string, body: unknown): Changes {
+  const { events, asOf } = Events.parse(body);
+  const changes = events.map(({ object, deleted }) => ({
+    object: storedFrom(kind, object),
+    isDeleted: deleted,
+  }));
+  return { changes, asOf };
+}
+
+function storedFrom(kind: string, { metadata, spec }: z.infer<typeof StoreObject>): Stored {
+  const value = typeof spec === 'string' ? spec : JSON.stringify(spec ?? null);
+  return { key: `${kind}/${metadata.name}`, value, revision: metadata.revision };
+}
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -40,7 +40,7 @@
 
   /** The endpoint to begin with. */
   first(): Experience {
-    const { upstream } = this.journey.route;
+    const { upstream } = this.journey;
     const endpoint = this.balancer.choose(upstream, NONE_TRIED);
     if (endpoint) return endpoint;
     const retryAt = this.clock.now() + NO_ENDPOINT_MS;
@@ -52,8 +52,8 @@
     this.#note(outcome.verdict);
     const next = this.#maySend(outcome) ? this.#another(endpoint, outcome.reason) : undefined;
     if (!next) throw this.#final(outcome);
-    const { response, route, retryPercent } = this.journey;
-    const retry = this.budgets.of(route.upstream).retry(this.#failed(outcome), retryPercent);
+    const { response, upstream, retryPercent } = this.journey;
+    const retry = this.budgets.of(upstream).retry(this.#failed(outcome), retryPercent);
     if (!retry) throw this.#final(outcome);
     // On the answer too, whatever it will be: hops above must not retry what was retried here.
     if (!retry.isFailover) response.setHeader(RETRIED, '1');
@@ -73,8 +73,9 @@
   }
 
   #failed({ verdict, reason }: OutcomeError): FailedAttempt {
-    const { isRepeatable, isRetriedElsewhere, deadline } = this.journey;
+    const { isRepeatable, isRetriedElsewhere, deadline, route } = this.journey;
     return {
+      maxAttempts: route.maxAttempts,
       verdict,
       reason,
       attempts: this.#count,
@@ -86,7 +87,7 @@
 
   #another(endpoint: Experience, reason: string): Experience | undefined {
     const tried = new Set(this.#tried).add(endpoint);
-    const other = this.balancer.choose(this.journey.route.upstream, tried);
+    const other = this.balancer.choose(this.journey.upstream, tried);
     // A connection that broke says little about the endpoint, if that is the only one.
     return other ?? (reason === 'connection' ? endpoint : undefined);
   }
--- a/src/requests/balancer.ts
+++ b/src/requests/balancer.ts
@@ -82,7 +82,7 @@
     } else if (reason === 'draining' || reason === 'no-endpoint') {
       // The news of it is still on its way here.
       chosen.avoidUntil = now + UNREACHABLE_MS;
-    } else if (reason === 'overloaded') {
+    } else if (reason === 'overloaded' || reason === 'shed') {
       this.shed(chosen);
     }
   }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -8,6 +8,7 @@
 import { type Balancer } from './balancer.js';
 import { type Body, EmptyBody, hasBody, takeBody } from './body.js';
 import { Connections } from './connections.js';
+import { type Dialect } from './dialect.js';
 import { Exchange } from './exchange.js';
 import { type Experience } from './experience.js';
 import {
@@ -20,7 +21,7 @@
   PRIORITY,
   REMAINING,
   REPEATABLE,
-  REQUEST_ID,
+  EXCHANGE_ID,
   requestHeaders,
   RETRIED,
   SHED,
@@ -34,7 +35,9 @@
 import { asOutcome, notRun, refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
 import { headFingerprint } from './request_fingerprint.js';
+import { OWN_DIALECT } from './own_dialect.js';
 import { RetryBudgets } from './retry_budget.js';
+import { Split } from './split.js';
 import { Traffic } from './traffic.js';
 
 const MAX_SOCKETS_PER_GUARD = 256;
@@ -61,13 +64,20 @@
 
   #requests = 0;
 
+  readonly #split = new Split();
+
+  /** Internal headers that callers get to see on answers. */
+  readonly #told: ReadonlySet<string>;
+
   constructor(
     private readonly configuration: () => Configuration,
     private readonly isReady: () => boolean,
     private readonly balancer: Balancer,
     private readonly clock: Clock,
     random: Random,
+    private readonly dialect: Dialect = OWN_DIALECT,
   ) {
+    this.#told = new Set([...TOLD_TO_CALLERS, ...dialect.fromUpstreams]);
     this.#budgets = new RetryBudgets(clock, random);
     this.#nonce = random.nonce();
     this.#connections = new Connections(clock, MAX_SOCKETS_PER_GUARD);
@@ -89,21 +99,23 @@
     this.#hostility.enter(request, response);
     try {
       if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
-      const journey = journeyOf(request, response, this.configuration(), this.clock.now());
+      const now = this.clock.now();
+      const reading = { dialect: this.dialect, split: this.#split };
+      const journey = journeyOf(request, response, this.configuration(), now, reading);
       this.#check(journey);
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
     } catch (error) {
-      refuse(response, asOutcome(error), this.clock.now());
+      refuse(response, asOutcome(error), this.clock.now(), this.dialect);
     }
   }
 
   /** Those that only their body gives away are refused by the guard. */
-  #check({ request, route, asked }: Journey): void {
+  #check({ request, upstream, asked }: Journey): void {
     const { quarantine } = this;
     if (!quarantine || quarantine.isIdle) return;
     const { method, url } = asked;
-    quarantine.check(headFingerprint(route.upstream, { method, url, headers: request.headers }));
+    quarantine.check(headFingerprint(upstream, { method, url, headers: request.headers }));
   }
 
   async #take({ request, response, route, deadline }: Journey): Promise<Body> {
@@ -155,7 +167,7 @@
     const id = this.#nextId();
     const exchange = this.#exchange(journey, body, endpoint, id);
     const answer = await exchange.answer();
-    if (answer.headers[REQUEST_ID] !== id) throw exchange.distrust();
+    if (answer.headers[EXCHANGE_ID] !== id) throw exchange.distrust();
     const now = this.clock.now();
     const load = readLoad(headerOf(answer, LOAD));
     const refusal = refusalIn(answer, now);
@@ -168,21 +180,23 @@
     const status = answer.statusCode ?? SERVER_ERROR;
     this.balancer.answered(endpoint, now - startedAt, load, status >= SERVER_ERROR);
     if (answer.headers[SHED] !== undefined) this.balancer.shed(endpoint);
-    this.#budgets.of(journey.route.upstream).credit(journey.retryPercent);
-    journey.response.writeHead(status, answerHeaders(answer, TOLD_TO_CALLERS));
+    this.#budgets.of(journey.upstream).credit(journey.retryPercent);
+    journey.response.writeHead(status, answerHeaders(answer, this.#told));
     await exchange.relay(answer, journey.response);
     return undefined;
   }
 
   #exchange(journey: Journey, body: Body, { member }: Experience, id: string): Exchange {
-    const { request, response, asked, route, deadline, isRepeatable } = journey;
+    const { request, response, asked, route, upstream, deadline, isRepeatable } = journey;
     const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
-    const headers = requestHeaders(request);
-    headers.push(UPSTREAM, route.upstream, REQUEST_ID, id, REMAINING, String(remaining));
+    const headers = requestHeaders(request, this.dialect.fromCallers);
+    headers.push(...this.dialect.originHeaders());
+    headers.push(UPSTREAM, upstream, EXCHANGE_ID, id, REMAINING, String(remaining));
     headers.push(PRIORITY, String(route.priority));
     if (!isRepeatable) headers.push(REPEATABLE, '0');
     if (isRetried(journey)) headers.push(RETRIED, '1');
-    if (!isRepeatable && request.headers[IDEMPOTENCY_KEY] !== undefined) {
+    const hasKey = this.dialect.takesKeys && request.headers[IDEMPOTENCY_KEY] !== undefined;
+    if (!isRepeatable && hasKey) {
       headers.push(CLAIM, route.name);
     }
     if (route.limit !== undefined) headers.push(LIMIT, route.limit);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -7,12 +7,11 @@
 import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
 import { type Claims } from './claims.js';
 import { Connections } from './connections.js';
+import { type Dialect } from './dialect.js';
 import { Exchange } from './exchange.js';
 import {
   answerHeaders,
-  CALLER_TIMEOUT,
   CLAIM,
-  FROM_UPSTREAMS,
   headerOf,
   IDEMPOTENCY_KEY,
   LIMIT,
@@ -20,7 +19,7 @@
   PRIORITY,
   REMAINING,
   REPEATABLE,
-  REQUEST_ID,
+  EXCHANGE_ID,
   requestHeaders,
   RETRIED,
   RETRY_AFTER,
@@ -34,6 +33,7 @@
 import { type HeldClaim } from './held_claim.js';
 import { runOnce } from './once.js';
 import { relayAndKeep } from './outcome.js';
+import { OWN_DIALECT } from './own_dialect.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
 import { Traffic } from './traffic.js';
 
@@ -41,6 +41,8 @@
 export interface Announced extends Endpoint {
   readonly host: string;
   readonly port: number;
+  /** The id by which it knows itself. */
+  readonly id?: string | undefined;
 }
 
 /** A request that came from an entry. */
@@ -87,7 +89,10 @@
   /** Whether this process is stopping. */
   #isLeaving = false;
 
-  constructor(private readonly clock: Clock) {
+  constructor(
+    private readonly clock: Clock,
+    private readonly dialect: Dialect = OWN_DIALECT,
+  ) {
     this.limit = new Limit(clock, DEFAULT_SLOTS);
     this.#connections = new Connections(clock, MAX_CONNECTIONS);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -193,12 +198,13 @@
     claim?.start();
     const exchange = this.#exchange(admission, bodyOf(request, source), claim);
     const answer = await exchange.answer();
+    this.#check(request, answer, exchange);
     const headMs = this.clock.now() - startedAt;
     const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
     const isShed = hasShed(status, answer);
     // An upstream cannot speak for barleyhaven: its own internal headers are dropped here.
-    const headers = answerHeaders(answer, FROM_UPSTREAMS);
-    headers.push(VERDICT, 'ran', REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
+    const headers = answerHeaders(answer, this.dialect.fromUpstreams);
+    headers.push(VERDICT, 'ran', EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
     headers.push(LOAD, writeLoad(this.limit.load));
     if (isShed) headers.push(SHED, '1');
     response.writeHead(status, headers);
@@ -207,12 +213,24 @@
     return { headMs, isShed };
   }
 
+  /** Throws if the answer is a refusal, or is not the answer to the request. */
+  #check(request: IncomingMessage, answer: IncomingMessage, exchange: Exchange): void {
+    const meaning = this.dialect.meaningOf(request, answer);
+    if (meaning === 'answer') return;
+    if (meaning === 'crossed') throw exchange.distrust();
+    exchange.drop(answer);
+    if (meaning === 'shed') throw notRun('shed', 'the upstream instance had no room');
+    // Nobody is served under that announcement any more.
+    this.onRefused();
+    throw notRun('no-endpoint', 'another instance has that address');
+  }
+
   #exchange(admission: Admission, body: Body, claim: HeldClaim | undefined): Exchange {
     const { request, response, announced, deadline } = admission;
-    const { host, port } = announced;
+    const { host, port, id } = announced;
     const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
-    const headers = requestHeaders(request);
-    headers.push(CALLER_TIMEOUT, String(remaining));
+    const headers = requestHeaders(request, this.dialect.fromEntries);
+    headers.push(...this.dialect.upstreamHeaders(remaining, id));
     if (request.headers[RETRIED] !== undefined) headers.push(RETRIED, '1');
     return new Exchange(
       {
@@ -234,7 +252,7 @@
 
   /** Headers by which an entry knows that a refusal is for its request. */
   #sign(request: IncomingMessage, response: ServerResponse): void {
-    response.setHeader(REQUEST_ID, headerOf(request, REQUEST_ID) ?? '');
+    response.setHeader(EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
     response.setHeader(LOAD, writeLoad(this.limit.load));
   }
 }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -3,8 +3,8 @@
 /** Headers between processes; taken from a caller they would be forged, so entry strips them. */
 export const INTERNAL_PREFIX = 'barleyhaven-';
 export const UPSTREAM = 'barleyhaven-upstream';
-/** Echoed on the answer; one that differs belongs to another request. */
-export const REQUEST_ID = 'barleyhaven-request-id';
+/** Echoed on the answer; one that differs belongs to another exchange. */
+export const EXCHANGE_ID = 'barleyhaven-exchange-id';
 /** Time left, in milliseconds: an instant would be misread where clocks differ. */
 export const REMAINING = 'barleyhaven-remaining-ms';
 /** Name of the limit that the route sets. */
@@ -42,8 +42,6 @@
 
 /** Internal headers that callers get to see on answers. */
 export const TOLD_TO_CALLERS: ReadonlySet<string> = new Set([VERDICT, REASON, REPLAYED, RETRIED]);
-/** The one internal header that upstreams may set. */
-export const FROM_UPSTREAMS: ReadonlySet<string> = new Set([RETRIED]);
 export const NONE: ReadonlySet<string> = new Set();
 
 /** Headers that belong to one connection and are never passed on. */
@@ -69,9 +67,9 @@
   readonly headers: { readonly connection?: string | undefined };
 }
 
-/** Headers of a request that go to the next hop, as names and values in turn. */
-export function requestHeaders(head: Head): string[] {
-  return endToEnd(head, NONE, SAID_ANEW);
+/** Headers of a request that go to the next hop; of the internal ones only those in `internal`. */
+export function requestHeaders(head: Head, internal: ReadonlySet<string> = NONE): string[] {
+  return endToEnd(head, internal, SAID_ANEW);
 }
 
 /** Headers of an answer that go to the next hop; of the internal ones only those in `internal`. */
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -2,9 +2,11 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
 import { type Route } from '../contracts.js';
-import { CALLER_TIMEOUT, IDEMPOTENCY_KEY, RETRIED } from './headers.js';
+import { type Dialect } from './dialect.js';
+import { IDEMPOTENCY_KEY, RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
 import { isRepeatable, routeOf } from './router.js';
+import { type Split } from './split.js';
 import { type Asked, askedBy } from './target.js';
 
 /** Share of retries for routes without a limit, in percent. */
@@ -16,6 +18,8 @@
   readonly response: ServerResponse;
   readonly asked: Asked;
   readonly route: Route;
+  /** The one of the route's upstreams that is to run it. */
+  readonly upstream: string;
   /** In milliseconds since the epoch. */
   readonly deadline: number;
   /** Whether it may run twice. */
@@ -26,12 +30,19 @@
   isRetriedElsewhere: boolean;
 }
 
+/** What a request is read with. */
+export interface Reading {
+  readonly dialect: Dialect;
+  readonly split: Split;
+}
+
 /** Decides about a request; throws `not-run` if it cannot be carried. */
 export function journeyOf(
   request: IncomingMessage,
   response: ServerResponse,
   configuration: Configuration,
   now: number,
+  { dialect, split }: Reading,
 ): Journey {
   const asked = askedBy(request);
   const route = routeOf(configuration, asked);
@@ -39,22 +50,18 @@
   if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
     throw notRun('key-required', 'this route insists on an Idempotency-Key');
   }
-  const deadline = now + timeoutOf(request, route);
+  const waitMs = dialect.callerTimeoutMs(request.headers) ?? route.timeoutMs;
+  const deadline = now + Math.min(waitMs, route.timeoutMs);
   const limit = route.limit === undefined ? undefined : configuration.find('limit', route.limit);
   return {
     request,
     response,
     asked,
     route,
+    upstream: split.choose(route),
     deadline,
     isRepeatable: isRepeatable(route, asked.method),
     retryPercent: limit?.retryPercent ?? DEFAULT_RETRY_PERCENT,
     isRetriedElsewhere: request.headers[RETRIED] !== undefined,
   };
 }
-
-/** What the route grants, or less if the caller asks for less; in milliseconds. */
-function timeoutOf(request: IncomingMessage, { timeoutMs }: Route): number {
-  const asked = Number(request.headers[CALLER_TIMEOUT]);
-  return asked > 0 ? Math.min(asked, timeoutMs) : timeoutMs;
-}
--- a/src/requests/limit.ts
+++ b/src/requests/limit.ts
@@ -143,7 +143,7 @@
       if (isShed) this.#slots.overrun(headMs);
       else this.#slots.answered(headMs, isBinding);
     } catch (error) {
-      if (isLate(error)) this.#slots.overrun(this.clock.now() - startedAt);
+      if (isOverrun(error)) this.#slots.overrun(this.clock.now() - startedAt);
       throw error;
     } finally {
       const tookMs = this.clock.now() - startedAt;
@@ -182,6 +182,7 @@
   }
 }
 
-function isLate(error: unknown): boolean {
-  return error instanceof OutcomeError && error.reason === 'deadline';
+/** Whether the instance had no room for the work, or was late with it. */
+function isOverrun(error: unknown): boolean {
+  return error instanceof OutcomeError && (error.reason === 'deadline' || error.reason === 'shed');
 }
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -1,9 +1,11 @@
 /** Answers to requests that barleyhaven itself has to end. */
 import { type IncomingMessage, type ServerResponse, STATUS_CODES } from 'node:http';
 import { OutcomeError, type Verdict } from '../contracts.js';
+import { type Dialect } from './dialect.js';
 import { REASON, RETRY_AFTER, VERDICT } from './headers.js';
+import { OWN_DIALECT } from './own_dialect.js';
 
-/** Status by reason; anything else is a 502. */
+/** Status by reason; anything else is a 502, or a 503 if it is sure not to have run. */
 const STATUS: Readonly<Record<string, number>> = {
   'no-route': 404,
   'bad-request': 400,
@@ -19,13 +21,16 @@
   'not-ready': 503,
   'no-endpoint': 503,
   overloaded: 503,
+  shed: 503,
   draining: 503,
   quarantined: 503,
   'store-unavailable': 503,
   deadline: 504,
 };
 const BAD_GATEWAY = 502;
-const MS_PER_SECOND = 1000;
+const SERVICE_UNAVAILABLE = 503;
+/** Statuses by which callers may take a request for not run. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 /** How long the rest of a refused body is read and dropped, in milliseconds. */
 const LINGER_MS = 1_000;
 
@@ -54,7 +59,12 @@
  * Ends a request with a refusal. Once the answer has begun it can only be cut: the connection is
  * destroyed, because a clean end would make a part look whole.
  */
-export function refuse(response: ServerResponse, error: OutcomeError, now: number): void {
+export function refuse(
+  response: ServerResponse,
+  error: OutcomeError,
+  now: number,
+  dialect: Dialect = OWN_DIALECT,
+): void {
   const request = response.req;
   if (response.headersSent || response.destroyed) {
     response.destroy();
@@ -62,7 +72,7 @@
   }
   const body = bodyOf(error);
   // Set one by one, because the meter reads them back and `writeHead` alone would not keep them.
-  for (const [name, value] of Object.entries(headersOf(error, body, now))) {
+  for (const [name, value] of Object.entries(headersOf(error, body, now, dialect))) {
     response.setHeader(name, value);
   }
   response.writeHead(statusOf(error));
@@ -77,7 +87,7 @@
 export function rawRefusal(error: OutcomeError): string {
   const body = bodyOf(error);
   const status = statusOf(error);
-  const headers = { ...headersOf(error, body, 0), connection: 'close' };
+  const headers = { ...headersOf(error, body, 0, OWN_DIALECT), connection: 'close' };
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
   return `HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\n${lines.join('')}\r\n${body}`;
 }
@@ -95,15 +105,25 @@
   response.once('close', () => clearTimeout(timer));
 }
 
-function statusOf({ reason }: OutcomeError): number {
-  return STATUS[reason] ?? BAD_GATEWAY;
+/**
+ * The reason tells of the last attempt, the verdict of all of them. A request that may have run at
+ * an earlier one must not get a status that callers take for leave to send it again.
+ */
+function statusOf({ reason, verdict }: OutcomeError): number {
+  const status = STATUS[reason] ?? (verdict === 'not-run' ? SERVICE_UNAVAILABLE : BAD_GATEWAY);
+  return PROMISES.has(status) && verdict !== 'not-run' ? BAD_GATEWAY : status;
 }
 
 function bodyOf({ verdict, reason, message }: OutcomeError): string {
   return JSON.stringify({ verdict, reason, message } satisfies RefusalBody);
 }
 
-function headersOf(error: OutcomeError, body: string, now: number): Record<string, string> {
+function headersOf(
+  error: OutcomeError,
+  body: string,
+  now: number,
+  dialect: Dialect,
+): Record<string, string> {
   const { verdict, reason, retryAt } = error;
   const headers: Record<string, string> = {
     'content-type': 'application/json',
@@ -112,7 +132,7 @@
     [REASON]: reason,
   };
   if (retryAt !== undefined) {
-    headers[RETRY_AFTER] = String(Math.max(1, Math.ceil((retryAt - now) / MS_PER_SECOND)));
+    headers[RETRY_AFTER] = dialect.retryAfter(retryAt - now);
   }
   return headers;
 }
--- a/src/requests/retry_budget.ts
+++ b/src/requests/retry_budget.ts
@@ -10,6 +10,8 @@
   readonly reason: string;
   /** Attempts made so far, the failed one included. */
   readonly attempts: number;
+  /** Attempts that the route allows; the usual number when absent. */
+  readonly maxAttempts?: number | undefined;
   /** Whether the request may run twice. */
   readonly repeatable: boolean;
   /** Whether another hop, above or below, has retried this request already. */
@@ -92,7 +94,8 @@
 
   /** Pays for a further attempt; undefined if there must be none. */
   retry(failed: FailedAttempt, retryPercent: number): Retry | undefined {
-    if (failed.attempts >= MAX_ATTEMPTS || retryPercent === 0) return undefined;
+    if (failed.attempts >= (failed.maxAttempts ?? MAX_ATTEMPTS) || retryPercent === 0)
+      return undefined;
     const isFailover = failed.verdict === 'not-run' && FAILOVER_REASONS.has(failed.reason);
     if (!isFailover && !maySendAgain(failed)) return undefined;
     const now = this.clock.now();
--- a/src/requests/safeguards.ts
+++ b/src/requests/safeguards.ts
@@ -22,6 +22,8 @@
   readonly mesh: Mesh;
   readonly methods: Methods;
   readonly ranking: Ranking;
+  /** Whether callers may send keys; without them there are no claims to sweep. */
+  readonly takesKeys: boolean;
 }
 
 export class Safeguards implements AsyncDisposable {
@@ -56,7 +58,7 @@
     entry.quarantine = quarantine;
     guard.claims = this.claims;
     guard.flights = new Flights(quarantine, this.grounds.clock);
-    this.#sweeping = this.sweep.run(this.#stopping.signal);
+    if (this.grounds.takesKeys) this.#sweeping = this.sweep.run(this.#stopping.signal);
   }
 
   /** Gives the ends of claims that are not written yet a last try. */
--- a/src/standins/platform_server.ts
+++ b/src/standins/platform_server.ts
@@ -3,7 +3,7 @@
 import { text } from 'node:stream/consumers';
 import { OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
-import { type Range } from '../platform/platform.js';
+import { HISTORY_GONE, keyParts, type Stored } from '../platform/platform.js';
 import { type Faults, PlatformStore } from './platform_store.js';
 import { listen, LOOPBACK, shut } from './listen.js';
 
@@ -56,54 +56,113 @@
     }
   }
 
-  async #dispatch(request: IncomingMessage, response: ServerResponse) {
+  async #dispatch(request: IncomingMessage, response: ServerResponse): Promise<Reply> {
     const url = new URL(request.url ?? '/', this.url);
-    const deadline = this.clock.now() + PATIENCE_MS;
-    const [, action = '', name = ''] = url.pathname.split('/');
-    switch (action) {
-      case 'objects':
-        return this.#object(request, decodeURIComponent(name), deadline);
-      case 'list':
-        return found(await this.store.list(rangeOf(url), deadline));
-      case 'watch': {
-        const gone = new AbortController();
-        response.once('close', () => gone.abort());
-        const until = this.clock.now() + Number(url.searchParams.get('wait'));
-        return found(await this.store.watch(rangeOf(url), until, gone.signal));
-      }
-      case 'faults':
-        Object.assign(this.store.faults, JSON.parse(await text(request)) as Partial<Faults>);
-        this.store.disturb();
-        return found(this.store.faults);
-      case 'calls':
-        return found(this.store.calls);
-      default:
-        return { status: 404, body: '"no such action"' };
+    if (url.pathname === '/faults') {
+      Object.assign(this.store.faults, JSON.parse(await text(request)) as Partial<Faults>);
+      this.store.disturb();
+      return found(this.store.faults);
+    }
+    if (url.pathname === '/calls') return found(this.store.calls);
+    const [, api, objects, kind, name] = url.pathname.split('/');
+    if (api !== 'api' || objects !== 'objects' || kind === undefined) {
+      return { status: 404, body: '"no such action"' };
     }
+    return this.#object(request, response, { url, kind: decodeURIComponent(kind), name });
   }
 
-  async #object(request: IncomingMessage, key: string, deadline: number) {
-    const revision = Number(request.headers['if-match']);
-    if (request.method === 'GET') {
-      const stored = await this.store.get(key, deadline);
-      return stored ? found(stored) : { status: 404, body: 'null' };
+  async #object(
+    request: IncomingMessage,
+    response: ServerResponse,
+    { url, kind, name }: Addressed,
+  ): Promise<Reply> {
+    const deadline = this.clock.now() + PATIENCE_MS;
+    if (request.method === 'POST') return this.#create(request, kind, deadline);
+    if (name === undefined) {
+      return url.searchParams.has('watch')
+        ? this.#changes(url, kind, response)
+        : this.#page(url, kind, deadline);
     }
+    const key = `${kind}/${decodeURIComponent(name)}`;
+    if (request.method === 'PUT') return this.#update(request, key, deadline);
     if (request.method === 'DELETE') {
-      const removed = await this.store.remove(key, revision, deadline);
-      return removed ? found(true) : CONFLICT;
+      const revision = Number(url.searchParams.get('revision'));
+      const isRemoved = await this.store.remove(key, revision, deadline);
+      return isRemoved ? found({}) : this.#conflict(key, deadline);
+    }
+    const stored = await this.store.get(key, deadline);
+    return stored ? found(objectOf(stored)) : MISSING;
+  }
+
+  async #page(url: URL, kind: string, deadline: number): Promise<Reply> {
+    const after = url.searchParams.get('after');
+    const { objects, asOf } = await this.store.listing(kind, deadline);
+    const left = after === null ? objects : objects.filter(({ key }) => key > `${kind}/${after}`);
+    const items = left.slice(0, PAGE).map(objectOf);
+    return found({ items, hasMore: left.length > PAGE, asOf });
+  }
+
+  async #changes(url: URL, kind: string, response: ServerResponse): Promise<Reply> {
+    const gone = new AbortController();
+    response.once('close', () => gone.abort());
+    const until = this.clock.now() + Number(url.searchParams.get('waitMs'));
+    const since = Number(url.searchParams.get('watch'));
+    try {
+      const { changes, asOf } = await this.store.changes(kind, since, until, gone.signal);
+      const events = changes.map(({ object, isDeleted }) => ({
+        object: objectOf(object),
+        deleted: isDeleted,
+      }));
+      return found({ events, asOf });
+    } catch (error) {
+      const isGone = error instanceof OutcomeError && error.reason === HISTORY_GONE;
+      if (!isGone) throw error;
+      return { status: 410, body: '"that history is gone"' };
     }
-    const value = await text(request);
-    const written =
-      request.headers['if-none-match'] === '*'
-        ? await this.store.create(key, value, deadline)
-        : await this.store.update(key, value, revision, deadline);
-    return written ? found(written) : CONFLICT;
   }
+
+  async #create(request: IncomingMessage, kind: string, deadline: number): Promise<Reply> {
+    const { metadata, spec } = JSON.parse(await text(request)) as StoredObject;
+    const key = `${kind}/${metadata.name}`;
+    const stored = await this.store.create(key, valueOf(spec), deadline);
+    return stored ? found(objectOf(stored)) : this.#conflict(key, deadline);
+  }
+
+  async #update(request: IncomingMessage, key: string, deadline: number): Promise<Reply> {
+    const { metadata, spec } = JSON.parse(await text(request)) as StoredObject;
+    const stored = await this.store.update(key, valueOf(spec), metadata.revision, deadline);
+    return stored ? found(objectOf(stored)) : this.#conflict(key, deadline);
+  }
+
+  async #conflict(key: string, deadline: number): Promise<Reply> {
+    const stored = await this.store.get(key, deadline);
+    return stored ? { status: 409, body: JSON.stringify(objectOf(stored)) } : MISSING;
+  }
+}
+
+/** What a path names. */
+interface Addressed {
+  readonly url: URL;
+  readonly kind: string;
+  readonly name: string | undefined;
 }
 
-const CONFLICT = { status: 412, body: 'null' };
+interface Reply {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** An object as it goes over the wire. */
+interface StoredObject {
+  readonly metadata: { readonly name: string; readonly revision: number };
+  readonly spec: unknown;
+}
 
-function found(value: unknown) {
+/** Objects on one page of a listing. */
+const PAGE = 500;
+const MISSING: Reply = { status: 404, body: 'null' };
+
+function found(value: unknown): Reply {
   return { status: 200, body: JSON.stringify(value) };
 }
 
@@ -116,12 +175,20 @@
   response.end(body);
 }
 
-function rangeOf(url: URL): Range {
-  const after = url.searchParams.get('after');
-  const limit = url.searchParams.get('limit');
-  return {
-    prefix: url.searchParams.get('prefix') ?? '',
-    ...(after !== null && { after }),
-    ...(limit !== null && { limit: Number(limit) }),
-  };
+function objectOf({ key, value, revision }: Stored) {
+  const { name } = keyParts(key);
+  const metadata = { name, revision, created: 0, finalizers: [], deleting: false };
+  return { metadata, spec: specOf(value), status: null };
+}
+
+function specOf(value: string): unknown {
+  try {
+    return JSON.parse(value);
+  } catch {
+    return value;
+  }
+}
+
+function valueOf(spec: unknown): string {
+  return typeof spec === 'string' ? spec : JSON.stringify(spec);
 }
--- a/src/standins/platform_store.ts
+++ b/src/standins/platform_store.ts
@@ -1,6 +1,15 @@
 /** Stand-in for the platform's object API, in memory, with the faults the real one has. */
 import { OutcomeError, type Verdict } from '../contracts.js';
-import { Platform, type Range, type Stored, MAX_VALUE_BYTES } from '../platform/platform.js';
+import {
+  type Changed,
+  type Changes,
+  HISTORY_GONE,
+  type Listing,
+  MAX_VALUE_BYTES,
+  Platform,
+  type Range,
+  type Stored,
+} from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 
 /** How the stand-in misbehaves. All can be set while it runs. */
@@ -25,8 +34,11 @@
 
 const MS_PER_SECOND = 1000;
 
+/** Changes that can be followed; older ones are dropped. */
+const HISTORY = 10_000;
+
 interface Waiter {
-  readonly range: Range;
+  readonly prefix: string;
   readonly wake: () => void;
 }
 
@@ -49,6 +61,12 @@
 
   #revision = 0;
 
+  /** What was changed last, oldest first. */
+  #history: Changed[] = [];
+
+  /** Revision up to which the history has been dropped. */
+  #droppedTo = 0;
+
   /** Instants at which the next read and the next write have their turn. */
   readonly #turns = { read: 0, write: 0 };
 
@@ -91,20 +109,51 @@
     this.calls.writes += 1;
     await this.#admit('write', deadline);
     const current = this.#values.get(key)?.revision === revision;
-    if (current) {
-      this.#values.delete(key);
-      this.#sortedKeys = undefined;
-    }
+    if (current) this.#delete(key);
     return this.#answer(current);
   }
 
+  async listing(kind: string, deadline: number): Promise<Listing> {
+    this.calls.reads += 1;
+    await this.#admit('read', deadline);
+    return { objects: this.#match({ prefix: `${kind}/` }), asOf: this.#revision };
+  }
+
+  async changes(
+    kind: string,
+    asOf: number,
+    deadline: number,
+    signal?: AbortSignal,
+  ): Promise<Changes> {
+    this.calls.watches += 1;
+    await this.#admit('read', deadline);
+    const prefix = `${kind}/`;
+    for (;;) {
+      if (asOf < this.#droppedTo) throw historyGone();
+      const changes = this.#history.filter(
+        ({ object }) => object.revision > asOf && object.key.startsWith(prefix),
+      );
+      const isOver = this.clock.now() >= deadline || signal?.aborted;
+      if (changes.length > 0 || isOver) return { changes, asOf: this.#revision };
+      await this.#change(prefix, deadline, signal);
+      if (this.faults.down) throw unavailable();
+    }
+  }
+
+  /** Drops all history, as the platform does now and then. */
+  compact(): void {
+    this.#history = [];
+    this.#droppedTo = this.#revision;
+    this.disturb();
+  }
+
   async watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
     this.calls.watches += 1;
     await this.#admit('read', deadline);
     while (this.clock.now() < deadline && !signal?.aborted) {
       const found = this.#match(range);
       if (found.length > 0) return found;
-      await this.#change(range, deadline, signal);
+      await this.#change(range.prefix, deadline, signal);
       if (this.faults.down) throw unavailable();
     }
     return [];
@@ -115,9 +164,9 @@
     for (const waiter of [...this.#waiters]) waiter.wake();
   }
 
-  async #change(range: Range, deadline: number, signal?: AbortSignal): Promise<void> {
+  async #change(prefix: string, deadline: number, signal?: AbortSignal): Promise<void> {
     const woken = new AbortController();
-    const waiter: Waiter = { range, wake: () => woken.abort() };
+    const waiter: Waiter = { prefix, wake: () => woken.abort() };
     this.#waiters.add(waiter);
     const either = signal ? AbortSignal.any([signal, woken.signal]) : woken.signal;
     await this.clock.sleepUntil(deadline, either);
@@ -161,10 +210,24 @@
     const stored = { key, value, revision: this.#revision };
     if (!this.#values.has(key)) this.#sortedKeys = undefined;
     this.#values.set(key, stored);
+    this.#remember({ object: stored, isDeleted: false });
+    return stored;
+  }
+
+  #delete(key: string): void {
+    this.#revision += 1;
+    const object = { ...this.#values.get(key)!, revision: this.#revision };
+    this.#values.delete(key);
+    this.#sortedKeys = undefined;
+    this.#remember({ object, isDeleted: true });
+  }
+
+  #remember(changed: Changed): void {
+    this.#history.push(changed);
+    if (this.#history.length > HISTORY) this.#droppedTo = this.#history.shift()!.object.revision;
     for (const waiter of [...this.#waiters]) {
-      if (key.startsWith(waiter.range.prefix)) waiter.wake();
+      if (changed.object.key.startsWith(waiter.prefix)) waiter.wake();
     }
-    return stored;
   }
 
   #match(range: Range): Stored[] {
@@ -197,6 +260,11 @@
   return new OutcomeError('platform unavailable', { verdict: 'not-run', reason: 'unavailable' });
 }
 
+function historyGone(): OutcomeError {
+  const props = { verdict: 'not-run', reason: HISTORY_GONE } as const;
+  return new OutcomeError('that history is gone', props);
+}
+
 function timedOut(verdict: Verdict): OutcomeError {
   return new OutcomeError('no answer from the platform', {
     verdict,
--- a/src/standins/reached_platform.ts
+++ b/src/standins/reached_platform.ts
@@ -1,6 +1,12 @@
 /** The platform as one process reaches it: it can be cut off from it, or paused in mid-call. */
 import { OutcomeError } from '../contracts.js';
-import { Platform, type Range, type Stored } from '../platform/platform.js';
+import {
+  type Changes,
+  type Listing,
+  Platform,
+  type Range,
+  type Stored,
+} from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Gate } from './gate.js';
 
@@ -39,6 +45,14 @@
     return this.#call(deadline, () => this.platform.remove(key, revision, deadline));
   }
 
+  listing(kind: string, deadline: number): Promise<Listing> {
+    return this.#call(deadline, () => this.platform.listing(kind, deadline));
+  }
+
+  changes(kind: string, asOf: number, deadline: number, signal?: AbortSignal): Promise<Changes> {
+    return this.#call(deadline, () => this.platform.changes(kind, asOf, deadline, signal));
+  }
+
   watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
     return this.#call(deadline, () => this.platform.watch(range, deadline, signal));
   }
--- a/src/test/daemon/operator_methods_test.ts
+++ b/src/test/daemon/operator_methods_test.ts
@@ -12,7 +12,11 @@
 /** The methods over a source alone; the rest of a process is not asked here. */
 function methodsOver(fixture: Fixture): JSONRPCServer {
   const { clock } = fixture;
-  return operatorMethods({ source: fixture.source(), surroundings: { clock } } as Operated);
+  return operatorMethods({
+    source: fixture.source(),
+    acceptsNotes: true,
+    surroundings: { clock },
+  } as Operated);
 }
 
 async function call(methods: JSONRPCServer, method: string, params: unknown): Promise<unknown> {
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -11,6 +11,7 @@
 import { PlatformStore } from '../../standins/platform_store.js';
 import { ReachedPlatform } from '../../standins/reached_platform.js';
 import { Log } from '../../source/log.js';
+import { logFeed } from '../../source/log_feed.js';
 import { FakeTime } from '../fake_time.js';
 
 /** One process of the fleet: its life may end and begin again under the same name. */
@@ -173,7 +174,13 @@
           .slice(0, 3)
           .map((node) => node.host),
       },
-      { platform, clock, random: this.random, dialer },
+      {
+        platform,
+        clock,
+        random: this.random,
+        dialer,
+        feed: (replica) => logFeed(platform, replica),
+      },
     );
     const node = { name, host, control, isAlive: true };
     this.nodes.set(name, node);
--- a/src/test/membership/bootstrap_test.ts
+++ b/src/test/membership/bootstrap_test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { CALLS_PER_SECOND } from '../../membership/directory.js';
+import { STEADY } from '../../membership/pace.js';
 import { Fleet } from './fleet.js';
 
 /** The size to design for, and the calls per second that membership may make at that size. */
@@ -25,7 +25,7 @@
 
 describe('Bootstrap', () => {
   it('keeps the calls of the whole fleet below the cap by their budget alone', () => {
-    expect(FULL_SIZE * CALLS_PER_SECOND).to.be.below(FULL_CAP);
+    expect(FULL_SIZE * STEADY.callsPerSecond).to.be.below(FULL_CAP);
   });
 
   // All processes start at once with no address but the platform's, which is empty. None may be
--- a/src/test/membership/fleet.ts
+++ b/src/test/membership/fleet.ts
@@ -72,8 +72,8 @@
     methods.on(HEARTBEAT, (peer, { roster }) => this.gossip.compare(peer, roster));
     this.directory = new Directory(platform, this.roster, this.ranking, clock, random);
     const { signal } = this.#stopping;
-    void new Bootstrap(peers, this.mesh, this.directory, clock, random).run(signal);
-    void new Probe(this.roster, this.ranking, this.mesh, clock, random, peers).run(signal);
+    void new Bootstrap(() => peers, this.mesh, this.directory, clock, random).run(signal);
+    void new Probe(this.roster, this.ranking, this.mesh, clock, random, () => peers).run(signal);
     void this.directory.run(signal);
     void this.gossip.run(signal);
     void this.mesh.run(signal);
--- a/src/test/requests/unsteady_platform.ts
+++ b/src/test/requests/unsteady_platform.ts
@@ -1,5 +1,11 @@
 import { OutcomeError } from '../../contracts.js';
-import { Platform, type Range, type Stored } from '../../platform/platform.js';
+import {
+  type Changes,
+  type Listing,
+  Platform,
+  type Range,
+  type Stored,
+} from '../../platform/platform.js';
 import { type Clock } from '../../runtime/clock.js';
 import { type Random } from '../../runtime/random.js';
 import { type PlatformStore } from '../../standins/platform_store.js';
@@ -53,6 +59,14 @@
     return this.#write(() => this.store.remove(key, revision, deadline + LATE_MS));
   }
 
+  listing(kind: string, deadline: number): Promise<Listing> {
+    return this.store.listing(kind, deadline);
+  }
+
+  changes(kind: string, asOf: number, deadline: number, signal?: AbortSignal): Promise<Changes> {
+    return this.store.changes(kind, asOf, deadline, signal);
+  }
+
   watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
     return this.store.watch(range, deadline, signal);
   }
--- a/src/test/source/snapshots_test.ts
+++ b/src/test/source/snapshots_test.ts
@@ -4,6 +4,7 @@
 import { type Ranking } from '../../membership/ranking.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { Log } from '../../source/log.js';
+import { LogFeed } from '../../source/log_feed.js';
 import { SNAPSHOT_EVERY } from '../../source/publisher.js';
 import { Snapshots } from '../../source/snapshots.js';
 import { type Source } from '../../source/source.js';
@@ -33,7 +34,13 @@
   const snapshots = new Snapshots(fixture.store, fixture.log);
   const { log, clock } = fixture;
   const ranking = { isReader: true } as Ranking;
-  const reader = new Reader(log, snapshots, replica, ranking, clock, new SeededRandom(1));
+  const reader = new Reader(
+    new LogFeed(log, snapshots, replica),
+    replica,
+    ranking,
+    clock,
+    new SeededRandom(1),
+  );
   const stopping = new AbortController();
   const running = reader.run(stopping.signal);
   for (let step = 0; step < 100 && !reader.caughtUp; step++) await fixture.time.tickAsync(50);
--- a/src/test/source/unsteady_platform.ts
+++ b/src/test/source/unsteady_platform.ts
@@ -1,5 +1,11 @@
 import { OutcomeError, type Verdict } from '../../contracts.js';
-import { Platform, type Range, type Stored } from '../../platform/platform.js';
+import {
+  type Changes,
+  type Listing,
+  Platform,
+  type Range,
+  type Stored,
+} from '../../platform/platform.js';
 import { type Clock } from '../../runtime/clock.js';
 
 /**
@@ -52,6 +58,14 @@
     return this.#call(() => this.platform.remove(key, revision, deadline));
   }
 
+  listing(kind: string, deadline: number): Promise<Listing> {
+    return this.#call(() => this.platform.listing(kind, deadline));
+  }
+
+  changes(kind: string, asOf: number, deadline: number, signal?: AbortSignal): Promise<Changes> {
+    return this.#call(() => this.platform.changes(kind, asOf, deadline, signal));
+  }
+
   watch(range: Range, deadline: number, signal?: AbortSignal): Promise<Stored[]> {
     return this.#call(() => this.platform.watch(range, deadline, signal));
   }
