Serve in time what can be in time, and move on freely from a process that refuses

Cause: the limit of the guard followed latency and refusals by the instance down to one slot (grey instances refuse with slots free; calls of 55 ms beside work of 290 ms look like a rise), and its line was served in order of arrival, so that under load everybody was answered just too late. Ruled out: processor time (0.12 cores mean).

Change: a line in which work that can be in time goes before work that cannot, by rank and then by time left, with refusals at once and a time to come back; slots never under half of those announced; a refusal by a guard costs no retry budget, since no instance was reached; the budget is a part of the fleet's slack; the held time of a guard rides on its answers. An answer without a length whose connection is reset is cut (one more case of it is still open).

retry_budget_test uses the reason shed where it used overloaded, which is free now; the bounds in it are as they were.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -15,6 +15,7 @@
 import { Balancer } from '../requests/balancer.js';
 import { Entry } from '../requests/entry.js';
 import { Guard } from '../requests/guard.js';
+import { partOf, type Retries, USUAL_RETRIES } from '../requests/retry_budget.js';
 import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -97,6 +98,7 @@
       clock,
       random,
       dialect,
+      this.#retries(),
     );
     const { mesh, methods, ranking } = this.control;
     const takesKeys = dialect?.takesKeys ?? true;
@@ -198,6 +200,14 @@
     this.journal.record('stopped');
   }
 
+  #retries(): Retries {
+    const { retryPercent, retrySlack, retryWindowMs } = this.settings;
+    if (retrySlack === undefined) return { ...USUAL_RETRIES, percent: retryPercent };
+    // Members that were lost count too: behind a cut each side would else take all of it.
+    const allowance = () => partOf(retrySlack, retryWindowMs, this.roster.size);
+    return { percent: retryPercent, allowance };
+  }
+
   async #open(): Promise<void> {
     const { codec } = this.surroundings;
     const { host, callerPort, operatorsPort } = this.settings;
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -32,6 +32,9 @@
   heartbeatMs: z.coerce.number().int().min(50).max(60_000).default(1_000),
   noticeMs: z.coerce.number().int().min(0).max(60_000).default(1_000),
   leaseMs: z.coerce.number().int().min(100).max(600_000).default(3_000),
+  retryPercent: z.coerce.number().min(0).max(100).default(10),
+  retrySlack: z.coerce.number().min(0).optional(),
+  retryWindowMs: z.coerce.number().int().min(100).max(600_000).default(10_000),
   stopMs: z.coerce.number().int().min(0).max(600_000).default(30_000),
 };
 
@@ -52,6 +55,10 @@
   heartbeatMs: 'Pace of heartbeats on links, in milliseconds',
   noticeMs: 'Time for others to learn of a stop before ports are closed, in milliseconds',
   leaseMs: 'How long an announcement of the upstream instance holds, in milliseconds',
+  retryPercent: 'Retries, as a percentage of answered requests, where no limit says it',
+  retrySlack:
+    'Retries beside them that the whole fleet may add in a window; each process by itself when absent',
+  retryWindowMs: 'That window, in milliseconds',
   stopMs: 'Time a stop may take to let requests finish, in milliseconds',
 };
 
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -34,6 +34,12 @@
 });
 export type HostFile = z.infer<typeof HostFile>;
 
+/**
+ * Retries as a percentage of requests, per unit of the ratio that the fleet may add. Half of it:
+ * the calls that a repeated run makes again count as retries where they arrive.
+ */
+const RETRY_PERCENT = 50;
+
 /** Ports of the internal range, counted from its first. */
 const LINK_PORT = 0;
 const OPERATORS_PORT = 1;
@@ -76,6 +82,9 @@
     heartbeatMs: 500,
     noticeMs: NOTICE_MS,
     leaseMs: MISSED_ANNOUNCEMENTS * file.heartbeat,
+    retryPercent: bounds.retryBudgetRatio * RETRY_PERCENT,
+    retrySlack: bounds.budgetSlack,
+    retryWindowMs: bounds.budgetWindow,
     stopMs: bounds.grace - STOP_MARGIN_MS,
   };
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -19,14 +19,17 @@
 /** How often the settings file is looked at, since it may change without a signal, in ms. */
 const LOOK_EVERY_MS = 2_000;
 
+/** How long the end of a process waits for its neighbours to hear of it, in milliseconds. */
+const FAREWELL_MS = 100;
+
 /** Serves until the process is told to stop. */
 export async function main(environment: NodeJS.ProcessEnv): Promise<void> {
   const path = environment[SETTINGS_VARIABLE] ?? '';
   let file = await readHostFile(path);
   const settings = settingsOf(file);
   const clock = new MachineClock();
-  await using platform = new HttpPlatform(new URL(settings.platform), clock);
-  await using instance = await Instance.start(settings, {
+  const platform = new HttpPlatform(new URL(settings.platform), clock);
+  const instance = await Instance.start(settings, {
     platform,
     clock,
     random: new MachineRandom(),
@@ -48,6 +51,9 @@
   watchFile(path, { interval: LOOK_EVERY_MS, persistent: false }, onChange);
   await once(process, 'SIGTERM');
   await instance.stop(clock.now() + settings.stopMs);
+  // Whatever is left open goes with the process; only the others have to hear of the end.
+  const leaving = instance.control.leave();
+  await Promise.race([leaving, clock.sleepUntil(clock.now() + FAREWELL_MS)]);
 }
 
 async function openPorts({ listen, service }: HostFile, instance: Instance): Promise<void> {
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -2,11 +2,9 @@
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type Meaning } from '../requests/dialect.js';
 import { headerOf } from '../requests/headers.js';
-import { type Load } from '../requests/load.js';
 import {
   CALLER_HEADER,
   INSTANCE_HEADER,
-  LOAD_HEADER,
   NOT_EXECUTED_HEADER,
   REQUEST_ID_HEADER,
   SIGNATURE_HEADER,
@@ -18,8 +16,6 @@
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
 const MS_PER_SECOND = 1_000;
-/** Running, waiting, slots. */
-const LOAD_FORM = /^(\d{1,6}),(\d{1,6}),(\d{1,6})$/;
 
 export class MeshDialect extends Dialect {
   readonly fromCallers: ReadonlySet<string> = new Set([REQUEST_ID_HEADER]);
@@ -68,13 +64,6 @@
     return isShed ? 'shed' : 'answer';
   }
 
-  reportedLoad(answer: IncomingMessage): Load | undefined {
-    const found = LOAD_FORM.exec(headerOf(answer, LOAD_HEADER) ?? '');
-    if (!found) return undefined;
-    const [, running, waiting, slots] = found;
-    return { inFlight: Number(running), waiting: Number(waiting), slots: Number(slots) };
-  }
-
   /** Callers take fractions, and come back sooner for it. */
   retryAfter(waitMs: number): string {
     return (Math.max(1, waitMs) / MS_PER_SECOND).toFixed(3);
--- a/src/requests/adaptive_slots.ts
+++ b/src/requests/adaptive_slots.ts
@@ -4,17 +4,24 @@
 /** Slots at the start of a slow start. */
 const START = 4;
 const MIN_SLOTS = 1;
-/** Latency alone never takes more than this share of the slots away. */
-const LATENCY_FLOOR = 0.25;
+/**
+ * Never fewer than this share of the slots, once they were reached. Each step below what an
+ * instance bears turns work away that it could do; what it does not bear it refuses by itself.
+ */
+const FLOOR = 0.5;
 /** What is left of the slots after the instance has shed work, or was late. */
 const SHED_FACTOR = 0.7;
 const LATENCY_FACTOR = 0.9;
-/** Latency over the long-run average that shows work queueing inside the instance. */
-const TOLERATED_RISE = 2;
+/**
+ * Latency over the long-run average that shows work queueing inside the instance. Below it a mix
+ * of short and long work, or slow answers to calls that it makes, looks the same.
+ */
+const TOLERATED_RISE = 3;
 /** Answers that make up one look at the latency. */
 const WINDOW = 32;
-/** Weight of a window in the long-run average when latency rises; a fall counts at once. */
+/** Weight of a window in the long-run average when latency rises, and when it falls. */
 const RISE_WEIGHT = 0.05;
+const FALL_WEIGHT = 0.3;
 /** Time between two steps down at least, in milliseconds. */
 const MIN_PAUSE_MS = 50;
 
@@ -84,7 +91,7 @@
 
   /** Notes that the instance refused work for lack of room, or did not answer in time. */
   overrun(tookMs: number): void {
-    this.#stepDown(SHED_FACTOR, MIN_SLOTS, tookMs);
+    this.#stepDown(SHED_FACTOR, tookMs);
   }
 
   #judge(isBinding: boolean): void {
@@ -92,17 +99,18 @@
     this.#windowMs = 0;
     this.#windowSize = 0;
     const usualMs = this.#usualMs;
-    if (usualMs === 0 || latestMs < usualMs) {
+    if (usualMs === 0) {
       this.#usualMs = latestMs;
       return;
     }
-    this.#usualMs += (latestMs - usualMs) * RISE_WEIGHT;
-    const floor = Math.max(MIN_SLOTS, this.#ceiling * LATENCY_FLOOR);
+    const weight = latestMs < usualMs ? FALL_WEIGHT : RISE_WEIGHT;
+    this.#usualMs += (latestMs - usualMs) * weight;
     const hasRisen = latestMs > usualMs * TOLERATED_RISE;
-    if (isBinding && hasRisen) this.#stepDown(LATENCY_FACTOR, floor, latestMs);
+    if (isBinding && hasRisen) this.#stepDown(LATENCY_FACTOR, latestMs);
   }
 
-  #stepDown(factor: number, floor: number, tookMs: number): void {
+  #stepDown(factor: number, tookMs: number): void {
+    const floor = Math.max(MIN_SLOTS, this.#ceiling * FLOOR);
     this.#isStarting = false;
     const now = this.clock.now();
     if (now < this.#pausedUntil) return;
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -7,7 +7,7 @@
 import { type Journey } from './journey.js';
 import { RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
-import { type FailedAttempt, type RetryBudgets } from './retry_budget.js';
+import { type FailedAttempt, isUnoffered, type RetryBudgets } from './retry_budget.js';
 
 /** How long a caller is told to wait when nobody serves what it asks for, in milliseconds. */
 const NO_ENDPOINT_MS = 1_000;
@@ -23,7 +23,11 @@
 
 /** This process is the one hop that retries; a guard never does. */
 export class Attempts {
-  #count = 1;
+  /** Attempts that reached an upstream instance, or may have. */
+  #offers = 0;
+
+  /** Attempts that certainly reached none. */
+  #moves = 0;
 
   #tried = NONE_TRIED;
 
@@ -49,7 +53,7 @@
 
   /** What to try after `endpoint` has failed; throws the outcome if there is nothing. */
   next(endpoint: Experience, outcome: OutcomeError): Further {
-    this.#note(outcome.verdict);
+    this.#note(outcome);
     const next = this.#maySend(outcome) ? this.#another(endpoint, outcome.reason) : undefined;
     if (!next) throw this.#final(outcome);
     const { response, upstream, retryPercent } = this.journey;
@@ -58,11 +62,12 @@
     // On the answer too, whatever it will be: hops above must not retry what was retried here.
     if (!retry.isFailover) response.setHeader(RETRIED, '1');
     this.#tried = new Set(this.#tried).add(endpoint);
-    this.#count += 1;
     return { endpoint: next, startAt: retry.startAt };
   }
 
-  #note(verdict: Verdict): void {
+  #note({ verdict, reason }: OutcomeError): void {
+    if (isUnoffered({ verdict, reason })) this.#moves += 1;
+    else this.#offers += 1;
     if (STRENGTH[verdict] > STRENGTH[this.#verdict]) this.#verdict = verdict;
   }
 
@@ -78,7 +83,8 @@
       maxAttempts: route.maxAttempts,
       verdict,
       reason,
-      attempts: this.#count,
+      attempts: this.#offers,
+      moves: this.#moves,
       repeatable: isRepeatable,
       retriedElsewhere: isRetriedElsewhere,
       deadline,
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -1,6 +1,5 @@
 /** What callers and upstream instances speak, where it differs from deployment to deployment. */
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
-import { type Load } from './load.js';
 
 /**
  * What the head of an upstream instance's answer says:
@@ -36,9 +35,6 @@
 
   abstract meaningOf(request: IncomingMessage, answer: IncomingMessage): Meaning;
 
-  /** The load that an upstream instance reports on its answers, if it does. */
-  abstract reportedLoad(answer: IncomingMessage): Load | undefined;
-
   /** The value of `Retry-After` for a wait in milliseconds. */
   abstract retryAfter(waitMs: number): string;
 }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -24,7 +24,9 @@
   EXCHANGE_ID,
   requestHeaders,
   RETRIED,
+  ROUTE,
   SHED,
+  TARGET,
   TOLD_TO_CALLERS,
   UPSTREAM,
 } from './headers.js';
@@ -36,8 +38,9 @@
 import { refusalIn } from './relayed_refusal.js';
 import { headFingerprint } from './request_fingerprint.js';
 import { OWN_DIALECT } from './own_dialect.js';
-import { RetryBudgets } from './retry_budget.js';
+import { type Retries, RetryBudgets, USUAL_RETRIES } from './retry_budget.js';
 import { Split } from './split.js';
+import { UsualWaits } from './usual_wait.js';
 import { Traffic } from './traffic.js';
 
 const MAX_SOCKETS_PER_GUARD = 256;
@@ -66,6 +69,8 @@
 
   readonly #split = new Split();
 
+  readonly #usualWaits = new UsualWaits();
+
   /** Internal headers that callers get to see on answers. */
   readonly #told: ReadonlySet<string>;
 
@@ -76,9 +81,10 @@
     private readonly clock: Clock,
     random: Random,
     private readonly dialect: Dialect = OWN_DIALECT,
+    private readonly retries: Retries = USUAL_RETRIES,
   ) {
     this.#told = new Set([...TOLD_TO_CALLERS, ...dialect.fromUpstreams]);
-    this.#budgets = new RetryBudgets(clock, random);
+    this.#budgets = new RetryBudgets(clock, random, retries.allowance);
     this.#nonce = random.nonce();
     this.#connections = new Connections(clock, MAX_SOCKETS_PER_GUARD);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -100,7 +106,12 @@
     try {
       if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
       const now = this.clock.now();
-      const reading = { dialect: this.dialect, split: this.#split };
+      const reading = {
+        dialect: this.dialect,
+        split: this.#split,
+        usualWaits: this.#usualWaits,
+        retryPercent: this.retries.percent,
+      };
       const journey = journeyOf(request, response, this.configuration(), now, reading);
       this.#check(journey);
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
@@ -147,6 +158,7 @@
     endpoint: Experience,
   ): Promise<OutcomeError | undefined> {
     endpoint.inFlight += 1;
+    endpoint.sent();
     try {
       return await this.#ask(journey, body, endpoint);
     } catch (error) {
@@ -192,7 +204,8 @@
     const headers = requestHeaders(request, this.dialect.fromCallers);
     headers.push(...this.dialect.originHeaders());
     headers.push(UPSTREAM, upstream, EXCHANGE_ID, id, REMAINING, String(remaining));
-    headers.push(PRIORITY, String(route.priority));
+    headers.push(PRIORITY, String(route.priority), ROUTE, route.name);
+    headers.push(TARGET, String(Math.floor(journey.targetAt - this.clock.now())));
     if (!isRepeatable) headers.push(REPEATABLE, '0');
     if (isRetried(journey)) headers.push(RETRIED, '1');
     const hasKey = this.dialect.takesKeys && request.headers[IDEMPOTENCY_KEY] !== undefined;
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -47,6 +47,9 @@
 
   #hasAnswer = false;
 
+  /** Why the connection broke after the head of the answer had come. */
+  #broken: OutcomeError | undefined;
+
   #timer: NodeJS.Timeout | undefined;
 
   /** Ends the wait for the answer. */
@@ -76,7 +79,10 @@
         this.#hasAnswer = true;
         resolve(answer);
       });
-      request.on('error', (cause) => reject(this.#outcome(cause)));
+      request.on('error', (cause) => {
+        this.#broken = this.#outcome(cause);
+        reject(this.#broken);
+      });
       request.once('close', () => {
         if (!this.#hasAnswer) reject(this.#outcome(new Error('closed without an answer')));
       });
@@ -103,6 +109,12 @@
       });
       answer.once('end', () => {
         clearTimeout(timer);
+        // Node ends an answer without a length like a whole one when its connection is reset. The
+        // caller would take the part for all of it; the error of the request comes first.
+        if (this.#broken) {
+          reject(this.#broken);
+          return;
+        }
         this.#finish(answer, response);
         resolve();
       });
@@ -126,7 +138,9 @@
       if (read === before) this.#fail('silent', 'the answer came to a standstill');
     }, PROGRESS_MS);
     try {
-      return await reading;
+      const result = await reading;
+      if (this.#broken) throw this.#broken;
+      return result;
     } finally {
       clearInterval(timer);
     }
--- a/src/requests/experience.ts
+++ b/src/requests/experience.ts
@@ -5,7 +5,11 @@
 /** A latency that has not been seen again for this long counts half, in milliseconds. */
 const LATENCY_HALF_LIFE_MS = 10_000;
 /** The same for a reported load, which is out of date sooner. */
-const LOAD_HALF_LIFE_MS = 200;
+const LOAD_HALF_LIFE_MS = 500;
+/** Share of the slots in use from which an endpoint counts as full: the news of it is late. */
+const FULL_SHARE = 0.9;
+/** How much dearer an endpoint is with all its slots in use than with none. */
+const FULL_FACTOR = 0.5;
 /** Least weight of the newest answer in the moving average. */
 const NEWEST_WEIGHT = 0.2;
 /**
@@ -16,7 +20,7 @@
 /** An endpoint that has just become ready gets less work at first, for so long. */
 const WARM_UP_MS = 10_000;
 /** How much dearer it is at the start of that. */
-const COLD_FACTOR = 4;
+const COLD_FACTOR = 3;
 
 export class Experience {
   inFlight = 0;
@@ -38,10 +42,15 @@
 
   #loadAt = 0;
 
+  /** Requests sent since the last report. */
+  #sentSince = 0;
+
   constructor(public member: Member) {}
 
   /** Notes an answer that took `tookMs`, with the load reported on it. */
-  answered(tookMs: number, load: Load | undefined, now: number): void {
+  answered(answeredMs: number, load: Load | undefined, now: number): void {
+    // What a guard says of the time that work takes there holds no time of waiting.
+    const tookMs = load && load.heldMs > 0 ? load.heldMs : answeredMs;
     const before = this.#latencyMs;
     // An old average says little: the newest answer counts for what has faded of it.
     const faded = 1 - fading(now - this.#latencyAt, LATENCY_HALF_LIFE_MS);
@@ -56,23 +65,39 @@
     if (!load) return;
     this.#load = load;
     this.#loadAt = now;
+    this.#sentSince = 0;
+  }
+
+  /** Notes that a request goes there, which its next report does not tell of yet. */
+  sent(): void {
+    this.#sentSince += 1;
   }
 
-  /** Whether requests were waiting there a moment ago. */
+  /** Whether requests wait there, or will soon. */
   isSaturated(now: number): boolean {
-    return (
-      this.#load !== undefined && this.#load.waiting > 0 && now - this.#loadAt < LOAD_HALF_LIFE_MS
-    );
+    if (!this.#load) return false;
+    return this.#load.waiting > 0
+      ? now - this.#loadAt < LOAD_HALF_LIFE_MS
+      : this.#busy(now) >= this.#load.slots * FULL_SHARE;
   }
 
   /**
-   * Expected time of one more request: work in flight times latency. What was seen long ago fades
-   * into what is typical for the upstream, so that an endpoint that once was slow is tried again.
+   * Expected time of one more request: the work it waits for, and its own. What was seen long ago
+   * fades into what is typical for the upstream, so that an endpoint that once was slow is tried
+   * again.
    */
   cost(typicalMs: number, now: number): number {
     const assumed = typicalMs * OPTIMISM;
     const latency = assumed + this.#latencyGap(assumed, now);
-    return (1 + this.#busy(now)) * latency * this.#coldness(now);
+    return this.#occupancy(now) * latency * this.#coldness(now);
+  }
+
+  /** Without slots known, all work in flight counts as waited for. */
+  #occupancy(now: number): number {
+    const busy = this.#busy(now);
+    const slots = this.#load?.slots ?? this.member.endpoint?.slots ?? 1;
+    const waiting = Math.max(0, busy + 1 - slots);
+    return 1 + FULL_FACTOR * Math.min(1, busy / slots) + waiting / slots;
   }
 
   #latencyGap(assumed: number, now: number): number {
@@ -83,7 +108,7 @@
   /** The reported load counts the work of all others too, but only for a moment. */
   #busy(now: number): number {
     if (!this.#load) return this.inFlight;
-    const reported = this.#load.inFlight + this.#load.waiting;
+    const reported = this.#load.inFlight + this.#load.waiting + this.#sentSince;
     return Math.max(this.inFlight, reported * fading(now - this.#loadAt, LOAD_HALF_LIFE_MS));
   }
 
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -23,7 +23,9 @@
   requestHeaders,
   RETRIED,
   RETRY_AFTER,
+  ROUTE,
   SHED,
+  TARGET,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
@@ -171,12 +173,15 @@
     const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
     const priority = within(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
     const named = headerOf(request, LIMIT);
+    const now = this.clock.now();
     return {
       request,
       response,
       announced,
       priority: Math.floor(priority),
-      deadline: this.clock.now() + remaining,
+      kind: headerOf(request, ROUTE) ?? '',
+      targetAt: now + Number(headerOf(request, TARGET) ?? remaining),
+      deadline: now + remaining,
       limit: named === undefined ? undefined : this.configuration().find('limit', named),
       onGone: (callback) => response.once('close', callback),
     };
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -7,6 +7,10 @@
 export const EXCHANGE_ID = 'barleyhaven-exchange-id';
 /** Time left, in milliseconds: an instant would be misread where clocks differ. */
 export const REMAINING = 'barleyhaven-remaining-ms';
+/** Time left until an answer is of less use, in milliseconds; may be negative. */
+export const TARGET = 'barleyhaven-target-ms';
+/** Name of the route: requests under one take about the same time. */
+export const ROUTE = 'barleyhaven-route';
 /** Name of the limit that the route sets. */
 export const LIMIT = 'barleyhaven-limit';
 export const PRIORITY = 'barleyhaven-priority';
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -8,9 +8,7 @@
 import { isRepeatable, routeOf } from './router.js';
 import { type Split } from './split.js';
 import { type Asked, askedBy } from './target.js';
-
-/** Share of retries for routes without a limit, in percent. */
-const DEFAULT_RETRY_PERCENT = 10;
+import { type UsualWaits } from './usual_wait.js';
 
 /** It keeps the version of the configuration that it began with. */
 export interface Journey {
@@ -22,6 +20,8 @@
   readonly upstream: string;
   /** In milliseconds since the epoch. */
   readonly deadline: number;
+  /** Until when an answer is of full use to the caller, in milliseconds since the epoch. */
+  readonly targetAt: number;
   /** Whether it may run twice. */
   readonly isRepeatable: boolean;
   /** Retries allowed, as a percentage of answered requests. */
@@ -34,6 +34,9 @@
 export interface Reading {
   readonly dialect: Dialect;
   readonly split: Split;
+  readonly usualWaits: UsualWaits;
+  /** Retries for routes without a limit, as a percentage of answered requests. */
+  readonly retryPercent: number;
 }
 
 /** Decides about a request; throws `not-run` if it cannot be carried. */
@@ -42,7 +45,7 @@
   response: ServerResponse,
   configuration: Configuration,
   now: number,
-  { dialect, split }: Reading,
+  { dialect, split, usualWaits, retryPercent }: Reading,
 ): Journey {
   const asked = askedBy(request);
   const route = routeOf(configuration, asked);
@@ -52,6 +55,8 @@
   }
   const waitMs = dialect.callerTimeoutMs(request.headers) ?? route.timeoutMs;
   const deadline = now + Math.min(waitMs, route.timeoutMs);
+  const targetMs = route.targetMs ?? route.timeoutMs;
+  const targetAt = now + targetMs - usualWaits.elapsed(route.name, waitMs);
   const limit = route.limit === undefined ? undefined : configuration.find('limit', route.limit);
   return {
     request,
@@ -60,8 +65,9 @@
     route,
     upstream: split.choose(route),
     deadline,
+    targetAt: Math.min(targetAt, deadline),
     isRepeatable: isRepeatable(route, asked.method),
-    retryPercent: limit?.retryPercent ?? DEFAULT_RETRY_PERCENT,
+    retryPercent: limit?.retryPercent ?? retryPercent,
     isRetriedElsewhere: request.headers[RETRIED] !== undefined,
   };
 }
--- a/src/requests/limit.ts
+++ b/src/requests/limit.ts
@@ -6,15 +6,34 @@
 import { type Load } from './load.js';
 import { notRun } from './refusal.js';
 import { average, Share } from './share.js';
+import { type Waiting, WaitingLine, type WaitingOptions } from './waiting_line.js';
 
 /** How long a caller is told to wait where nothing better is known, in milliseconds. */
 const RETRY_AFTER_MS = 1_000;
-const PRIORITIES = 10;
+/** The least it is told: sooner, nothing will have changed, in milliseconds. */
+const MIN_RETRY_MS = 100;
+/**
+ * How much longer than usual work may take and still be in time: work varies, and what is begun
+ * with no time to spare is late half the time.
+ */
+const HEADROOM = 1.25;
+/** Share of the slots that may be waited for by work that will be late. */
+const LATE_SHARE = 0.25;
+/** How long such work waits at most; a caller who waits in vain is better told at once. */
+const LATE_WAIT_MS = 250;
+/** Share of the slots in use from which a refusal by the instance is for lack of room. */
+const FULL_SHARE = 0.8;
+/** Kinds of work whose time is remembered; beyond that all are forgotten. */
+const MAX_KINDS = 1_000;
 
 /** What a piece of work says of itself before it runs. */
 export interface Ticket {
   /** 0 to 9; higher goes first. */
   readonly priority: number;
+  /** Work of one kind takes about the same time. */
+  readonly kind?: string;
+  /** Instant until which an answer is of full use; the deadline when absent. */
+  readonly targetAt?: number;
   /** In milliseconds since the epoch. */
   readonly deadline: number;
   /** The limit that its route names, as the configuration in force has it. */
@@ -39,12 +58,14 @@
 
   readonly #slots: AdaptiveSlots;
 
-  readonly #queue: PQueue;
+  readonly #line = new WaitingLine();
+
+  readonly #queue: PQueue<WaitingLine, WaitingOptions>;
 
   readonly #shares = new Map<string, Share>();
 
-  /** Waiting work by priority. */
-  readonly #waiting: number[] = new Array<number>(PRIORITIES).fill(0);
+  /** Average time that work of a kind holds a slot, in milliseconds. */
+  readonly #heldByKind = new Map<string, number>();
 
   #heldMs = 0;
 
@@ -53,7 +74,8 @@
     slots: number,
   ) {
     this.#slots = new AdaptiveSlots(clock, slots);
-    this.#queue = new PQueue({ concurrency: this.#slots.now });
+    const queueClass = classOf(this.#line);
+    this.#queue = new PQueue({ concurrency: this.#slots.now, queueClass });
   }
 
   get inFlight(): number {
@@ -61,13 +83,14 @@
   }
 
   get waiting(): number {
-    return this.#waiting.reduce((sum, count) => sum + count, 0);
+    return this.#line.size;
   }
 
   /** As it is told to entries. */
   get load(): Load {
     const { inFlight, waiting } = this;
-    return { inFlight, slots: this.#slots.now, waiting };
+    const heldMs = Math.round(this.#heldMs);
+    return { inFlight, slots: this.#slots.now, waiting, heldMs };
   }
 
   /** Slots that the upstream instance has announced; it gets that many at most. */
@@ -83,81 +106,132 @@
   }
 
   /**
-   * Runs `work` when a slot is free. Refuses with `not-run` at once when it could not be done by
-   * its deadline, when too much waits already, or when its caller goes away before it begins.
+   * Runs `work` when a slot is free. Refuses with `not-run` at once when too much waits for it to
+   * be done in time, and when its caller goes away or its time runs out before it begins.
    */
   async run(ticket: Ticket, work: Work): Promise<void> {
     const share = this.#share(ticket.limit);
     const isFree = this.#queue.pending < this.#queue.concurrency && this.#queue.size === 0;
     if (!isFree || !share.isFree) await this.#wait(ticket, share, work);
     else {
-      await share.run(() => this.#queue.add(() => this.#hold(share, work)), ticket.priority);
+      const hold = () => this.#hold(ticket, share, work);
+      await share.run(() => this.#queue.add(hold), ticket.priority);
     }
   }
 
   async #wait(ticket: Ticket, share: Share, work: Work): Promise<void> {
-    const { priority, deadline } = ticket;
-    const waitMs = Math.max(share.expectedWaitMs, this.#expectedWaitMs(priority));
-    const isHopeless = this.clock.now() + waitMs + share.heldMs > deadline;
-    if (isHopeless || share.waiting >= share.maxWaiting) throw this.#full(waitMs);
+    const waiting = this.#admit(ticket, share);
+    const { priority } = ticket;
     const gone = new AbortController();
     let isWaiting = true;
+    let timer: NodeJS.Timeout | undefined;
     const leave = () => {
       if (!isWaiting) return;
       isWaiting = false;
-      this.#waiting[priority]! -= 1;
       share.waiting -= 1;
+      clearTimeout(timer);
     };
-    ticket.onGone(() => {
+    const giveUp = (error: OutcomeError) => {
       // Aborting what already runs would free its slot while the upstream instance works on.
-      if (isWaiting) gone.abort(notRun('cancelled', 'the caller has gone'));
-    });
+      if (isWaiting) gone.abort(error);
+    };
+    const watch = () => {
+      const left = this.#patienceOf(ticket, waiting) - this.clock.now();
+      timer = setTimeout(() => {
+        if (waiting.isLate || !this.#hasRoomForLate) giveUp(this.#full(ticket, waiting, 0));
+        else {
+          this.#line.demote(waiting);
+          watch();
+        }
+      }, left);
+    };
+    ticket.onGone(() => giveUp(notRun('cancelled', 'the caller has gone')));
     const begin = () => {
       leave();
-      this.#recheck(deadline, share);
-      return this.#hold(share, work);
+      this.#recheck(ticket, waiting);
+      return this.#hold(ticket, share, work);
     };
-    this.#waiting[priority]! += 1;
     share.waiting += 1;
+    watch();
     const { signal } = gone;
+    const options = { priority, signal, waiting };
     try {
-      await share.run(() => this.#queue.add(begin, { priority, signal }), priority, signal);
+      await share.run(() => this.#queue.add(begin, options), priority, signal);
     } finally {
       leave();
     }
   }
 
+  /** Decides whether work may wait, and as what; throws the refusal if it may not. */
+  #admit(ticket: Ticket, share: Share): Waiting {
+    const { priority, deadline, targetAt = deadline } = ticket;
+    const now = this.clock.now();
+    const heldMs = this.#heldOf(ticket);
+    const waiting: Waiting = { priority, targetAt, heldMs, isLate: false };
+    const headroom = targetAt === deadline ? 1 : HEADROOM;
+    const inTimeMs = Math.max(share.expectedWaitMs, this.#expectedWaitMs(waiting));
+    waiting.isLate = now + inTimeMs + heldMs * headroom > targetAt;
+    const waitMs = waiting.isLate ? this.#expectedWaitMs(waiting) : inTimeMs;
+    const isHopeless = now + Math.max(waitMs, inTimeMs) + heldMs > deadline;
+    const isCrowded = waiting.isLate && !this.#hasRoomForLate;
+    if (isHopeless || isCrowded || share.waiting >= share.maxWaiting) {
+      throw this.#full(ticket, waiting, inTimeMs);
+    }
+    return waiting;
+  }
+
+  get #hasRoomForLate(): boolean {
+    return this.#line.late < this.#queue.concurrency * LATE_SHARE;
+  }
+
+  /** Until when it is worth waiting, in milliseconds since the epoch. */
+  #patienceOf({ deadline }: Ticket, { isLate, targetAt, heldMs }: Waiting): number {
+    if (!isLate) return Math.min(targetAt, deadline) - heldMs;
+    return Math.min(this.clock.now() + LATE_WAIT_MS, deadline - heldMs);
+  }
+
   /** What has changed while it waited; nothing of it has run yet. */
-  #recheck(deadline: number, share: Share): void {
+  #recheck(ticket: Ticket, waiting: Waiting): void {
     if (this.isDraining) throw notRun('draining', 'the upstream instance is leaving');
     const now = this.clock.now();
-    if (now >= deadline) throw notRun('deadline', 'no time was left to run');
-    if (now + share.heldMs > deadline) throw this.#full(this.#expectedWaitMs(0));
+    if (now >= ticket.deadline) throw notRun('deadline', 'no time was left to run');
+    if (now + waiting.heldMs > ticket.deadline) throw this.#full(ticket, waiting, 0);
   }
 
-  async #hold(share: Share, work: Work): Promise<void> {
+  async #hold(ticket: Ticket, share: Share, work: Work): Promise<void> {
     const startedAt = this.clock.now();
-    const isBinding = this.#queue.pending >= this.#queue.concurrency;
+    const { pending, concurrency } = this.#queue;
+    const isBinding = pending >= concurrency;
+    const isFull = pending >= concurrency * FULL_SHARE;
     try {
       const { headMs, isShed } = await work();
-      if (isShed) this.#slots.overrun(headMs);
-      else this.#slots.answered(headMs, isBinding);
+      if (!isShed) this.#slots.answered(headMs, isBinding);
+      else if (isFull) this.#slots.overrun(headMs);
     } catch (error) {
-      if (isOverrun(error)) this.#slots.overrun(this.clock.now() - startedAt);
+      // One that refuses with slots free has other reasons, and fewer requests would not help.
+      if (isFull && isOverrun(error)) this.#slots.overrun(this.clock.now() - startedAt);
       throw error;
     } finally {
-      const tookMs = this.clock.now() - startedAt;
-      share.learn(tookMs);
-      this.#heldMs = average(this.#heldMs, tookMs);
+      this.#learn(ticket, share, this.clock.now() - startedAt);
       this.#adjust();
     }
   }
 
-  /** Time until a slot is free for new work of that priority, in milliseconds. */
-  #expectedWaitMs(priority: number): number {
-    let ahead = 1;
-    for (let other = priority; other < PRIORITIES; other++) ahead += this.#waiting[other]!;
-    return (ahead * this.#heldMs) / this.#queue.concurrency;
+  #learn({ kind }: Ticket, share: Share, tookMs: number): void {
+    share.learn(tookMs);
+    this.#heldMs = average(this.#heldMs, tookMs);
+    if (kind === undefined) return;
+    if (this.#heldByKind.size > MAX_KINDS) this.#heldByKind.clear();
+    this.#heldByKind.set(kind, average(this.#heldByKind.get(kind) ?? 0, tookMs));
+  }
+
+  #heldOf({ kind }: Ticket): number {
+    return (kind === undefined ? undefined : this.#heldByKind.get(kind)) ?? this.#heldMs;
+  }
+
+  /** Time until a slot is free for new work, in milliseconds. */
+  #expectedWaitMs(waiting: Waiting): number {
+    return (this.#line.heldAhead(waiting) + this.#heldMs) / this.#queue.concurrency;
   }
 
   #share(limit: LimitResource | undefined): Share {
@@ -176,13 +250,26 @@
     if (this.#queue.concurrency !== slots) this.#queue.concurrency = slots;
   }
 
-  #full(waitMs: number): OutcomeError {
-    const retryAt = this.clock.now() + (waitMs > 0 ? waitMs : RETRY_AFTER_MS);
-    return notRun('overloaded', 'no slot will be free in time', retryAt);
+  /** Tells when there may be room for it to be done within its target. */
+  #full({ deadline, targetAt = deadline }: Ticket, { heldMs }: Waiting, waitMs: number) {
+    const now = this.clock.now();
+    const excessMs = waitMs + heldMs - Math.max(0, targetAt - now);
+    const afterMs = heldMs > 0 ? Math.max(MIN_RETRY_MS, excessMs) : RETRY_AFTER_MS;
+    return notRun('overloaded', 'no slot will be free in time', now + afterMs);
   }
 }
 
-/** Whether the instance had no room for the work, or was late with it. */
+/** The queue makes its own line, as its interface has it; this one is needed here too. */
+function classOf(line: WaitingLine): new () => WaitingLine {
+  return class {
+    constructor() {
+      // eslint-disable-next-line no-constructor-return -- see above
+      return line;
+    }
+  } as new () => WaitingLine;
+}
+
+/** Whether the instance had no room for the work. */
 function isOverrun(error: unknown): boolean {
-  return error instanceof OutcomeError && (error.reason === 'deadline' || error.reason === 'shed');
+  return error instanceof OutcomeError && error.reason === 'shed';
 }
--- a/src/requests/own_dialect.ts
+++ b/src/requests/own_dialect.ts
@@ -1,5 +1,5 @@
 /** What the product speaks by itself, as `docs/OPERATORS.md` tells it. */
-import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
+import { type IncomingHttpHeaders } from 'node:http';
 import { Dialect, type Meaning } from './dialect.js';
 import { CALLER_TIMEOUT, NONE, RETRIED } from './headers.js';
 
@@ -32,10 +32,6 @@
     return 'answer';
   }
 
-  reportedLoad(_: IncomingMessage): undefined {
-    return undefined;
-  }
-
   /** Whole seconds, as HTTP has it. */
   retryAfter(waitMs: number): string {
     return String(Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)));
--- a/src/requests/retry_budget.ts
+++ b/src/requests/retry_budget.ts
@@ -8,8 +8,10 @@
   readonly verdict: Verdict;
   /** Stable reason of the failure, as in the refusal's header. */
   readonly reason: string;
-  /** Attempts made so far, the failed one included. */
+  /** Attempts that reached an upstream instance, or may have, the failed one included. */
   readonly attempts: number;
+  /** Attempts that certainly reached none, the failed one included. */
+  readonly moves?: number;
   /** Attempts that the route allows; the usual number when absent. */
   readonly maxAttempts?: number | undefined;
   /** Whether the request may run twice. */
@@ -29,22 +31,16 @@
 }
 
 export const MAX_ATTEMPTS = 3;
-/** Most tokens saved up: what a burst of retries after a quiet time may spend. */
-const MAX_TOKENS = 20;
-/** Tokens earned by time alone, so that a quiet service can still retry now and then. */
-const FLOOR_TOKENS_PER_MS = 0.5 / 1000;
+/** Moves to another endpoint by one request at most. */
+const MAX_MOVES = 4;
 const RETRY_COST = 1;
-/**
- * A refusal by one endpoint before any work costs the upstream nothing, and not to move on would
- * lose the request. At the default of ten percent each answered request pays for one such move.
- */
-const FAILOVER_COST = 0.1;
-/** Reasons for which one endpoint, not the upstream as a whole, did not take the request. */
+/** Reasons for which the process beside one endpoint, or the way there, did not take the request. */
 const FAILOVER_REASONS: ReadonlySet<string> = new Set([
   'connection',
   'unreachable',
   'draining',
   'no-endpoint',
+  'overloaded',
 ]);
 /**
  * Reasons that another attempt soon can't change. The caller gets the final answer at once, with
@@ -65,20 +61,59 @@
 /** An attempt that would have less time than this cannot be answered; it would only add load. */
 const LEAST_ATTEMPT_MS = 5;
 
+const MS_PER_SECOND = 1_000;
+
+/** What the retries of one process for one upstream may come to. */
+export interface Allowance {
+  /** Most tokens saved up: what a burst of retries after a quiet time may spend. */
+  readonly burst: number;
+  /** Tokens earned by time alone, so that a quiet service can still retry now and then. */
+  readonly perSecond: number;
+}
+
+const USUAL: Allowance = { burst: 20, perSecond: 0.5 };
+
+/** What a process is allowed. */
+export interface Retries {
+  /** As a percentage of answered requests, for routes that name no limit. */
+  readonly percent: number;
+  readonly allowance: () => Allowance;
+}
+
+export const USUAL_RETRIES: Retries = { percent: 10, allowance: () => USUAL };
+
+/** Share of the fleet's slack that may be spent in a burst, and over a whole window. */
+const BURST_SHARE = 0.4;
+const STEADY_SHARE = 0.3;
+
+/**
+ * This process's part of what the whole fleet may add within any window of `windowMs`: `slack`
+ * retries beside the percentage. Nobody is asked; each takes an equal part.
+ */
+export function partOf(slack: number, windowMs: number, processes: number): Allowance {
+  const part = slack / Math.max(1, processes);
+  return {
+    burst: Math.max(1, part * BURST_SHARE),
+    perSecond: (part * STEADY_SHARE * MS_PER_SECOND) / windowMs,
+  };
+}
+
 /**
  * Token bucket for the retries of one upstream. Tokens are earned by requests that were answered,
  * not by those begun: while a service fails altogether its callers retry at the floor only. With
  * calls several deep each level would otherwise multiply the load on whatever fails at the bottom.
  */
 export class RetryBudget {
-  #tokens = MAX_TOKENS / 2;
+  #tokens: number;
 
   #refilledAt: number;
 
   constructor(
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly allowance: () => Allowance = () => USUAL,
   ) {
+    this.#tokens = allowance().burst / 2;
     this.#refilledAt = clock.now();
   }
 
@@ -89,19 +124,21 @@
 
   /** Earns what one answered request is worth: `retryPercent` of a retry. */
   credit(retryPercent: number): void {
-    this.#tokens = Math.min(MAX_TOKENS, this.#tokens + retryPercent / 100);
+    this.#tokens = Math.min(this.allowance().burst, this.#tokens + retryPercent / 100);
   }
 
   /** Pays for a further attempt; undefined if there must be none. */
   retry(failed: FailedAttempt, retryPercent: number): Retry | undefined {
     if (failed.attempts >= (failed.maxAttempts ?? MAX_ATTEMPTS) || retryPercent === 0)
       return undefined;
-    const isFailover = failed.verdict === 'not-run' && FAILOVER_REASONS.has(failed.reason);
+    const isFailover = isUnoffered(failed);
+    if (isFailover && (failed.moves ?? 0) > MAX_MOVES) return undefined;
     if (!isFailover && !maySendAgain(failed)) return undefined;
     const now = this.clock.now();
     const startAt = isFailover ? now : now + this.#backoff(failed.attempts);
     if (startAt + LEAST_ATTEMPT_MS > failed.deadline) return undefined;
-    if (!this.#pay(isFailover ? FAILOVER_COST : RETRY_COST, now)) return undefined;
+    // A move adds nothing to what any upstream instance has to bear, so it is free.
+    if (!isFailover && !this.#pay(now)) return undefined;
     return { startAt, isFailover };
   }
 
@@ -109,12 +146,13 @@
     return this.random.jitter(Math.min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2 ** (attempts - 1)));
   }
 
-  #pay(cost: number, now: number): boolean {
-    const earned = Math.max(0, now - this.#refilledAt) * FLOOR_TOKENS_PER_MS;
+  #pay(now: number): boolean {
+    const { burst, perSecond } = this.allowance();
+    const earned = (Math.max(0, now - this.#refilledAt) * perSecond) / MS_PER_SECOND;
     this.#refilledAt = now;
-    this.#tokens = Math.min(MAX_TOKENS, this.#tokens + earned);
-    if (this.#tokens < cost) return false;
-    this.#tokens -= cost;
+    this.#tokens = Math.min(burst, this.#tokens + earned);
+    if (this.#tokens < RETRY_COST) return false;
+    this.#tokens -= RETRY_COST;
     return true;
   }
 }
@@ -126,18 +164,27 @@
   constructor(
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly allowance: () => Allowance = () => USUAL,
   ) {}
 
   of(upstream: string): RetryBudget {
     let budget = this.#budgets.get(upstream);
     if (!budget) {
-      budget = new RetryBudget(this.clock, this.random);
+      budget = new RetryBudget(this.clock, this.random, this.allowance);
       this.#budgets.set(upstream, budget);
     }
     return budget;
   }
 }
 
+/** Whether an attempt certainly reached no upstream instance. */
+export function isUnoffered({
+  verdict,
+  reason,
+}: Pick<FailedAttempt, 'verdict' | 'reason'>): boolean {
+  return verdict === 'not-run' && FAILOVER_REASONS.has(reason);
+}
+
 /** An answer (`ran`) stands. What may have run is sent again only if it may run twice. */
 function maySendAgain({ verdict, reason, repeatable, retriedElsewhere }: FailedAttempt): boolean {
   if (retriedElsewhere || verdict === 'ran' || FINAL_REASONS.has(reason)) return false;
--- a/src/test/requests/retry_budget_test.ts
+++ b/src/test/requests/retry_budget_test.ts
@@ -21,7 +21,7 @@
   function failed(change: Partial<FailedAttempt> = {}): FailedAttempt {
     return {
       verdict: 'not-run',
-      reason: 'overloaded',
+      reason: 'shed',
       attempts: 1,
       repeatable: false,
       retriedElsewhere: false,
