Cut an answer without a length when its connection was reset

Cause: libuv reports an end, not the error, when data and reset arrive together (POLLHUP after a partial read), so Node ends such an answer like a whole one.

Change: a write of nothing brings the pending error out; the answer counts as whole only when that succeeds.

--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -47,6 +47,9 @@
 
   #hasAnswer = false;
 
+  /** Set for an answer without a length: settles once its end is known to be one. */
+  #proof: Promise<void> | undefined;
+
   /** Why the connection broke after the head of the answer had come. */
   #broken: OutcomeError | undefined;
 
@@ -77,6 +80,7 @@
       request.once('response', (answer) => {
         clearTimeout(this.#timer);
         this.#hasAnswer = true;
+        if (!isFramed(answer)) this.#proof = proofOfEnd(answer.socket);
         resolve(answer);
       });
       request.on('error', (cause) => {
@@ -109,14 +113,10 @@
       });
       answer.once('end', () => {
         clearTimeout(timer);
-        // Node ends an answer without a length like a whole one when its connection is reset. The
-        // caller would take the part for all of it; the error of the request comes first.
-        if (this.#broken) {
-          reject(this.#broken);
-          return;
-        }
-        this.#finish(answer, response);
-        resolve();
+        this.#whole().then(() => {
+          this.#finish(answer, response);
+          resolve();
+        }, reject);
       });
       answer.once('error', (cause) => {
         clearTimeout(timer);
@@ -139,7 +139,7 @@
     }, PROGRESS_MS);
     try {
       const result = await reading;
-      if (this.#broken) throw this.#broken;
+      await this.#whole();
       return result;
     } finally {
       clearInterval(timer);
@@ -159,6 +159,16 @@
     return new OutcomeError('the answer belongs to another request', props);
   }
 
+  /** Rejects if the answer that has ended is but a part of one. */
+  async #whole(): Promise<void> {
+    try {
+      await this.#proof;
+    } catch (cause) {
+      this.#broken ??= this.#outcome(cause as Error);
+    }
+    if (this.#broken) throw this.#broken;
+  }
+
   #watch(socket: Socket): void {
     if (!socket.connecting) {
       this.#verdict = 'may-have-run';
@@ -197,3 +207,26 @@
     return new OutcomeError(cause.message, { verdict, reason }, { cause });
   }
 }
+
+const NOTHING = Buffer.alloc(0);
+
+function isFramed({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
+}
+
+/**
+ * An answer without a length ends with its connection. When that is reset right behind the data,
+ * Node is told of an end and not of the error: the caller would take the part for all of it. The
+ * error is still pending on the socket, and a write of nothing brings it out.
+ */
+function proofOfEnd(socket: Socket): Promise<void> {
+  const proof = new Promise<void>((resolve, reject) => {
+    socket.prependOnceListener('end', () => {
+      socket.write(NOTHING, (error) => (error ? reject(error) : resolve()));
+    });
+    socket.once('close', () => resolve());
+  });
+  // Whoever reads the answer to its end asks for the proof; others need not hear of it.
+  proof.catch(() => {});
+  return proof;
+}
--- a/src/standins/upstream_conduct.ts
+++ b/src/standins/upstream_conduct.ts
@@ -1,5 +1,6 @@
 /** How the stand-in for an upstream instance treats a request: well, or in one of many bad ways. */
 import { type ServerResponse } from 'node:http';
+import { type Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { type Call } from './upstream_server.js';
 
@@ -50,6 +51,20 @@
   }
 }
 
+/** Answers without a length, and ends the answer with the connection. */
+class Unframed extends Conduct {
+  constructor(private readonly end: (socket: Socket) => void) {
+    super();
+  }
+
+  answer({ incoming, id }: Call): void {
+    incoming.resume();
+    const { socket } = incoming;
+    const head = `HTTP/1.1 200 OK\r\nconnection: close\r\nx-request: ${id}\r\n\r\n`;
+    socket.write(`${head}part`, () => this.end(socket));
+  }
+}
+
 /** Runs the request and breaks the connection before it answers. */
 class Break extends Conduct {
   answer({ incoming }: Call): void {
@@ -142,6 +157,8 @@
   whole: new Whole(),
   'cut-length': new CutWithLength(),
   'cut-chunked': new CutChunked(),
+  unframed: new Unframed((socket) => socket.end()),
+  'unframed-reset': new Unframed((socket) => socket.resetAndDestroy()),
   break: new Break(),
   crash: new Crash(),
   silent: new Silent(),
--- a/src/test/requests/entry_test.ts
+++ b/src/test/requests/entry_test.ts
@@ -62,6 +62,22 @@
       });
     }
 
+    // The answer has no length, and its connection is reset before its end. Node reports the end
+    // of such an answer like that of a whole one, after the error of its request.
+    it('is cut visibly when an answer without a length is reset', async () => {
+      await using path = await Path.start();
+      const outcome = await path
+        .ask({ path: '/menus/1', headers: conduct('unframed-reset') })
+        .then(told, (error: NodeJS.ErrnoException) => error.code);
+      expect(outcome).to.equal('ECONNRESET');
+    });
+
+    it('is whole when an answer without a length ends with its connection', async () => {
+      await using path = await Path.start();
+      const answer = await path.ask({ path: '/menus/1', headers: conduct('unframed') });
+      expect([answer.status, answer.body]).to.deep.equal([200, 'part']);
+    });
+
     // The instance begins an answer, and then nothing moves any more: the connection has gone
     // silent. Without a progress deadline the caller would hang for good, and its slot with it.
     it('is cut when nothing moves any more', async () => {
