Look beside at the start, drain later at a stop, and hear at once who has a request

Causes: after a restart of a process its instance got no work until its next announcement, up to 1.5 s; at a stop the instance was drained for the 2.8 s that callers need to leave, and with the pause of a restart three neighbours in a row were out at once; behind a cut a request was waited for until its deadline; a warm instance was given four slots; refusals without a time to come back.

Ruled out: processor time, 0.2 cores at most of 0.54.

Change: the process asks the health check of its instance once when it starts; the drain takes the last 0.7 s of the notice; a guard says at once (102) that it has a request; a warm instance begins with all its slots; only the latest of several requests on a connection ends it at a stop, and none behind such an answer runs.

--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -16,6 +16,8 @@
   name: Name,
   /** Free text for people. */
   about: z.string().max(2000).optional(),
+  /** Where its instances answer whether they take work. */
+  healthPath: z.string().startsWith('/').max(1024).optional(),
 });
 export type Upstream = z.infer<typeof Upstream>;
 
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -14,7 +14,9 @@
 import { type Dialect } from '../requests/dialect.js';
 import { Balancer } from '../requests/balancer.js';
 import { Entry } from '../requests/entry.js';
+import { firstLook } from '../requests/first_look.js';
 import { Guard } from '../requests/guard.js';
+import { OWN_DIALECT } from '../requests/own_dialect.js';
 import { partOf, type Retries, USUAL_RETRIES } from '../requests/retry_budget.js';
 import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
@@ -42,6 +44,9 @@
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
+/** How long a process that starts looks for a configuration before it gives up on that, in ms. */
+const FIRST_LOOK_MS = 3_000;
+const NEVER = new AbortController().signal;
 
 /**
  * @example
@@ -70,6 +75,8 @@
 
   readonly #linkServer: Server;
 
+  #isStopping = false;
+
   private constructor(
     readonly settings: Settings,
     readonly surroundings: Surroundings,
@@ -148,21 +155,25 @@
    * this process is not stopping.
    */
   get isReady(): boolean {
-    return this.control.readiness.isReady && !this.guard.isLeaving;
+    return this.control.readiness.isReady && !this.#isStopping;
   }
 
   /**
    * Stops without cutting what is in flight, by `deadline` at the latest (milliseconds since the
    * epoch); disposal follows. The ports stay open until the others have heard of it: a request
-   * that meets a port closing under it is lost, and nobody can tell whether it ran.
+   * that meets a port closing under it is lost, and nobody can tell whether it ran. Callers take
+   * longer to hear of it than other processes do, so the upstream instance works on meanwhile.
    */
   async stop(deadline: number): Promise<void> {
     const { clock } = this.surroundings;
-    this.guard.leave();
+    const closeAt = Math.min(deadline, clock.now() + this.settings.noticeMs);
+    this.#isStopping = true;
     this.entry.traffic.leave();
-    this.control.endpointLease.leave();
     this.journal.record('stopping');
-    await clock.sleepUntil(Math.min(deadline, clock.now() + this.settings.noticeMs));
+    await clock.sleepUntil(closeAt - this.settings.drainMs);
+    this.guard.leave();
+    this.control.endpointLease.leave();
+    await clock.sleepUntil(closeAt);
     this.entry.traffic.close();
     await this.entry.traffic.finish(deadline);
     await this.guard.traffic.finish(deadline);
@@ -200,6 +211,29 @@
     this.journal.record('stopped');
   }
 
+  /**
+   * The upstream instance may have been running on while this process was restarted. Until its
+   * next announcement it would get no work, and callers would be refused with its slots free.
+   */
+  async #lookBeside(): Promise<void> {
+    const { upstreamName, upstreamAddress } = this.settings;
+    if (upstreamName === undefined || upstreamAddress === undefined) return;
+    const { clock, dialect = OWN_DIALECT } = this.surroundings;
+    await this.replica.above(0, clock.now() + FIRST_LOOK_MS, clock, NEVER);
+    const path = this.replica.current.find('upstream', upstreamName)?.healthPath;
+    if (path === undefined || this.control.endpointLease.isKnown) return;
+    const found = await firstLook({ ...upstreamAddress, path }, dialect);
+    if (!found || this.control.endpointLease.isKnown) return;
+    this.control.endpointLease.take({
+      upstream: upstreamName,
+      state: 'ready',
+      ...upstreamAddress,
+      ...found,
+      coldMs: 0,
+    });
+    this.journal.record('upstream-found', { id: found.id });
+  }
+
   #retries(): Retries {
     const { retryPercent, retrySlack, retryWindowMs } = this.settings;
     if (retrySlack === undefined) return { ...USUAL_RETRIES, percent: retryPercent };
@@ -218,6 +252,7 @@
     await bind(this.entry.server, host, callerPort);
     this.control.start();
     this.journal.record('started', { callerPort: this.callerPort });
+    void this.#lookBeside();
   }
 }
 
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,5 +1,6 @@
 /** Settings of the daemon: flags, or environment variables named after them. */
 import { z } from 'zod';
+import { Name } from '../contracts.js';
 
 const Port = z.coerce.number().int().min(0).max(65_535);
 const Address = z
@@ -26,11 +27,14 @@
   operatorsPort: Port.default(8083),
   platform: z.url({ protocol: /^http$/, error: 'an http:// address' }),
   peers: z.preprocess(commaList, z.array(Address)).default([]),
+  upstreamName: Name.optional(),
+  upstreamAddress: Address.optional(),
   profile: z.enum(['convergence', 'bytes']).default('convergence'),
   codec: z.enum(['msgpack', 'json']).default('msgpack'),
   fanout: z.coerce.number().int().min(1).max(64).default(8),
   heartbeatMs: z.coerce.number().int().min(50).max(60_000).default(1_000),
   noticeMs: z.coerce.number().int().min(0).max(60_000).default(1_000),
+  drainMs: z.coerce.number().int().min(0).max(60_000).default(1_000),
   leaseMs: z.coerce.number().int().min(100).max(600_000).default(3_000),
   retryPercent: z.coerce.number().min(0).max(100).default(10),
   retrySlack: z.coerce.number().min(0).optional(),
@@ -49,11 +53,14 @@
   operatorsPort: 'Port for operators, metrics and the announcements of the upstream',
   platform: "Address of the platform's object API",
   peers: 'Comma-separated host:port of some other link ports',
+  upstreamName: 'Name of the upstream beside this process, where it is known',
+  upstreamAddress: 'host:port of the upstream instance beside this process',
   profile: 'What goes first: convergence or bytes',
   codec: 'Encoding on links, the same in the whole fleet: msgpack or json',
   fanout: 'Children per process in the tree',
   heartbeatMs: 'Pace of heartbeats on links, in milliseconds',
   noticeMs: 'Time for others to learn of a stop before ports are closed, in milliseconds',
+  drainMs: 'The last part of it, in which the upstream instance gets no new work, in milliseconds',
   leaseMs: 'How long an announcement of the upstream instance holds, in milliseconds',
   retryPercent: 'Retries, as a percentage of answered requests, where no limit says it',
   retrySlack:
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -12,6 +12,8 @@
   id: z.string().optional(),
   /** Start of the upstream instance, in milliseconds since the epoch. */
   born: z.number().int().optional(),
+  /** How much longer it is slow after its start, in milliseconds; unknown when absent. */
+  coldMs: z.number().optional(),
   /** Rises with each announcement of one life. */
   sequence: z.number().int().optional(),
 });
@@ -52,6 +54,11 @@
     private readonly leaseMs: number = LEASE_MS,
   ) {}
 
+  /** Whether anything was announced so far. */
+  get isKnown(): boolean {
+    return this.#last !== undefined;
+  }
+
   /** Calls `listener` with each announcement taken, and with the state `down` if it ends. */
   onTaken(listener: (announcement: Announcement) => void): void {
     this.#listeners.add(listener);
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -3,12 +3,13 @@
 import { text } from 'node:stream/consumers';
 import { z } from 'zod';
 import { type Announcement, type Life } from '../membership/announcement.js';
-import { HostPort } from './wire.js';
+import { Duration, HostPort } from './wire.js';
 
 const Report = z.object({
   service: z.string(),
   address: HostPort,
   slots: z.number().int().min(1),
+  coldRemaining: Duration.optional(),
   state: z.enum(['ready', 'draining']),
   /** Rises with each report of one life. */
   sequence: z.number().int(),
@@ -55,8 +56,8 @@
 }
 
 function announcementOf(id: string, report: z.infer<typeof Report>): Announcement {
-  const { service, address, slots, state, sequence, born } = report;
-  return { upstream: service, state, slots, ...address, id, born, sequence };
+  const { service, address, slots, state, sequence, born, coldRemaining: coldMs } = report;
+  return { upstream: service, state, slots, ...address, id, born, sequence, coldMs };
 }
 
 function answer(response: ServerResponse, status: number): void {
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -30,6 +30,8 @@
   }),
   limits: z.object({ maxFds: z.number().int() }),
   service: z.string(),
+  /** Of the upstream instance beside this process. */
+  appAddr: HostPort.optional(),
   platform: z.object({ address: HostPort }),
 });
 export type HostFile = z.infer<typeof HostFile>;
@@ -48,7 +50,9 @@
 /** The part of the grace after a stop was asked for that is kept for the end, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 /** Two readiness questions missed, a second apart, and the way of the news to callers, in ms. */
-const NOTICE_MS = 2_800;
+const NOTICE_MS = 2_500;
+/** For the other processes to send no more work here: the news goes over links at once. */
+const DRAIN_MS = 700;
 
 /** Reads the settings file. Throws `SettingsError`. */
 export async function readHostFile(path: string): Promise<HostFile> {
@@ -76,11 +80,14 @@
     operatorsPort: internalPortRange[0] + OPERATORS_PORT,
     platform: `http://${platform.address.host}:${platform.address.port}`,
     peers: seedsOf(file),
+    upstreamName: file.service,
+    upstreamAddress: file.appAddr,
     profile: 'convergence',
     codec: 'msgpack',
     fanout: 8,
     heartbeatMs: 500,
     noticeMs: NOTICE_MS,
+    drainMs: DRAIN_MS,
     leaseMs: MISSED_ANNOUNCEMENTS * file.heartbeat,
     retryPercent: bounds.retryBudgetRatio * RETRY_PERCENT,
     retrySlack: bounds.budgetSlack,
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -1,10 +1,11 @@
 /** What callers and upstream instances speak on the operators' platform. */
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
-import { Dialect, type Meaning } from '../requests/dialect.js';
+import { Dialect, type Identity, type Meaning } from '../requests/dialect.js';
 import { headerOf } from '../requests/headers.js';
 import {
   CALLER_HEADER,
   INSTANCE_HEADER,
+  LOAD_HEADER,
   NOT_EXECUTED_HEADER,
   REQUEST_ID_HEADER,
   SIGNATURE_HEADER,
@@ -12,6 +13,7 @@
   TIMEOUT_HEADER,
 } from './wire.js';
 
+const OK = 200;
 const MISDIRECTED = 421;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
@@ -64,6 +66,13 @@
     return isShed ? 'shed' : 'answer';
   }
 
+  identityOf(answer: IncomingMessage): Identity | undefined {
+    const id = headerOf(answer, INSTANCE_HEADER);
+    const [, , slots] = (headerOf(answer, LOAD_HEADER) ?? '').split(',').map(Number);
+    if (answer.statusCode !== OK || id === undefined || !slots) return undefined;
+    return { id, slots };
+  }
+
   /** Callers take fractions, and come back sooner for it. */
   retryAfter(waitMs: number): string {
     return (Math.max(1, waitMs) / MS_PER_SECOND).toFixed(3);
--- a/src/platform/operator_object.ts
+++ b/src/platform/operator_object.ts
@@ -22,7 +22,7 @@
 const OperatorObject = z.object({
   version: VersionTag,
   routes: z.record(z.string(), z.unknown()),
-  services: z.record(z.string(), z.unknown()),
+  services: z.record(z.string(), z.object({ healthPath: z.string().optional() })),
   limits: z
     .object({
       maxHeaderBytes: z.number().int(),
@@ -53,8 +53,10 @@
       const text = `${kind} ${name} ${JSON.stringify(from)} ${maxBodyBytes}`;
       decoded.set(text, this.#decoded.get(text) ?? decode());
     };
-    for (const name of Object.keys(services)) {
-      keep('service', name, undefined, () => Upstream.parse({ kind: 'upstream', name }));
+    for (const [name, { healthPath }] of Object.entries(services)) {
+      keep('service', name, healthPath, () =>
+        Upstream.parse({ kind: 'upstream', name, healthPath }),
+      );
     }
     for (const [name, route] of Object.entries(routes)) {
       keep('route', name, route, () => routeFrom(name, route, maxBodyBytes));
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -13,6 +13,8 @@
 export const CALLER_HEADER = 'barleyhaven-caller-service';
 /** On answers: the request has not been run. */
 export const NOT_EXECUTED_HEADER = 'barleyhaven-not-executed';
+/** On answers: running, waiting and slots, separated by commas. */
+export const LOAD_HEADER = 'barleyhaven-server-load';
 /** On answers: id of the instance that answers. */
 export const INSTANCE_HEADER = 'barleyhaven-instance-id';
 
--- a/src/requests/adaptive_slots.ts
+++ b/src/requests/adaptive_slots.ts
@@ -71,8 +71,8 @@
   }
 
   /** Begins anew, because the instance has just started. */
-  restart(): void {
-    this.#slots = Math.min(START, this.#ceiling);
+  restart(isWarm = false): void {
+    this.#slots = isWarm ? this.#ceiling : Math.min(START, this.#ceiling);
     this.#isStarting = true;
     this.#usualMs = 0;
     this.#windowSize = 0;
--- a/src/requests/balancer.ts
+++ b/src/requests/balancer.ts
@@ -76,7 +76,7 @@
   refused(chosen: Experience, { reason }: OutcomeError, load: Load | undefined): void {
     const now = this.clock.now();
     chosen.reported(load, now);
-    if (reason === 'unreachable') this.#failed(chosen, 1, now);
+    if (reason === 'unreachable' || reason === 'unacknowledged') this.#failed(chosen, 1, now);
     else if (reason === 'connection' || reason === 'silent') {
       this.#failed(chosen, OUTLIER_FAILURES, now);
     } else if (reason === 'draining' || reason === 'no-endpoint') {
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -11,6 +11,12 @@
  */
 export type Meaning = 'answer' | 'shed' | 'elsewhere' | 'crossed';
 
+/** Who an upstream instance says it is. */
+export interface Identity {
+  readonly id: string;
+  readonly slots: number;
+}
+
 export abstract class Dialect {
   /** Headers with the internal prefix that callers may set and upstream instances get. */
   abstract readonly fromCallers: ReadonlySet<string>;
@@ -35,6 +41,9 @@
 
   abstract meaningOf(request: IncomingMessage, answer: IncomingMessage): Meaning;
 
+  /** Who answers a health check, if it takes work. */
+  abstract identityOf(answer: IncomingMessage): Identity | undefined;
+
   /** The value of `Retry-After` for a wait in milliseconds. */
   abstract retryAfter(waitMs: number): string;
 }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -1,7 +1,7 @@
 /** Takes requests from callers and brings each to a process beside an upstream. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
-import { type OutcomeError } from '../contracts.js';
+import { OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Attempts } from './attempts.js';
@@ -46,7 +46,27 @@
 const MAX_SOCKETS_PER_GUARD = 256;
 /** Time for the guard's own refusal at the deadline to come back, in milliseconds. */
 const ANSWER_GRACE_MS = 50;
+/**
+ * A guard says at once that it has a request. A lost packet is sent again after 200 ms; what takes
+ * longer than one such loss is a cut, or a process that stands still.
+ */
+const ACKNOWLEDGE_MS = 300;
 const SERVER_ERROR = 500;
+/** When to come back where nothing better is known, in milliseconds. */
+const RETRY_MS = 250;
+/** Part of the wait by which the returns of callers are spread. */
+const RETRY_SPREAD = 0.3;
+/** Reasons for which to come back is of no use, or has its own time. */
+const FINAL: ReadonlySet<string> = new Set([
+  'no-route',
+  'bad-request',
+  'expectation-failed',
+  'key-required',
+  'key-reused',
+  'body-too-large',
+  'headers-too-large',
+  'quarantined',
+]);
 
 export class Entry implements AsyncDisposable {
   readonly server: Server;
@@ -79,7 +99,7 @@
     private readonly isReady: () => boolean,
     private readonly balancer: Balancer,
     private readonly clock: Clock,
-    random: Random,
+    private readonly random: Random,
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly retries: Retries = USUAL_RETRIES,
   ) {
@@ -101,7 +121,7 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.traffic.enter(response);
+    if (!this.traffic.enter(response)) return;
     this.#hostility.enter(request, response);
     try {
       if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
@@ -117,10 +137,19 @@
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
     } catch (error) {
-      refuse(response, asOutcome(error), this.clock.now(), this.dialect);
+      const now = this.clock.now();
+      refuse(response, this.#withRetryAt(asOutcome(error), now), now, this.dialect);
     }
   }
 
+  /** Who has not been served is told when to come back, not all at the same instant. */
+  #withRetryAt(outcome: OutcomeError, now: number): OutcomeError {
+    const { verdict, reason, retryAt = now + RETRY_MS, message } = outcome;
+    if (verdict !== 'not-run' || FINAL.has(reason)) return outcome;
+    const spread = this.random.jitter(Math.max(0, retryAt - now) * RETRY_SPREAD);
+    return new OutcomeError(message, { verdict, reason, retryAt: retryAt - spread });
+  }
+
   /** Those that only their body gives away are refused by the guard. */
   #check({ request, upstream, asked }: Journey): void {
     const { quarantine } = this;
@@ -198,7 +227,8 @@
     return undefined;
   }
 
-  #exchange(journey: Journey, body: Body, { member }: Experience, id: string): Exchange {
+  #exchange(journey: Journey, body: Body, endpoint: Experience, id: string): Exchange {
+    const { member } = endpoint;
     const { request, response, asked, route, upstream, deadline, isRepeatable } = journey;
     const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
     const headers = requestHeaders(request, this.dialect.fromCallers);
@@ -224,6 +254,8 @@
         body,
         deadline: deadline + ANSWER_GRACE_MS,
         isRepeatable,
+        acknowledgeMs: ACKNOWLEDGE_MS,
+        onUnacknowledged: () => this.balancer.refused(endpoint, silence(), undefined),
         caller: response,
       },
       this.clock,
@@ -239,3 +271,8 @@
 function isRetried({ isRetriedElsewhere, response }: Journey): boolean {
   return isRetriedElsewhere || response.hasHeader(RETRIED);
 }
+
+function silence(): OutcomeError {
+  const props = { verdict: 'may-have-run', reason: 'unacknowledged' } as const;
+  return new OutcomeError('the process beside the upstream does not react', props);
+}
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -31,6 +31,13 @@
   readonly deadline: number;
   /** Whether it may run twice; if not it goes only over a proved connection or a new one. */
   readonly isRepeatable: boolean;
+  /**
+   * How long the far end may take to say that it has the request, in milliseconds; for ever when
+   * absent.
+   */
+  readonly acknowledgeMs?: number;
+  /** Called when it has not said so by then. */
+  readonly onUnacknowledged?: () => void;
   /** Whoever waits for the answer; when it goes away, so does the exchange. */
   readonly caller: ServerResponse | undefined;
 }
@@ -77,6 +84,7 @@
       this.#timer = setTimeout(() => this.#fail('deadline', 'no answer in time'), left);
       outgoing.caller?.once('close', () => this.#fail('cancelled', 'the caller has gone'));
       request.once('socket', (socket) => this.#watch(socket));
+      this.#awaitAcknowledgement(request);
       request.once('response', (answer) => {
         clearTimeout(this.#timer);
         this.#hasAnswer = true;
@@ -159,6 +167,22 @@
     return new OutcomeError('the answer belongs to another request', props);
   }
 
+  /**
+   * What lies behind a cut, or at the end of a connection that has gone silent, would be waited for
+   * until the deadline. A process that lives says at once that it has the request. What may run
+   * twice is then sent elsewhere; the answer to anything else is still waited for.
+   */
+  #awaitAcknowledgement(request: ClientRequest): void {
+    const { acknowledgeMs, onUnacknowledged, isRepeatable } = this.outgoing;
+    if (acknowledgeMs === undefined) return;
+    const timer = setTimeout(() => {
+      onUnacknowledged?.();
+      if (isRepeatable) this.#fail('unacknowledged', 'the far end does not react');
+    }, acknowledgeMs);
+    const stop = () => clearTimeout(timer);
+    request.once('information', stop).once('response', stop).once('close', stop);
+  }
+
   /** Rejects if the answer that has ended is but a part of one. */
   async #whole(): Promise<void> {
     try {
--- /dev/null
+++ b/src/requests/first_look.ts
@@ -0,0 +1,33 @@
+/** Asks the upstream instance beside a process that has just started who it is. */
+import { type IncomingMessage, request } from 'node:http';
+import { type Dialect, type Identity } from './dialect.js';
+
+const TIMEOUT_MS = 500;
+
+export interface Place {
+  readonly host: string;
+  readonly port: number;
+  /** Path of its health check. */
+  readonly path: string;
+}
+
+/** Undefined if nobody answers there, or if it takes no work. */
+export async function firstLook(place: Place, dialect: Dialect): Promise<Identity | undefined> {
+  try {
+    const answer = await ask(place);
+    answer.resume();
+    return dialect.identityOf(answer);
+  } catch {
+    // Nobody there yet: its first announcement will tell.
+    return undefined;
+  }
+}
+
+function ask({ host, port, path }: Place): Promise<IncomingMessage> {
+  return new Promise((resolve, reject) => {
+    const outgoing = request({ host, port, path, agent: false, timeout: TIMEOUT_MS }, resolve);
+    outgoing.on('timeout', () => outgoing.destroy(new Error('no answer in time')));
+    outgoing.on('error', reject);
+    outgoing.end();
+  });
+}
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -45,6 +45,8 @@
   readonly port: number;
   /** The id by which it knows itself. */
   readonly id?: string | undefined;
+  /** How much longer it is slow after its start, in milliseconds; unknown when absent. */
+  readonly coldMs?: number | undefined;
 }
 
 /** A request that came from an entry. */
@@ -112,7 +114,9 @@
     this.#weighDrain();
     const wasReady = before?.state === 'ready' || before?.state === 'draining';
     const isOther = before?.port !== announced.port || before.host !== announced.host;
-    if (announced.state === 'ready' && (!wasReady || isOther)) this.limit.restart();
+    if (announced.state === 'ready' && (!wasReady || isOther)) {
+      this.limit.restart(announced.coldMs === 0);
+    }
   }
 
   get isLeaving(): boolean {
@@ -136,7 +140,8 @@
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.traffic.enter(response);
+    if (!this.traffic.enter(response)) return;
+    response.writeProcessing();
     try {
       const admission = this.#admit(request, response);
       const route = headerOf(request, CLAIM);
--- a/src/requests/limit.ts
+++ b/src/requests/limit.ts
@@ -99,9 +99,9 @@
     this.#adjust();
   }
 
-  /** Begins with few slots, because the upstream instance has just started. */
-  restart(): void {
-    this.#slots.restart();
+  /** Begins anew: with few slots, unless the upstream instance is known to be warm. */
+  restart(isWarm = false): void {
+    this.#slots.restart(isWarm);
     this.#adjust();
   }
 
--- a/src/requests/own_dialect.ts
+++ b/src/requests/own_dialect.ts
@@ -32,6 +32,10 @@
     return 'answer';
   }
 
+  identityOf(): undefined {
+    return undefined;
+  }
+
   /** Whole seconds, as HTTP has it. */
   retryAfter(waitMs: number): string {
     return String(Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)));
--- a/src/requests/traffic.ts
+++ b/src/requests/traffic.ts
@@ -1,5 +1,6 @@
 /** What a server has in hand, and how it stops without cutting any of it. */
 import { type Server, type ServerResponse } from 'node:http';
+import { type Duplex } from 'node:stream';
 import { type Clock } from '../runtime/clock.js';
 
 /** How often is looked whether everything has been answered, in milliseconds. */
@@ -8,6 +9,9 @@
 export class Traffic {
   #inFlight = 0;
 
+  /** The answer to the latest request of each connection. */
+  readonly #latest = new WeakMap<Duplex, ServerResponse>();
+
   #isLeaving = false;
 
   constructor(
@@ -24,13 +28,28 @@
     return this.#isLeaving;
   }
 
-  /** Counts a request until its answer is wholly written or its connection is gone. */
-  enter(response: ServerResponse): void {
+  /**
+   * Counts a request until its answer is wholly written or its connection is gone. False if an
+   * answer before it on its connection ends that connection: it will never be answered, so it
+   * must not run.
+   */
+  enter(response: ServerResponse): boolean {
     this.#inFlight += 1;
+    const { socket } = response.req;
+    const before = this.#latest.get(socket);
+    const isOpen = before !== undefined && !before.writableFinished && !before.destroyed;
+    if (isOpen && before.headersSent && isLast(before)) {
+      this.#inFlight -= 1;
+      return false;
+    }
+    // Only the latest of several requests on a connection may end it.
+    if (isOpen && !before.headersSent) before.removeHeader('connection');
+    this.#latest.set(socket, response);
     response.once('close', () => {
       this.#inFlight -= 1;
     });
     if (this.#isLeaving) response.setHeader('connection', 'close');
+    return true;
   }
 
   /** From now on each answer asks the other end to close its connection. */
@@ -59,3 +78,8 @@
     this.server.closeAllConnections();
   }
 }
+
+/** Whether the connection ends with that answer. */
+function isLast(response: ServerResponse): boolean {
+  return response.getHeader('connection') === 'close';
+}
