--- a/src/test/requests/limit_test.ts
+++ b/src/test/requests/limit_test.ts
@@ -29,6 +29,7 @@
     readonly takesMs?: number;
     readonly priority?: number;
     readonly withinMs?: number;
+    readonly targetMs?: number;
     readonly outcome?: Outcome;
     readonly resource?: LimitResource;
     readonly onGone?: (callback: () => void) => void;
@@ -40,6 +41,7 @@
     const ticket = {
       priority: job.priority ?? 5,
       deadline: clock.now() + withinMs,
+      ...(job.targetMs !== undefined && { targetAt: clock.now() + job.targetMs }),
       limit: job.resource,
       onGone,
     };
@@ -152,6 +154,49 @@
     expect(most).to.equal(1);
   });
 
+  // Twice as much comes as the instance can do, for some seconds. In order of arrival everybody
+  // would wait as long as the deadline lets them, and be late. As it is, as many as there are slots
+  // for are answered within their target, and the others are told at once to come back.
+  it('serves in time as many as it can when more comes than it can do', async () => {
+    for (let round = 0; round < 5; round++) await settled(batch(40));
+    await settled(batch(20, { takesMs: 200 }));
+    await settled(batch(20, { takesMs: 200 }));
+    const answers: { took: number; outcome: string }[] = [];
+    for (let request = 0; request < 600; request++) {
+      const startedAt = clock.now();
+      const job = { name: `r${request}`, takesMs: 200, targetMs: 600, withinMs: 1_200 };
+      void run(job).then((outcome) => answers.push({ took: clock.now() - startedAt, outcome }));
+      await timers.tickAsync(5);
+    }
+    await timers.runAllAsync();
+    const done = answers.filter(({ outcome }) => outcome === 'done');
+    const inTime = done.filter(({ took }) => took <= 600).length;
+    const refused = answers.filter(({ outcome }) => outcome === 'not-run overloaded');
+    const heldBack = refused.filter(({ took }) => took > 75).length;
+    expect([answers.length, done.length + refused.length]).to.deep.equal([600, 600]);
+    expect(inTime).to.be.greaterThan(280);
+    expect(heldBack).to.be.lessThan(60);
+  });
+
+  // A grey instance refuses half of all requests with most of its slots free. Were the slots
+  // shrunk for that, the half that it does take would wait, or be turned away, for nothing.
+  it('keeps its slots when an instance refuses with slots free', async () => {
+    for (let round = 0; round < 5; round++) await settled(batch(40));
+    for (let round = 0; round < 20; round++) await settled(batch(4, { outcome: SHED }));
+    expect(limit.load.slots).to.equal(20);
+  });
+
+  it('never goes below half of the slots that were announced', async () => {
+    for (let round = 0; round < 5; round++) await settled(batch(40));
+    for (let round = 0; round < 40; round++) await settled(batch(20, { outcome: SHED }));
+    expect(limit.load.slots).to.equal(10);
+  });
+
+  it('gives an instance that is known to be warm all its slots at once', () => {
+    limit.restart(true);
+    expect(limit.load.slots).to.equal(20);
+  });
+
   // The instance begins to drain while work waits for it. None of that is begun any more, and
   // what its callers are told lets them go elsewhere.
   it('begins nothing that waits once the instance drains', async () => {
