--- a/src/test/membership/announcement_test.ts
+++ b/src/test/membership/announcement_test.ts
@@ -68,4 +68,44 @@
     world.lease.take(READY);
     expect(world.states).to.eql(['ready', 'down', 'ready']);
   });
+
+  // An announcement of the time before the drain was held up on its way. Were it believed, the
+  // endpoint would get work while it leaves.
+  it('takes nothing back for an announcement that was overtaken', () => {
+    using world = setUp();
+    const draining = { ...READY, state: 'draining', id: 'i-1', born: 10, sequence: 5 } as const;
+    world.lease.take(draining);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 4 });
+    world.lease.take({ ...READY, id: 'i-0', born: 9, sequence: 90 });
+    expect(world.states).to.eql(['draining']);
+  });
+
+  // The instance starts again under the id that it had, and counts anew. Its announcements have
+  // lower numbers than those of its life before, and hold all the same.
+  it('believes a new life of the same instance', () => {
+    using world = setUp();
+    world.lease.take({ ...READY, state: 'draining', id: 'i-1', born: 10, sequence: 50 });
+    world.lease.take({ ...READY, id: 'i-1', born: 11, sequence: 1 });
+    expect(world.states).to.eql(['draining', 'ready']);
+  });
+
+  // Some instances never say that they drain: they say that they leave, serve on for a while and
+  // exit. From the first word on they get no new work, whatever else arrives of that life.
+  it('drains an instance that has said that it leaves', async () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 1 });
+    world.lease.depart({ id: 'i-1', born: 10 });
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 2 });
+    await world.time.advance(3 * LEASE_MS);
+    expect(world.states).to.eql(['ready', 'draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 11, sequence: 1 });
+    expect(world.states).to.eql(['ready', 'draining', 'ready']);
+  });
+
+  it('does not mind that another instance leaves', () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-2', born: 10, sequence: 1 });
+    world.lease.depart({ id: 'i-1', born: 9 });
+    expect(world.states).to.eql(['ready']);
+  });
 });
--- /dev/null
+++ b/src/test/platform/mesh_dialect_test.ts
@@ -0,0 +1,54 @@
+import { type IncomingMessage } from 'node:http';
+import { expect } from 'chai';
+import { MeshDialect } from '../../platform/mesh_dialect.js';
+
+function message(headers: Record<string, string>, statusCode = 200): IncomingMessage {
+  return { headers, statusCode } as unknown as IncomingMessage;
+}
+
+describe('MeshDialect', () => {
+  const dialect = new MeshDialect(() => 'listings');
+  const asked = message({ 'barleyhaven-request-id': 'a' });
+
+  it('reads what an answer says of the request', () => {
+    const own = { 'barleyhaven-request-id': 'a' };
+    const cases = {
+      'an answer': message(own),
+      'a failure of its own': message(own, 500),
+      'an answer without an id': message({}),
+      'an answer to another request': message({ 'barleyhaven-request-id': 'b' }),
+      'no room': message({ ...own, 'barleyhaven-not-executed': '1' }, 503),
+      'no room, it says, without the proof': message(own, 503),
+      'another instance at that address': message({ 'barleyhaven-instance-id': 'i-2' }, 421),
+      'a request that it cannot read': message({ 'barleyhaven-not-executed': '1' }, 400),
+    };
+    const meanings = Object.entries(cases).map(([name, answer]) => [
+      name,
+      dialect.meaningOf(asked, answer),
+    ]);
+    expect(Object.fromEntries(meanings)).toMatchSnapshot();
+  });
+
+  it('hands on the time left, the instance meant and the caller’s service', () => {
+    expect(dialect.upstreamHeaders(730, 'i-1')).to.deep.equal([
+      'barleyhaven-timeout-ms',
+      '730',
+      'barleyhaven-target-instance',
+      'i-1',
+    ]);
+    expect(dialect.originHeaders()).to.deep.equal(['barleyhaven-caller-service', 'listings']);
+    expect(dialect.callerTimeoutMs({ 'barleyhaven-timeout-ms': '2500' })).to.equal(2_500);
+    expect(dialect.callerTimeoutMs({})).to.equal(undefined);
+  });
+
+  it('takes for an instance only what takes work and says how much', () => {
+    const headers = { 'barleyhaven-instance-id': 'i-1', 'barleyhaven-server-load': '3,0,18' };
+    expect(dialect.identityOf(message(headers))).to.deep.equal({ id: 'i-1', slots: 18 });
+    expect(dialect.identityOf(message(headers, 503))).to.equal(undefined);
+    expect(dialect.identityOf(message({ 'barleyhaven-instance-id': 'i-1' }))).to.equal(undefined);
+  });
+
+  it('tells callers in fractions of a second when to come back', () => {
+    expect([dialect.retryAfter(125), dialect.retryAfter(-5)]).to.deep.equal(['0.125', '0.001']);
+  });
+});
--- a/src/test/requests/limit_test.ts
+++ b/src/test/requests/limit_test.ts
@@ -162,10 +162,13 @@
     await settled(batch(20, { takesMs: 200 }));
     await settled(batch(20, { takesMs: 200 }));
     const answers: { took: number; outcome: string }[] = [];
-    for (let request = 0; request < 600; request++) {
+    const ask = async (name: string) => {
       const startedAt = clock.now();
-      const job = { name: `r${request}`, takesMs: 200, targetMs: 600, withinMs: 1_200 };
-      void run(job).then((outcome) => answers.push({ took: clock.now() - startedAt, outcome }));
+      const outcome = await run({ name, takesMs: 200, targetMs: 600, withinMs: 1_200 });
+      answers.push({ took: clock.now() - startedAt, outcome });
+    };
+    for (let request = 0; request < 600; request++) {
+      void ask(String(request));
       await timers.tickAsync(5);
     }
     await timers.runAllAsync();
