Give decisions, claims and quarantine rooms of their own; say what is wrong with a settings file

requests/ held forty files flat: what waits or is refused (admission/), which endpoint gets a request (placement/), at most one run per key (claims/) and requests that crash instances (quarantine/) stand apart now from the exchange of messages. Files were moved and imports rewritten; nothing else in them changed.

The process for the platform ends with a message and code 2 when its settings file cannot be used, instead of a stack trace.

--- a/src/requests/limit.ts
+++ b/src/admission/limit.ts
@@ -4,7 +4,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { AdaptiveSlots } from './adaptive_slots.js';
 import { type Load } from './load.js';
-import { notRun } from './refusal.js';
+import { notRun } from '../requests/refusal.js';
 import { average, Share } from './share.js';
 import { type Waiting, WaitingLine, type WaitingOptions } from './waiting_line.js';
 
--- a/src/bench/claims.ts
+++ b/src/bench/claims.ts
@@ -6,10 +6,10 @@
 import { install, type Clock as FakeClock } from '@sinonjs/fake-timers';
 import { type Outcome, OutcomeError } from '../contracts.js';
 import { type Platform } from '../platform/platform.js';
-import { type ClaimStore } from '../requests/claim_store.js';
-import { Claims } from '../requests/claims.js';
-import { type Gathering, RangeClaims } from '../requests/range_claims.js';
-import { SingleClaims } from '../requests/single_claims.js';
+import { type ClaimStore } from '../claims/claim_store.js';
+import { Claims } from '../claims/claims.js';
+import { type Gathering, RangeClaims } from '../claims/range_claims.js';
+import { SingleClaims } from '../claims/single_claims.js';
 import { TimerClock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
 import { PlatformStore } from '../standins/platform_store.js';
--- a/src/bench/depth.ts
+++ b/src/bench/depth.ts
@@ -3,7 +3,7 @@
  * under plain retries and under the retry budget. Services are modelled as nested calls in virtual
  * time; the decisions are those of `RetryBudget` itself. Writes `bench/results/depth.json`.
  */
-import { MAX_ATTEMPTS, RetryBudget } from '../requests/retry_budget.js';
+import { MAX_ATTEMPTS, RetryBudget } from '../placement/retry_budget.js';
 import { Clock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
 import { keep } from './results.js';
--- a/src/requests/once.ts
+++ b/src/claims/once.ts
@@ -5,7 +5,7 @@
 import { fingerprintOf, openBody } from './fingerprint.js';
 import { type HeldClaim } from './held_claim.js';
 import { replay } from './outcome.js';
-import { asOutcome } from './refusal.js';
+import { asOutcome } from '../requests/refusal.js';
 
 /** A request with a key at the process beside the upstream. */
 export interface OnceRequest {
--- a/src/requests/outcome.ts
+++ b/src/claims/outcome.ts
@@ -2,7 +2,7 @@
 import { type IncomingMessage, type OutgoingHttpHeaders, type ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import { type Outcome, OutcomeError } from '../contracts.js';
-import { REPLAYED, VERDICT } from './headers.js';
+import { REPLAYED, VERDICT } from '../requests/headers.js';
 
 /** Larger bodies are not kept: repeats are told that the request ran, but not the answer. */
 export const MAX_OUTCOME_BODY_BYTES = 16 * 1024;
--- /dev/null
+++ b/src/daemon/exit.ts
@@ -0,0 +1,6 @@
+/** Exit codes of the daemon. */
+
+/** After a stop that was asked for. */
+export const EXIT_OK = 0;
+/** For settings that cannot be used. */
+export const EXIT_SETTINGS = 2;
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -7,12 +7,10 @@
 import { HttpPlatform } from '../platform/http_platform.js';
 import { MachineClock } from '../runtime/clock.js';
 import { MachineRandom } from '../runtime/random.js';
+import { EXIT_OK, EXIT_SETTINGS } from './exit.js';
 import { Instance } from './instance.js';
 import { ABOUT, flagName, readSettings, type Settings, SettingsError } from './settings.js';
 
-export const EXIT_OK = 0;
-export const EXIT_SETTINGS = 2;
-
 /** Exit codes: 0 after a stop that was asked for, 2 for settings that cannot be used. */
 export async function main(argv: string[], environment: NodeJS.ProcessEnv): Promise<number> {
   const command = cac('barleyhavend');
--- a/src/requests/balancer.ts
+++ b/src/placement/balancer.ts
@@ -4,7 +4,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Experience } from './experience.js';
-import { type Load } from './load.js';
+import { type Load } from '../admission/load.js';
 
 /** The endpoints of one upstream, as seen from the own data centre. */
 interface Group {
--- a/src/requests/experience.ts
+++ b/src/placement/experience.ts
@@ -1,6 +1,6 @@
 /** What this process has seen of one endpoint itself. */
 import { type Member } from '../contracts.js';
-import { type Load } from './load.js';
+import { type Load } from '../admission/load.js';
 
 /** A latency that has not been seen again for this long counts half, in milliseconds. */
 const LATENCY_HALF_LIFE_MS = 10_000;
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -56,12 +56,19 @@
 
 /** Reads the settings file. Throws `SettingsError`. */
 export async function readHostFile(path: string): Promise<HostFile> {
-  const text = await readFile(path, 'utf8');
-  const parsed = HostFile.safeParse(JSON.parse(text));
+  const parsed = HostFile.safeParse(await readJson(path));
   if (parsed.success) return parsed.data;
   throw new SettingsError(`${path}: ${z.prettifyError(parsed.error)}`);
 }
 
+async function readJson(path: string): Promise<unknown> {
+  try {
+    return JSON.parse(await readFile(path, 'utf8'));
+  } catch (cause) {
+    throw new SettingsError(`${path}: ${String(cause)}`, { cause });
+  }
+}
+
 /** Link ports of the machines that the file names as a way in. */
 export function seedsOf({ seeds, internalPortRange }: HostFile) {
   return seeds.map(({ host }) => ({ host, port: internalPortRange[0] + LINK_PORT }));
--- a/src/requests/flights.ts
+++ b/src/quarantine/flights.ts
@@ -2,9 +2,9 @@
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { connect } from 'node:net';
 import { type Clock } from '../runtime/clock.js';
-import { type Opening, openBody } from './fingerprint.js';
+import { type Opening, openBody } from '../claims/fingerprint.js';
 import { type Quarantine } from './quarantine.js';
-import { asOutcome } from './refusal.js';
+import { asOutcome } from '../requests/refusal.js';
 import {
   headFingerprint,
   MAX_DIGESTED_BYTES,
--- a/src/requests/request_fingerprint.ts
+++ b/src/quarantine/request_fingerprint.ts
@@ -4,7 +4,7 @@
  */
 import { createHash } from 'node:crypto';
 import { type IncomingMessage } from 'node:http';
-import { IDEMPOTENCY_KEY } from './headers.js';
+import { IDEMPOTENCY_KEY } from '../requests/headers.js';
 
 /** How much of a body is digested, in bytes. */
 export const MAX_DIGESTED_BYTES = 4096;
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -1,9 +1,9 @@
 /** The attempts at one request: which endpoint is next, and when to give up. */
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
-import { type Balancer } from './balancer.js';
+import { type Balancer } from '../placement/balancer.js';
 import { type Body } from './body.js';
-import { type Experience } from './experience.js';
+import { type Experience } from '../placement/experience.js';
 import { type Journey } from './journey.js';
 import { RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
@@ -12,7 +12,7 @@
   isUnoffered,
   MAX_ATTEMPTS,
   type RetryBudgets,
-} from './retry_budget.js';
+} from '../placement/retry_budget.js';
 
 /** How long a caller is told to wait when nobody serves what it asks for, in milliseconds. */
 const NO_ENDPOINT_MS = 1_000;
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -5,12 +5,12 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Attempts } from './attempts.js';
-import { type Balancer } from './balancer.js';
+import { type Balancer } from '../placement/balancer.js';
 import { type Body, EmptyBody, hasBody, takeBody } from './body.js';
 import { Connections } from './connections.js';
 import { type Dialect } from './dialect.js';
 import { Exchange } from './exchange.js';
-import { type Experience } from './experience.js';
+import { type Experience } from '../placement/experience.js';
 import {
   answerHeaders,
   CLAIM,
@@ -32,15 +32,15 @@
 } from './headers.js';
 import { BOUNDS, Hostility } from './hostility.js';
 import { type Journey, journeyOf } from './journey.js';
-import { readLoad } from './load.js';
-import { type Quarantine } from './quarantine.js';
+import { readLoad } from '../admission/load.js';
+import { type Quarantine } from '../quarantine/quarantine.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
-import { headFingerprint } from './request_fingerprint.js';
+import { headFingerprint } from '../quarantine/request_fingerprint.js';
 import { OWN_DIALECT } from './own_dialect.js';
-import { type Retries, RetryBudgets, USUAL_RETRIES } from './retry_budget.js';
-import { Split } from './split.js';
-import { UsualWaits } from './usual_wait.js';
+import { type Retries, RetryBudgets, USUAL_RETRIES } from '../placement/retry_budget.js';
+import { Split } from '../placement/split.js';
+import { UsualWaits } from '../placement/usual_wait.js';
 import { Traffic } from './traffic.js';
 
 const MAX_SOCKETS_PER_GUARD = 256;
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -5,7 +5,7 @@
 import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
-import { type Claims } from './claims.js';
+import { type Claims } from '../claims/claims.js';
 import { Connections } from './connections.js';
 import { type Dialect } from './dialect.js';
 import { Exchange } from './exchange.js';
@@ -29,12 +29,12 @@
   UPSTREAM,
   VERDICT,
 } from './headers.js';
-import { Limit, type Outcome, type Ticket } from './limit.js';
-import { writeLoad } from './load.js';
-import { type Flights } from './flights.js';
-import { type HeldClaim } from './held_claim.js';
-import { runOnce } from './once.js';
-import { relayAndKeep } from './outcome.js';
+import { Limit, type Outcome, type Ticket } from '../admission/limit.js';
+import { writeLoad } from '../admission/load.js';
+import { type Flights } from '../quarantine/flights.js';
+import { type HeldClaim } from '../claims/held_claim.js';
+import { runOnce } from '../claims/once.js';
+import { relayAndKeep } from '../claims/outcome.js';
 import { OWN_DIALECT } from './own_dialect.js';
 import { asOutcome, notRun, refuse } from './refusal.js';
 import { Traffic } from './traffic.js';
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -6,9 +6,9 @@
 import { IDEMPOTENCY_KEY, RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
 import { isRepeatable, routeOf } from './router.js';
-import { type Split } from './split.js';
+import { type Split } from '../placement/split.js';
 import { type Asked, askedBy } from './target.js';
-import { type UsualWaits } from './usual_wait.js';
+import { type UsualWaits } from '../placement/usual_wait.js';
 
 /** It keeps the version of the configuration that it began with. */
 export interface Journey {
--- a/src/requests/safeguards.ts
+++ b/src/requests/safeguards.ts
@@ -5,14 +5,14 @@
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { Bulletins } from './bulletins.js';
-import { ClaimSweep } from './claim_sweep.js';
-import { Claims } from './claims.js';
+import { Bulletins } from '../quarantine/bulletins.js';
+import { ClaimSweep } from '../claims/claim_sweep.js';
+import { Claims } from '../claims/claims.js';
 import { type Entry } from './entry.js';
-import { Flights } from './flights.js';
+import { Flights } from '../quarantine/flights.js';
 import { type Guard } from './guard.js';
-import { type Quarantine } from './quarantine.js';
-import { SingleClaims } from './single_claims.js';
+import { type Quarantine } from '../quarantine/quarantine.js';
+import { SingleClaims } from '../claims/single_claims.js';
 
 /** The parts of the process that the safeguards stand on. */
 export interface Grounds {
--- a/src/test/requests/limit_test.ts
+++ b/src/test/admission/limit_test.ts
@@ -1,7 +1,7 @@
 import FakeTimers, { type Clock as FakeClock } from '@sinonjs/fake-timers';
 import { expect } from 'chai';
 import { Limit as LimitResource, type OutcomeError } from '../../contracts.js';
-import { Limit, type Outcome } from '../../requests/limit.js';
+import { Limit, type Outcome } from '../../admission/limit.js';
 import { TimerClock } from '../../runtime/clock.js';
 
 const ANSWERED: Outcome = { headMs: 10, isShed: false };
--- a/src/test/requests/waiting_line_test.ts
+++ b/src/test/admission/waiting_line_test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { type Waiting, WaitingLine } from '../../requests/waiting_line.js';
+import { type Waiting, WaitingLine } from '../../admission/waiting_line.js';
 
 function waiting(change: Partial<Waiting> = {}): Waiting {
   return { priority: 5, targetAt: 1_000, heldMs: 100, isLate: false, ...change };
--- a/src/test/requests/claim_sweep_test.ts
+++ b/src/test/claims/claim_sweep_test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { type Claim } from '../../contracts.js';
-import { ClaimSweep } from '../../requests/claim_sweep.js';
-import { CLAIM_PREFIX, claimKey } from '../../requests/single_claims.js';
+import { ClaimSweep } from '../../claims/claim_sweep.js';
+import { CLAIM_PREFIX, claimKey } from '../../claims/single_claims.js';
 import { PlatformStore } from '../../standins/platform_store.js';
 import { FakeTime } from '../fake_time.js';
 
--- a/src/test/requests/range_claims_test.ts
+++ b/src/test/claims/range_claims_test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { type Claim, OutcomeError } from '../../contracts.js';
-import { RangeClaims } from '../../requests/range_claims.js';
+import { RangeClaims } from '../../claims/range_claims.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { PlatformStore } from '../../standins/platform_store.js';
 import { FakeTime } from '../fake_time.js';
--- a/src/test/requests/store_window_test.ts
+++ b/src/test/claims/store_window_test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { StoreWindow } from '../../requests/store_window.js';
+import { StoreWindow } from '../../claims/store_window.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { FakeTime } from '../fake_time.js';
 
--- a/src/test/requests/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -2,11 +2,11 @@
 import { expect } from 'chai';
 import { type EndpointState, type Liveness, OutcomeError } from '../../contracts.js';
 import { Roster } from '../../membership/roster.js';
-import { Balancer } from '../../requests/balancer.js';
-import { type Experience } from '../../requests/experience.js';
+import { Balancer } from '../../placement/balancer.js';
+import { type Experience } from '../../placement/experience.js';
 import { Clock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
-import { memberOf } from './path.js';
+import { memberOf } from '../requests/path.js';
 
 const SEED = 11;
 /** Time between two requests. */
--- a/src/test/requests/retry_budget_test.ts
+++ b/src/test/placement/retry_budget_test.ts
@@ -1,7 +1,7 @@
 import { install, type Clock as FakeClock } from '@sinonjs/fake-timers';
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { type FailedAttempt, MAX_ATTEMPTS, RetryBudget } from '../../requests/retry_budget.js';
+import { type FailedAttempt, MAX_ATTEMPTS, RetryBudget } from '../../placement/retry_budget.js';
 import { TimerClock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 
--- a/src/test/requests/split_test.ts
+++ b/src/test/placement/split_test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { Route } from '../../contracts.js';
-import { Split } from '../../requests/split.js';
+import { Split } from '../../placement/split.js';
 
 function routeOf(weights: readonly number[]): Route {
   const split = weights.map((weight, index) => ({ upstream: `part-${index}`, weight }));
--- a/src/test/requests/usual_wait_test.ts
+++ b/src/test/placement/usual_wait_test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { UsualWaits } from '../../requests/usual_wait.js';
+import { UsualWaits } from '../../placement/usual_wait.js';
 
 describe('UsualWaits', () => {
   // Callers wait 2,500 ms. One of them was refused, and comes back with 2,100 ms left: 400 ms of
--- a/src/test/requests/quarantine_test.ts
+++ b/src/test/quarantine/quarantine_test.ts
@@ -1,14 +1,14 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { MAX_BULLETIN_ITEMS, OutcomeError } from '../../contracts.js';
-import { Bulletins } from '../../requests/bulletins.js';
+import { Bulletins } from '../../quarantine/bulletins.js';
 import {
   MEMORY_MS,
   Quarantine,
   QUARANTINE_MS,
   READ_QUARANTINE_MS,
-} from '../../requests/quarantine.js';
-import { headFingerprint } from '../../requests/request_fingerprint.js';
+} from '../../quarantine/quarantine.js';
+import { headFingerprint } from '../../quarantine/request_fingerprint.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { TestFleet } from '../distribution/test_fleet.js';
 import { FakeTime } from '../fake_time.js';
--- a/src/test/requests/attempts_test.ts
+++ b/src/test/requests/attempts_test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
-import { Claims } from '../../requests/claims.js';
-import { Quarantine } from '../../requests/quarantine.js';
-import { headFingerprint } from '../../requests/request_fingerprint.js';
-import { SingleClaims } from '../../requests/single_claims.js';
+import { Claims } from '../../claims/claims.js';
+import { Quarantine } from '../../quarantine/quarantine.js';
+import { headFingerprint } from '../../quarantine/request_fingerprint.js';
+import { SingleClaims } from '../../claims/single_claims.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { PlatformStore } from '../../standins/platform_store.js';
 import { type Answer, Path } from './path.js';
--- a/src/test/requests/path.ts
+++ b/src/test/requests/path.ts
@@ -4,7 +4,7 @@
 import { Configuration } from '../../configuration/configuration.js';
 import { type Endpoint, type Member, Resource } from '../../contracts.js';
 import { Roster } from '../../membership/roster.js';
-import { Balancer } from '../../requests/balancer.js';
+import { Balancer } from '../../placement/balancer.js';
 import { Entry } from '../../requests/entry.js';
 import { Guard } from '../../requests/guard.js';
 import { type Clock, MachineClock } from '../../runtime/clock.js';
