Count work that waits for a named limit as late once its target has passed

Cause, found on reading the change again: work behind a named limit that is narrower than the instance does not stand in the line yet; demoting it did nothing, and its timer, long due, was set again and again. A test failed before (it ended as done although nobody is to wait so long) and passes now.

--- a/src/admission/waiting_line.ts
+++ b/src/admission/waiting_line.ts
@@ -59,12 +59,15 @@
     return sum;
   }
 
-  /** Moves what cannot be in time any more behind all that can. */
+  /**
+   * Moves what cannot be in time any more behind all that can. What waits for a named limit does
+   * not stand here yet, and comes in as late.
+   */
   demote(waiting: Waiting): void {
+    waiting.isLate = true;
     const index = this.#elements.findIndex((element) => element.waiting === waiting);
     if (index < 0) return;
     const [element] = this.#elements.splice(index, 1);
-    waiting.isLate = true;
     this.#insert(element!);
     this.#late += 1;
   }
--- a/src/test/admission/limit_test.ts
+++ b/src/test/admission/limit_test.ts
@@ -200,6 +200,18 @@
     expect(limit.load.slots).to.equal(20);
   });
 
+  // Work that waits for a named limit does not stand in the line yet when its target passes. It
+  // has to count as late from then on: asked again and again, it would keep the process busy.
+  it('takes work for late that still waits for a named limit', async () => {
+    const resource = LimitResource.parse({ kind: 'limit', name: 'narrow', slots: 1, queue: 2 });
+    const first = run({ name: 'first', resource, takesMs: 600 });
+    await timers.tickAsync(1);
+    const second = run({ name: 'second', resource, targetMs: 100, withinMs: 2_000 });
+    await timers.tickAsync(110);
+    expect(timers.countTimers()).to.equal(2);
+    expect(await settled([first, second])).to.deep.equal({ done: 1, 'not-run overloaded': 1 });
+  });
+
   // The instance begins to drain while work waits for it. None of that is begun any more, and
   // what its callers are told lets them go elsewhere.
   it('begins nothing that waits once the instance drains', async () => {
