--- a/src/bench/acceptance.ts
+++ b/src/bench/acceptance.ts
@@ -67,7 +67,7 @@
   const running = reader.run(stopping.signal);
   while (!reader.caughtUp) await clock.sleepUntil(clock.now() + POLL_MS);
   const tookMs = clock.now() - startedAt;
-  const { calls } = platform;
+  const calls = platform.meter.total;
   stopping.abort();
   await running;
   if (replica.current.number !== VERSIONS) throw new Error('the reader is not at the head');
--- /dev/null
+++ b/src/daemon/beliefs.ts
@@ -0,0 +1,92 @@
+/** Writes a line for each change of what a process believes of the others and of what it depends on. */
+import { type Member } from '../contracts.js';
+import { type Log } from '../logs/log.js';
+import { type Platform } from '../platform/platform.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Control } from './control.js';
+
+/** Subscribes to all changes; for the life of the process. */
+export function recordBeliefs(control: Control, platform: Platform, log: Log, clock: Clock): void {
+  if (!log.writes('info')) return;
+  recordConfiguration(control, log);
+  recordMembers(control, log);
+  recordLinks(control, log);
+  recordUpstream(control, log);
+  recordPlatform(platform, log, clock);
+}
+
+function recordConfiguration({ replica, readiness }: Control, log: Log): void {
+  replica.onApplied(() => {
+    const { number: version, digest, size: resources } = replica.current;
+    log.record('info', { event: 'applied', version, digest, resources });
+  });
+  replica.onRefused = ({ number: version, reason, problems }) => {
+    const texts = problems.map((problem) => JSON.stringify(problem));
+    log.record('warn', { event: 'version-refused', version, reason, problems: texts });
+  };
+  readiness.onReady(() => {
+    log.record('info', { event: 'ready', version: replica.current.number });
+  });
+}
+
+/** Statements that repeat what was known write nothing. */
+function recordMembers({ roster, ranking }: Control, log: Log): void {
+  const known = new Map<string, Member>();
+  let { isReader } = ranking;
+  roster.onNews((members) => {
+    for (const member of members) {
+      recordMember(known.get(member.instance), member, log);
+      known.set(member.instance, member);
+    }
+    if (ranking.isReader === isReader) return;
+    isReader = ranking.isReader;
+    log.record('info', { event: 'reader-changed', isReader });
+  });
+}
+
+function recordMember(before: Member | undefined, member: Member, log: Log): void {
+  const { instance: name, liveness, endpoint } = member;
+  if (before?.liveness !== liveness) {
+    log.record('info', { event: 'liveness-changed', endpoint: name, liveness });
+  }
+  if (!endpoint) return;
+  const { upstream, state, slots } = endpoint;
+  if (before?.endpoint?.state === state && before.endpoint.upstream === upstream) return;
+  log.record('info', { event: 'endpoint-changed', endpoint: name, upstream, state, slots });
+}
+
+function recordLinks({ mesh }: Control, log: Log): void {
+  mesh.onOpen((peer) => {
+    const neighbour = peer.hello?.member.instance ?? '';
+    log.record('info', { event: 'neighbour-found', neighbour });
+  });
+  mesh.onClose((peer) => {
+    const neighbour = peer.hello?.member.instance ?? '';
+    log.record('info', { event: 'neighbour-lost', neighbour });
+  });
+}
+
+function recordUpstream({ endpointLease }: Control, log: Log): void {
+  let last = '';
+  endpointLease.onTaken(({ upstream, state, slots, id }) => {
+    const said = `${upstream} ${state} ${slots} ${id}`;
+    if (said === last) return;
+    last = said;
+    const identity = id === undefined ? {} : { id };
+    log.record('info', { event: 'upstream-changed', upstream, state, slots, ...identity });
+  });
+}
+
+function recordPlatform({ meter }: Platform, log: Log, clock: Clock): void {
+  let awaySince = 0;
+  meter.onChange(({ isAway, message }) => {
+    const now = clock.now();
+    if (isAway) {
+      awaySince = now;
+      log.record('warn', { event: 'dependency-lost', dependency: 'platform', message });
+    } else {
+      const awayMs = Math.round(now - awaySince);
+      log.record('info', { event: 'dependency-regained', dependency: 'platform', awayMs });
+    }
+  });
+}
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -24,7 +24,10 @@
 import { logFeed } from '../source/log_feed.js';
 import { Source } from '../source/source.js';
 import { Control } from './control.js';
-import { Journal } from './log.js';
+import { type Log, SilentLog } from '../logs/log.js';
+import { RequestLog } from '../logs/request_log.js';
+import { recordBeliefs } from './beliefs.js';
+import { EndedRequests } from './ended_requests.js';
 import { OperatorsPort } from './operators_port.js';
 import { bind } from './bind.js';
 import { RequestMeter } from './request_meter.js';
@@ -41,11 +44,16 @@
   /** Where versions come from; the log of release notes when absent. */
   readonly feed?: (replica: Replica) => Feed;
   readonly pace?: Pace;
+  /** Where lines are written; nowhere when absent. */
+  readonly log?: Log;
 }
 
 const DIAL_TIMEOUT_MS = 1_000;
 /** How long a process that starts looks for a configuration before it gives up on that, in ms. */
 const FIRST_LOOK_MS = 3_000;
+const MS_PER_SECOND = 1_000;
+/** How long a stop waits for the reader of its lines, in milliseconds. */
+const LAST_LINES_MS = 100;
 const NEVER = new AbortController().signal;
 
 /**
@@ -67,7 +75,14 @@
 
   readonly guardMeter: RequestMeter;
 
-  readonly journal: Journal;
+  readonly log: Log;
+
+  /** What became of requests, as the metrics tell it. */
+  readonly endedAtEntry = new EndedRequests('entry');
+
+  readonly endedAtGuard = new EndedRequests('guard');
+
+  readonly requestLogs: readonly RequestLog[];
 
   readonly safeguards: Safeguards;
 
@@ -77,6 +92,8 @@
 
   #isStopping = false;
 
+  #appliedAt: number;
+
   private constructor(
     readonly settings: Settings,
     readonly surroundings: Surroundings,
@@ -85,7 +102,7 @@
   ) {
     const { platform, clock, random, codec, dialect, pace } = surroundings;
     const feed = surroundings.feed ?? ((replica) => logFeed(platform, replica));
-    this.journal = new Journal(self.instance, clock);
+    this.log = surroundings.log ?? new SilentLog();
     const profile = settings.profile === 'bytes' ? new BytesProfile() : new ConvergenceProfile();
     this.control = new Control(
       self,
@@ -116,10 +133,18 @@
     this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
+    this.entry.requestLog = new RequestLog(this.log, clock, (ended) =>
+      this.endedAtEntry.add(ended),
+    );
+    this.guard.requestLog = new RequestLog(this.log, clock, (ended) =>
+      this.endedAtGuard.add(ended),
+    );
+    this.requestLogs = [this.entry.requestLog, this.guard.requestLog];
+    this.#appliedAt = clock.now();
     this.replica.onApplied(() => {
-      const { number, digest } = this.replica.current;
-      this.journal.record('applied', { version: number, digest });
+      this.#appliedAt = clock.now();
     });
+    recordBeliefs(this.control, platform, this.log, clock);
   }
 
   /** Whether release notes are accepted here, or the configuration comes from elsewhere. */
@@ -169,7 +194,7 @@
     const closeAt = Math.min(deadline, clock.now() + this.settings.noticeMs);
     this.#isStopping = true;
     this.entry.traffic.leave();
-    this.journal.record('stopping');
+    this.log.record('info', { event: 'stopping' });
     await clock.sleepUntil(closeAt - this.settings.drainMs);
     this.guard.leave();
     this.control.endpointLease.leave();
@@ -177,6 +202,7 @@
     this.entry.traffic.close();
     await this.entry.traffic.finish(deadline);
     await this.guard.traffic.finish(deadline);
+    await this.#farewell();
   }
 
   get replica(): Replica {
@@ -191,6 +217,11 @@
     return this.control.roster;
   }
 
+  /** How long the version has been in force here. */
+  versionAgeSeconds(): number {
+    return (this.surroundings.clock.now() - this.#appliedAt) / MS_PER_SECOND;
+  }
+
   get callerPort(): number {
     return portOf(this.entry.server);
   }
@@ -208,7 +239,7 @@
     await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
-    this.journal.record('stopped');
+    await this.#farewell();
   }
 
   /**
@@ -231,7 +262,14 @@
       ...found,
       coldMs: 0,
     });
-    this.journal.record('upstream-found', { id: found.id });
+  }
+
+  /** The last lines: whoever looks for a cut request wants to know what was left then. */
+  async #farewell(): Promise<void> {
+    const { clock } = this.surroundings;
+    const inFlight = this.entry.traffic.inFlight + this.guard.traffic.inFlight;
+    this.log.record('info', { event: 'stopped', inFlight });
+    await this.log.drain(clock.now() + LAST_LINES_MS);
   }
 
   #retries(): Retries {
@@ -244,14 +282,16 @@
 
   async #open(): Promise<void> {
     const { codec } = this.surroundings;
-    const { host, callerPort, operatorsPort } = this.settings;
+    const { host, operatorsPort } = this.settings;
     this.#linkServer.on('connection', (socket) =>
       this.control.mesh.accept(new TcpLink(socket, codec)),
     );
     await bind(this.#operators.server, host, operatorsPort);
-    await bind(this.entry.server, host, callerPort);
+    await bind(this.entry.server, host, this.settings.callerPort);
     this.control.start();
-    this.journal.record('started', { callerPort: this.callerPort });
+    const { dataCentre, incarnation } = this.roster.self;
+    const { callerPort } = this;
+    this.log.record('info', { event: 'started', dataCentre, callerPort, incarnation });
     void this.#lookBeside();
   }
 }
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,6 +1,7 @@
 /** Counters of one process in the Prometheus text format. */
 import { Gauge, Registry } from 'prom-client';
 import { type Peer } from '../link/peer.js';
+import { histogramText } from './ended_requests.js';
 import { type Instance } from './instance.js';
 import { type RequestMeter } from './request_meter.js';
 
@@ -20,19 +21,32 @@
     this.#requests('guard', instance.guardMeter);
     this.#limit();
     this.#safeguards();
+    this.#platform();
+    this.#logs();
   }
 
   get contentType(): string {
     return this.#registry.contentType;
   }
 
-  text(): Promise<string> {
-    return this.#registry.metrics();
+  async text(): Promise<string> {
+    const { endedAtEntry, endedAtGuard } = this.instance;
+    const histograms = [endedAtEntry, endedAtGuard].map((ended) =>
+      histogramText(
+        `${PREFIX}${ended.hop}_request_seconds`,
+        'Time to the end of the answer or refusal',
+        ended,
+      ),
+    );
+    return (await this.#registry.metrics()) + histograms.join('');
   }
 
   #configuration(): void {
     const { instance } = this;
     this.#gauge('version', 'Version in force', () => instance.replica.current.number);
+    this.#gauge('version_age_seconds', 'Time since the version was put in force', () =>
+      instance.versionAgeSeconds(),
+    );
     this.#gauge('resources', 'Resources held', () => instance.replica.current.size);
     this.#gauge('ready', '1 once requests are taken', () => Number(instance.isReady));
     this.#gauge(
@@ -92,6 +106,12 @@
   #limit(): void {
     const { limit } = this.instance.guard;
     this.#gauge('limit_in_flight', 'Requests at the upstream instance', () => limit.inFlight);
+    this.#gauge('limit_slots', 'Requests that it may get at a time', () => limit.load.slots);
+    this.#labelled('retry_tokens', 'Retries that the budget allows', ['upstream'], (gauge) => {
+      for (const [upstream, { tokens }] of this.instance.entry.budgets) {
+        gauge.set({ upstream }, tokens);
+      }
+    });
     this.#gauge('limit_waiting', 'Requests that wait for a slot', () => limit.waiting);
   }
 
@@ -108,6 +128,30 @@
     this.#gauge('deaths', 'Deaths of upstream instances remembered', () => quarantine.deaths);
   }
 
+  #platform(): void {
+    const { meter } = this.instance.surroundings.platform;
+    this.#gauge('platform_away', '1 while calls to the platform fail', () => Number(meter.isAway));
+    this.#labelled(
+      'platform_calls',
+      'Calls to the platform since the start, by method and outcome',
+      ['method', 'outcome'],
+      (gauge) => {
+        for (const { method, outcome, count } of meter.ended) gauge.set({ method, outcome }, count);
+      },
+    );
+  }
+
+  #logs(): void {
+    const { log, requestLogs } = this.instance;
+    this.#labelled('log_lines_dropped', 'Lines that found no room', ['kind'], (gauge) => {
+      gauge.set({ kind: 'routine' }, log.dropped.routine);
+      gauge.set({ kind: 'important' }, log.dropped.important);
+    });
+    this.#gauge('log_requests_left_out', 'Requests of which no lines were written', () =>
+      requestLogs.reduce((sum, { leftOut }) => sum + leftOut, 0),
+    );
+  }
+
   #gauge(name: string, help: string, value: () => number): void {
     this.#labelled(name, help, [], (gauge) => gauge.set(value()));
   }
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -39,6 +39,7 @@
   retryPercent: z.coerce.number().min(0).max(100).default(10),
   retrySlack: z.coerce.number().min(0).optional(),
   retryWindowMs: z.coerce.number().int().min(100).max(600_000).default(10_000),
+  logLevel: z.enum(['debug', 'info', 'warn', 'silent']).default('info'),
   stopMs: z.coerce.number().int().min(0).max(600_000).default(30_000),
 };
 
@@ -66,6 +67,7 @@
   retrySlack:
     'Retries beside them that the whole fleet may add in a window; each process by itself when absent',
   retryWindowMs: 'That window, in milliseconds',
+  logLevel: 'Least level of lines on standard output: debug, info, warn or silent',
   stopMs: 'Time a stop may take to let requests finish, in milliseconds',
 };
 
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -42,6 +42,9 @@
 
   readonly #listeners = new Set<(versions: readonly Version[]) => void>();
 
+  /** Called with each refusal that is not the one before again. */
+  onRefused: (refusal: Refusal) => void = () => {};
+
   get current(): Configuration {
     return this.#current;
   }
@@ -163,7 +166,9 @@
   }
 
   #refuse(number: number, reason: Refusal['reason'], problems: readonly Problem[]): false {
+    const isKnown = this.#refusal?.number === number && this.#refusal.reason === reason;
     this.#refusal = { number, reason, problems };
+    if (!isKnown) this.onRefused(this.#refusal);
     return false;
   }
 
--- /dev/null
+++ b/src/logs/events.ts
@@ -0,0 +1,167 @@
+/**
+ * All lines that a process may write, one schema each. A field has the same name and unit in every
+ * line: times are in milliseconds, instants in milliseconds since the epoch.
+ */
+import { z } from 'zod';
+import { Verdict } from '../contracts.js';
+
+/** Work at an upstream instance, as it was known when a decision was made. */
+const LoadSeen = {
+  inFlight: z.number(),
+  slots: z.number(),
+  waiting: z.number(),
+};
+
+/** How a request ended at one hop. */
+const Ending = {
+  route: z.string().optional(),
+  upstream: z.string().optional(),
+  verdict: z.union([Verdict, z.literal('cut')]),
+  reason: z.string(),
+  message: z.string().optional(),
+  status: z.number().optional(),
+  tookMs: z.number(),
+  retryAfterMs: z.number().optional(),
+};
+
+/** Decisions about one request. */
+export const RequestEvent = z.discriminatedUnion('event', [
+  z.object({
+    event: z.literal('routed'),
+    method: z.string(),
+    path: z.string(),
+    route: z.string(),
+    upstream: z.string(),
+    /** Version of the configuration that it keeps to. */
+    version: z.number(),
+    /** Until the caller gives up. */
+    leftMs: z.number(),
+    /** Until an answer is of less use. */
+    targetMs: z.number(),
+    isRepeatable: z.boolean(),
+  }),
+  z.object({
+    event: z.literal('sent'),
+    exchange: z.string(),
+    /** Name of the process beside the chosen upstream instance. */
+    endpoint: z.string(),
+    dataCentre: z.string(),
+    attempt: z.number(),
+    /** By which endpoints are compared: the time that one more request is expected to take. */
+    costMs: z.number(),
+    ...LoadSeen,
+    /** How old the load is that the endpoint reported; absent before its first report. */
+    loadAgeMs: z.number().optional(),
+  }),
+  z.object({
+    event: z.literal('attempt-failed'),
+    exchange: z.string(),
+    endpoint: z.string(),
+    verdict: Verdict,
+    reason: z.string(),
+    message: z.string(),
+    tookMs: z.number(),
+  }),
+  z.object({
+    event: z.literal('resent'),
+    endpoint: z.string(),
+    /** Whether nothing had reached an upstream instance, so that no budget is spent. */
+    isFailover: z.boolean(),
+    startMs: z.number(),
+  }),
+  z.object({
+    event: z.literal('not-resent'),
+    /** Why no other endpoint is asked. */
+    denial: z.string(),
+    /** Retries that the budget would still allow. */
+    tokens: z.number(),
+  }),
+  z.object({
+    event: z.literal('admitted'),
+    exchange: z.string(),
+    waitedMs: z.number(),
+    ...LoadSeen,
+  }),
+  z.object({ event: z.literal('entry-ended'), ...Ending }),
+  z.object({ event: z.literal('guard-ended'), exchange: z.string(), ...LoadSeen, ...Ending }),
+]);
+export type RequestEvent = z.infer<typeof RequestEvent>;
+
+/** Changes of what a process is, or believes. */
+export const ProcessEvent = z.discriminatedUnion('event', [
+  z.object({
+    event: z.literal('started'),
+    dataCentre: z.string(),
+    callerPort: z.number(),
+    incarnation: z.number(),
+  }),
+  z.object({ event: z.literal('stopping') }),
+  z.object({ event: z.literal('stopped'), inFlight: z.number() }),
+  z.object({ event: z.literal('reloaded') }),
+  z.object({ event: z.literal('reload-failed'), message: z.string() }),
+  z.object({ event: z.literal('ready'), version: z.number() }),
+  z.object({
+    event: z.literal('applied'),
+    version: z.number(),
+    digest: z.string(),
+    resources: z.number(),
+  }),
+  z.object({
+    event: z.literal('version-refused'),
+    version: z.number(),
+    reason: z.string(),
+    problems: z.array(z.string()),
+  }),
+  z.object({ event: z.literal('reader-changed'), isReader: z.boolean() }),
+  z.object({
+    event: z.literal('endpoint-changed'),
+    endpoint: z.string(),
+    upstream: z.string(),
+    state: z.string(),
+    slots: z.number(),
+  }),
+  z.object({
+    event: z.literal('liveness-changed'),
+    endpoint: z.string(),
+    liveness: z.string(),
+  }),
+  z.object({ event: z.literal('neighbour-found'), neighbour: z.string() }),
+  z.object({ event: z.literal('neighbour-lost'), neighbour: z.string() }),
+  z.object({
+    event: z.literal('upstream-changed'),
+    upstream: z.string(),
+    state: z.string(),
+    slots: z.number(),
+    id: z.string().optional(),
+  }),
+  z.object({
+    event: z.literal('dependency-lost'),
+    dependency: z.enum(['platform']),
+    message: z.string(),
+  }),
+  z.object({
+    event: z.literal('dependency-regained'),
+    dependency: z.enum(['platform']),
+    awayMs: z.number(),
+  }),
+  z.object({
+    event: z.literal('lines-dropped'),
+    /** Lines of requests that were served. */
+    routine: z.number(),
+    /** All others. */
+    important: z.number(),
+  }),
+]);
+export type ProcessEvent = z.infer<typeof ProcessEvent>;
+
+/** What stands in every line besides. */
+export const Stamp = z.object({
+  level: z.string(),
+  at: z.number(),
+  instance: z.string(),
+  /** The caller's name for the request, in lines about one. */
+  id: z.string().optional(),
+});
+
+export const Line = Stamp.and(z.union([RequestEvent, ProcessEvent]));
+export type Line = z.infer<typeof Line>;
--- /dev/null
+++ b/src/logs/log.ts
@@ -0,0 +1,107 @@
+/** Structured logs: one JSON object a line. */
+import { pino } from 'pino';
+import { type Clock } from '../runtime/clock.js';
+import { type ProcessEvent, type RequestEvent } from './events.js';
+import { type Dropped, LineBuffer } from './line_buffer.js';
+import { type Sink } from './sink.js';
+
+/**
+ * - `debug`: decisions about requests that were served; the first to be left out.
+ * - `info`: changes of what the process is or believes.
+ * - `warn`: decisions about requests that were not served, and what was lost.
+ */
+export type Level = 'debug' | 'info' | 'warn';
+
+/** What a process writes; `silent` writes nothing. */
+export type LeastLevel = Level | 'silent';
+
+/** Order of the levels. */
+const RANK: Readonly<Record<LeastLevel, number>> = { debug: 0, info: 1, warn: 2, silent: 3 };
+
+/** A line about a request, or about the process. */
+export type Recorded = ProcessEvent | (RequestEvent & { readonly id: string });
+
+export abstract class Log {
+  abstract readonly dropped: Dropped;
+
+  /** Whether lines of that level are written. */
+  abstract writes(level: Level): boolean;
+
+  /** Writes a line. `at` is when it happened, in milliseconds since the epoch; now when absent. */
+  abstract record(level: Level, event: Recorded, at?: number): void;
+
+  /** Resolves when all is written, or at the deadline (milliseconds since the epoch). */
+  abstract drain(deadline: number): Promise<void>;
+}
+
+/** Writes nothing. */
+export class SilentLog extends Log {
+  readonly dropped: Dropped = { routine: 0, important: 0 };
+
+  writes(): boolean {
+    return false;
+  }
+
+  record(): void {}
+
+  drain(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+/**
+ * @example
+ * ```ts
+ * const log = new LineLog('arima-1', 'info', new DescriptorSink(1), clock);
+ * log.record('info', { event: 'stopping' });
+ * ```
+ */
+export class LineLog extends Log {
+  readonly #buffer: LineBuffer;
+
+  readonly #lines;
+
+  constructor(
+    instance: string,
+    private readonly least: LeastLevel,
+    sink: Sink,
+    private readonly clock: Clock,
+  ) {
+    super();
+    const sayDropped = (unsaid: Dropped) => {
+      this.record('warn', { event: 'lines-dropped', ...unsaid });
+    };
+    this.#buffer = new LineBuffer(sink, clock, sayDropped);
+    const target = {
+      // Pino tells the level of each line to a target that has this mark.
+      [Symbol.for('pino.metadata')]: true,
+      lastLevel: 0,
+      write: (line: string) =>
+        this.#buffer.write(line, target.lastLevel <= pino.levels.values.debug!),
+    };
+    const options = {
+      level: least,
+      base: { instance },
+      timestamp: false,
+      formatters: { level: (label: string) => ({ level: label }) },
+    };
+    this.#lines = pino(options, target);
+  }
+
+  get dropped(): Dropped {
+    return this.#buffer.dropped;
+  }
+
+  writes(level: Level): boolean {
+    return RANK[level] >= RANK[this.least];
+  }
+
+  record(level: Level, event: Recorded, at: number = this.clock.now()): void {
+    if (!this.writes(level)) return;
+    this.#lines[level]({ at: Math.round(at), ...event });
+  }
+
+  async drain(deadline: number): Promise<void> {
+    await this.#buffer.drain(deadline);
+  }
+}
--- /dev/null
+++ b/src/logs/request_log.ts
@@ -0,0 +1,165 @@
+/** Gathers the decisions about each request until it is known how it ended. */
+import { type ServerResponse } from 'node:http';
+import { type OutcomeError } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
+import { TokenBucket } from '../runtime/token_bucket.js';
+import { type RequestEvent } from './events.js';
+import { type Level, type Log, SilentLog } from './log.js';
+
+/** Decisions kept for one request; those of the last attempts say how it ended. */
+const MAX_EVENTS = 24;
+/**
+ * Served requests of which a process writes lines, in a second: at more, each takes processor time
+ * from the next. A sample of them is enough; of those that were not served all are written.
+ */
+const SERVED_PER_SECOND = 20;
+/** Refused requests of which it writes lines, in a second: a storm of refusals is cheap to make. */
+const REFUSED_PER_SECOND = 200;
+
+type Ended = Extract<RequestEvent, { readonly event: 'entry-ended' | 'guard-ended' }>;
+/** How a request ended at one hop. */
+export type Ending = Pick<Ended, 'verdict' | 'reason' | 'tookMs' | 'route' | 'upstream'>;
+
+type Routed = Extract<RequestEvent, { readonly event: 'routed' }>;
+/** The answer that the caller got. */
+type Told = Pick<ServerResponse, 'statusCode'>;
+
+/** What only the hop beside an upstream instance knows. */
+export interface Hop {
+  readonly exchange: string;
+  readonly inFlight: number;
+  readonly slots: number;
+  readonly waiting: number;
+}
+
+export interface About {
+  readonly route?: string;
+  readonly upstream?: string;
+}
+
+const SERVER_ERROR = 500;
+
+export class RequestLog {
+  readonly #served: TokenBucket;
+
+  readonly #refused: TokenBucket;
+
+  /** Requests whose lines were left out since the start, by the bounds above. */
+  leftOut = 0;
+
+  constructor(
+    private readonly log: Log,
+    private readonly clock: Clock,
+    /** Called with the end of each request, whether or not lines of it are written. */
+    private readonly onEnded: (ended: Ending) => void = () => {},
+  ) {
+    this.#served = new TokenBucket(clock, SERVED_PER_SECOND, SERVED_PER_SECOND);
+    this.#refused = new TokenBucket(clock, REFUSED_PER_SECOND, REFUSED_PER_SECOND);
+  }
+
+  /** Begins with the request that its caller calls `id`. */
+  begin(id: string): Trace {
+    return new Trace(id, this.clock, this.log.writes('warn') ? this : undefined, this.onEnded);
+  }
+
+  /** Writes the decisions about a request that has ended. */
+  write(id: string, decisions: readonly Decision[], ended: Ended): void {
+    const level = levelOf(ended);
+    if (!this.log.writes(level)) return;
+    const bucket = level === 'debug' ? this.#served : this.#refused;
+    if (!bucket.take()) {
+      this.leftOut += 1;
+      return;
+    }
+    for (const { at, event } of decisions) this.log.record(level, { id, ...event }, at);
+  }
+}
+
+interface Decision {
+  readonly at: number;
+  readonly event: RequestEvent;
+}
+
+/** The decisions about one request at one hop, in order. */
+export class Trace {
+  readonly #decisions: Decision[] = [];
+
+  readonly startedAt: number;
+
+  /** What it is about, as far as that is known. */
+  about: About = {};
+
+  constructor(
+    readonly id: string,
+    private readonly clock: Clock,
+    private readonly log: RequestLog | undefined,
+    private readonly onEnded: (ended: Ending) => void,
+  ) {
+    this.startedAt = clock.now();
+  }
+
+  /** Keeps a decision. It is written when the request has ended: whether it matters shows then. */
+  note(event: RequestEvent): void {
+    if (!this.log) return;
+    if (this.#decisions.length >= MAX_EVENTS) this.#decisions.splice(1, 1);
+    this.#decisions.push({ at: this.clock.now(), event });
+  }
+
+  routed(routed: Routed): void {
+    this.about = { route: routed.route, upstream: routed.upstream };
+    this.note(routed);
+  }
+
+  /** Ends it with the answer of an upstream instance. */
+  answered(event: 'entry-ended', response: Told): void;
+  answered(event: 'guard-ended', response: Told, hop: Hop): void;
+  answered(event: Ended['event'], { statusCode }: Told, hop?: Hop): void {
+    this.#end({ event, verdict: 'ran', reason: 'none', status: statusCode, ...hop });
+  }
+
+  /** Ends it with a refusal, or with an answer that was cut. */
+  failed(event: 'entry-ended', response: Told, outcome: OutcomeError, isCut: boolean): void;
+  failed(
+    event: 'guard-ended',
+    response: Told,
+    outcome: OutcomeError,
+    isCut: boolean,
+    hop: Hop,
+  ): void;
+  failed(
+    event: Ended['event'],
+    { statusCode }: Told,
+    outcome: OutcomeError,
+    isCut: boolean,
+    hop?: Hop,
+  ): void {
+    const { reason, message, retryAt } = outcome;
+    const now = this.clock.now();
+    this.#end({
+      event,
+      verdict: isCut ? 'cut' : outcome.verdict,
+      reason,
+      message,
+      status: statusCode,
+      ...(retryAt !== undefined && { retryAfterMs: Math.max(0, Math.round(retryAt - now)) }),
+      ...hop,
+    });
+  }
+
+  #end(part: Omit<Ended, 'tookMs'>): void {
+    const tookMs = Math.round(this.clock.now() - this.startedAt);
+    const ended = { ...part, ...this.about, tookMs } as Ended;
+    this.note(ended);
+    this.log?.write(this.id, this.#decisions, ended);
+    this.onEnded(ended);
+  }
+}
+
+/** Keeps nothing, for processes that write no lines. */
+export function silentRequests(clock: Clock): RequestLog {
+  return new RequestLog(new SilentLog(), clock);
+}
+
+function levelOf({ verdict, status = 0 }: Ended): Level {
+  return verdict === 'ran' && status < SERVER_ERROR ? 'debug' : 'warn';
+}
--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -3,7 +3,7 @@
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { Experience } from './experience.js';
+import { Experience, type Seen } from './experience.js';
 import { type Load } from '../admission/load.js';
 
 /** The endpoints of one upstream, as seen from the own data centre. */
@@ -59,6 +59,12 @@
     return near ?? far ?? firstUntried(group.near, tried) ?? firstUntried(group.far, tried);
   }
 
+  /** What a choice of `endpoint` goes by, for the logs. */
+  seenOf(endpoint: Experience): Seen {
+    const typicalMs = this.#group(endpoint.member.endpoint?.upstream ?? '')?.typicalMs;
+    return endpoint.seen(typicalMs ?? FIRST_GUESS_MS, this.clock.now());
+  }
+
   /** Notes an answer, which took `tookMs` to begin. Failures of its own do not make it fast. */
   answered(chosen: Experience, tookMs: number, load: Load | undefined, isFailure: boolean): void {
     const now = this.clock.now();
--- a/src/placement/experience.ts
+++ b/src/placement/experience.ts
@@ -22,6 +22,17 @@
 /** How much dearer it is at the start of that. */
 const COLD_FACTOR = 3;
 
+/** What a choice goes by. */
+export interface Seen {
+  /** Time that one more request is expected to take, in milliseconds. */
+  readonly costMs: number;
+  readonly inFlight: number;
+  readonly slots: number;
+  readonly waiting: number;
+  /** How old the reported load is, in milliseconds; absent before the first report. */
+  readonly loadAgeMs?: number;
+}
+
 export class Experience {
   inFlight = 0;
 
@@ -92,6 +103,17 @@
     return this.#occupancy(now) * latency * this.#coldness(now);
   }
 
+  seen(typicalMs: number, now: number): Seen {
+    const slots = this.#load?.slots ?? this.member.endpoint?.slots ?? 1;
+    return {
+      costMs: Math.round(this.cost(typicalMs, now)),
+      inFlight: Math.round(this.#busy(now)),
+      slots,
+      waiting: this.#load?.waiting ?? 0,
+      ...(this.#load && { loadAgeMs: Math.round(now - this.#loadAt) }),
+    };
+  }
+
   /** Without slots known, all work in flight counts as waited for. */
   #occupancy(now: number): number {
     const busy = this.#busy(now);
--- a/src/placement/retry_budget.ts
+++ b/src/placement/retry_budget.ts
@@ -30,6 +30,9 @@
   readonly isFailover: boolean;
 }
 
+/** Why a request is not sent again. */
+export type Denial = 'retries-off' | 'attempts-used' | 'moves-used' | 'not-repeatable';
+
 export const MAX_ATTEMPTS = 3;
 /**
  * Moves to another endpoint by one request at most. Under overload each further one finds no room
@@ -132,11 +135,8 @@
 
   /** Pays for a further attempt; undefined if there must be none. */
   retry(failed: FailedAttempt, retryPercent: number): Retry | undefined {
-    if (failed.attempts >= (failed.maxAttempts ?? MAX_ATTEMPTS) || retryPercent === 0)
-      return undefined;
+    if (this.denial(failed, retryPercent)) return undefined;
     const isFailover = isUnoffered(failed);
-    if (isFailover && (failed.moves ?? 0) > MAX_MOVES) return undefined;
-    if (!isFailover && !maySendAgain(failed)) return undefined;
     const now = this.clock.now();
     const startAt = isFailover ? now : now + this.#backoff(failed.attempts);
     if (startAt + LEAST_ATTEMPT_MS > failed.deadline) return undefined;
@@ -145,6 +145,14 @@
     return { startAt, isFailover };
   }
 
+  /** Why there must be no further attempt, whatever the budget holds. */
+  denial(failed: FailedAttempt, retryPercent: number): Denial | undefined {
+    if (retryPercent === 0) return 'retries-off';
+    if (failed.attempts >= (failed.maxAttempts ?? MAX_ATTEMPTS)) return 'attempts-used';
+    if (isUnoffered(failed)) return (failed.moves ?? 0) > MAX_MOVES ? 'moves-used' : undefined;
+    return maySendAgain(failed) ? undefined : 'not-repeatable';
+  }
+
   #backoff(attempts: number): number {
     return this.random.jitter(Math.min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2 ** (attempts - 1)));
   }
@@ -170,6 +178,10 @@
     private readonly allowance: () => Allowance = () => USUAL,
   ) {}
 
+  get all(): ReadonlyMap<string, RetryBudget> {
+    return this.#budgets;
+  }
+
   of(upstream: string): RetryBudget {
     let budget = this.#budgets.get(upstream);
     if (!budget) {
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -99,6 +99,7 @@
     retryPercent: bounds.retryBudgetRatio * RETRY_PERCENT,
     retrySlack: bounds.budgetSlack,
     retryWindowMs: bounds.budgetWindow,
+    logLevel: 'debug',
     stopMs: bounds.grace - STOP_MARGIN_MS,
   };
 }
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -40,12 +40,7 @@
     private readonly clock: Clock,
   ) {
     super();
-    this.#connection = new StoreConnection(base, clock);
-  }
-
-  /** Calls made by this process, those that failed included. */
-  get calls(): number {
-    return this.#connection.calls;
+    this.#connection = new StoreConnection(base, clock, this.meter);
   }
 
   async get(key: string, deadline: number): Promise<Stored | undefined> {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -3,6 +3,8 @@
 import { watchFile } from 'node:fs';
 import { bind } from '../daemon/bind.js';
 import { Instance } from '../daemon/instance.js';
+import { LineLog } from '../logs/log.js';
+import { STANDARD_OUTPUT } from '../logs/sink.js';
 import { MsgpackCodec } from '../link/codec.js';
 import { PROMPT } from '../membership/pace.js';
 import { MachineClock } from '../runtime/clock.js';
@@ -29,6 +31,7 @@
   const settings = settingsOf(file);
   const clock = new MachineClock();
   const platform = new HttpPlatform(new URL(settings.platform), clock);
+  const log = new LineLog(settings.instance, settings.logLevel, STANDARD_OUTPUT, clock);
   const instance = await Instance.start(settings, {
     platform,
     clock,
@@ -37,15 +40,18 @@
     dialect: new MeshDialect(() => file.service),
     feed: (replica) => new ObjectFeed(platform, replica, clock),
     pace: PROMPT,
+    log,
   });
   await openPorts(file, instance);
   const reload = async () => {
     file = await readHostFile(path);
     instance.control.peers = seedsOf(file);
-    instance.journal.record('reloaded');
+    log.record('info', { event: 'reloaded' });
   };
   const onChange = () => {
-    reload().catch((error) => instance.journal.record('reload-failed', { error: String(error) }));
+    reload().catch((error: unknown) => {
+      log.record('warn', { event: 'reload-failed', message: String(error) });
+    });
   };
   process.on('SIGHUP', onChange);
   watchFile(path, { interval: LOOK_EVERY_MS, persistent: false }, onChange);
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -41,6 +41,10 @@
     super();
   }
 
+  requestIdOf(headers: IncomingHttpHeaders): string | undefined {
+    return headerOf({ headers }, REQUEST_ID_HEADER);
+  }
+
   callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined {
     const asked = Number(headers[TIMEOUT_HEADER]);
     return asked > 0 ? asked : undefined;
--- a/src/platform/platform.ts
+++ b/src/platform/platform.ts
@@ -1,4 +1,5 @@
 /** The platform's object API: versioned values, conditional updates and watches. */
+import { CallMeter } from './call_meter.js';
 
 /** A stored value. Revisions rise over the whole store with every write. */
 export interface Stored {
@@ -48,6 +49,9 @@
 export abstract class Platform {
   abstract get(key: string, deadline: number): Promise<Stored | undefined>;
 
+  /** Calls made by this process, and whether they are answered. */
+  readonly meter = new CallMeter();
+
   /** Stored values in key order. */
   abstract list(range: Range, deadline: number): Promise<Stored[]>;
 
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'node:http';
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { type CallMeter } from './call_meter.js';
 
 export interface Answer {
   readonly status: number;
@@ -24,23 +25,21 @@
 export class StoreConnection implements AsyncDisposable {
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, timeout: IDLE_MS });
 
-  /** Calls made, those that failed included. */
-  calls = 0;
-
   constructor(
     private readonly base: URL,
     private readonly clock: Clock,
+    private readonly meter: CallMeter,
   ) {}
 
   /** Rejects with an `OutcomeError` when there is no whole answer by the deadline. */
   call(call: Call): Promise<Answer> {
-    this.calls += 1;
     const timeout = Math.max(1, call.deadline - this.clock.now());
     return new Promise<Answer>((resolve, reject) => {
       // Until a socket is there nothing can have left, so a failure is surely `not-run`.
       let verdict: Verdict = 'not-run';
       const fail = (cause: Error) => {
         clearTimeout(timer);
+        if (!call.signal?.aborted) this.meter.failed(call.method, cause);
         reject(unreachable(call, verdict, cause));
       };
       const outgoing = request(new URL(call.path, this.base), {
@@ -65,7 +64,9 @@
         incoming.on('error', fail);
         incoming.on('end', () => {
           clearTimeout(timer);
-          resolve({ status: incoming.statusCode ?? 0, body: Buffer.concat(chunks).toString() });
+          const status = incoming.statusCode ?? 0;
+          this.meter.answered(call.method, status);
+          resolve({ status, body: Buffer.concat(chunks).toString() });
         });
       });
       outgoing.end(call.body);
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -59,11 +59,20 @@
   /** What to try after `endpoint` has failed; throws the outcome if there is nothing. */
   next(endpoint: Experience, outcome: OutcomeError): Further {
     this.#note(outcome);
-    const next = this.#maySend(outcome) ? this.#another(endpoint, outcome.reason) : undefined;
-    if (!next) throw this.#final(outcome);
-    const { response, upstream, retryPercent } = this.journey;
-    const retry = this.budgets.of(upstream).retry(this.#failed(outcome), retryPercent);
-    if (!retry) throw this.#final(outcome);
+    if (!this.#maySend(outcome)) throw this.#giveUp(outcome, 'not-sendable');
+    const next = this.#another(endpoint, outcome.reason);
+    if (!next) throw this.#giveUp(outcome, 'no-other-endpoint');
+    const { response, upstream, retryPercent, trace } = this.journey;
+    const budget = this.budgets.of(upstream);
+    const failed = this.#failed(outcome);
+    const retry = budget.retry(failed, retryPercent);
+    if (!retry) throw this.#giveUp(outcome, budget.denial(failed, retryPercent) ?? 'budget-spent');
+    trace.note({
+      event: 'resent',
+      endpoint: next.member.instance,
+      isFailover: retry.isFailover,
+      startMs: Math.round(retry.startAt - this.clock.now()),
+    });
     // On the answer too, whatever it will be: hops above must not retry what was retried here.
     if (!retry.isFailover) response.setHeader(RETRIED, '1');
     this.#tried = new Set(this.#tried).add(endpoint);
@@ -79,6 +88,18 @@
     return this.balancer.choose(upstream, tried) !== undefined;
   }
 
+  /** Number of the attempt that is under way, from 1. */
+  get number(): number {
+    return this.#offers + this.#moves + 1;
+  }
+
+  #giveUp(outcome: OutcomeError, denial: string): OutcomeError {
+    const { trace, upstream } = this.journey;
+    const tokens = Math.floor(this.budgets.of(upstream).tokens);
+    trace.note({ event: 'not-resent', denial, tokens });
+    return this.#final(outcome);
+  }
+
   #note({ verdict, reason }: OutcomeError): void {
     if (isUnoffered({ verdict, reason })) this.#moves += 1;
     else this.#offers += 1;
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -30,6 +30,9 @@
   /** Whether callers may ask for a single run by an `Idempotency-Key`. */
   abstract readonly takesKeys: boolean;
 
+  /** The caller's name for the request, by which it is found in logs. */
+  abstract requestIdOf(headers: IncomingHttpHeaders): string | undefined;
+
   /** How long the caller waits, in milliseconds; undefined if it does not say. */
   abstract callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined;
 
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
 import { OutcomeError } from '../contracts.js';
+import { RequestLog, silentRequests, type Trace } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Attempts } from './attempts.js';
@@ -38,7 +39,12 @@
 import { refusalIn } from './relayed_refusal.js';
 import { headFingerprint } from '../quarantine/request_fingerprint.js';
 import { OWN_DIALECT } from './own_dialect.js';
-import { type Retries, RetryBudgets, USUAL_RETRIES } from '../placement/retry_budget.js';
+import {
+  type Retries,
+  type RetryBudget,
+  RetryBudgets,
+  USUAL_RETRIES,
+} from '../placement/retry_budget.js';
 import { Split } from '../placement/split.js';
 import { UsualWaits } from '../placement/usual_wait.js';
 import { Traffic } from './traffic.js';
@@ -76,6 +82,9 @@
   /** Set before the first request; the guards check again. */
   quarantine: Quarantine | undefined;
 
+  /** Set before the first request. */
+  requestLog: RequestLog;
+
   readonly #connections: Connections;
 
   readonly #hostility: Hostility;
@@ -103,6 +112,7 @@
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly retries: Retries = USUAL_RETRIES,
   ) {
+    this.requestLog = silentRequests(clock);
     this.#told = new Set([...TOLD_TO_CALLERS, ...dialect.fromUpstreams]);
     this.#budgets = new RetryBudgets(clock, random, retries.allowance);
     this.#nonce = random.nonce();
@@ -115,6 +125,11 @@
     this.#hostility = new Hostility(this.server);
   }
 
+  /** Retry budgets by upstream. */
+  get budgets(): ReadonlyMap<string, RetryBudget> {
+    return this.#budgets.all;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.traffic.cut();
     this.#connections.destroy();
@@ -123,25 +138,51 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.traffic.enter(response)) return;
     this.#hostility.enter(request, response);
+    const id = this.dialect.requestIdOf(request.headers) ?? this.#nextId();
+    const trace = this.requestLog.begin(id);
     try {
-      if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
-      const now = this.clock.now();
-      const reading = {
-        dialect: this.dialect,
-        split: this.#split,
-        usualWaits: this.#usualWaits,
-        retryPercent: this.retries.percent,
-      };
-      const journey = journeyOf(request, response, this.configuration(), now, reading);
-      this.#check(journey);
+      const journey = this.#route(request, response, trace);
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
+      trace.answered('entry-ended', response);
     } catch (error) {
       const now = this.clock.now();
-      refuse(response, this.#withRetryAt(asOutcome(error), now), now, this.dialect);
+      const outcome = this.#withRetryAt(asOutcome(error), now);
+      const isCut = response.headersSent;
+      refuse(response, outcome, now, this.dialect);
+      trace.failed('entry-ended', response, outcome, isCut);
     }
   }
 
+  /** Decides about a request that has come in; throws the refusal if it cannot be carried. */
+  #route(request: IncomingMessage, response: ServerResponse, trace: Trace): Journey {
+    if (!this.isReady()) throw notRun('not-ready', 'this process holds no configuration yet');
+    const now = this.clock.now();
+    const configuration = this.configuration();
+    const reading = {
+      dialect: this.dialect,
+      split: this.#split,
+      usualWaits: this.#usualWaits,
+      retryPercent: this.retries.percent,
+      trace,
+    };
+    const journey = journeyOf(request, response, configuration, now, reading);
+    const { asked, route, upstream, deadline, targetAt, isRepeatable } = journey;
+    trace.routed({
+      event: 'routed',
+      method: asked.method,
+      path: asked.path,
+      route: route.name,
+      upstream,
+      version: configuration.number,
+      leftMs: Math.round(deadline - now),
+      targetMs: Math.round(targetAt - now),
+      isRepeatable,
+    });
+    this.#check(journey);
+    return journey;
+  }
+
   /** Who has not been served is told when to come back, not all at the same instant. */
   #withRetryAt(outcome: OutcomeError, now: number): OutcomeError {
     const { verdict, reason, retryAt = now + RETRY_MS, message } = outcome;
@@ -187,17 +228,22 @@
     endpoint: Experience,
     attempts: Attempts,
   ): Promise<OutcomeError | undefined> {
+    const startedAt = this.clock.now();
+    const id = this.#nextId();
+    this.#noteSent(journey, endpoint, id, attempts.number);
     endpoint.inFlight += 1;
     endpoint.sent();
+    let failure: OutcomeError | undefined;
     try {
-      return await this.#ask(journey, body, endpoint, attempts);
+      failure = await this.#ask(journey, body, endpoint, attempts, id);
     } catch (error) {
-      const outcome = asOutcome(error);
-      this.balancer.refused(endpoint, outcome, undefined);
-      return outcome;
+      failure = asOutcome(error);
+      this.balancer.refused(endpoint, failure, undefined);
     } finally {
       endpoint.inFlight -= 1;
     }
+    if (failure) this.#noteFailed(journey, endpoint, id, failure, this.clock.now() - startedAt);
+    return failure;
   }
 
   async #ask(
@@ -205,9 +251,9 @@
     body: Body,
     endpoint: Experience,
     attempts: Attempts,
+    id: string,
   ): Promise<OutcomeError | undefined> {
     const startedAt = this.clock.now();
-    const id = this.#nextId();
     const exchange = this.#exchange(journey, body, endpoint, id, () => {
       this.balancer.refused(endpoint, silence(), undefined);
       return !this.traffic.isLeaving && attempts.canMoveFrom(endpoint);
@@ -273,6 +319,30 @@
     );
   }
 
+  #noteSent({ trace }: Journey, endpoint: Experience, exchange: string, attempt: number): void {
+    const { instance, dataCentre } = endpoint.member;
+    const seen = this.balancer.seenOf(endpoint);
+    trace.note({ event: 'sent', exchange, endpoint: instance, dataCentre, attempt, ...seen });
+  }
+
+  #noteFailed(
+    { trace }: Journey,
+    { member }: Experience,
+    exchange: string,
+    { verdict, reason, message }: OutcomeError,
+    tookMs: number,
+  ): void {
+    trace.note({
+      event: 'attempt-failed',
+      exchange,
+      endpoint: member.instance,
+      verdict,
+      reason,
+      message,
+      tookMs: Math.round(tookMs),
+    });
+  }
+
   #nextId(): string {
     this.#requests += 1;
     return `${this.#nonce}-${this.#requests}`;
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -3,6 +3,7 @@
 import { type Readable } from 'node:stream';
 import { Configuration } from '../configuration/configuration.js';
 import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
+import { type RequestLog, silentRequests, type Trace } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
 import { type Claims } from '../claims/claims.js';
@@ -54,6 +55,7 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly announced: Announced;
+  readonly trace: Trace;
 }
 
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
@@ -82,6 +84,9 @@
   /** Set before the first request; without it no death is looked into and nothing kept out. */
   flights: Flights | undefined;
 
+  /** Set before the first request. */
+  requestLog: RequestLog;
+
   /** Called when the upstream instance refuses a connection: nobody listens there any more. */
   onRefused: () => void = () => {};
 
@@ -98,6 +103,7 @@
     private readonly dialect: Dialect = OWN_DIALECT,
   ) {
     this.limit = new Limit(clock, DEFAULT_SLOTS);
+    this.requestLog = silentRequests(clock);
     this.#connections = new Connections(clock, MAX_CONNECTIONS);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
       void this.#serve(request, response);
@@ -142,16 +148,22 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.traffic.enter(response)) return;
     response.writeProcessing();
+    const exchange = headerOf(request, EXCHANGE_ID) ?? '';
+    const trace = this.requestLog.begin(this.dialect.requestIdOf(request.headers) ?? exchange);
     try {
-      const admission = this.#admit(request, response);
+      const admission = this.#admit(request, response, trace);
       const route = headerOf(request, CLAIM);
       const opening = await this.flights?.admit(admission.announced.upstream, request, response);
       if (route === undefined) await this.#run(admission, opening?.body ?? request);
       else await this.#once(admission, route);
+      trace.answered('guard-ended', response, this.#atEnd(exchange));
     } catch (error) {
       if (isRefusal(error)) this.onRefused();
-      if (!response.headersSent) this.#sign(request, response);
-      refuse(response, asOutcome(error), this.clock.now());
+      const isCut = response.headersSent;
+      if (!isCut) this.#sign(request, response);
+      const outcome = asOutcome(error);
+      refuse(response, outcome, this.clock.now());
+      trace.failed('guard-ended', response, outcome, isCut, this.#atEnd(exchange));
     }
   }
 
@@ -173,8 +185,11 @@
     );
   }
 
-  #admit(request: IncomingMessage, response: ServerResponse): Admission {
-    const announced = this.#serving(headerOf(request, UPSTREAM) ?? 'nothing');
+  #admit(request: IncomingMessage, response: ServerResponse, trace: Trace): Admission {
+    const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
+    const kind = headerOf(request, ROUTE) ?? '';
+    trace.about = { route: kind, upstream };
+    const announced = this.#serving(upstream);
     const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
     const priority = within(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
     const named = headerOf(request, LIMIT);
@@ -183,8 +198,9 @@
       request,
       response,
       announced,
+      trace,
       priority: Math.floor(priority),
-      kind: headerOf(request, ROUTE) ?? '',
+      kind,
       targetAt: now + Number(headerOf(request, TARGET) ?? remaining),
       deadline: now + remaining,
       limit: named === undefined ? undefined : this.configuration().find('limit', named),
@@ -204,6 +220,7 @@
   async #forward(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
     const { request, response } = admission;
     const startedAt = this.clock.now();
+    this.#noteAdmitted(admission);
     if (source === request) askForBody(request, response);
     claim?.start();
     const exchange = this.#exchange(admission, bodyOf(request, source), claim);
@@ -223,6 +240,23 @@
     return { headMs, isShed };
   }
 
+  #atEnd(exchange: string) {
+    const { inFlight, slots, waiting } = this.limit.load;
+    return { exchange, inFlight, slots, waiting };
+  }
+
+  #noteAdmitted({ request, trace }: Admission): void {
+    const { inFlight, slots, waiting } = this.limit.load;
+    trace.note({
+      event: 'admitted',
+      exchange: headerOf(request, EXCHANGE_ID) ?? '',
+      waitedMs: Math.round(this.clock.now() - trace.startedAt),
+      inFlight,
+      slots,
+      waiting,
+    });
+  }
+
   /** Throws if the answer is a refusal, or is not the answer to the request. */
   #check(request: IncomingMessage, answer: IncomingMessage, exchange: Exchange): void {
     const meaning = this.dialect.meaningOf(request, answer);
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -40,6 +40,8 @@
 
 /** From callers, and towards upstreams: time left for the request, in milliseconds. */
 export const CALLER_TIMEOUT = 'request-timeout-ms';
+/** From callers, and passed on: their name for the request, by which it is found in logs. */
+export const CALLER_REQUEST_ID = 'x-request-id';
 /** From callers: the same key means the same request. */
 export const IDEMPOTENCY_KEY = 'idempotency-key';
 export const RETRY_AFTER = 'retry-after';
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -5,6 +5,7 @@
 import { type Dialect } from './dialect.js';
 import { IDEMPOTENCY_KEY, RETRIED } from './headers.js';
 import { notRun } from './refusal.js';
+import { type Trace } from '../logs/request_log.js';
 import { isRepeatable, routeOf } from './router.js';
 import { type Split } from '../placement/split.js';
 import { type Asked, askedBy } from './target.js';
@@ -26,6 +27,7 @@
   readonly isRepeatable: boolean;
   /** Retries allowed, as a percentage of answered requests. */
   readonly retryPercent: number;
+  readonly trace: Trace;
   /** Whether a hop above or below has retried it. */
   isRetriedElsewhere: boolean;
 }
@@ -37,6 +39,7 @@
   readonly usualWaits: UsualWaits;
   /** Retries for routes without a limit, as a percentage of answered requests. */
   readonly retryPercent: number;
+  readonly trace: Trace;
 }
 
 /** Decides about a request; throws `not-run` if it cannot be carried. */
@@ -45,7 +48,7 @@
   response: ServerResponse,
   configuration: Configuration,
   now: number,
-  { dialect, split, usualWaits, retryPercent }: Reading,
+  { dialect, split, usualWaits, retryPercent, trace }: Reading,
 ): Journey {
   const asked = askedBy(request);
   const route = routeOf(configuration, asked);
@@ -68,6 +71,7 @@
     targetAt: Math.min(targetAt, deadline),
     isRepeatable: isRepeatable(route, asked.method),
     retryPercent: limit?.retryPercent ?? retryPercent,
+    trace,
     isRetriedElsewhere: request.headers[RETRIED] !== undefined,
   };
 }
--- a/src/requests/own_dialect.ts
+++ b/src/requests/own_dialect.ts
@@ -1,7 +1,7 @@
 /** What the product speaks by itself, as `docs/OPERATORS.md` tells it. */
 import { type IncomingHttpHeaders } from 'node:http';
 import { Dialect, type Meaning } from './dialect.js';
-import { CALLER_TIMEOUT, NONE, RETRIED } from './headers.js';
+import { CALLER_REQUEST_ID, CALLER_TIMEOUT, headerOf, NONE, RETRIED } from './headers.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -14,6 +14,10 @@
 
   readonly takesKeys = true;
 
+  requestIdOf(headers: IncomingHttpHeaders): string | undefined {
+    return headerOf({ headers }, CALLER_REQUEST_ID);
+  }
+
   callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined {
     const asked = Number(headers[CALLER_TIMEOUT]);
     return asked > 0 ? asked : undefined;
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -10,6 +10,9 @@
 } from '../contracts.js';
 import { Client } from './client.js';
 import { EXIT } from './exit.js';
+import { readLogLines } from './explain/log_lines.js';
+import { renderStory } from './explain/render_story.js';
+import { storyOf } from './explain/story.js';
 import { amend, check, submit, withdraw } from './note_commands.js';
 import { type Options, print } from './output.js';
 import { renderAudit } from './render_audit.js';
@@ -42,6 +45,9 @@
     .action(addressed(status));
   tool.command('audit [note]', 'who changed what, and when').action(addressed(audit));
   tool.command('fleet', 'the processes known').action(addressed(fleet));
+  tool
+    .command('explain <id> [...files]', 'what became of a request, from logs; - is standard input')
+    .action(explain);
   tool.help();
   try {
     tool.parse(argv, { run: false });
@@ -111,3 +117,14 @@
   const members = await new Client(options.address).call<Member[]>('fleet');
   return print(members, EXIT.ok, options, renderFleet);
 }
+
+/** Not found is a failure: the logs that were handed in do not tell of that request. */
+async function explain(
+  id: string,
+  files: readonly string[],
+  options: Pick<Options, 'json'>,
+): Promise<number> {
+  const story = storyOf(String(id), await readLogLines(files.map(String)));
+  const code = story.lines.length > 0 ? EXIT.ok : EXIT.failed;
+  return print(story, code, options, renderStory);
+}
--- a/src/tool/output.ts
+++ b/src/tool/output.ts
@@ -10,7 +10,12 @@
 }
 
 /** Prints a value as JSON, or as `render` puts it; returns the exit code. */
-export function print<T>(value: T, code: number, options?: Options, render?: Render<T>): number {
+export function print<T>(
+  value: T,
+  code: number,
+  options?: Pick<Options, 'json'>,
+  render?: Render<T>,
+): number {
   const text = options?.json || !render ? JSON.stringify(value, undefined, 2) : render(value);
   process.stdout.write(`${text}\n`);
   return code;
