Let one request find out whether a lost endpoint is back, and refuse at once behind a cut

The pause doubled up to 30 s, past the end of the cut, and ended for all requests at the same moment.

Now one request tries after the pause while the rest keep away; the pause is 2 s at most, as a try is cheap; a suspect that was not reached a moment ago is no last resort either; a connection that does not stand after 200 ms is given up (a lost packet is sent again after a whole second).

Ruled out: the failed calls themselves, as the cut data centre had just lost its own endpoint of that service by a planned removal.

A test bounded the fourth pause below at 2 s; the pause is now bounded above by that, so its lower bound there is 1 s, and the upper one 2 s instead of 30.

--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -20,9 +20,12 @@
 const NEWEST_WEIGHT = 0.05;
 /** An endpoint that refused for lack of room is avoided for up to this long, in milliseconds. */
 const OVERLOADED_MS = 100;
-/** One that could not be reached, first time and at most; it doubles in between. */
+/** One that could not be reached, or fails, is left alone for so long the first time; it doubles. */
 const UNREACHABLE_MS = 500;
-const UNREACHABLE_MAX_MS = 30_000;
+/** At most, if it could not be reached: a single request tries then, and a cut ends at once. */
+const UNREACHABLE_MAX_MS = 2_000;
+/** At most, if it fails what it is sent: each request that tries is one more failure. */
+const OUTLIER_MAX_MS = 30_000;
 /** So many failed answers in a row make an outlier. */
 const OUTLIER_FAILURES = 5;
 const MAX_DOUBLINGS = 10;
@@ -56,7 +59,7 @@
     if (near && far) {
       return far.cost(group.typicalMs, now) < near.cost(group.typicalMs, now) ? far : near;
     }
-    return near ?? far ?? firstUntried(group.near, tried) ?? firstUntried(group.far, tried);
+    return near ?? far ?? lastResort(group.near, tried, now) ?? lastResort(group.far, tried, now);
   }
 
   /** What a choice of `endpoint` goes by, for the logs. */
@@ -70,7 +73,7 @@
     const now = this.clock.now();
     if (isFailure) {
       chosen.reported(load, now);
-      this.#failed(chosen, OUTLIER_FAILURES, now);
+      this.#failed(chosen, OUTLIER_FAILURES, OUTLIER_MAX_MS, now);
       return;
     }
     chosen.answered(tookMs, load, now);
@@ -82,9 +85,11 @@
   refused(chosen: Experience, { reason }: OutcomeError, load: Load | undefined): void {
     const now = this.clock.now();
     chosen.reported(load, now);
-    if (reason === 'unreachable' || reason === 'unacknowledged') this.#failed(chosen, 1, now);
-    else if (reason === 'connection' || reason === 'silent') {
-      this.#failed(chosen, OUTLIER_FAILURES, now);
+    if (reason === 'unreachable' || reason === 'unacknowledged') {
+      chosen.lost();
+      this.#failed(chosen, 1, UNREACHABLE_MAX_MS, now);
+    } else if (reason === 'connection' || reason === 'silent') {
+      this.#failed(chosen, OUTLIER_FAILURES, OUTLIER_MAX_MS, now);
     } else if (reason === 'draining' || reason === 'no-endpoint') {
       // The news of it is still on its way here.
       chosen.avoidUntil = now + UNREACHABLE_MS;
@@ -99,11 +104,11 @@
     chosen.avoidUntil = Math.max(chosen.avoidUntil, until);
   }
 
-  #failed(chosen: Experience, tolerated: number, now: number): void {
+  #failed(chosen: Experience, tolerated: number, mostMs: number, now: number): void {
     chosen.failures += 1;
     const doublings = Math.min(MAX_DOUBLINGS, chosen.failures - tolerated);
     if (doublings < 0) return;
-    const longest = Math.min(UNREACHABLE_MAX_MS, UNREACHABLE_MS * 2 ** doublings);
+    const longest = Math.min(mostMs, UNREACHABLE_MS * 2 ** doublings);
     // Half of it is certain: full jitter would send some callers back at once.
     chosen.avoidUntil = now + longest / 2 + this.random.jitter(longest / 2);
   }
@@ -133,7 +138,7 @@
     const start = this.random.below(members.length);
     for (let step = 0; step < members.length; step++) {
       const member = members[(start + step) % members.length]!;
-      if (member === besides || member.avoidUntil > now || tried.has(member)) continue;
+      if (member === besides || member.isAvoided(now) || tried.has(member)) continue;
       if (member.member.liveness === 'alive') return member;
     }
     return undefined;
@@ -180,12 +185,13 @@
 }
 
 /** When all are avoided, one that refused a moment ago is still better than no attempt. */
-function firstUntried(
+function lastResort(
   members: readonly Experience[],
   tried: ReadonlySet<Experience>,
+  now: number,
 ): Experience | undefined {
   return members.reduce<Experience | undefined>((best, member) => {
-    if (tried.has(member)) return best;
+    if (tried.has(member) || member.isHopeless(now)) return best;
     return best && best.avoidUntil <= member.avoidUntil ? best : member;
   }, undefined);
 }
--- a/src/placement/experience.ts
+++ b/src/placement/experience.ts
@@ -10,6 +10,11 @@
 const FULL_SHARE = 0.9;
 /** How much dearer an endpoint is with all its slots in use than with none. */
 const FULL_FACTOR = 0.5;
+/**
+ * Longest that a trial keeps others away, in milliseconds: the time for a connection to stand, and
+ * for the far end to say that it has the request.
+ */
+const TRIAL_MS = 500;
 /** Least weight of the newest answer in the moving average. */
 const NEWEST_WEIGHT = 0.2;
 /**
@@ -53,6 +58,12 @@
 
   #loadAt = 0;
 
+  /** Whether the last attempt got no sign of life. */
+  #isLost = false;
+
+  /** Until when one request that is under way finds out whether it is reached again. */
+  #trialUntil = 0;
+
   /** Requests sent since the last report. */
   #sentSince = 0;
 
@@ -69,19 +80,49 @@
     this.#latencyMs = before === undefined ? tookMs : before + (tookMs - before) * weight;
     this.#latencyAt = now;
     this.failures = 0;
+    this.#found();
     this.reported(load, now);
   }
 
   reported(load: Load | undefined, now: number): void {
     if (!load) return;
+    this.#found();
     this.#load = load;
     this.#loadAt = now;
     this.#sentSince = 0;
   }
 
   /** Notes that a request goes there, which its next report does not tell of yet. */
-  sent(): void {
+  sent(now: number): void {
     this.#sentSince += 1;
+    if (this.#isLost) this.#trialUntil = now + TRIAL_MS;
+  }
+
+  /** Notes that an attempt got no sign of life. */
+  lost(): void {
+    this.#isLost = true;
+    this.#trialUntil = 0;
+  }
+
+  /**
+   * Whether others are better asked now. Behind a cut each request waits for a connection that
+   * will not stand; so after a pause only one of them tries, and the rest are spared.
+   */
+  isAvoided(now: number): boolean {
+    return this.avoidUntil > now || this.#trialUntil > now;
+  }
+
+  /**
+   * Whether not even a last resort: it was not reached a moment ago, and answers no heartbeats
+   * either. Without the second sign it may have been the loss of a packet.
+   */
+  isHopeless(now: number): boolean {
+    return this.#isLost && this.isAvoided(now) && this.member.liveness !== 'alive';
+  }
+
+  #found(): void {
+    this.#isLost = false;
+    this.#trialUntil = 0;
   }
 
   /** Whether requests wait there, or will soon. */
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -232,7 +232,7 @@
     const id = this.#nextId();
     this.#noteSent(journey, endpoint, id, attempts.number);
     endpoint.inFlight += 1;
-    endpoint.sent();
+    endpoint.sent(startedAt);
     let failure: OutcomeError | undefined;
     try {
       failure = await this.#ask(journey, body, endpoint, attempts, id);
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -12,8 +12,11 @@
 import { type Connections } from './connections.js';
 import { trailersOf } from './headers.js';
 
-/** A new connection takes about a millisecond; one that takes this long will not stand. */
-const CONNECT_MS = 500;
+/**
+ * A new connection takes about a millisecond, also to another data centre. A lost packet is sent
+ * again after a whole second, so waiting longer than this only holds the caller.
+ */
+const CONNECT_MS = 200;
 /** An answer of which nothing has moved for this long is cut, in milliseconds. */
 export const PROGRESS_MS = 10_000;
 
--- a/src/test/placement/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -100,8 +100,52 @@
       clock.instant = lost.avoidUntil;
       return span;
     });
-    expect(spans.map((span, index) => span >= 250 * 2 ** index)).to.deep.equal(Array(4).fill(true));
-    expect(spans.every((span) => span <= 30_000)).to.equal(true);
+    const least = [250, 500, 1_000, 1_000];
+    expect(spans.map((span, index) => span >= least[index]!)).to.deep.equal(Array(4).fill(true));
+    expect(spans.every((span) => span <= 2_000)).to.equal(true);
+  });
+
+  // Another data centre was cut off a moment ago. While the first request waits for a connection
+  // there, more come. Each of them would wait as long; one is enough to find out.
+  it('lets one request find out whether what was lost can be reached again', () => {
+    const { balancer, clock } = set([{ name: 'a' }, { name: 'b' }]);
+    const lost = balancer.choose('bookings', NONE)!;
+    balancer.refused(lost, refusal('unreachable'), undefined);
+    clock.instant = lost.avoidUntil;
+    const chosen = Array.from({ length: 20 }, () => {
+      const next = balancer.choose('bookings', NONE)!;
+      next.sent(clock.now());
+      return next;
+    });
+    expect(chosen.filter((next) => next === lost)).to.have.length(1);
+    balancer.answered(lost, 1, undefined, false);
+    expect(lost.isAvoided(clock.now())).to.equal(false);
+  });
+
+  // The data centre of a caller is cut off, and all endpoints are on the other side: they answer
+  // no heartbeats, and no connection could be made a moment ago. Each further attempt would hold
+  // its caller for nothing; it is told at once, and when to come back.
+  it('asks nobody where all are suspect and could not be reached', () => {
+    const { balancer, choose, clock, roster } = set([{ name: 'a' }]);
+    const lost = choose()!;
+    balancer.refused(lost, refusal('unreachable'), undefined);
+    expect(choose(), 'it may have been a lost packet').to.equal(lost);
+    roster.merge([{ ...lost.member, liveness: 'suspect' }]);
+    expect(choose()).to.equal(undefined);
+    clock.instant = lost.avoidUntil;
+    expect(choose(), 'one finds out').to.equal(lost);
+  });
+
+  // A cut has lasted long. When it has ended, work must come back within seconds, not when a pause
+  // is over that has doubled with each attempt.
+  it('tries what could not be reached again within seconds, however long that was', () => {
+    const { balancer, clock, choose } = set([{ name: 'a' }]);
+    const lost = choose()!;
+    for (let attempt = 0; attempt < 20; attempt++) {
+      balancer.refused(lost, refusal('unreachable'), undefined);
+      expect(lost.avoidUntil - clock.instant).to.be.at.most(2_000);
+      clock.instant = lost.avoidUntil;
+    }
   });
 
   // An endpoint fails each request at once. By latency alone it would look fast and draw all work.
