--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -6,7 +6,7 @@
 import { MAX_FRAME_BYTES } from '../link/tcp_link.js';
 import { HttpPlatform } from '../platform/http_platform.js';
 import { LineLog } from '../logs/log.js';
-import { STANDARD_OUTPUT } from '../logs/sink.js';
+import { standardOutput } from '../logs/sink.js';
 import { MachineClock } from '../runtime/clock.js';
 import { MachineRandom } from '../runtime/random.js';
 import { EXIT_OK, EXIT_SETTINGS } from './exit.js';
@@ -37,7 +37,7 @@
   await using platform = new HttpPlatform(new URL(settings.platform), clock);
   const codec = codecFor(settings);
   const random = new MachineRandom();
-  const log = new LineLog(settings.instance, settings.logLevel, STANDARD_OUTPUT, clock);
+  const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
   const surroundings = { platform, clock, random, codec, log };
   await using instance = await Instance.start(settings, surroundings);
   const { callerPort, operatorsPort } = instance;
--- a/src/logs/log.ts
+++ b/src/logs/log.ts
@@ -52,7 +52,7 @@
 /**
  * @example
  * ```ts
- * const log = new LineLog('arima-1', 'info', new DescriptorSink(1), clock);
+ * const log = new LineLog('arima-1', 'info', standardOutput(), clock);
  * log.record('info', { event: 'stopping' });
  * ```
  */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -4,7 +4,7 @@
 import { bind } from '../daemon/bind.js';
 import { Instance } from '../daemon/instance.js';
 import { LineLog } from '../logs/log.js';
-import { STANDARD_OUTPUT } from '../logs/sink.js';
+import { standardOutput } from '../logs/sink.js';
 import { MsgpackCodec } from '../link/codec.js';
 import { PROMPT } from '../membership/pace.js';
 import { MachineClock } from '../runtime/clock.js';
@@ -31,7 +31,7 @@
   const settings = settingsOf(file);
   const clock = new MachineClock();
   const platform = new HttpPlatform(new URL(settings.platform), clock);
-  const log = new LineLog(settings.instance, settings.logLevel, STANDARD_OUTPUT, clock);
+  const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
   const instance = await Instance.start(settings, {
     platform,
     clock,
