Write whole stories of a few refused requests a second, and of more how they ended

20 a second have their whole story now, 200 more their end.

Ruled out: the writes themselves; their number is bounded by bytes.

--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -13,8 +13,10 @@
  * from the next. A sample of them is enough; of those that were not served all are written.
  */
 const SERVED_PER_SECOND = 20;
-/** Refused requests of which it writes lines, in a second: a storm of refusals is cheap to make. */
-const REFUSED_PER_SECOND = 200;
+/** Refused requests of which it writes all decisions, in a second. */
+const REFUSED_PER_SECOND = 20;
+/** Refused requests beyond those of which it writes the end, in a second: storms come cheap. */
+const ENDS_PER_SECOND = 200;
 
 type Ended = Extract<RequestEvent, { readonly event: 'entry-ended' | 'guard-ended' }>;
 /** How a request ended at one hop. */
@@ -44,6 +46,8 @@
 
   readonly #refused: TokenBucket;
 
+  readonly #ends: TokenBucket;
+
   /** Requests whose lines were left out since the start, by the bounds above. */
   leftOut = 0;
 
@@ -55,6 +59,7 @@
   ) {
     this.#served = new TokenBucket(clock, SERVED_PER_SECOND, SERVED_PER_SECOND);
     this.#refused = new TokenBucket(clock, REFUSED_PER_SECOND, REFUSED_PER_SECOND);
+    this.#ends = new TokenBucket(clock, ENDS_PER_SECOND, ENDS_PER_SECOND);
   }
 
   /** Begins with the request that its caller calls `id`. */
@@ -66,12 +71,11 @@
   write(id: string, decisions: readonly Decision[], ended: Ended): void {
     const level = levelOf(ended);
     if (!this.log.writes(level)) return;
-    const bucket = level === 'debug' ? this.#served : this.#refused;
-    if (!bucket.take()) {
-      this.leftOut += 1;
-      return;
-    }
-    for (const { at, event } of decisions) this.log.record(level, { id, ...event }, at);
+    const isServed = level === 'debug';
+    if ((isServed ? this.#served : this.#refused).take()) {
+      for (const { at, event } of decisions) this.log.record(level, { id, ...event }, at);
+    } else if (!isServed && this.#ends.take()) this.log.record(level, { id, ...ended });
+    else this.leftOut += 1;
   }
 }
 
