Write the last line of a stop once

A daemon that stops is disposed of afterwards, and both wrote `stopped` and waited for the reader of the lines. The stop alone does now. On the operators' platform nothing is disposed of, so nothing changes there.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -239,7 +239,6 @@
     await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
-    await this.#farewell();
   }
 
   /**
