Know callers again who come back, by what they ask for and until when they wait

Every one of 19,005 attempts had the full 300 ms to its target: UsualWaits never found a usual wait, because each caller waits for another time (1,700 to 2,000 ms), so whoever came back was taken for new and went before those who could still be served in time. Hypothesis: a caller's attempts share what they ask for and the instant until which it waits; known by both, it stands behind those who can be in time, and the same number of slots serves more of them.

--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -45,8 +45,8 @@
   RetryBudgets,
   USUAL_RETRIES,
 } from '../placement/retry_budget.js';
+import { Returns } from '../placement/returns.js';
 import { Split } from '../placement/split.js';
-import { UsualWaits } from '../placement/usual_wait.js';
 import { Traffic } from './traffic.js';
 
 const MAX_SOCKETS_PER_GUARD = 256;
@@ -98,7 +98,7 @@
 
   readonly #split = new Split();
 
-  readonly #usualWaits = new UsualWaits();
+  readonly #returns = new Returns();
 
   /** Internal headers that callers get to see on answers. */
   readonly #told: ReadonlySet<string>;
@@ -140,8 +140,9 @@
     this.#hostility.enter(request, response);
     const id = this.dialect.requestIdOf(request.headers) ?? this.#nextId();
     const trace = this.requestLog.begin(id);
+    let journey: Journey | undefined;
     try {
-      const journey = this.#route(request, response, trace);
+      journey = this.#route(request, response, trace);
       const body = hasBody(request) ? await this.#take(journey) : new EmptyBody(request.method);
       await this.#carry(journey, body);
       trace.answered('entry-ended', response);
@@ -149,6 +150,7 @@
       const now = this.clock.now();
       const outcome = this.#withRetryAt(asOutcome(error), now);
       const isCut = response.headersSent;
+      if (journey?.caller) this.#returns.turnedAway(journey.caller, journey.firstAt);
       refuse(response, outcome, now, this.dialect);
       trace.failed('entry-ended', response, outcome, isCut);
     }
@@ -162,7 +164,7 @@
     const reading = {
       dialect: this.dialect,
       split: this.#split,
-      usualWaits: this.#usualWaits,
+      returns: this.#returns,
       retryPercent: this.retries.percent,
       trace,
     };
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -7,9 +7,9 @@
 import { notRun } from './refusal.js';
 import { type Trace } from '../logs/request_log.js';
 import { isRepeatable, routeOf } from './router.js';
+import { type Caller, type Returns } from '../placement/returns.js';
 import { type Split } from '../placement/split.js';
 import { type Asked, askedBy } from './target.js';
-import { type UsualWaits } from '../placement/usual_wait.js';
 
 /** It keeps the version of the configuration that it began with. */
 export interface Journey {
@@ -17,6 +17,10 @@
   readonly response: ServerResponse;
   readonly asked: Asked;
   readonly route: Route;
+  /** Who asks; absent if it does not say how long it waits. */
+  readonly caller: Caller | undefined;
+  /** When that caller asked first, in milliseconds since the epoch. */
+  readonly firstAt: number;
   /** The one of the route's upstreams that is to run it. */
   readonly upstream: string;
   /** In milliseconds since the epoch. */
@@ -36,7 +40,7 @@
 export interface Reading {
   readonly dialect: Dialect;
   readonly split: Split;
-  readonly usualWaits: UsualWaits;
+  readonly returns: Returns;
   /** Retries for routes without a limit, as a percentage of answered requests. */
   readonly retryPercent: number;
   readonly trace: Trace;
@@ -48,7 +52,7 @@
   response: ServerResponse,
   configuration: Configuration,
   now: number,
-  { dialect, split, usualWaits, retryPercent, trace }: Reading,
+  { dialect, split, returns, retryPercent, trace }: Reading,
 ): Journey {
   const asked = askedBy(request);
   const route = routeOf(configuration, asked);
@@ -56,16 +60,19 @@
   if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
     throw notRun('key-required', 'this route insists on an Idempotency-Key');
   }
-  const waitMs = dialect.callerTimeoutMs(request.headers) ?? route.timeoutMs;
-  const deadline = now + Math.min(waitMs, route.timeoutMs);
-  const targetMs = route.targetMs ?? route.timeoutMs;
-  const targetAt = now + targetMs - usualWaits.elapsed(route.name, waitMs);
+  const waitMs = dialect.callerTimeoutMs(request.headers);
+  const deadline = now + Math.min(waitMs ?? route.timeoutMs, route.timeoutMs);
+  const caller = waitMs === undefined ? undefined : callerOf(asked, now + waitMs);
+  const firstAt = caller ? returns.firstAt(caller, now) : now;
+  const targetAt = firstAt + (route.targetMs ?? route.timeoutMs);
   const limit = route.limit === undefined ? undefined : configuration.find('limit', route.limit);
   return {
     request,
     response,
     asked,
     route,
+    caller,
+    firstAt,
     upstream: split.choose(route),
     deadline,
     targetAt: Math.min(targetAt, deadline),
@@ -75,3 +82,7 @@
     isRetriedElsewhere: request.headers[RETRIED] !== undefined,
   };
 }
+
+function callerOf({ method, host, url }: Asked, givesUpAt: number): Caller {
+  return { asks: `${method} ${host}${url}`, givesUpAt };
+}
