Move on after a refusal for lack of room only to where there may be some

Each hop costs two processes' time and a kilobyte, two in three between data centres. A refusal of late work also kept work that could be in time from that endpoint for up to 100 ms. Change: the next endpoint must be believed to answer by the request's target, or have a slot free, by a report that is at most 250 ms old; refusals that carry a load shun nobody.

--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -62,6 +62,26 @@
     return near ?? far ?? lastResort(group.near, tried, now) ?? lastResort(group.far, tried, now);
   }
 
+  /**
+   * Another endpoint for a request that one has just refused for lack of room, if any is believed
+   * to have some. Under overload each further refusal costs two processes the time in which they
+   * could have answered, and bytes between data centres.
+   */
+  another(
+    upstream: string,
+    tried: ReadonlySet<Experience>,
+    targetAt: number,
+  ): Experience | undefined {
+    const group = this.#group(upstream);
+    if (!group) return undefined;
+    const now = this.clock.now();
+    const useless = (member: Experience) => tried.has(member) || !member.couldServe(targetAt, now);
+    const passed = new Set([...group.near, ...group.far].filter(useless));
+    return (
+      this.#better(group.near, group, passed, now) ?? this.#better(group.far, group, passed, now)
+    );
+  }
+
   /** What a choice of `endpoint` goes by, for the logs. */
   seenOf(endpoint: Experience): Seen {
     const typicalMs = this.#group(endpoint.member.endpoint?.upstream ?? '')?.typicalMs;
@@ -93,7 +113,9 @@
     } else if (reason === 'draining' || reason === 'no-endpoint') {
       // The news of it is still on its way here.
       chosen.avoidUntil = now + UNREACHABLE_MS;
-    } else if (reason === 'overloaded' || reason === 'shed') {
+    } else if (reason === 'shed' || (reason === 'overloaded' && !load)) {
+      // With a load report the choice goes by that: what is refused to work that is late already
+      // may be free for work that can be in time.
       this.shed(chosen);
     }
   }
--- a/src/placement/experience.ts
+++ b/src/placement/experience.ts
@@ -8,6 +8,8 @@
 const LOAD_HALF_LIFE_MS = 500;
 /** Share of the slots in use from which an endpoint counts as full: the news of it is late. */
 const FULL_SHARE = 0.9;
+/** So long a reported load shows that there is no room, in milliseconds: a few slots' worth of work. */
+const KNOWN_MS = 250;
 /** How much dearer an endpoint is with all its slots in use than with none. */
 const FULL_FACTOR = 0.5;
 /**
@@ -133,6 +135,14 @@
       : this.#busy(now) >= this.#load.slots * FULL_SHARE;
   }
 
+  /** Whether one more request could be answered by `targetAt`, or at least begin at once. */
+  couldServe(targetAt: number, now: number): boolean {
+    if (!this.#load || now - this.#loadAt > KNOWN_MS) return true;
+    const { slots, heldMs } = this.#load;
+    const waiting = this.#busy(now) + 1 - slots;
+    return waiting <= 0 || now + heldMs * (1 + waiting / slots) <= targetAt;
+  }
+
   /**
    * Expected time of one more request: the work it waits for, and its own. What was seen long ago
    * fades into what is typical for the upstream, so that an endpoint that once was slow is tried
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -128,7 +128,9 @@
 
   #another(endpoint: Experience, reason: string): Experience | undefined {
     const tried = new Set(this.#tried).add(endpoint);
-    const other = this.balancer.choose(this.journey.upstream, tried);
+    const { upstream, targetAt } = this.journey;
+    if (reason === 'overloaded') return this.balancer.another(upstream, tried, targetAt);
+    const other = this.balancer.choose(upstream, tried);
     // A connection that broke says little about the endpoint, if that is the only one.
     return other ?? (reason === 'connection' ? endpoint : undefined);
   }
--- a/src/test/placement/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -204,4 +204,35 @@
     });
     fc.assert(property, { seed: SEED, numRuns: 200 });
   });
+
+  // Three endpoints with 6 slots. One refuses a lookup that must be answered within 300 ms. Another
+  // reported a moment ago that 12 requests wait, 100 ms of work each: the lookup would be refused
+  // there as well, which takes two processes' time and keeps the caller from hearing when to come
+  // back. The third has room for it. What is late already needs a slot that is free now.
+  it('moves on after a refusal only to where there may be room', () => {
+    const { balancer, clock, choose } = set(near);
+    const all = new Map<string, Experience>();
+    while (all.size < 3) {
+      const chosen = choose()!;
+      all.set(chosen.member.instance, chosen);
+    }
+    const [a, b, c] = ['a', 'b', 'c'].map((name) => all.get(name)!);
+    const crowded = { inFlight: 6, slots: 6, waiting: 12, heldMs: 100 };
+    const targetAt = clock.now() + 300;
+    balancer.refused(a!, refusal('overloaded'), crowded);
+    balancer.refused(b!, refusal('overloaded'), crowded);
+    balancer.answered(c!, 100, { ...crowded, waiting: 1 }, false);
+    expect(balancer.another('bookings', new Set([a!]), targetAt)).to.equal(c);
+    expect(balancer.another('bookings', new Set([a!, c!]), targetAt)).to.equal(undefined);
+    expect(balancer.another('bookings', new Set([a!]), clock.now() - 1)).to.equal(undefined);
+  });
+
+  it('asks again where the news of a full line is old', () => {
+    const { balancer, clock } = set([{ name: 'a' }]);
+    const a = balancer.choose('bookings', NONE)!;
+    balancer.refused(a, refusal('overloaded'), { inFlight: 6, slots: 6, waiting: 30, heldMs: 100 });
+    expect(balancer.another('bookings', NONE, clock.now() + 300)).to.equal(undefined);
+    clock.instant += 300;
+    expect(balancer.another('bookings', NONE, clock.now() + 300)).to.equal(a);
+  });
 });
