Keep heavy answers in their data centre as long as it can serve them

Hypothesis: an entry knows from the answers so far what a route's usually weigh; heavy ones can wait for a slot nearby. Change: Weights; another data centre must be expected to answer sooner by 4 ms for each kilobyte over 16.

--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -48,8 +48,11 @@
     private readonly random: Random,
   ) {}
 
-  /** An endpoint that takes work for `upstream`, other than those tried; undefined if none does. */
-  choose(upstream: string, tried: ReadonlySet<Experience>): Experience | undefined {
+  /**
+   * An endpoint that takes work for `upstream`, other than those tried; undefined if none does.
+   * Another data centre is asked only if it is expected to answer sooner by more than `awayMs`.
+   */
+  choose(upstream: string, tried: ReadonlySet<Experience>, awayMs = 0): Experience | undefined {
     const group = this.#group(upstream);
     if (!group) return undefined;
     const now = this.clock.now();
@@ -57,7 +60,7 @@
     if (near && !near.isSaturated(now)) return near;
     const far = this.#better(group.far, group, tried, now);
     if (near && far) {
-      return far.cost(group.typicalMs, now) < near.cost(group.typicalMs, now) ? far : near;
+      return far.cost(group.typicalMs, now) + awayMs < near.cost(group.typicalMs, now) ? far : near;
     }
     return near ?? far ?? lastResort(group.near, tried, now) ?? lastResort(group.far, tried, now);
   }
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -49,8 +49,8 @@
 
   /** The endpoint to begin with. */
   first(): Experience {
-    const { upstream } = this.journey;
-    const endpoint = this.balancer.choose(upstream, NONE_TRIED);
+    const { upstream, awayMs } = this.journey;
+    const endpoint = this.balancer.choose(upstream, NONE_TRIED, awayMs);
     if (endpoint) return endpoint;
     const retryAt = this.clock.now() + NO_ENDPOINT_MS;
     throw notRun('no-endpoint', `nobody serves ${upstream}`, retryAt);
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -48,6 +48,7 @@
 import { Returns } from '../placement/returns.js';
 import { Split } from '../placement/split.js';
 import { Traffic } from './traffic.js';
+import { Weights } from '../placement/weights.js';
 
 const MAX_SOCKETS_PER_GUARD = 256;
 /** Time for the guard's own refusal at the deadline to come back, in milliseconds. */
@@ -100,6 +101,8 @@
 
   readonly #returns = new Returns();
 
+  readonly #weights = new Weights();
+
   /** Internal headers that callers get to see on answers. */
   readonly #told: ReadonlySet<string>;
 
@@ -165,6 +168,7 @@
       dialect: this.dialect,
       split: this.#split,
       returns: this.#returns,
+      weights: this.#weights,
       retryPercent: this.retries.percent,
       trace,
     };
@@ -275,6 +279,7 @@
     this.balancer.answered(endpoint, now - startedAt, load, status >= SERVER_ERROR);
     if (answer.headers[SHED] !== undefined) this.balancer.shed(endpoint);
     this.#budgets.of(journey.upstream).credit(journey.retryPercent);
+    this.#weights.learn(journey.route.name, Number(answer.headers['content-length'] ?? 0));
     journey.response.writeHead(status, answerHeaders(answer, this.#told));
     await exchange.relay(answer, journey.response);
     return undefined;
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -9,6 +9,7 @@
 import { isRepeatable, routeOf } from './router.js';
 import { type Caller, type Returns } from '../placement/returns.js';
 import { type Split } from '../placement/split.js';
+import { type Weights } from '../placement/weights.js';
 import { type Asked, askedBy } from './target.js';
 
 /** It keeps the version of the configuration that it began with. */
@@ -23,6 +24,8 @@
   readonly firstAt: number;
   /** The one of the route's upstreams that is to run it. */
   readonly upstream: string;
+  /** How much sooner another data centre must answer to be asked, in milliseconds. */
+  readonly awayMs: number;
   /** In milliseconds since the epoch. */
   readonly deadline: number;
   /** Until when an answer is of full use to the caller, in milliseconds since the epoch. */
@@ -41,6 +44,7 @@
   readonly dialect: Dialect;
   readonly split: Split;
   readonly returns: Returns;
+  readonly weights: Weights;
   /** Retries for routes without a limit, as a percentage of answered requests. */
   readonly retryPercent: number;
   readonly trace: Trace;
@@ -52,7 +56,7 @@
   response: ServerResponse,
   configuration: Configuration,
   now: number,
-  { dialect, split, returns, retryPercent, trace }: Reading,
+  { dialect, split, returns, weights, retryPercent, trace }: Reading,
 ): Journey {
   const asked = askedBy(request);
   const route = routeOf(configuration, asked);
@@ -74,6 +78,7 @@
     caller,
     firstAt,
     upstream: split.choose(route),
+    awayMs: weights.awayMs(route.name),
     deadline,
     targetAt: Math.min(targetAt, deadline),
     isRepeatable: isRepeatable(route, asked.method),
