--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -26,6 +26,7 @@
 import { Control } from './control.js';
 import { type Log, SilentLog } from '../logs/log.js';
 import { RequestLog } from '../logs/request_log.js';
+import { Tally } from '../logs/tally.js';
 import { recordBeliefs } from './beliefs.js';
 import { EndedRequests } from './ended_requests.js';
 import { OperatorsPort } from './operators_port.js';
@@ -90,6 +91,8 @@
 
   readonly #linkServer: Server;
 
+  readonly #tally: Tally;
+
   #isStopping = false;
 
   #appliedAt: number;
@@ -133,9 +136,11 @@
     this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
     this.#linkServer = ports.link;
-    this.entry.requestLog = new RequestLog(this.log, clock, (ended) =>
-      this.endedAtEntry.add(ended),
-    );
+    this.#tally = new Tally(this.log, clock);
+    this.entry.requestLog = new RequestLog(this.log, clock, (ended) => {
+      this.endedAtEntry.add(ended);
+      this.#tally.add(ended);
+    });
     this.guard.requestLog = new RequestLog(this.log, clock, (ended) =>
       this.endedAtGuard.add(ended),
     );
@@ -267,6 +272,7 @@
   async #farewell(): Promise<void> {
     const { clock } = this.surroundings;
     const inFlight = this.entry.traffic.inFlight + this.guard.traffic.inFlight;
+    this.#tally.flush();
     this.log.record('info', { event: 'stopped', inFlight });
     await this.log.drain(clock.now() + LAST_LINES_MS);
   }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -22,6 +22,10 @@
   status: z.number().optional(),
   tookMs: z.number(),
   retryAfterMs: z.number().optional(),
+  /** Whether it ended after the instant until which an answer is of full use. */
+  isLate: z.boolean().optional(),
+  /** Whether its caller had been turned away before. */
+  isReturn: z.boolean().optional(),
 };
 
 /** Decisions about one request. */
@@ -38,6 +42,8 @@
     leftMs: z.number(),
     /** Until an answer is of less use. */
     targetMs: z.number(),
+    /** Since the caller's first attempt, if it was turned away here before. */
+    waitedMs: z.number().optional(),
     isRepeatable: z.boolean(),
   }),
   z.object({
@@ -144,6 +150,22 @@
     dependency: z.enum(['platform']),
     awayMs: z.number(),
   }),
+  z.object({
+    event: z.literal('tally'),
+    route: z.string(),
+    upstream: z.string(),
+    /** Requests of the second that ended at the entry: the sum of the four ends below. */
+    asked: z.number(),
+    /** Those of them whose caller had been turned away before. */
+    returned: z.number(),
+    inTime: z.number(),
+    late: z.number(),
+    /** Proven not to have run. */
+    refused: z.number(),
+    failed: z.number(),
+    /** Why they were refused or failed. */
+    reasons: z.record(z.string(), z.number()),
+  }),
   z.object({
     event: z.literal('lines-dropped'),
     /** Lines of requests that were served. */
--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -20,7 +20,10 @@
 
 type Ended = Extract<RequestEvent, { readonly event: 'entry-ended' | 'guard-ended' }>;
 /** How a request ended at one hop. */
-export type Ending = Pick<Ended, 'verdict' | 'reason' | 'tookMs' | 'route' | 'upstream'>;
+export type Ending = Pick<
+  Ended,
+  'verdict' | 'reason' | 'status' | 'tookMs' | 'route' | 'upstream' | 'isLate' | 'isReturn'
+>;
 
 type Routed = Extract<RequestEvent, { readonly event: 'routed' }>;
 /** The answer that the caller got. */
@@ -93,6 +96,11 @@
   /** What it is about, as far as that is known. */
   about: About = {};
 
+  /** Until when an answer is of full use, in milliseconds since the epoch. */
+  #targetAt = Infinity;
+
+  #isReturn = false;
+
   constructor(
     readonly id: string,
     private readonly clock: Clock,
@@ -111,6 +119,8 @@
 
   routed(routed: Routed): void {
     this.about = { route: routed.route, upstream: routed.upstream };
+    this.#targetAt = this.startedAt + routed.targetMs;
+    this.#isReturn = routed.waitedMs !== undefined;
     this.note(routed);
   }
 
@@ -151,8 +161,15 @@
   }
 
   #end(part: Omit<Ended, 'tookMs'>): void {
-    const tookMs = Math.round(this.clock.now() - this.startedAt);
-    const ended = { ...part, ...this.about, tookMs } as Ended;
+    const now = this.clock.now();
+    const tookMs = Math.round(now - this.startedAt);
+    const ended = {
+      ...part,
+      ...this.about,
+      tookMs,
+      ...(now > this.#targetAt && { isLate: true }),
+      ...(this.#isReturn && { isReturn: true }),
+    } as Ended;
     this.note(ended);
     this.log?.write(this.id, this.#decisions, ended);
     this.onEnded(ended);
--- /dev/null
+++ b/src/logs/tally.ts
@@ -0,0 +1,76 @@
+/** Counts what became of callers' requests, a line for each second and route. */
+import { type Clock } from '../runtime/clock.js';
+import { type ProcessEvent } from './events.js';
+import { type Log } from './log.js';
+import { type Ending } from './request_log.js';
+
+type Line = Extract<ProcessEvent, { readonly event: 'tally' }>;
+type Counts = { -readonly [Field in keyof Line]: Line[Field] };
+
+const WINDOW_MS = 1_000;
+/** Lines in a second; a scan over thousands of routes would else fill the log. */
+const MAX_ROUTES = 50;
+/** What stands for the routes beyond that. */
+const OTHER = 'other';
+const NONE = 'none';
+const SERVER_ERROR = 500;
+
+/**
+ * Of single requests only a sample is written, so the lines of requests do not add up. These do:
+ * each request that ended at the entry is in one of them. A second without requests has none, and
+ * the counts of a second are written when the next request ends after it.
+ */
+export class Tally {
+  #startedAt = 0;
+
+  readonly #routes = new Map<string, Counts>();
+
+  constructor(
+    private readonly log: Log,
+    private readonly clock: Clock,
+  ) {}
+
+  add(ended: Ending): void {
+    const now = this.clock.now();
+    if (now >= this.#startedAt + WINDOW_MS) this.flush();
+    if (this.#routes.size === 0) this.#startedAt = now;
+    const counts = this.#countsOf(ended);
+    counts.asked += 1;
+    if (ended.isReturn) counts.returned += 1;
+    if (ended.verdict === 'ran' && (ended.status ?? 0) < SERVER_ERROR) {
+      counts[ended.isLate ? 'late' : 'inTime'] += 1;
+      return;
+    }
+    counts[ended.verdict === 'not-run' ? 'refused' : 'failed'] += 1;
+    const reason = ended.verdict === 'ran' ? `status ${ended.status}` : ended.reason;
+    counts.reasons[reason] = (counts.reasons[reason] ?? 0) + 1;
+  }
+
+  /** Writes what has been counted so far. */
+  flush(): void {
+    for (const counts of this.#routes.values()) this.log.record('info', counts, this.#startedAt);
+    this.#routes.clear();
+  }
+
+  #countsOf({ route = NONE, upstream = NONE }: Ending): Counts {
+    const isBeyond = this.#routes.size >= MAX_ROUTES && !this.#routes.has(route);
+    const name = isBeyond ? OTHER : route;
+    let counts = this.#routes.get(name);
+    if (!counts) {
+      counts = { event: 'tally', route: name, upstream: isBeyond ? OTHER : upstream, ...NOTHING };
+      counts.reasons = {};
+      this.#routes.set(name, counts);
+    }
+    return counts;
+  }
+}
+
+const NOTHING = {
+  asked: 0,
+  returned: 0,
+  inTime: 0,
+  late: 0,
+  refused: 0,
+  failed: 0,
+  reasons: {} as Record<string, number>,
+};
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -173,7 +173,7 @@
       trace,
     };
     const journey = journeyOf(request, response, configuration, now, reading);
-    const { asked, route, upstream, deadline, targetAt, isRepeatable } = journey;
+    const { asked, route, upstream, deadline, firstAt, targetAt, isRepeatable } = journey;
     trace.routed({
       event: 'routed',
       method: asked.method,
@@ -183,6 +183,7 @@
       version: configuration.number,
       leftMs: Math.round(deadline - now),
       targetMs: Math.round(targetAt - now),
+      ...(firstAt < now && { waitedMs: Math.round(now - firstAt) }),
       isRepeatable,
     });
     this.#check(journey);
--- /dev/null
+++ b/src/test/logs/tally_test.ts
@@ -0,0 +1,67 @@
+import { expect } from 'chai';
+import { Log, type Recorded } from '../../logs/log.js';
+import { type Ending } from '../../logs/request_log.js';
+import { Tally } from '../../logs/tally.js';
+import { FakeTime } from '../fake_time.js';
+
+class MemoryLog extends Log {
+  readonly dropped = { routine: 0, important: 0 };
+
+  readonly events: Recorded[] = [];
+
+  writes(): boolean {
+    return true;
+  }
+
+  record(_: string, event: Recorded): void {
+    this.events.push(structuredClone(event));
+  }
+
+  drain(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
+const SERVED: Ending = { verdict: 'ran', reason: 'none', status: 200, tookMs: 9, route: 'menus' };
+
+describe('Tally', () => {
+  let time: FakeTime;
+  let log: MemoryLog;
+  let tally: Tally;
+
+  beforeEach(() => {
+    time = new FakeTime();
+    log = new MemoryLog();
+    tally = new Tally(log, time.clock);
+  });
+
+  afterEach(() => time[Symbol.dispose]());
+
+  it('counts each end of a second once, by route', async () => {
+    tally.add(SERVED);
+    tally.add({ ...SERVED, isLate: true, isReturn: true });
+    tally.add({ ...SERVED, status: 500 });
+    tally.add({ ...SERVED, verdict: 'not-run', reason: 'overloaded', status: 503 });
+    tally.add({ ...SERVED, verdict: 'cut', reason: 'connection', route: 'seats' });
+    expect(log.events).to.deep.equal([]);
+    await time.advance(1_000);
+    tally.add(SERVED);
+    expect(log.events).toMatchSnapshot();
+  });
+
+  it('writes the last second at a stop', () => {
+    tally.add(SERVED);
+    tally.flush();
+    expect(log.events).to.have.length(1);
+  });
+
+  // A caller tries thousands of paths in a second. Were each route a line, the lines of failures
+  // would find no room.
+  it('bounds the lines of a second and still counts everything', () => {
+    for (let route = 0; route < 1_000; route++) tally.add({ ...SERVED, route: `r-${route}` });
+    tally.flush();
+    expect(log.events.length).to.be.at.most(51);
+    const asked = log.events.reduce((sum, event) => sum + ('asked' in event ? event.asked : 0), 0);
+    expect(asked).to.equal(1_000);
+  });
+});
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -13,6 +13,8 @@
 import { readLogLines } from './explain/log_lines.js';
 import { renderStory } from './explain/render_story.js';
 import { storyOf } from './explain/story.js';
+import { accountOf } from './losses/account.js';
+import { renderAccount } from './losses/render_account.js';
 import { amend, check, submit, withdraw } from './note_commands.js';
 import { type Options, print } from './output.js';
 import { renderAudit } from './render_audit.js';
@@ -48,6 +50,9 @@
   tool
     .command('explain <id> [...files]', 'what became of a request, from logs; - is standard input')
     .action(explain);
+  tool
+    .command('losses [...files]', 'where requests were lost, from logs; - is standard input')
+    .action(losses);
   tool.help();
   try {
     tool.parse(argv, { run: false });
@@ -128,3 +133,10 @@
   const code = story.lines.length > 0 ? EXIT.ok : EXIT.failed;
   return print(story, code, options, renderStory);
 }
+
+/** Logs without a single count are a failure: nothing can be said of them. */
+async function losses(files: readonly string[], options: Pick<Options, 'json'>): Promise<number> {
+  const account = accountOf(await readLogLines(files.map(String)));
+  const code = account.rows.length > 0 ? EXIT.ok : EXIT.failed;
+  return print(account, code, options, renderAccount);
+}
