Give an entry's headers and the time to come back modules of their own; decisions no longer import refusals

notRun and asOutcome make outcomes, so they stand with the verdict; requests/refusal.ts keeps what writes answers.

--- a/src/admission/limit.ts
+++ b/src/admission/limit.ts
@@ -1,10 +1,9 @@
 /** Bounds the work that one upstream instance gets at a time. */
 import PQueue from 'p-queue';
-import { type Limit as LimitResource, OutcomeError } from '../contracts.js';
+import { type Limit as LimitResource, notRun, OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { AdaptiveSlots } from './adaptive_slots.js';
 import { type Load } from './load.js';
-import { notRun } from '../requests/refusal.js';
 import { average, Share } from './share.js';
 import { type Waiting, WaitingLine, type WaitingOptions } from './waiting_line.js';
 
--- a/src/claims/once.ts
+++ b/src/claims/once.ts
@@ -1,11 +1,11 @@
 /** Runs a request with an `Idempotency-Key` under a claim, or answers it without a run. */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Readable } from 'node:stream';
+import { asOutcome } from '../contracts.js';
 import { type Claims } from './claims.js';
 import { fingerprintOf, openBody } from './fingerprint.js';
 import { type HeldClaim } from './held_claim.js';
 import { replay } from './outcome.js';
-import { asOutcome } from '../requests/refusal.js';
 
 /** A request with a key at the process beside the upstream. */
 export interface OnceRequest {
--- a/src/contracts/verdict.ts
+++ b/src/contracts/verdict.ts
@@ -37,3 +37,19 @@
     this.retryAt = props.retryAt;
   }
 }
+
+/** A refusal that is proven; the caller may come back at `retryAt`, in milliseconds since the epoch. */
+export function notRun(reason: string, message: string, retryAt?: number): OutcomeError {
+  const when = retryAt === undefined ? {} : { retryAt };
+  return new OutcomeError(message, { verdict: 'not-run', reason, ...when });
+}
+
+/** An error of any kind as an outcome. What nobody foresaw proves nothing. */
+export function asOutcome(error: unknown): OutcomeError {
+  if (error instanceof OutcomeError) return error;
+  return new OutcomeError(
+    'the request failed on its way',
+    { verdict: 'may-have-run', reason: 'failed' },
+    { cause: error },
+  );
+}
--- a/src/quarantine/flights.ts
+++ b/src/quarantine/flights.ts
@@ -1,10 +1,10 @@
 /** The requests in flight at the upstream instance beside this process, and what it died of. */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { connect } from 'node:net';
+import { asOutcome } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Opening, openBody } from '../claims/fingerprint.js';
 import { type Quarantine } from './quarantine.js';
-import { asOutcome } from '../requests/refusal.js';
 import {
   headFingerprint,
   MAX_DIGESTED_BYTES,
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -1,12 +1,11 @@
 /** The attempts at one request: which endpoint is next, and when to give up. */
-import { OutcomeError, type Verdict } from '../contracts.js';
+import { notRun, OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Balancer } from '../placement/balancer.js';
 import { type Body } from './body.js';
 import { type Experience } from '../placement/experience.js';
 import { type Journey } from './journey.js';
 import { RETRIED } from './headers.js';
-import { notRun } from './refusal.js';
 import {
   type FailedAttempt,
   isUnoffered,
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -1,7 +1,7 @@
 /** Takes requests from callers and brings each to a process beside an upstream. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
-import { OutcomeError } from '../contracts.js';
+import { asOutcome, notRun, OutcomeError } from '../contracts.js';
 import { RequestLog, silentRequests, type Trace } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -14,31 +14,23 @@
 import { type Experience } from '../placement/experience.js';
 import {
   answerHeaders,
-  CLAIM,
   headerOf,
-  IDEMPOTENCY_KEY,
-  LIMIT,
   LOAD,
-  PRIORITY,
-  REMAINING,
-  REPEATABLE,
   EXCHANGE_ID,
-  requestHeaders,
   RETRIED,
-  ROUTE,
   SHED,
-  TARGET,
   TOLD_TO_CALLERS,
-  UPSTREAM,
 } from './headers.js';
+import { handoverHeaders } from './handover.js';
 import { BOUNDS, Hostility } from './hostility.js';
 import { type Journey, journeyOf } from './journey.js';
 import { readLoad } from '../admission/load.js';
 import { type Quarantine } from '../quarantine/quarantine.js';
-import { asOutcome, notRun, refuse } from './refusal.js';
+import { refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
 import { headFingerprint } from '../quarantine/request_fingerprint.js';
 import { OWN_DIALECT } from './own_dialect.js';
+import { withReturnTime } from './return_time.js';
 import {
   type Retries,
   type RetryBudget,
@@ -59,22 +51,6 @@
  */
 const ACKNOWLEDGE_MS = 300;
 const SERVER_ERROR = 500;
-/** When to come back where nothing better is known, in milliseconds. */
-const RETRY_MS = 250;
-/** Part of the wait by which the returns of callers are spread. */
-const RETRY_SPREAD = 0.3;
-/** Reasons for which to come back is of no use, or has its own time. */
-const FINAL: ReadonlySet<string> = new Set([
-  'no-route',
-  'bad-request',
-  'expectation-failed',
-  'key-required',
-  'key-reused',
-  'body-too-large',
-  'headers-too-large',
-  'quarantined',
-]);
-
 export class Entry implements AsyncDisposable {
   readonly server: Server;
 
@@ -151,7 +127,7 @@
       trace.answered('entry-ended', response);
     } catch (error) {
       const now = this.clock.now();
-      const outcome = this.#withRetryAt(asOutcome(error), now);
+      const outcome = withReturnTime(asOutcome(error), now, this.random);
       const isCut = response.headersSent;
       if (journey?.caller) this.#returns.turnedAway(journey.caller, journey.firstAt);
       refuse(response, outcome, now, this.dialect);
@@ -190,14 +166,6 @@
     return journey;
   }
 
-  /** Who has not been served is told when to come back, not all at the same instant. */
-  #withRetryAt(outcome: OutcomeError, now: number): OutcomeError {
-    const { verdict, reason, retryAt = now + RETRY_MS, message } = outcome;
-    if (verdict !== 'not-run' || FINAL.has(reason)) return outcome;
-    const spread = this.random.jitter(Math.max(0, retryAt - now) * RETRY_SPREAD);
-    return new OutcomeError(message, { verdict, reason, retryAt: retryAt - spread });
-  }
-
   /** Those that only their body gives away are refused by the guard. */
   #check({ request, upstream, asked }: Journey): void {
     const { quarantine } = this;
@@ -294,20 +262,8 @@
     onUnacknowledged: () => boolean,
   ): Exchange {
     const { member } = endpoint;
-    const { request, response, asked, route, upstream, deadline, isRepeatable } = journey;
-    const remaining = Math.max(1, Math.floor(deadline - this.clock.now()));
-    const headers = requestHeaders(request, this.dialect.fromCallers);
-    headers.push(...this.dialect.originHeaders());
-    headers.push(UPSTREAM, upstream, EXCHANGE_ID, id, REMAINING, String(remaining));
-    headers.push(PRIORITY, String(route.priority), ROUTE, route.name);
-    headers.push(TARGET, String(Math.floor(journey.targetAt - this.clock.now())));
-    if (!isRepeatable) headers.push(REPEATABLE, '0');
-    if (isRetried(journey)) headers.push(RETRIED, '1');
-    const hasKey = this.dialect.takesKeys && request.headers[IDEMPOTENCY_KEY] !== undefined;
-    if (!isRepeatable && hasKey) {
-      headers.push(CLAIM, route.name);
-    }
-    if (route.limit !== undefined) headers.push(LIMIT, route.limit);
+    const { response, asked, deadline, isRepeatable } = journey;
+    const headers = handoverHeaders(journey, id, this.dialect, this.clock);
     return new Exchange(
       {
         connections: this.#connections,
@@ -357,10 +313,6 @@
   }
 }
 
-function isRetried({ isRetriedElsewhere, response }: Journey): boolean {
-  return isRetriedElsewhere || response.hasHeader(RETRIED);
-}
-
 function silence(): OutcomeError {
   const props = { verdict: 'may-have-run', reason: 'unacknowledged' } as const;
   return new OutcomeError('the process beside the upstream does not react', props);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Readable } from 'node:stream';
 import { Configuration } from '../configuration/configuration.js';
-import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
+import { asOutcome, type Endpoint, MAX_TIMEOUT_MS, notRun } from '../contracts.js';
 import { type RequestLog, silentRequests, type Trace } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
@@ -37,7 +37,7 @@
 import { runOnce } from '../claims/once.js';
 import { relayAndKeep } from '../claims/outcome.js';
 import { OWN_DIALECT } from './own_dialect.js';
-import { asOutcome, notRun, refuse } from './refusal.js';
+import { refuse } from './refusal.js';
 import { Traffic } from './traffic.js';
 
 /** The upstream instance beside this process, as it last announced itself. */
--- /dev/null
+++ b/src/requests/handover.ts
@@ -0,0 +1,45 @@
+/** What an entry tells the process beside an upstream instance about a request. */
+import { type Clock } from '../runtime/clock.js';
+import { type Dialect } from './dialect.js';
+import {
+  CLAIM,
+  EXCHANGE_ID,
+  IDEMPOTENCY_KEY,
+  LIMIT,
+  PRIORITY,
+  REMAINING,
+  REPEATABLE,
+  requestHeaders,
+  RETRIED,
+  ROUTE,
+  TARGET,
+  UPSTREAM,
+} from './headers.js';
+import { type Journey } from './journey.js';
+
+/** Headers for the next hop, as names and values in turn; `id` is that of the exchange. */
+export function handoverHeaders(
+  journey: Journey,
+  id: string,
+  dialect: Dialect,
+  clock: Clock,
+): string[] {
+  const { request, route, upstream, deadline, targetAt, isRepeatable } = journey;
+  const now = clock.now();
+  const remaining = Math.max(1, Math.floor(deadline - now));
+  const headers = requestHeaders(request, dialect.fromCallers);
+  headers.push(...dialect.originHeaders());
+  headers.push(UPSTREAM, upstream, EXCHANGE_ID, id, REMAINING, String(remaining));
+  headers.push(PRIORITY, String(route.priority), ROUTE, route.name);
+  headers.push(TARGET, String(Math.floor(targetAt - now)));
+  if (!isRepeatable) headers.push(REPEATABLE, '0');
+  if (isRetried(journey)) headers.push(RETRIED, '1');
+  const hasKey = dialect.takesKeys && request.headers[IDEMPOTENCY_KEY] !== undefined;
+  if (!isRepeatable && hasKey) headers.push(CLAIM, route.name);
+  if (route.limit !== undefined) headers.push(LIMIT, route.limit);
+  return headers;
+}
+
+function isRetried({ isRetriedElsewhere, response }: Journey): boolean {
+  return isRetriedElsewhere || response.hasHeader(RETRIED);
+}
--- a/src/requests/hostility.ts
+++ b/src/requests/hostility.ts
@@ -1,8 +1,8 @@
 /** Keeps a server for callers safe from input that is malformed, too large or too slow. */
 import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Duplex } from 'node:stream';
-import { OutcomeError } from '../contracts.js';
-import { notRun, rawRefusal, refuse } from './refusal.js';
+import { notRun, OutcomeError } from '../contracts.js';
+import { rawRefusal, refuse } from './refusal.js';
 
 /** Time for the head of a request to arrive, in milliseconds. */
 const HEADERS_MS = 10_000;
--- a/src/requests/journey.ts
+++ b/src/requests/journey.ts
@@ -1,10 +1,9 @@
 /** One caller's request, and what was decided about it when it came in. */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
-import { type Route } from '../contracts.js';
+import { notRun, type Route } from '../contracts.js';
 import { type Dialect } from './dialect.js';
 import { IDEMPOTENCY_KEY, RETRIED } from './headers.js';
-import { notRun } from './refusal.js';
 import { type Trace } from '../logs/request_log.js';
 import { isRepeatable, routeOf } from './router.js';
 import { type Caller, type Returns } from '../placement/returns.js';
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -41,20 +41,6 @@
   readonly message: string;
 }
 
-export function notRun(reason: string, message: string, retryAt?: number): OutcomeError {
-  const when = retryAt === undefined ? {} : { retryAt };
-  return new OutcomeError(message, { verdict: 'not-run', reason, ...when });
-}
-
-export function asOutcome(error: unknown): OutcomeError {
-  if (error instanceof OutcomeError) return error;
-  return new OutcomeError(
-    'the request failed on its way',
-    { verdict: 'may-have-run', reason: 'failed' },
-    { cause: error },
-  );
-}
-
 /**
  * Ends a request with a refusal. Once the answer has begun it can only be cut: the connection is
  * destroyed, because a clean end would make a part look whole.
--- a/src/requests/target.ts
+++ b/src/requests/target.ts
@@ -1,6 +1,6 @@
 /** What a caller asks for, read from the head of its request. */
 import { type IncomingMessage } from 'node:http';
-import { notRun } from './refusal.js';
+import { notRun } from '../contracts.js';
 import { type Target } from './router.js';
 
 /** A target together with the form of it that goes to the next hop. */
