--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -10,6 +10,7 @@
 import { Herd } from './experiments/herd.js';
 import { Overload } from './experiments/overload.js';
 import { Slopes } from './experiments/slopes.js';
+import { replayCommand } from './replay/command.js';
 import { StolenTime } from './stolen_time.js';
 
 const clock = new MachineClock();
@@ -75,6 +76,11 @@
 tool.option('--processes <n>', 'how many processes');
 tool.option('--seed <s>', 'seed of whatever is random in the bench');
 tool.option('--keep <name>', 'keep the result under bench/results/<name>.json');
+tool
+  .command('replay [...patterns]', 'compare rules on load patterns, such as bench/patterns/*.json')
+  .action((patterns: readonly string[], flags: Flags) =>
+    replayCommand(patterns.map(String), flags.json ?? false),
+  );
 tool
   .command('<experiment>', `${experiments.map((one) => one.name).join(', ')}, or report`)
   .action(run);
--- /dev/null
+++ b/src/bench/replay/books.ts
@@ -0,0 +1,95 @@
+/** What became of callers, and what it was worth. */
+import { type Verdict } from '../../contracts.js';
+import { rounded } from '../experiment.js';
+import { type Kind } from './pattern.js';
+
+/** A late answer is worth so much of one in time. */
+const LATE_SHARE = 0.5;
+const WINDOW_MS = 2_000;
+
+interface Sum {
+  owed: number;
+  earned: number;
+}
+
+/** Shares are of all callers; `worst` figures are worth earned over worth owed. */
+export interface Summary {
+  readonly asked: number;
+  readonly worth: number;
+  readonly inTarget: number;
+  readonly late: number;
+  readonly refused: number;
+  readonly refusedAgain: number;
+  readonly failed: number;
+  readonly worstWindow: number;
+  readonly worstDataCentre: number;
+  readonly worstKind: number;
+  /** Megabytes of answers between data centres. */
+  readonly crossedMb: number;
+}
+
+const BYTES_PER_MB = 1_000_000;
+
+export class Books {
+  /** Bytes of answers between data centres. */
+  crossed = 0;
+
+  readonly #counts = { asked: 0, inTarget: 0, late: 0, refused: 0, refusedAgain: 0, failed: 0 };
+
+  readonly #sums = {
+    all: new Map<string, Sum>(),
+    window: new Map<string, Sum>(),
+    dataCentre: new Map<string, Sum>(),
+    kind: new Map<string, Sum>(),
+  };
+
+  constructor(private readonly startAt: number) {}
+
+  served(kind: Kind, dataCentre: string, firstAt: number, now: number): void {
+    const isLate = now > firstAt + kind.targetMs;
+    this.#counts.asked += 1;
+    this.#counts[isLate ? 'late' : 'inTarget'] += 1;
+    this.#add(kind, dataCentre, firstAt, isLate ? LATE_SHARE : 1);
+  }
+
+  lost(kind: Kind, dataCentre: string, firstAt: number, verdict: Verdict, refusals: number): void {
+    this.#counts.asked += 1;
+    this.#counts[verdict === 'not-run' ? 'refused' : 'failed'] += 1;
+    if (refusals > 1) this.#counts.refusedAgain += 1;
+    this.#add(kind, dataCentre, firstAt, 0);
+  }
+
+  get summary(): Summary {
+    const { asked, ...counts } = this.#counts;
+    const share = (count: number) => rounded(count / Math.max(1, asked), 3);
+    return {
+      asked,
+      worth: least(this.#sums.all),
+      inTarget: share(counts.inTarget),
+      late: share(counts.late),
+      refused: share(counts.refused),
+      refusedAgain: share(counts.refusedAgain),
+      failed: share(counts.failed),
+      worstWindow: least(this.#sums.window),
+      worstDataCentre: least(this.#sums.dataCentre),
+      worstKind: least(this.#sums.kind),
+      crossedMb: rounded(this.crossed / BYTES_PER_MB, 1),
+    };
+  }
+
+  #add(kind: Kind, dataCentre: string, firstAt: number, share: number): void {
+    const window = String(Math.floor((firstAt - this.startAt) / WINDOW_MS));
+    const keys = { all: '', window, dataCentre, kind: kind.name };
+    for (const [group, key] of Object.entries(keys) as [keyof typeof keys, string][]) {
+      const sum = this.#sums[group].get(key) ?? { owed: 0, earned: 0 };
+      sum.owed += kind.worth;
+      sum.earned += kind.worth * share;
+      this.#sums[group].set(key, sum);
+    }
+  }
+}
+
+function least(sums: ReadonlyMap<string, Sum>): number {
+  const shares = [...sums.values()].map(({ owed, earned }) => earned / owed);
+  return shares.length === 0 ? 0 : rounded(Math.min(...shares), 3);
+}
