Let late work wait only where nobody fresh has had to in the last second

Ruled out: no waiting for late work at all; where usual work takes longer than its target all of it is late, and only slots free at the instant of arrival would serve it. Change: for a second after work that could be in time has had to wait, late work is served only if a slot is free.

--- a/src/admission/limit.ts
+++ b/src/admission/limit.ts
@@ -18,6 +18,12 @@
 const HEADROOM = 1.25;
 /** Share of the slots that may be waited for by work that will be late. */
 const LATE_SHARE = 0.25;
+/**
+ * For so long after work that could be in time had to wait, work that will be late does not wait at
+ * all, in milliseconds. Under sustained overload it would hold a line that is refused in the end, and
+ * take slots that the next to come needs; where nothing is in time any more, or all is, it may wait.
+ */
+const CONTESTED_MS = 1_000;
 /** How long such work waits at most; a caller who waits in vain is better told at once. */
 const LATE_WAIT_MS = 250;
 /** Share of the slots in use from which a refusal by the instance is for lack of room. */
@@ -68,6 +74,9 @@
 
   #heldMs = 0;
 
+  /** Until when slots are taken for contested, in milliseconds since the epoch. */
+  #contestedUntil = 0;
+
   constructor(
     private readonly clock: Clock,
     slots: number,
@@ -176,10 +185,15 @@
     if (isHopeless || isCrowded || share.waiting >= share.maxWaiting) {
       throw this.#full(ticket, waiting, inTimeMs);
     }
+    const isFull = this.#queue.pending >= this.#queue.concurrency;
+    if (isFull && !waiting.isLate && targetAt < deadline) {
+      this.#contestedUntil = now + CONTESTED_MS;
+    }
     return waiting;
   }
 
   get #hasRoomForLate(): boolean {
+    if (this.clock.now() < this.#contestedUntil) return false;
     return this.#line.late < this.#queue.concurrency * LATE_SHARE;
   }
 
--- a/src/test/admission/limit_test.ts
+++ b/src/test/admission/limit_test.ts
@@ -212,6 +212,25 @@
     expect(await settled([first, second])).to.deep.equal({ done: 1, 'not-run overloaded': 1 });
   });
 
+  // All slots are taken and a fresh request waits for one. A caller who was refused before comes
+  // back and can only be answered late: told so at once, it leaves the next slot to whoever comes
+  // fresh. A second later nobody fresh has waited any more, and the same caller may wait.
+  it('lets late work wait only where nobody fresh has had to', async () => {
+    await settled(batch(4, { takesMs: 100 }));
+    const held = batch(8, { takesMs: 100 });
+    await timers.tickAsync(0);
+    const fresh = run({ name: 'fresh', takesMs: 100, targetMs: 900, withinMs: 2_000 });
+    const late = run({ name: 'late', targetMs: -300, withinMs: 1_500 });
+    expect(await Promise.race([late, timers.tickAsync(0).then(() => 'waits')])).to.equal(
+      'not-run overloaded',
+    );
+    await timers.tickAsync(1_100);
+    const others = batch(8, { takesMs: 100 });
+    await timers.tickAsync(0);
+    const again = run({ name: 'again', targetMs: -1_400, withinMs: 1_500 });
+    expect(await settled([...held, fresh, ...others, again])).to.deep.equal({ done: 18 });
+  });
+
   // The instance begins to drain while work waits for it. None of that is begun any more, and
   // what its callers are told lets them go elsewhere.
   it('begins nothing that waits once the instance drains', async () => {
