Take back a step down of the slots that has not stopped an instance's refusals

Ruled out: no shrinking at all, which leaves an instance that bears less than it announces without a bound. Change: refusals and work taken since a step are counted; are more than a quarter of at least 8 refused, the slots go back and refusals shrink nothing for 10 s.

--- a/src/admission/adaptive_slots.ts
+++ b/src/admission/adaptive_slots.ts
@@ -22,6 +22,15 @@
 /** Weight of a window in the long-run average when latency rises, and when it falls. */
 const RISE_WEIGHT = 0.05;
 const FALL_WEIGHT = 0.3;
+/**
+ * Share of refusals, among what the instance was given since a step down, that shows the step to be
+ * of no use: one that bears fewer than announced takes nearly all of what is below that.
+ */
+const USELESS_SHARE = 0.25;
+/** Work that makes up such a judgement. */
+const JUDGED = 8;
+/** For so long after a useless step refusals shrink nothing, in milliseconds. */
+const USELESS_MS = 10_000;
 /** Time between two steps down at least, in milliseconds. */
 const MIN_PAUSE_MS = 50;
 
@@ -41,6 +50,14 @@
   /** Instant until which one step down counts for all that was in flight at the time. */
   #pausedUntil = 0;
 
+  /** What became of work since the last step down for refusals. */
+  #taken = 0;
+
+  #refused = 0;
+
+  /** Instant until which refusals shrink nothing. */
+  #uselessUntil = 0;
+
   #usualMs = 0;
 
   #windowMs = 0;
@@ -81,6 +98,7 @@
 
   /** Notes an answer. `isBinding` says whether the slots were all taken at the time. */
   answered(tookMs: number, isBinding: boolean): void {
+    this.#taken += 1;
     this.#windowMs += tookMs;
     this.#windowSize += 1;
     if (this.#windowSize >= WINDOW) this.#judge(isBinding);
@@ -89,9 +107,23 @@
     this.#slots = Math.min(this.#ceiling, this.#slots + step);
   }
 
-  /** Notes that the instance refused work for lack of room, or did not answer in time. */
+  /**
+   * Notes that the instance refused work with most slots taken. One that is out of order refuses a
+   * share of whatever it gets: with half of its slots it would do half of the work that it takes,
+   * and refuse as many. So a step that has not stopped the refusals is taken back.
+   */
   overrun(tookMs: number): void {
-    this.#stepDown(SHED_FACTOR, tookMs);
+    this.#refused += 1;
+    const now = this.clock.now();
+    if (now < this.#pausedUntil || now < this.#uselessUntil) return;
+    const judged = this.#taken + this.#refused;
+    const hasStepped = this.#slots < this.#ceiling && !this.#isStarting;
+    if (hasStepped && judged >= JUDGED && this.#refused > judged * USELESS_SHARE) {
+      this.#uselessUntil = now + USELESS_MS;
+      this.#slots = this.#ceiling;
+    } else this.#stepDown(SHED_FACTOR, tookMs);
+    this.#taken = 0;
+    this.#refused = 0;
   }
 
   #judge(isBinding: boolean): void {
