--- a/src/bench/replay/weather.ts
+++ b/src/bench/replay/weather.ts
@@ -35,7 +35,7 @@
     return this.#of('gone', upstream, index, now) !== undefined;
   }
 
-  /** Whether all processes are away; `since` tells how often they have been until now. */
+  /** Whether all processes are away. */
   isHerdAway(now: number): boolean {
     return this.#under(now).some(({ what }) => what === 'herd');
   }
