--- a/src/test/tool/main_test.ts
+++ b/src/test/tool/main_test.ts
@@ -34,6 +34,21 @@
     expect(await run('frobnicate')).to.equal(EXIT.usage);
     await rm(folder, { recursive: true });
   });
+
+  // On-call engineers put it into scripts: logs that tell nothing, or are not there, must not look
+  // like a day without losses.
+  it('fails when logs have no counts of requests in them', async () => {
+    const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
+    const [empty, counted] = [join(folder, 'empty.log'), join(folder, 'counted.log')];
+    const stamp = { level: 'info', at: 1, instance: 'arima-1', event: 'tally' };
+    const ends = { asked: 1, returned: 0, inTime: 1, late: 0, refused: 0, failed: 0, reasons: {} };
+    await writeFile(empty, 'not one of our lines\n');
+    await writeFile(counted, JSON.stringify({ ...stamp, route: 'a', upstream: 'b', ...ends }));
+    expect(await quietly(['losses', empty], {})).to.equal(EXIT.failed);
+    expect(await quietly(['losses', join(folder, 'missing.log')], {})).to.equal(EXIT.failed);
+    expect(await quietly(['losses', counted, '--json'], {})).to.equal(EXIT.ok);
+    await rm(folder, { recursive: true });
+  });
 });
 
 /** Runs the tool and drops what it prints. */
