Decide once what counts as served; one log in memory for tests

Read again: Tally and RequestLog each had the same check of verdict and status, three tests the same log in memory, and Tally overwrote an object that it had just spread. The comment of the replay's former rules said more than they are: only placement is the former one.

--- a/src/bench/replay/policy.ts
+++ b/src/bench/replay/policy.ts
@@ -49,8 +49,8 @@
 }
 
 /**
- * The rules as they were before callers were known again: who comes back is taken for new, a
- * refused request goes on to whoever is left, and bytes do not count.
+ * Placement as it was before callers were known again: who comes back is taken for new, a refused
+ * request goes on to whoever is left, and bytes do not count. How work waits at an instance is ours.
  */
 export class Former extends Ours {
   override readonly name = 'former';
--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -74,10 +74,10 @@
   write(id: string, decisions: readonly Decision[], ended: Ended): void {
     const level = levelOf(ended);
     if (!this.log.writes(level)) return;
-    const isServed = level === 'debug';
-    if ((isServed ? this.#served : this.#refused).take()) {
+    const isRoutine = level === 'debug';
+    if ((isRoutine ? this.#served : this.#refused).take()) {
       for (const { at, event } of decisions) this.log.record(level, { id, ...event }, at);
-    } else if (!isServed && this.#ends.take()) this.log.record(level, { id, ...ended });
+    } else if (!isRoutine && this.#ends.take()) this.log.record(level, { id, ...ended });
     else this.leftOut += 1;
   }
 }
@@ -181,6 +181,11 @@
   return new RequestLog(new SilentLog(), clock);
 }
 
-function levelOf({ verdict, status = 0 }: Ended): Level {
-  return verdict === 'ran' && status < SERVER_ERROR ? 'debug' : 'warn';
+function levelOf(ended: Ended): Level {
+  return isServed(ended) ? 'debug' : 'warn';
+}
+
+/** Whether the caller got a whole answer that is no failure of the upstream instance. */
+export function isServed({ verdict, status = 0 }: Pick<Ending, 'verdict' | 'status'>): boolean {
+  return verdict === 'ran' && status < SERVER_ERROR;
 }
--- a/src/logs/tally.ts
+++ b/src/logs/tally.ts
@@ -2,7 +2,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type ProcessEvent } from './events.js';
 import { type Log } from './log.js';
-import { type Ending } from './request_log.js';
+import { type Ending, isServed } from './request_log.js';
 
 type Line = Extract<ProcessEvent, { readonly event: 'tally' }>;
 type Counts = { -readonly [Field in keyof Line]: Line[Field] };
@@ -13,7 +13,6 @@
 /** What stands for the routes beyond that. */
 const OTHER = 'other';
 const NONE = 'none';
-const SERVER_ERROR = 500;
 
 /**
  * Of single requests only a sample is written, so the lines of requests do not add up. These do:
@@ -37,7 +36,7 @@
     const counts = this.#countsOf(ended);
     counts.asked += 1;
     if (ended.isReturn) counts.returned += 1;
-    if (ended.verdict === 'ran' && (ended.status ?? 0) < SERVER_ERROR) {
+    if (isServed(ended)) {
       counts[ended.isLate ? 'late' : 'inTime'] += 1;
       return;
     }
@@ -57,20 +56,14 @@
     const name = isBeyond ? OTHER : route;
     let counts = this.#routes.get(name);
     if (!counts) {
-      counts = { event: 'tally', route: name, upstream: isBeyond ? OTHER : upstream, ...NOTHING };
-      counts.reasons = {};
+      counts = noneOf(name, isBeyond ? OTHER : upstream);
       this.#routes.set(name, counts);
     }
     return counts;
   }
 }
 
-const NOTHING = {
-  asked: 0,
-  returned: 0,
-  inTime: 0,
-  late: 0,
-  refused: 0,
-  failed: 0,
-  reasons: {} as Record<string, number>,
-};
+function noneOf(route: string, upstream: string): Counts {
+  const ends = { asked: 0, returned: 0, inTime: 0, late: 0, refused: 0, failed: 0 };
+  return { event: 'tally', route, upstream, ...ends, reasons: {} };
+}
--- a/src/test/logs/request_log_test.ts
+++ b/src/test/logs/request_log_test.ts
@@ -1,30 +1,9 @@
 import { expect } from 'chai';
 import { OutcomeError } from '../../contracts.js';
-import { type Level, Log, type Recorded } from '../../logs/log.js';
+import { type Log } from '../../logs/log.js';
 import { type Ending, RequestLog } from '../../logs/request_log.js';
 import { FakeTime } from '../fake_time.js';
-
-class MemoryLog extends Log {
-  readonly dropped = { routine: 0, important: 0 };
-
-  readonly lines: { level: Level; event: Recorded; at: number }[] = [];
-
-  constructor(private readonly least: Level) {
-    super();
-  }
-
-  writes(level: Level): boolean {
-    return this.least === 'debug' || level === this.least;
-  }
-
-  record(level: Level, event: Recorded, at = 0): void {
-    this.lines.push({ level, event, at });
-  }
-
-  drain(): Promise<void> {
-    return Promise.resolve();
-  }
-}
+import { MemoryLog } from './memory_log.js';
 
 const RESENT = { event: 'resent', endpoint: 'arima-2', isFailover: true, startMs: 0 } as const;
 const OVERLOADED = new OutcomeError('no room', { verdict: 'not-run', reason: 'overloaded' });
--- a/src/test/logs/tally_test.ts
+++ b/src/test/logs/tally_test.ts
@@ -1,26 +1,8 @@
 import { expect } from 'chai';
-import { Log, type Recorded } from '../../logs/log.js';
 import { type Ending } from '../../logs/request_log.js';
 import { Tally } from '../../logs/tally.js';
 import { FakeTime } from '../fake_time.js';
-
-class MemoryLog extends Log {
-  readonly dropped = { routine: 0, important: 0 };
-
-  readonly events: Recorded[] = [];
-
-  writes(): boolean {
-    return true;
-  }
-
-  record(_: string, event: Recorded): void {
-    this.events.push(structuredClone(event));
-  }
-
-  drain(): Promise<void> {
-    return Promise.resolve();
-  }
-}
+import { MemoryLog } from './memory_log.js';
 
 const SERVED: Ending = { verdict: 'ran', reason: 'none', status: 200, tookMs: 9, route: 'menus' };
 
--- a/src/test/requests/returns_test.ts
+++ b/src/test/requests/returns_test.ts
@@ -1,32 +1,14 @@
 import { expect } from 'chai';
-import { Log, type Recorded } from '../../logs/log.js';
 import { RequestLog } from '../../logs/request_log.js';
 import { MachineClock } from '../../runtime/clock.js';
+import { MemoryLog } from '../logs/memory_log.js';
 import { Path } from './path.js';
 
-class MemoryLog extends Log {
-  readonly dropped = { routine: 0, important: 0 };
-
-  readonly events: Recorded[] = [];
-
-  writes(): boolean {
-    return true;
-  }
-
-  record(_: string, event: Recorded): void {
-    this.events.push(event);
-  }
-
-  drain(): Promise<void> {
-    return Promise.resolve();
-  }
-
-  /** Whether each request, in the order in which they ended, was taken for one that came back. */
-  get returns(): boolean[] {
-    return this.events.flatMap((event) =>
-      event.event === 'routed' ? [event.waitedMs !== undefined] : [],
-    );
-  }
+/** Whether each request, in the order in which they ended, was taken for one that came back. */
+function returnsIn({ events }: MemoryLog): boolean[] {
+  return events.flatMap((event) =>
+    event.event === 'routed' ? [event.waitedMs !== undefined] : [],
+  );
 }
 
 /** Stands still until it is moved, so that a slow machine changes nothing. */
@@ -54,7 +36,7 @@
     await ask('/nobody/1', 7_400);
     await ask('/nobody/1', 8_000);
     await ask('/nobody/2', 7_400);
-    expect(log.returns).to.deep.equal([false, true, false, false]);
+    expect(returnsIn(log)).to.deep.equal([false, true, false, false]);
   });
 
   it('takes nobody for a caller who does not say how long it waits', async () => {
@@ -63,6 +45,6 @@
     path.entry.requestLog = new RequestLog(log, path.clock);
     await path.ask({ path: '/nobody/1' });
     await path.ask({ path: '/nobody/1' });
-    expect(log.returns).to.deep.equal([false, false]);
+    expect(returnsIn(log)).to.deep.equal([false, false]);
   });
 });
