Say how many bytes an answer had and how long they took to get away

Whether answers wait for a processor, a slot or a link could not be told apart: lines said when a request had ended, not when its answer began. The ends at entry and guard now have the bytes of the body and the time from its head to its end; the tally of a second has the bytes. An answer that is ready at once and ends seconds later waits for a link.

--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -26,6 +26,10 @@
   isLate: z.boolean().optional(),
   /** Whether its caller had been turned away before. */
   isReturn: z.boolean().optional(),
+  /** Length of the answer's body. */
+  bytes: z.number().optional(),
+  /** From the head of the answer to its end: long where the answer could not get away. */
+  relayMs: z.number().optional(),
 };
 
 /** Decisions about one request. */
@@ -163,6 +167,8 @@
     /** Proven not to have run. */
     refused: z.number(),
     failed: z.number(),
+    /** Bytes of the answers' bodies. */
+    bytes: z.number().optional(),
     /** Why they were refused or failed. */
     reasons: z.record(z.string(), z.number()),
   }),
--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -22,7 +22,16 @@
 /** How a request ended at one hop. */
 export type Ending = Pick<
   Ended,
-  'verdict' | 'reason' | 'status' | 'tookMs' | 'route' | 'upstream' | 'isLate' | 'isReturn'
+  | 'verdict'
+  | 'reason'
+  | 'status'
+  | 'tookMs'
+  | 'route'
+  | 'upstream'
+  | 'isLate'
+  | 'isReturn'
+  | 'bytes'
+  | 'relayMs'
 >;
 
 type Routed = Extract<RequestEvent, { readonly event: 'routed' }>;
@@ -37,6 +46,9 @@
   readonly waiting: number;
 }
 
+/** How the body of an answer was passed on. */
+export type Relayed = Required<Pick<Ended, 'bytes' | 'relayMs'>>;
+
 export interface About {
   readonly route?: string;
   readonly upstream?: string;
@@ -101,6 +113,8 @@
 
   #isReturn = false;
 
+  #relayed: Relayed | undefined;
+
   constructor(
     readonly id: string,
     private readonly clock: Clock,
@@ -124,6 +138,11 @@
     this.note(routed);
   }
 
+  /** Notes that the body of the answer has been passed on whole. */
+  relayed(bytes: number, relayMs: number): void {
+    this.#relayed = { bytes, relayMs: Math.round(relayMs) };
+  }
+
   /** Ends it with the answer of an upstream instance. */
   answered(event: 'entry-ended', response: Told): void;
   answered(event: 'guard-ended', response: Told, hop: Hop): void;
@@ -166,6 +185,7 @@
     const ended = {
       ...part,
       ...this.about,
+      ...this.#relayed,
       tookMs,
       ...(now > this.#targetAt && { isLate: true }),
       ...(this.#isReturn && { isReturn: true }),
--- a/src/logs/tally.ts
+++ b/src/logs/tally.ts
@@ -38,6 +38,7 @@
     if (ended.isReturn) counts.returned += 1;
     if (isServed(ended)) {
       counts[ended.isLate ? 'late' : 'inTime'] += 1;
+      counts.bytes = (counts.bytes ?? 0) + (ended.bytes ?? 0);
       return;
     }
     counts[ended.verdict === 'not-run' ? 'refused' : 'failed'] += 1;
@@ -64,6 +65,6 @@
 }
 
 function noneOf(route: string, upstream: string): Counts {
-  const ends = { asked: 0, returned: 0, inTime: 0, late: 0, refused: 0, failed: 0 };
+  const ends = { asked: 0, returned: 0, inTime: 0, late: 0, refused: 0, failed: 0, bytes: 0 };
   return { event: 'tally', route, upstream, ...ends, reasons: {} };
 }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -250,7 +250,8 @@
     this.#budgets.of(journey.upstream).credit(journey.retryPercent);
     this.#weights.learn(journey.route.name, Number(answer.headers['content-length'] ?? 0));
     journey.response.writeHead(status, answerHeaders(answer, this.#told));
-    await exchange.relay(answer, journey.response);
+    const bytes = await exchange.relay(answer, journey.response);
+    journey.trace.relayed(bytes, this.clock.now() - now);
     return undefined;
   }
 
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -108,14 +108,16 @@
   /**
    * Streams the answer to the caller, with back-pressure; resolves when the far end is done.
    * Rejects when the answer breaks off or nothing moves any more; the caller's connection is then
-   * to be cut, as a clean end would make a part look whole.
+   * to be cut, as a clean end would make a part look whole. Resolves to the bytes of its body.
    */
-  relay(answer: IncomingMessage, response: ServerResponse): Promise<void> {
+  relay(answer: IncomingMessage, response: ServerResponse): Promise<number> {
+    let bytes = 0;
     return new Promise((resolve, reject) => {
       const silent = () => this.#fail('silent', 'the answer came to a standstill');
       const timer = setTimeout(silent, PROGRESS_MS);
       answer.on('data', (chunk: Buffer) => {
         timer.refresh();
+        bytes += chunk.length;
         if (!response.write(chunk)) answer.pause();
       });
       response.on('drain', () => {
@@ -126,7 +128,7 @@
         clearTimeout(timer);
         this.#whole().then(() => {
           this.#finish(answer, response);
-          resolve();
+          resolve(bytes);
         }, reject);
       });
       answer.once('error', (cause) => {
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -236,7 +236,10 @@
     if (isShed) headers.push(SHED, '1');
     response.writeHead(status, headers);
     if (claim) claim.settle(await exchange.watch(answer, relayAndKeep(answer, response)));
-    else await exchange.relay(answer, response);
+    else {
+      const bytes = await exchange.relay(answer, response);
+      admission.trace.relayed(bytes, this.clock.now() - startedAt - headMs);
+    }
     return { headMs, isShed };
   }
 
--- a/src/test/logs/tally_test.ts
+++ b/src/test/logs/tally_test.ts
@@ -20,7 +20,7 @@
   afterEach(() => time[Symbol.dispose]());
 
   it('counts each end of a second once, by route', async () => {
-    tally.add(SERVED);
+    tally.add({ ...SERVED, bytes: 90_000, relayMs: 150 });
     tally.add({ ...SERVED, isLate: true, isReturn: true });
     tally.add({ ...SERVED, status: 500 });
     tally.add({ ...SERVED, verdict: 'not-run', reason: 'overloaded', status: 503 });
