--- a/eslint.config.js
+++ b/eslint.config.js
@@ -19,7 +19,20 @@
       'import-x/prefer-default-export': 'off',
       // House style: one task per connection, written straight down, so it awaits in loops.
       'no-await-in-loop': 'off',
-      'no-restricted-syntax': 'off',
+      // The programs of the package are started by name.
+      'n/hashbang': [
+        'error',
+        { additionalExecutables: ['src/barleyhaven.ts', 'src/barleyhavend.ts'] },
+      ],
+      // Loops are fine. A class that makes one of its own in a static field is not: compilers that
+      // alias its name there end the program as it starts.
+      'no-restricted-syntax': [
+        'error',
+        {
+          selector: 'PropertyDefinition[static=true] > NewExpression',
+          message: 'Put the value below the class and read it by a static getter.',
+        },
+      ],
       // A task's loop ends by its signal or by return.
       'no-constant-condition': ['error', { checkLoops: false }],
       'no-continue': 'off',
--- a/src/barleyhaven.ts
+++ b/src/barleyhaven.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /** The operators' tool. */
 import { main } from './tool/main.js';
 
--- a/src/barleyhavend.ts
+++ b/src/barleyhavend.ts
@@ -1,3 +1,4 @@
+#!/usr/bin/env node
 /** The daemon's command line. */
 import { main } from './daemon/main.js';
 
--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -17,8 +17,6 @@
 
 /** An immutable set of resources at one version. */
 export class Configuration {
-  static readonly empty = new Configuration(0, GENESIS, new Map());
-
   /** Derived data, such as compiled routes, kept as long as the configuration itself. */
   readonly derived = new Map<symbol, unknown>();
 
@@ -28,6 +26,11 @@
     private readonly held: ReadonlyMap<ResourceKey, Held>,
   ) {}
 
+  /** Holds nothing. */
+  static get empty(): Configuration {
+    return EMPTY;
+  }
+
   static of(number: number, digest: string, resources: Iterable<Resource>): Configuration {
     return new Configuration(number, digest, hold(new Map(), { put: [...resources], remove: [] }));
   }
@@ -104,6 +107,12 @@
   }
 }
 
+/**
+ * Below the class: some compilers put an alias for its name into it that is not set yet when its
+ * static fields are, and the program would end as it starts.
+ */
+const EMPTY = Configuration.of(0, GENESIS, []);
+
 function hold(before: ReadonlyMap<ResourceKey, Held>, change: Change): Map<ResourceKey, Held> {
   const held = new Map(before);
   for (const key of change.remove) held.delete(key);
