Work out the digest of a resource once on its way into force

A version from the operator's object was worked out three times: to find what changed, to give it a digest, and to check that digest when it is applied; with 1,300 routes each was a hash of all of them at a start. Resources never change, so the digest is kept with the resource as long as that lives.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -86,7 +86,7 @@
     const wanted = new Set(resources.map(resourceKey));
     const put = resources.filter((resource) => {
       const held = this.held.get(resourceKey(resource));
-      return held?.resource !== resource && held?.digest !== sha256(canonical(resource));
+      return held?.resource !== resource && held?.digest !== heldOf(resource).digest;
     });
     return { put, remove: [...this.held.keys()].filter((key) => !wanted.has(key)) };
   }
@@ -116,10 +116,22 @@
 function hold(before: ReadonlyMap<ResourceKey, Held>, change: Change): Map<ResourceKey, Held> {
   const held = new Map(before);
   for (const key of change.remove) held.delete(key);
-  for (const resource of change.put) {
+  for (const resource of change.put) held.set(resourceKey(resource), heldOf(resource));
+  return held;
+}
+
+/**
+ * Resources never change, and a version is worked out several times on its way into force: each
+ * digest is worked out once.
+ */
+const HELD = new WeakMap<Resource, Held>();
+
+function heldOf(resource: Resource): Held {
+  let held = HELD.get(resource);
+  if (!held) {
     const text = canonical(resource);
-    const bytes = Buffer.byteLength(text);
-    held.set(resourceKey(resource), { resource, digest: sha256(text), bytes });
+    held = { resource, digest: sha256(text), bytes: Buffer.byteLength(text) };
+    HELD.set(resource, held);
   }
   return held;
 }
