Leave the texts of all languages out of the bundle

zod's default namespace keeps its messages in fifty languages, 264 kB of 1,101, which every start reads.

--- a/src/bench/replay/pattern.ts
+++ b/src/bench/replay/pattern.ts
@@ -1,6 +1,6 @@
 /** Load patterns as files: who asks for what, who serves it, and what happens meanwhile. */
 import { readFile } from 'node:fs/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 
 const Instances = z.object({
   dataCentre: z.string(),
--- a/src/contracts/audit.ts
+++ b/src/contracts/audit.ts
@@ -1,5 +1,5 @@
 /** The audit trail: who did what to the configuration, when, and how it ended. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Action } from './version.js';
 
 /** One thing that is wrong, and where. */
--- a/src/contracts/claim.ts
+++ b/src/contracts/claim.ts
@@ -1,5 +1,5 @@
 /** At most once: what lies in the platform for a request with an `Idempotency-Key`. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** How a request ended, as it is told to whoever repeats it. */
 export const Outcome = z.strictObject({
--- a/src/contracts/death.ts
+++ b/src/contracts/death.ts
@@ -1,5 +1,5 @@
 /** Requests that crash upstreams: what processes tell each other of deaths and clearances. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** In flight at a death at most; an upstream instance has about 20 slots. */
 export const MAX_SUSPECTS = 32;
--- a/src/contracts/member.ts
+++ b/src/contracts/member.ts
@@ -1,5 +1,5 @@
 /** Membership: what processes know of each other. It is not configuration. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Name } from './resource.js';
 
 /** How willing the upstream instance beside a process is to take work. */
--- a/src/contracts/message.ts
+++ b/src/contracts/message.ts
@@ -1,5 +1,5 @@
 /** Messages between processes: parameters and results of the JSON-RPC methods on a link. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Member } from './member.js';
 import { Resource } from './resource.js';
 import { Digest, Version } from './version.js';
--- a/src/contracts/note.ts
+++ b/src/contracts/note.ts
@@ -1,5 +1,5 @@
 /** Release notes, as operators write them (YAML or JSON). */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Limit, Name, Route, Rule, Upstream } from './resource.js';
 
 /** Longest text of a release note, in bytes. */
--- a/src/contracts/reconciliation.ts
+++ b/src/contracts/reconciliation.ts
@@ -1,5 +1,5 @@
 /** Messages with which two processes find out where their rosters differ. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Member } from './member.js';
 
 /** Hash over each bucket of the sender's roster. */
--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -1,5 +1,5 @@
 /** The resources a configuration is made of: upstreams, routes, limits and the insurer's rules. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 export const MAX_NAME_LENGTH = 63;
 /** Longest time a route may grant a request, in milliseconds. */
--- a/src/contracts/status.ts
+++ b/src/contracts/status.ts
@@ -1,5 +1,5 @@
 /** Where release notes stand across the fleet. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Survey } from './survey.js';
 import { Action } from './version.js';
 
--- a/src/contracts/survey.ts
+++ b/src/contracts/survey.ts
@@ -1,5 +1,5 @@
 /** Where versions stand across the fleet. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** A process that does not hold the head, and why. */
 export const Laggard = z.strictObject({
--- a/src/contracts/verdict.ts
+++ b/src/contracts/verdict.ts
@@ -1,6 +1,6 @@
 /** What is known about whether a request, or a write, took effect. */
 import ModernError from 'modern-errors';
-import { z } from 'zod';
+import * as z from 'zod';
 
 /**
  * - `not-run`: proven not to have reached the code that would run it.
--- a/src/contracts/version.ts
+++ b/src/contracts/version.ts
@@ -1,5 +1,5 @@
 /** Versions of the configuration: what is accepted, stored and distributed. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Resource, ResourceKey } from './resource.js';
 
 export const Digest = z.string().regex(/^[0-9a-f]{64}$/);
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -1,6 +1,6 @@
 /** The JSON-RPC methods that a process offers to operators and their tool. */
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
-import { z } from 'zod';
+import * as z from 'zod';
 import { AuditCursor, OutcomeError } from '../contracts.js';
 import { checkNote, parseNote, type Reading } from '../source/note_text.js';
 import { attemptOf } from '../source/source.js';
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of the daemon: flags, or environment variables named after them. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Name } from '../contracts.js';
 
 const Port = z.coerce.number().int().min(0).max(65_535);
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -1,5 +1,5 @@
 /** The methods that processes offer each other. */
-import { z } from 'zod';
+import * as z from 'zod';
 import {
   Ahead,
   BucketHashes,
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -2,7 +2,7 @@
  * All lines that a process may write, one schema each. A field has the same name and unit in every
  * line: times are in milliseconds, instants in milliseconds since the epoch.
  */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Verdict } from '../contracts.js';
 
 /** Work at an upstream instance, as it was known when a decision was made. */
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -1,5 +1,5 @@
 /** What the upstream instance beside a process says of itself, again and again. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Endpoint } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Roster } from './roster.js';
--- a/src/membership/registration.ts
+++ b/src/membership/registration.ts
@@ -1,5 +1,5 @@
 /** What the platform holds about members: how to reach them, and nothing that changes often. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Member } from '../contracts.js';
 
 export const Registration = Member.omit({ sequence: true, liveness: true, endpoint: true });
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -1,7 +1,7 @@
 /** Takes what the upstream instance beside this process says of itself, as the platform spells it. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text } from 'node:stream/consumers';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Announcement, type Life } from '../membership/announcement.js';
 import { Duration, HostPort } from './wire.js';
 
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -1,6 +1,6 @@
 /** The settings file that the platform gives to each process. */
 import { readFile } from 'node:fs/promises';
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Settings, SettingsError } from '../daemon/settings.js';
 import { Duration, HostPort } from './wire.js';
 
--- a/src/platform/operator_object.ts
+++ b/src/platform/operator_object.ts
@@ -1,5 +1,5 @@
 /** The operator's configuration, decoded into the product's resources. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Resource, Route, Upstream } from '../contracts.js';
 import { Duration, VersionTag } from './wire.js';
 
--- a/src/platform/store_objects.ts
+++ b/src/platform/store_objects.ts
@@ -1,5 +1,5 @@
 /** Objects as the store sends them, decoded into what the product holds. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { type Changes, type Stored } from './platform.js';
 
 const StoreObject = z.object({
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -1,5 +1,5 @@
 /** Names and units of the platform's wire, each decoded here and nowhere else. */
-import { z } from 'zod';
+import * as z from 'zod';
 
 /** Time that the caller still waits, in milliseconds. */
 export const TIMEOUT_HEADER = 'barleyhaven-timeout-ms';
--- a/src/source/note_index.ts
+++ b/src/source/note_index.ts
@@ -1,5 +1,5 @@
 /** Finds the versions of a release note without reading the log. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { Action, Digest } from '../contracts.js';
 import { type Platform } from '../platform/platform.js';
 
--- a/src/source/snapshots.ts
+++ b/src/source/snapshots.ts
@@ -1,5 +1,5 @@
 /** Whole configurations stored now and then, so that nobody has to replay the whole log. */
-import { z } from 'zod';
+import * as z from 'zod';
 import { sha256 } from '../configuration/digest.js';
 import {
   OutcomeError,
--- a/src/tool/client.ts
+++ b/src/tool/client.ts
@@ -8,7 +8,7 @@
   type JSONRPCRequest,
   type JSONRPCResponse,
 } from 'json-rpc-2.0';
-import { z } from 'zod';
+import * as z from 'zod';
 import { OutcomeError, Verdict } from '../contracts.js';
 
 /** Longer than a process takes to answer, so that its own verdict arrives first. */
