Write a last line when a process ends by a fault of its own

An exception or rejection that nobody catches now writes a line 'ended' with its origin, message and stack, at once, and the process ends with code 1 as before. What threw then is not found; it has not shown itself since.

--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -114,6 +114,13 @@
   }),
   z.object({ event: z.literal('stopping') }),
   z.object({ event: z.literal('stopped'), inFlight: z.number() }),
+  z.object({
+    /** By a fault of its own; nothing comes after it. */
+    event: z.literal('ended'),
+    origin: z.string(),
+    message: z.string(),
+    stack: z.string(),
+  }),
   z.object({ event: z.literal('reloaded') }),
   z.object({ event: z.literal('reload-failed'), message: z.string() }),
   z.object({ event: z.literal('ready'), version: z.number() }),
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { watchFile } from 'node:fs';
 import { bind } from '../daemon/bind.js';
+import { sayLastWords } from '../daemon/last_words.js';
 import { Instance } from '../daemon/instance.js';
 import { LineLog } from '../logs/log.js';
 import { standardOutput } from '../logs/sink.js';
@@ -29,6 +30,7 @@
   const path = environment[SETTINGS_VARIABLE] ?? '';
   let file = await readHostFile(path);
   const settings = settingsOf(file);
+  sayLastWords(settings.instance);
   const clock = new MachineClock();
   const platform = new HttpPlatform(new URL(settings.platform), clock);
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
