Keep the line for a link shorter than the target of its answers

Cause: a download was admitted if it would leave by its very target. The line then always ends there, and whatever is not in the reckoning (large answers before it, the way to the caller) makes all of them late. Ruled out: slots (14 ms to be admitted in the median), a wrong rate (16 kB pieces came 28 ms apart).

Change: half as long again as expected has to fit before the target. A link is kept busy by a shorter line as well.

--- a/src/admission/outgoing_link.ts
+++ b/src/admission/outgoing_link.ts
@@ -10,8 +10,12 @@
 const FILLED_SHARE = 0.93;
 /** So far ahead of the link the next piece is let go, so that it never stands idle, in milliseconds. */
 const AHEAD_MS = 25;
-/** How much larger than usual an answer may be and still leave in time. */
-const HEADROOM = 1.25;
+/**
+ * How much longer than expected an answer may take and still be in time. Answers vary in size, and
+ * the way to the caller is not in the reckoning: with a line up to the very target all are late. A
+ * shorter line carries as much.
+ */
+const HEADROOM = 1.5;
 /**
  * Backlog from which those who can be in time compete for the link, in milliseconds. For a while
  * after that no answer that will be late is begun: it would take the place of one in time.
@@ -90,11 +94,13 @@
     if (this.#rate === undefined) return this.depart(bytes);
     const now = this.clock.now();
     const { backlogMs } = this;
-    const leavesAt = now + Math.max(backlogMs, heldMs) + (bytes / this.#rate) * HEADROOM;
-    const isLate = leavesAt > targetAt;
+    const leavesMs = Math.max(backlogMs, heldMs) + bytes / this.#rate;
+    const leavesAt = now + leavesMs;
+    const isLate = now + leavesMs * HEADROOM > targetAt;
     const isContested = now < this.#contestedUntil || backlogMs > CONTESTED_BACKLOG_MS;
     if (leavesAt > deadline || (isLate && isContested)) {
-      const retryAt = now + Math.max(MIN_RETRY_MS, leavesAt - Math.max(now, targetAt));
+      const spareMs = Math.max(0, targetAt - now) / HEADROOM;
+      const retryAt = now + Math.max(MIN_RETRY_MS, leavesMs - spareMs);
       throw notRun('overloaded', 'the link would not carry the answer in time', retryAt);
     }
     if (!isLate && backlogMs > CONTESTED_BACKLOG_MS) this.#contestedUntil = now + CONTESTED_MS;
--- a/src/bench/replay/pattern.ts
+++ b/src/bench/replay/pattern.ts
@@ -32,6 +32,8 @@
   retries: z.number().int().min(0).default(2),
   worth: z.number().min(0).default(1),
   answerBytes: z.number().min(0).default(1_500),
+  /** Its answers vary by so much of that, up and down. */
+  answerSpread: z.number().min(0).max(1).default(0),
   /** What a share of these requests asks for while it holds its slot. */
   call: z.object({ kind: z.string(), share: z.number().min(0).max(1) }).optional(),
 });
--- a/src/bench/replay/station.ts
+++ b/src/bench/replay/station.ts
@@ -106,8 +106,10 @@
       isWell = await this.#work(kind, ticket.deadline);
       return { headMs: this.clock.now() - startedAt, isShed: false };
     });
-    this.#beside.learn(kind.name, kind.answerBytes);
-    await this.#leave(kind.answerBytes, deadline, departure);
+    const answerBytes = this.#weigh(kind);
+    this.#beside.learn(kind.name, answerBytes);
+    departure?.resize(answerBytes);
+    await this.#leave(answerBytes, deadline, departure);
     return isWell;
   }
 
@@ -115,6 +117,11 @@
     return { ...this.#gate.load, leavingMs: this.#link.backlogMs };
   }
 
+  #weigh({ answerBytes, answerSpread }: Kind): number {
+    if (answerSpread === 0) return answerBytes;
+    return answerBytes * (1 + answerSpread * (2 * this.random.next() - 1));
+  }
+
   /** Lets an answer go, a heavy one in pieces; rejects if it is not there by the deadline. */
   async #leave(bytes: number, deadline: number, departure: Departure | undefined): Promise<void> {
     if (!departure) this.#link.passed(bytes);
--- a/src/test/bench/replay_test.ts
+++ b/src/test/bench/replay_test.ts
@@ -6,6 +6,8 @@
 /** What is better elsewhere may cost a deployment so much worth at most: the users' bound. */
 const FALL = 0.03;
 const SEEDS: readonly number[] = [1, 2, 3];
+/** Of all requests, so many may be served late where nothing is out of order. */
+const LATE_SHARE = 0.01;
 /** Of what the links carry, so much has to arrive in time: answers vary in size. */
 const CARRIED_SHARE = 0.9;
 const patternOf = (name: string) => readPattern(`bench/patterns/${name}.json`);
@@ -58,6 +60,17 @@
     }
   });
 
+  // Downloads differ in size, and more come than the links carry. The line for the link was as long
+  // as the target of an answer of usual size: whatever came after a large one was late, seven in
+  // a hundred of all requests, and on a deployment two thirds of the downloads served.
+  it('begins hardly any download that comes late, however they vary in size', async () => {
+    const pattern = await patternOf('varied_answers');
+    for (const seed of SEEDS) {
+      const { late } = await replay(pattern, new Ours(), seed);
+      expect(late, `seed ${seed}`).to.be.at.most(LATE_SHARE);
+    }
+  });
+
   // In order of arrival everybody is served just too late, also after the burst has gone.
   it('recovers from a burst that order of arrival does not recover from', async () => {
     const pattern = await patternOf('burst');
