Bound what an entry remembers of refused callers by bytes

A process could be killed for its memory: it remembers 4,096 refused callers by what they ask for, and callers choose how long that is; with 15,000 characters each some 60 MB. Class: a bound by number on things whose size others choose. A million characters now, the oldest go first: of 1,000 such callers the test finds 15 MB remembered before, 1 MB after.

--- a/src/placement/returns.ts
+++ b/src/placement/returns.ts
@@ -7,6 +7,8 @@
 const TOLERANCE_MS = 150;
 /** Callers that are remembered, some seconds of refusals in a storm; then the oldest go. */
 const MAX_REMEMBERED = 4_096;
+/** Characters of what they ask for; callers choose how long their paths are. */
+const MAX_CHARACTERS = 1_000_000;
 
 /** What a caller's attempts have in common. */
 export interface Caller {
@@ -31,6 +33,9 @@
 export class Returns {
   readonly #remembered = new Map<string, Remembered>();
 
+  /** Of all that is remembered. */
+  #characters = 0;
+
   /** When the caller asked first, in milliseconds since the epoch; `now` if it is not known. */
   firstAt({ asks, givesUpAt }: Caller, now: number): number {
     const known = this.#remembered.get(asks);
@@ -42,10 +47,16 @@
   turnedAway(caller: Caller, firstAt: number): void {
     const { asks, givesUpAt } = caller;
     // The latest stand last, so that the first are those to forget.
-    this.#remembered.delete(asks);
+    this.#forget(asks);
     this.#remembered.set(asks, { asks, givesUpAt, firstAt });
-    if (this.#remembered.size <= MAX_REMEMBERED) return;
-    const [oldest] = this.#remembered.keys();
-    this.#remembered.delete(oldest!);
+    this.#characters += asks.length;
+    while (this.#remembered.size > MAX_REMEMBERED || this.#characters > MAX_CHARACTERS) {
+      const [oldest] = this.#remembered.keys();
+      this.#forget(oldest!);
+    }
+  }
+
+  #forget(asks: string): void {
+    if (this.#remembered.delete(asks)) this.#characters -= asks.length;
   }
 }
--- a/src/test/placement/returns_test.ts
+++ b/src/test/placement/returns_test.ts
@@ -1,6 +1,9 @@
 import { expect } from 'chai';
 import { Returns } from '../../placement/returns.js';
 
+/** What one process may spend on it: one in a hundred of the smallest machine's memory. */
+const MOST_BYTES = 2_500_000;
+
 describe('Returns', () => {
   // A caller waits 1,850 ms in all. It is refused, and comes back 600 ms later over a new
   // connection, which makes its time seem to end 16 ms later. Taken for a new caller it would get
@@ -36,4 +39,20 @@
     expect(returns.firstAt({ asks: 'GET /0', givesUpAt: 12_000 }, 10_500)).to.equal(10_500);
     expect(returns.firstAt({ asks: 'GET /4999', givesUpAt: 12_000 }, 10_500)).to.equal(10_000);
   });
+
+  // Callers ask for paths of 15,000 characters and are refused, thousands of them. Held by number
+  // alone they would take 60 MB of a process that has 250, which is killed for it.
+  it('holds a bounded number of bytes, the latest callers first', () => {
+    const returns = new Returns();
+    const callerOf = (index: number) => ({
+      asks: `${index} ${'x'.repeat(15_000)}`,
+      givesUpAt: 5_000,
+    });
+    for (let index = 0; index < 1_000; index++) returns.turnedAway(callerOf(index), 1_000);
+    const known = Array.from({ length: 1_000 }, (_, index) => index).filter(
+      (index) => returns.firstAt(callerOf(index), 2_000) === 1_000,
+    );
+    expect(known.length * 15_000).to.be.at.most(MOST_BYTES);
+    expect(known.at(-1)).to.equal(999);
+  });
 });
