--- a/src/placement/experience.ts
+++ b/src/placement/experience.ts
@@ -147,9 +147,8 @@
 
   /**
    * Expected time of one more request: the work it waits for, and its own; for a heavy answer also
-   * the time until the link is free. What was seen long ago
-   * fades into what is typical for the upstream, so that an endpoint that once was slow is tried
-   * again.
+   * the time until the link is free. What was seen long ago fades into what is typical for the
+   * upstream, so that an endpoint that once was slow is tried again.
    */
   cost(typicalMs: number, now: number, isHeavy = false): number {
     const assumed = typicalMs * OPTIMISM;
