Call the network link of a machine its uplink

A link is a connection between two processes everywhere else in the product. The doc comment of relay says once when it resolves.

--- a/src/admission/outgoing_link.ts
+++ b/src/admission/uplink.ts
@@ -1,4 +1,4 @@
-/** What one machine's link carries away, and whether one more heavy answer would leave in time. */
+/** What one machine's network link carries away, and whether a heavy answer would leave in time. */
 import { notRun } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
@@ -48,12 +48,12 @@
  *
  * @example
  * ```ts
- * using departure = link.admit(heavy); // throws the refusal if it would leave too late
+ * using departure = uplink.admit(heavy); // throws the refusal if it would leave too late
  * await departure.turn(piece.length);
  * response.write(piece);
  * ```
  */
-export class OutgoingLink {
+export class Uplink {
   /** Bytes a millisecond; unknown, and so unbounded, when absent. */
   readonly #rate: number | undefined;
 
@@ -101,7 +101,7 @@
     if (leavesAt > deadline || (isLate && isContested)) {
       const spareMs = Math.max(0, targetAt - now) / HEADROOM;
       const retryAt = now + Math.max(MIN_RETRY_MS, leavesMs - spareMs);
-      throw notRun('overloaded', 'the link would not carry the answer in time', retryAt);
+      throw notRun('overloaded', 'the uplink would not carry the answer in time', retryAt);
     }
     if (!isLate && backlogMs > CONTESTED_BACKLOG_MS) this.#contestedUntil = now + CONTESTED_MS;
     return this.depart(bytes);
@@ -181,7 +181,7 @@
   #isOver = false;
 
   constructor(
-    private readonly link: OutgoingLink,
+    private readonly uplink: Uplink,
     private readonly order: number,
     bytes: number,
   ) {
@@ -191,7 +191,7 @@
   /** Takes over how many bytes are still to come, once that is known. */
   resize(bytes: number): void {
     if (this.#isOver) return;
-    this.link.promise(bytes - this.#left);
+    this.uplink.promise(bytes - this.#left);
     this.#left = bytes;
   }
 
@@ -203,13 +203,13 @@
         resolve();
       };
       if (this.#isOver) resolve();
-      else this.link.wait({ order: this.order, bytes, go });
+      else this.uplink.wait({ order: this.order, bytes, go });
     });
   }
 
   [Symbol.dispose](): void {
     this.resize(0);
     this.#isOver = true;
-    this.link.forget(this.order);
+    this.uplink.forget(this.order);
   }
 }
--- a/src/bench/replay/policy.ts
+++ b/src/bench/replay/policy.ts
@@ -1,7 +1,7 @@
 /** The rules that are compared: which of the decisions are whose. */
 import PQueue from 'p-queue';
 import { type Load } from '../../admission/load.js';
-import { OutgoingLink } from '../../admission/outgoing_link.js';
+import { Uplink } from '../../admission/uplink.js';
 import { Limit, type Outcome, type Ticket } from '../../admission/limit.js';
 import { notRun, type OutcomeError } from '../../contracts.js';
 import { type Roster } from '../../membership/roster.js';
@@ -30,8 +30,8 @@
     return new Returns();
   }
 
-  link(clock: Clock, kbps: number | undefined): OutgoingLink {
-    return new OutgoingLink(clock, kbps);
+  uplink(clock: Clock, kbps: number | undefined): Uplink {
+    return new Uplink(clock, kbps);
   }
 
   weights(): Weights {
@@ -73,8 +73,8 @@
     return new NoWeights();
   }
 
-  override link(clock: Clock): OutgoingLink {
-    return new OutgoingLink(clock);
+  override uplink(clock: Clock): Uplink {
+    return new Uplink(clock);
   }
 }
 
@@ -94,8 +94,8 @@
     return new NoReturns();
   }
 
-  override link(clock: Clock): OutgoingLink {
-    return new OutgoingLink(clock);
+  override uplink(clock: Clock): Uplink {
+    return new Uplink(clock);
   }
 }
 
--- a/src/bench/replay/station.ts
+++ b/src/bench/replay/station.ts
@@ -1,7 +1,7 @@
 /** One process of the emulated fleet, with its upstream instance: entry, guard and instance. */
 import { asOutcome, type Member, notRun, OutcomeError, Route } from '../../contracts.js';
 import { type Load } from '../../admission/load.js';
-import { type Departure, type OutgoingLink, PIECE_BYTES } from '../../admission/outgoing_link.js';
+import { type Departure, type Uplink, PIECE_BYTES } from '../../admission/uplink.js';
 import { type Outcome, type Ticket } from '../../admission/limit.js';
 import { Roster } from '../../membership/roster.js';
 import { type Balancer } from '../../placement/balancer.js';
@@ -49,7 +49,7 @@
 
   readonly #wire: Wire;
 
-  #link!: OutgoingLink;
+  #uplink!: Uplink;
 
   /** What answers by kind weigh, as seen beside the instance. */
   #beside!: Weights;
@@ -99,7 +99,7 @@
     const heldMs = this.#gate.heldMsOf(kind.name);
     const { targetAt = ticket.deadline, deadline } = ticket;
     using departure =
-      bytes > 0 ? this.#link.admit({ bytes, heldMs, targetAt, deadline }) : undefined;
+      bytes > 0 ? this.#uplink.admit({ bytes, heldMs, targetAt, deadline }) : undefined;
     let isWell = true;
     await this.#gate.run(ticket, async (): Promise<Outcome> => {
       const startedAt = this.clock.now();
@@ -114,7 +114,7 @@
   }
 
   get load(): Load {
-    return { ...this.#gate.load, leavingMs: this.#link.backlogMs };
+    return { ...this.#gate.load, leavingMs: this.#uplink.backlogMs };
   }
 
   #weigh({ answerBytes, answerSpread }: Kind): number {
@@ -124,7 +124,7 @@
 
   /** Lets an answer go, a heavy one in pieces; rejects if it is not there by the deadline. */
   async #leave(bytes: number, deadline: number, departure: Departure | undefined): Promise<void> {
-    if (!departure) this.#link.passed(bytes);
+    if (!departure) this.#uplink.passed(bytes);
     const pieceBytes = departure ? PIECE_BYTES : bytes;
     for (let left = bytes; left > 0; left -= pieceBytes) {
       const piece = Math.min(left, pieceBytes);
@@ -146,7 +146,7 @@
     this.#returns = policy.returns();
     this.#weights = policy.weights();
     this.#beside = new Weights();
-    this.#link = policy.link(clock, this.linkKbps);
+    this.#uplink = policy.uplink(clock, this.linkKbps);
     this.#budgets = new RetryBudgets(clock, random);
   }
 
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -12,7 +12,7 @@
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { type Dialect } from '../requests/dialect.js';
-import { OutgoingLink } from '../admission/outgoing_link.js';
+import { Uplink } from '../admission/uplink.js';
 import { Balancer } from '../placement/balancer.js';
 import { Entry } from '../requests/entry.js';
 import { firstLook } from '../requests/first_look.js';
@@ -127,7 +127,7 @@
       random,
       dialect,
       this.#retries(),
-      ports.outgoing,
+      ports.uplink,
     );
     const { mesh, methods, ranking } = this.control;
     const takesKeys = dialect?.takesKeys ?? true;
@@ -162,9 +162,9 @@
   /** Opens the ports, joins the others and starts all tasks. */
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
     const { clock, dialect } = surroundings;
-    const outgoing = new OutgoingLink(clock, settings.linkKbps);
-    const guard = new Guard(clock, dialect, outgoing);
-    const ports = { guard, outgoing, link: createServer() };
+    const uplink = new Uplink(clock, settings.uplinkKbps);
+    const guard = new Guard(clock, dialect, uplink);
+    const ports = { guard, uplink, link: createServer() };
     const { host } = settings;
     const linkPort = await bind(ports.link, host, settings.linkPort);
     const guardPort = await bind(ports.guard.server, host, settings.guardPort);
@@ -308,7 +308,7 @@
 interface OpenPorts {
   readonly guard: Guard;
   /** By which answers of both hops leave this machine. */
-  readonly outgoing: OutgoingLink;
+  readonly uplink: Uplink;
   readonly link: Server;
 }
 
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -114,7 +114,7 @@
       }
     });
     this.#gauge(
-      'link_leaving_seconds',
+      'uplink_leaving_seconds',
       'Time until all heavy answers that are promised have left by the network link',
       () => this.instance.guard.load.leavingMs / MS_PER_SECOND,
     );
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -39,7 +39,7 @@
   retryPercent: z.coerce.number().min(0).max(100).default(10),
   retrySlack: z.coerce.number().min(0).optional(),
   retryWindowMs: z.coerce.number().int().min(100).max(600_000).default(10_000),
-  linkKbps: z.coerce.number().positive().optional(),
+  uplinkKbps: z.coerce.number().positive().optional(),
   logLevel: z.enum(['debug', 'info', 'warn', 'silent']).default('info'),
   stopMs: z.coerce.number().int().min(0).max(600_000).default(30_000),
 };
@@ -68,7 +68,7 @@
   retrySlack:
     'Retries beside them that the whole fleet may add in a window; each process by itself when absent',
   retryWindowMs: 'That window, in milliseconds',
-  linkKbps:
+  uplinkKbps:
     'What the network link of this machine carries, in kilobits a second; heavy answers are not paced when absent',
   logLevel: 'Least level of lines on standard output: debug, info, warn or silent',
   stopMs: 'Time a stop may take to let requests finish, in milliseconds',
--- a/src/placement/weights.ts
+++ b/src/placement/weights.ts
@@ -1,5 +1,5 @@
 /** What the answers of a route usually weigh. */
-import { LIGHT_BYTES } from '../admission/outgoing_link.js';
+import { LIGHT_BYTES } from '../admission/uplink.js';
 
 /** Weight of the newest answer in the moving average. */
 const NEWEST_WEIGHT = 0.1;
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -102,7 +102,7 @@
     retryPercent: bounds.retryBudgetRatio * RETRY_PERCENT,
     retrySlack: bounds.budgetSlack,
     retryWindowMs: bounds.budgetWindow,
-    ...(linkMbps !== undefined && { linkKbps: linkMbps * KBPS_PER_MBPS }),
+    ...(linkMbps !== undefined && { uplinkKbps: linkMbps * KBPS_PER_MBPS }),
     logLevel: 'debug',
     stopMs: bounds.grace - STOP_MARGIN_MS,
   };
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -26,7 +26,7 @@
 import { BOUNDS, Hostility } from './hostility.js';
 import { type Journey, journeyOf } from './journey.js';
 import { readLoad } from '../admission/load.js';
-import { LIGHT_BYTES, OutgoingLink } from '../admission/outgoing_link.js';
+import { LIGHT_BYTES, Uplink } from '../admission/uplink.js';
 import { type Quarantine } from '../quarantine/quarantine.js';
 import { refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
@@ -92,7 +92,7 @@
     private readonly random: Random,
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly retries: Retries = USUAL_RETRIES,
-    private readonly link: OutgoingLink = new OutgoingLink(clock),
+    private readonly uplink: Uplink = new Uplink(clock),
   ) {
     this.requestLog = silentRequests(clock);
     this.#told = new Set([...TOLD_TO_CALLERS, ...dialect.fromUpstreams]);
@@ -254,8 +254,8 @@
     const length = Number(answer.headers['content-length'] ?? 0);
     this.#weights.learn(journey.route.name, length);
     journey.response.writeHead(status, answerHeaders(answer, this.#told));
-    const departure = length > LIGHT_BYTES ? this.link.depart(length) : undefined;
-    if (!departure) this.link.passed(HEADS_BYTES + length);
+    const departure = length > LIGHT_BYTES ? this.uplink.depart(length) : undefined;
+    if (!departure) this.uplink.passed(HEADS_BYTES + length);
     const bytes = await exchange.relay(answer, journey.response, departure);
     journey.trace.relayed(bytes, this.clock.now() - now);
     return undefined;
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -7,7 +7,7 @@
 } from 'node:http';
 import { type Socket } from 'node:net';
 import { type Writable } from 'node:stream';
-import { type Departure } from '../admission/outgoing_link.js';
+import { type Departure } from '../admission/uplink.js';
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Body } from './body.js';
@@ -109,10 +109,10 @@
   }
 
   /**
-   * Streams the answer to the caller, with back-pressure; resolves when the far end is done.
-   * Rejects when the answer breaks off or nothing moves any more; the caller's connection is then
-   * to be cut, as a clean end would make a part look whole. Resolves to the bytes of its body once
-   * it has been read; with a `departure` it leaves when the link has turns for it.
+   * Streams the answer to the caller, with back-pressure. Resolves to the bytes of its body once
+   * all of it has been read; with a `departure` the rest leaves after that, as the uplink has turns
+   * for it. Rejects when the answer breaks off or nothing moves any more; the caller's connection
+   * is then to be cut, as a clean end would make a part look whole.
    */
   relay(answer: IncomingMessage, response: ServerResponse, departure?: Departure): Promise<number> {
     let bytes = 0;
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -33,7 +33,7 @@
 } from './headers.js';
 import { Limit, type Outcome, type Ticket } from '../admission/limit.js';
 import { type Load, writeLoad } from '../admission/load.js';
-import { type Departure, LIGHT_BYTES, OutgoingLink } from '../admission/outgoing_link.js';
+import { type Departure, LIGHT_BYTES, Uplink } from '../admission/uplink.js';
 import { type Flights } from '../quarantine/flights.js';
 import { Weights } from '../placement/weights.js';
 import { type HeldClaim } from '../claims/held_claim.js';
@@ -111,7 +111,7 @@
   constructor(
     private readonly clock: Clock,
     private readonly dialect: Dialect = OWN_DIALECT,
-    private readonly link: OutgoingLink = new OutgoingLink(clock),
+    private readonly uplink: Uplink = new Uplink(clock),
   ) {
     this.limit = new Limit(clock, DEFAULT_SLOTS);
     this.requestLog = silentRequests(clock);
@@ -138,7 +138,7 @@
 
   /** As it is told to entries. */
   get load(): Load {
-    return { ...this.limit.load, leavingMs: Math.round(this.link.backlogMs) };
+    return { ...this.limit.load, leavingMs: Math.round(this.uplink.backlogMs) };
   }
 
   get isLeaving(): boolean {
@@ -200,7 +200,7 @@
   #departure({ kind, targetAt, deadline }: Admission): Departure | undefined {
     const bytes = this.#weights.heavyBytes(kind);
     if (bytes === 0) return undefined;
-    return this.link.admit({ bytes, heldMs: this.limit.heldMsOf(kind), targetAt, deadline });
+    return this.uplink.admit({ bytes, heldMs: this.limit.heldMsOf(kind), targetAt, deadline });
   }
 
   async #once(admission: Admission, route: string): Promise<void> {
@@ -282,11 +282,11 @@
     this.#weights.learn(admission.kind, bytes);
     admission.departure?.resize(bytes);
     if (bytes > LIGHT_BYTES) {
-      admission.departure ??= this.link.depart(bytes);
+      admission.departure ??= this.uplink.depart(bytes);
       return admission.departure;
     }
     admission.departure?.[Symbol.dispose]();
-    this.link.passed(HEADS_BYTES + bytes);
+    this.uplink.passed(HEADS_BYTES + bytes);
     return undefined;
   }
 
--- a/src/requests/paced_answer.ts
+++ b/src/requests/paced_answer.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events';
 import { type ServerResponse } from 'node:http';
 import { Writable } from 'node:stream';
-import { type Departure, PIECE_BYTES } from '../admission/outgoing_link.js';
+import { type Departure, PIECE_BYTES } from '../admission/uplink.js';
 
 /**
  * Bytes held of one answer. The upstream instance is free again once its answer has been read, and
--- a/src/test/admission/outgoing_link_test.ts
+++ b/src/test/admission/uplink_test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { type Heavy, OutgoingLink, PIECE_BYTES } from '../../admission/outgoing_link.js';
+import { type Heavy, Uplink, PIECE_BYTES } from '../../admission/uplink.js';
 import { asOutcome, type OutcomeError } from '../../contracts.js';
 import { FakeTime } from '../fake_time.js';
 
@@ -11,13 +11,13 @@
 /** So much of the link has to be used until then, at least. */
 const USED_SHARE = 0.5;
 
-describe('OutgoingLink', () => {
+describe('Uplink', () => {
   let time: FakeTime;
-  let link: OutgoingLink;
+  let uplink: Uplink;
 
   beforeEach(() => {
     time = new FakeTime();
-    link = new OutgoingLink(time.clock, KBPS);
+    uplink = new Uplink(time.clock, KBPS);
   });
 
   afterEach(() => time[Symbol.dispose]());
@@ -29,7 +29,7 @@
 
   const refusal = (asked: Heavy): OutcomeError | undefined => {
     try {
-      link.admit(asked);
+      uplink.admit(asked);
       return undefined;
     } catch (error) {
       return asOutcome(error);
@@ -37,7 +37,7 @@
   };
 
   const depart = async (bytes: number, order: string[], name: string): Promise<void> => {
-    using departure = link.depart(bytes);
+    using departure = uplink.depart(bytes);
     for (let left = bytes; left > 0; left -= PIECE_BYTES) {
       await departure.turn(Math.min(left, PIECE_BYTES));
     }
@@ -67,23 +67,23 @@
     await time.advance(1_000);
     await Promise.all(all);
     expect(order).to.deep.equal(['first', 'second', 'third']);
-    expect(link.backlogMs).to.equal(0);
+    expect(uplink.backlogMs).to.equal(0);
   });
 
   // A caller goes away while its download waits. The place goes to the next, or the link would
   // count bytes for ever that nobody sends, and in the end refuse everything.
   it('forgets what was promised to answers that are not sent', async () => {
-    const gone = link.admit(heavy(TARGET_MS));
+    const gone = uplink.admit(heavy(TARGET_MS));
     void gone.turn(PIECE_BYTES);
     void gone.turn(PIECE_BYTES);
     gone[Symbol.dispose]();
     gone.resize(BYTES);
     await time.advance(100);
-    expect(link.backlogMs).to.equal(0);
+    expect(uplink.backlogMs).to.equal(0);
   });
 
   it('holds back nothing where the rate of the link is not known', async () => {
-    const unknown = new OutgoingLink(time.clock);
+    const unknown = new Uplink(time.clock);
     for (let index = 0; index < 1_000; index++) unknown.admit(heavy(1));
     await unknown.depart(BYTES).turn(BYTES);
     expect(unknown.backlogMs).to.equal(0);
--- a/src/test/requests/path.ts
+++ b/src/test/requests/path.ts
@@ -6,7 +6,7 @@
 import { Roster } from '../../membership/roster.js';
 import { Balancer } from '../../placement/balancer.js';
 import { Entry } from '../../requests/entry.js';
-import { OutgoingLink } from '../../admission/outgoing_link.js';
+import { Uplink } from '../../admission/uplink.js';
 import { OWN_DIALECT } from '../../requests/own_dialect.js';
 import { Guard } from '../../requests/guard.js';
 import { type Clock, MachineClock } from '../../runtime/clock.js';
@@ -69,7 +69,7 @@
 
   private constructor(
     readonly clock: Clock,
-    private readonly linkKbps: number | undefined,
+    private readonly uplinkKbps: number | undefined,
   ) {
     const configuration = Configuration.empty.next({ put: [...RESOURCES], remove: [] });
     this.roster = new Roster(memberOf('entry', 1));
@@ -92,9 +92,9 @@
   static async start(
     endpoints = 1,
     clock: Clock = new MachineClock(),
-    linkKbps?: number,
+    uplinkKbps?: number,
   ): Promise<Path> {
-    const path = new Path(clock, linkKbps);
+    const path = new Path(clock, uplinkKbps);
     path.#port = await listen(path.entry.server);
     for (let index = 0; index < endpoints; index++) await path.#add(`endpoint-${index}`);
     return path;
@@ -135,7 +135,7 @@
 
   async #add(name: string): Promise<void> {
     const guard = this.#owned.use(
-      new Guard(this.clock, OWN_DIALECT, new OutgoingLink(this.clock, this.linkKbps)),
+      new Guard(this.clock, OWN_DIALECT, new Uplink(this.clock, this.uplinkKbps)),
     );
     guard.configuration = () => this.configuration;
     const upstream = this.#owned.use(
