--- a/src/daemon/last_words.ts
+++ b/src/daemon/last_words.ts
@@ -4,7 +4,7 @@
 import { EXIT_FAULT } from './exit.js';
 
 const STANDARD_OUTPUT = 1;
-/** Frames of the stack that are told; a line has to fit into one write. */
+/** Characters of the stack that are told; a line has to fit into one write. */
 const MAX_STACK = 2_000;
 
 /**
