Measure what a cold process costs: start, idle second, version, first requests

Cause: on fleets of 60 processes and more all of the processor time goes into processes that never get warm (15 requests a second each); our bench measured hot loops and the package's build only. Change: experiment `cold` starts the platform's build as its deploy file does, each process on a loopback address of its own, with stand-ins for store and upstream instances, and tells processor milliseconds of one process.

--- a/src/bench/caller.ts
+++ b/src/bench/caller.ts
@@ -2,6 +2,8 @@
 import { type Agent, type OutgoingHttpHeaders, request } from 'node:http';
 
 export interface Ask {
+  /** Address; loopback when absent. */
+  readonly host?: string;
   readonly port: number;
   readonly path: string;
   readonly method?: string;
@@ -17,9 +19,10 @@
 }
 
 /** Resolves to the whole answer; rejects if it was cut. */
-export function ask({ port, path, method = 'GET', headers, body, agent }: Ask): Promise<Answer> {
+export function ask(asked: Ask): Promise<Answer> {
+  const { host = '127.0.0.1', port, path, method = 'GET', headers, body, agent } = asked;
   return new Promise((resolve, reject) => {
-    const options = { host: '127.0.0.1', port, path, method, headers, agent };
+    const options = { host, port, path, method, headers, agent };
     const outgoing = request(options, (incoming) => {
       const chunks: Buffer[] = [];
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,6 +5,7 @@
 import { drawReport } from './drawing.js';
 import { keep, RESULTS } from './results.js';
 import { AddedLatency } from './experiments/added_latency.js';
+import { Cold } from './experiments/cold.js';
 import { ControlBytes } from './experiments/control_bytes.js';
 import { Convergence } from './experiments/convergence.js';
 import { Herd } from './experiments/herd.js';
@@ -26,6 +27,7 @@
   new AddedLatency(clock),
   new Overload(clock),
   new Slopes(clock),
+  new Cold(clock),
 ];
 
 interface Flags {
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -46,6 +46,21 @@
     return new Program(child, JSON.parse(line) as Ports);
   }
 
+  /** Starts Node with these words, in that folder; nothing of what it prints is waited for. */
+  static launch(
+    words: readonly string[],
+    folder: string,
+    environment: Readonly<Record<string, string>>,
+  ): Program {
+    const child = spawn(process.execPath, [...process.execArgv, ...words], {
+      cwd: folder,
+      env: { ...process.env, ...environment },
+      stdio: ['ignore', 'pipe', 'inherit'],
+    });
+    child.stdout.resume();
+    return new Program(child, {});
+  }
+
   get pid(): number {
     return this.child.pid!;
   }
--- /dev/null
+++ b/src/standins/mesh_machine.ts
@@ -0,0 +1,94 @@
+/** A machine as the operators' platform describes it to the process on it, on loopback. */
+import { writeFile } from 'node:fs/promises';
+
+/** Ports are the same on all machines; each has a loopback address of its own. */
+export const PORTS = { inbound: 8624, outbound: 8629, ready: 8625, control: 8620, upstream: 8628 };
+const INTERNAL_PORTS = [7600, 7615] as const;
+/** Machines that a settings file names as a way in. */
+const SEEDS = 3;
+
+export interface MeshMachine {
+  readonly name: string;
+  readonly host: string;
+  readonly dataCentre: string;
+  readonly service: string;
+}
+
+/** `index` counts from 0; data centres and services are given out in turn. */
+export function meshMachine(
+  index: number,
+  dataCentres: number,
+  services: readonly string[],
+): MeshMachine {
+  return {
+    name: `machine-${index}`,
+    host: `127.0.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`,
+    dataCentre: `dc-${index % dataCentres}`,
+    service: services[index % services.length]!,
+  };
+}
+
+/** Writes the settings file of a machine. */
+export async function writeSettings(
+  path: string,
+  machine: MeshMachine,
+  all: readonly MeshMachine[],
+  storePort: number,
+): Promise<void> {
+  const at = (port: number, host = machine.host) => `${host}:${port}`;
+  const settings = {
+    nodeName: machine.name,
+    ip: machine.host,
+    zone: machine.dataCentre,
+    listen: {
+      inbound: at(PORTS.inbound),
+      outbound: at(PORTS.outbound),
+      ready: at(PORTS.ready),
+      control: at(PORTS.control),
+    },
+    internalPortRange: INTERNAL_PORTS,
+    seeds: all.slice(0, SEEDS).map(({ host }) => at(PORTS.control, host)),
+    heartbeat: '1500ms',
+    bounds: { grace: '6s', retryBudgetRatio: 0.2, budgetSlack: 218, budgetWindow: '10s' },
+    limits: { maxFds: 4100, linkMbps: 100 },
+    service: machine.service,
+    appAddr: at(PORTS.upstream),
+    platform: { address: `127.0.0.1:${storePort}` },
+  };
+  await writeFile(path, JSON.stringify(settings));
+}
+
+/** A configuration as the operator writes it: so many routes, given to the services in turn. */
+export function operatorsObject(
+  number: number,
+  routes: number,
+  services: readonly string[],
+): string {
+  const named = Array.from({ length: routes }, (_, index) => [
+    `route-${index}`,
+    {
+      host: HOST,
+      pathPrefix: `/${services[index % services.length]}/${index}/`,
+      kind: 'safe',
+      timeout: '4s',
+      targetLatency: '2s',
+      priority: 2,
+      maxAttempts: 2,
+      service: services[index % services.length],
+    },
+  ]);
+  return JSON.stringify({
+    version: `r${number}`,
+    routes: Object.fromEntries(named) as Record<string, unknown>,
+    services: Object.fromEntries(services.map((name) => [name, { healthPath: '/healthz' }])),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_048_576,
+      headerTimeout: '5s',
+      idleTimeout: '10s',
+    },
+  });
+}
+
+/** Host of all routes above. */
+export const HOST = 'suppers.example';
--- /dev/null
+++ b/src/standins/mesh_upstream.ts
@@ -0,0 +1,106 @@
+/** Stand-in for an upstream instance of the operators' platform: answers, and reports to its machine. */
+import {
+  createServer,
+  type IncomingMessage,
+  request,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
+import { bind } from '../daemon/bind.js';
+import { type Clock } from '../runtime/clock.js';
+import { type MeshMachine, PORTS } from './mesh_machine.js';
+import { shut } from './listen.js';
+
+const REPORT_EVERY_MS = 1_500;
+const SLOTS = 13;
+
+export interface MeshUpstreamOptions {
+  /** Time an answer takes, in milliseconds. */
+  readonly delayMs: number;
+  /** Size of an answer's body. */
+  readonly bytes: number;
+}
+
+export class MeshUpstream implements AsyncDisposable {
+  readonly #server: Server;
+
+  readonly #stopping = new AbortController();
+
+  readonly #body: Buffer;
+
+  readonly #born = Date.now();
+
+  #sequence = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly machine: MeshMachine,
+    private readonly options: MeshUpstreamOptions,
+  ) {
+    this.#body = Buffer.alloc(options.bytes, 'x');
+    this.#server = createServer((incoming, response) => void this.#answer(incoming, response));
+    this.#server.keepAliveTimeout = 60_000;
+  }
+
+  static async start(
+    clock: Clock,
+    machine: MeshMachine,
+    options: MeshUpstreamOptions,
+  ): Promise<MeshUpstream> {
+    const upstream = new MeshUpstream(clock, machine, options);
+    await bind(upstream.#server, machine.host, PORTS.upstream);
+    void upstream.#report();
+    return upstream;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.#stopping.abort();
+    await shut(this.#server);
+  }
+
+  async #answer(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
+    incoming.resume();
+    await this.clock.sleepUntil(this.clock.now() + this.options.delayMs);
+    response.writeHead(200, {
+      'content-length': this.#body.length,
+      'barleyhaven-request-id': incoming.headers['barleyhaven-request-id'] ?? '',
+      'barleyhaven-response-signature': 'stand-in',
+      'barleyhaven-instance-id': this.machine.name,
+      'barleyhaven-server-load': `1,0,${SLOTS}`,
+    });
+    response.end(this.#body);
+  }
+
+  async #report(): Promise<void> {
+    while (!this.#stopping.signal.aborted) {
+      await this.#reportOnce().catch(() => {});
+      const next = this.clock.now() + REPORT_EVERY_MS;
+      await this.clock.sleepUntil(next, this.#stopping.signal);
+    }
+  }
+
+  #reportOnce(): Promise<void> {
+    const { name, host, service, dataCentre } = this.machine;
+    this.#sequence += 1;
+    const body = JSON.stringify({
+      service,
+      address: `${host}:${PORTS.upstream}`,
+      zone: dataCentre,
+      version: 'v1',
+      slots: SLOTS,
+      state: 'ready',
+      coldRemaining: '0ms',
+      sequence: this.#sequence,
+      born: this.#born,
+    });
+    const path = `/api/rpc?call=instances.heartbeat&of=${name}`;
+    return new Promise((resolve, reject) => {
+      const outgoing = request({ host, port: PORTS.control, method: 'POST', path }, (answer) => {
+        answer.resume();
+        answer.on('end', resolve);
+      });
+      outgoing.on('error', reject);
+      outgoing.end(body);
+    });
+  }
+}
