Start from code compiled ahead after a rehearsal

Cause: a start took 669 ms of processor time to ready, of which some 250 go into loading the bundle and compiling its functions one by one as they are first called. Change: the build runs two processes in one against stand-ins, serves 200 requests and keeps what V8 has compiled by then; the platform starts a small file that loads the bundle with it, and from the source, with a line, where it doesn't fit.

--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -8,7 +8,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { Ownership } from '../runtime/ownership.js';
 import {
-  HOST,
+  callHeaders,
   type MeshMachine,
   meshMachine,
   operatorsObject,
@@ -103,11 +103,7 @@
       host: this.machines[index]!.host,
       port: PORTS.outbound,
       path: `/${services[route % services.length]}/${route}/${this.#asked}`,
-      headers: {
-        host: HOST,
-        'barleyhaven-request-id': `call-${this.#asked}`,
-        'barleyhaven-timeout-ms': '8000',
-      },
+      headers: callHeaders(`call-${this.#asked}`),
     });
     return status === OK;
   }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -112,6 +112,11 @@
     callerPort: z.number(),
     incarnation: z.number(),
   }),
+  z.object({
+    /** It starts slower, from its source: no code compiled ahead could be used. */
+    event: z.literal('uncompiled'),
+    reason: z.string(),
+  }),
   z.object({ event: z.literal('stopping') }),
   z.object({ event: z.literal('stopped'), inFlight: z.number() }),
   z.object({
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -25,8 +25,8 @@
 /** How long the end of a process waits for its neighbours to hear of it, in milliseconds. */
 const FAREWELL_MS = 100;
 
-/** Serves until the process is told to stop. */
-export async function main(environment: NodeJS.ProcessEnv): Promise<void> {
+/** Serves until the process is told to stop. `uncompiled`: why it starts from its source, if so. */
+export async function main(environment: NodeJS.ProcessEnv, uncompiled?: string): Promise<void> {
   const path = environment[SETTINGS_VARIABLE] ?? '';
   let file = await readHostFile(path);
   const settings = settingsOf(file);
@@ -34,6 +34,7 @@
   const clock = new MachineClock();
   const platform = new HttpPlatform(new URL(settings.platform), clock);
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  if (uncompiled !== undefined) log.record('warn', { event: 'uncompiled', reason: uncompiled });
   const instance = await Instance.start(settings, {
     platform,
     clock,
--- /dev/null
+++ b/src/platform/rehearse.ts
@@ -0,0 +1,88 @@
+/**
+ * Run by the build: serves some requests with two processes in one, against stand-ins, and keeps
+ * what V8 has compiled by then.
+ */
+import { mkdtemp, rm } from 'node:fs/promises';
+import { request } from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { MachineClock } from '../runtime/clock.js';
+import {
+  callHeaders,
+  type MeshMachine,
+  meshMachine,
+  operatorsObject,
+  PORTS,
+  writeSettings,
+} from '../standins/mesh_machine.js';
+import { MeshUpstream } from '../standins/mesh_upstream.js';
+import { type PlatformStore } from '../standins/platform_store.js';
+import { PlatformServer } from '../standins/platform_server.js';
+import { loadCompiled } from './compiled.js';
+
+const SERVICES = ['rehearsal'];
+const ROUTES = 20;
+const REQUESTS = 200;
+/** Two versions come meanwhile, since a later one takes another way than the first. */
+const VERSION_EVERY = 100;
+const BYTES = 5_000;
+const DELAY_MS = 2;
+/** For the processes to find each other and take the configuration. */
+const SETTLE_MS = 2_500;
+const STORE_CALL_MS = 5_000;
+const OK = 200;
+const CONFIGURATION = 'config/main';
+
+const clock = new MachineClock();
+
+async function rehearse(): Promise<number> {
+  const loaded = loadCompiled(join(__dirname, 'barleyhavend.cjs'));
+  const { store, url } = await PlatformServer.start(clock);
+  await store.create(CONFIGURATION, operatorsObject(1, ROUTES, SERVICES), soon());
+  const machines = [0, 1].map((index) => meshMachine(index, 1, SERVICES));
+  const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
+  for (const machine of machines) {
+    await MeshUpstream.start(clock, machine, { delayMs: DELAY_MS, bytes: BYTES });
+    const path = join(folder, machine.name);
+    await writeSettings(path, machine, machines, Number(url.port));
+    void loaded.bundle.run({ BARLEYHAVEN_SETTINGS: path });
+  }
+  await clock.sleepUntil(clock.now() + SETTLE_MS);
+  let served = 0;
+  for (let count = 1; count <= REQUESTS; count++) {
+    if (await call(machines[count % machines.length]!, count)) served += 1;
+    if (count % VERSION_EVERY === 0) await putInForce(store, 1 + count / VERSION_EVERY);
+  }
+  loaded.keep();
+  await rm(folder, { recursive: true });
+  return served;
+}
+
+function soon(): number {
+  return clock.now() + STORE_CALL_MS;
+}
+
+async function putInForce(store: PlatformStore, number: number): Promise<void> {
+  const before = await store.get(CONFIGURATION, soon());
+  const value = operatorsObject(number, ROUTES + number, SERVICES);
+  await store.update(CONFIGURATION, value, before!.revision, soon());
+}
+
+function call({ host }: MeshMachine, count: number): Promise<boolean> {
+  const path = `/${SERVICES[0]}/${count % ROUTES}/${count}`;
+  const headers = callHeaders(`rehearsal-${count}`);
+  return new Promise((resolve) => {
+    const outgoing = request({ host, port: PORTS.outbound, path, headers }, (answer) => {
+      answer.resume();
+      answer.on('end', () => resolve(answer.statusCode === OK));
+    });
+    outgoing.on('error', () => resolve(false));
+    outgoing.end();
+  });
+}
+
+void rehearse().then((served) => {
+  process.stderr.write(`rehearsed: ${served} of ${REQUESTS} requests served\n`);
+  // eslint-disable-next-line n/no-process-exit -- the processes rehearsed with would serve on
+  process.exit(served > 0 ? 0 : 1);
+});
--- a/src/standins/mesh_machine.ts
+++ b/src/standins/mesh_machine.ts
@@ -4,6 +4,8 @@
 /** Ports are the same on all machines; each has a loopback address of its own. */
 export const PORTS = { inbound: 8624, outbound: 8629, ready: 8625, control: 8620, upstream: 8628 };
 const INTERNAL_PORTS = [7600, 7615] as const;
+/** Host of all routes. */
+const HOST = 'suppers.example';
 /** Machines that a settings file names as a way in. */
 const SEEDS = 3;
 
@@ -14,7 +16,10 @@
   readonly service: string;
 }
 
-/** `index` counts from 0; data centres and services are given out in turn. */
+/**
+ * `index` counts from 0; data centres and services are given out in turn. Fleets of several processes that
+ * run at the same time have addresses of their own.
+ */
 export function meshMachine(
   index: number,
   dataCentres: number,
@@ -22,7 +27,7 @@
 ): MeshMachine {
   return {
     name: `machine-${index}`,
-    host: `127.0.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`,
+    host: `127.${1 + (process.pid % 250)}.${1 + Math.floor(index / 250)}.${1 + (index % 250)}`,
     dataCentre: `dc-${index % dataCentres}`,
     service: services[index % services.length]!,
   };
@@ -90,5 +95,7 @@
   });
 }
 
-/** Host of all routes above. */
-export const HOST = 'suppers.example';
+/** What a caller sends with a request. */
+export function callHeaders(id: string): Readonly<Record<string, string>> {
+  return { host: HOST, 'barleyhaven-request-id': id, 'barleyhaven-timeout-ms': '8000' };
+}
