Hash a statement about a member without a cryptographic digest

Cause: a process that starts in a large fleet takes each statement several times, and made a SHA-1 of its canonical JSON. Change: FNV-1a over the fields with MurmurHash3's last steps, since hashes are XORed; 32 bits as before. Rosters of processes of both versions compare as differing while a fleet is being replaced.

--- a/src/membership/statement.ts
+++ b/src/membership/statement.ts
@@ -1,11 +1,15 @@
 /** Which of two statements about a member holds. */
-import { createHash } from 'node:crypto';
 import { canonical } from '../configuration/digest.js';
 import { type Liveness, type Member } from '../contracts.js';
 
 /** How strongly a statement about liveness overrides another of the same age. */
 const PRECEDENCE: Record<Liveness, number> = { alive: 0, suspect: 1, dead: 2, left: 3 };
 
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+const MURMUR_FIRST = 0x85ebca6b;
+const MURMUR_SECOND = 0xc2b2ae35;
+
 /** Whether the member holds no links and takes no work any more. */
 export function isGone({ liveness }: Member): boolean {
   return liveness === 'dead' || liveness === 'left';
@@ -45,7 +49,22 @@
   );
 }
 
-/** Short hash of a statement, a signed 32-bit number. */
+/**
+ * Short hash of a statement, a signed 32-bit number: FNV-1a over its fields, with the last steps of
+ * MurmurHash3, so that hashes of statements that differ by a digit can be XORed. It guards against
+ * chance, not against forgers: each link is one of the system's own.
+ */
 export function hashOf(member: Member): number {
-  return createHash('sha1').update(canonical(member)).digest().readInt32BE(0);
+  const { endpoint } = member;
+  const text =
+    `${member.instance} ${member.dataCentre} ${member.host} ${member.linkPort} ` +
+    `${member.guardPort} ${member.operatorsPort} ${member.incarnation} ${member.sequence} ` +
+    `${member.liveness} ${endpoint?.upstream} ${endpoint?.state} ${endpoint?.slots}`;
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), MURMUR_FIRST);
+  hash = Math.imul(hash ^ (hash >>> 13), MURMUR_SECOND);
+  return hash ^ (hash >>> 16);
 }
