--- a/src/test/link/peer_test.ts
+++ b/src/test/link/peer_test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
 import * as z from 'zod';
-import { type Hello } from '../../contracts.js';
 import { Link } from '../../link/link.js';
 import { type Method, Methods, notifyAll, Peer } from '../../link/peer.js';
 import { MachineClock } from '../../runtime/clock.js';
@@ -42,7 +41,7 @@
   const methods = new Methods().on(NEWS, (_, news) => void taken.push(news));
   const peer = new Peer(link, methods, new MachineClock());
   const member = memberOf('arima-1');
-  peer.hello = { member, version: 0, digest: '', isReady: true } as unknown as Hello;
+  peer.hello = { member, version: 0, digest: '', isReady: true };
   return { peer, link };
 }
 
