Give answers their place on the uplink in one call; read admissions in a file of their own

Entry and guard each chose between a place on the link and 'passed'; now Uplink.begin does. Behaviour unchanged, but for the size of the heads being the link's own constant now.

--- a/src/admission/uplink.ts
+++ b/src/admission/uplink.ts
@@ -4,6 +4,8 @@
 
 /** Answers up to this size are light: they leave at once and are never refused for the link. */
 export const LIGHT_BYTES = 16_000;
+/** What the heads of a request and its answer, and the acknowledgement, weigh at one hop. */
+const HEADS_BYTES = 1_000;
 /** Largest part of a heavy answer that is let go at a time: a light answer waits behind one. */
 export const PIECE_BYTES = 16_384;
 /** Part of the link that may be filled; heads of packets and heartbeats take the rest. */
@@ -113,6 +115,20 @@
     return new Departure(this, this.#departures, bytes);
   }
 
+  /**
+   * An answer whose head has come, with so many bytes behind it. A heavy one gets the place that
+   * was promised to it, or one in any case; a light one leaves at once and needs none.
+   */
+  begin(bytes: number, promised?: Departure): Departure | undefined {
+    if (bytes > LIGHT_BYTES) {
+      promised?.resize(bytes);
+      return promised ?? this.depart(bytes);
+    }
+    promised?.[Symbol.dispose]();
+    this.passed(HEADS_BYTES + bytes);
+    return undefined;
+  }
+
   /** Notes that so many bytes leave at once, whatever waits. */
   passed(bytes: number): void {
     if (this.#rate !== undefined) this.#let(bytes);
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -17,7 +17,6 @@
   headerOf,
   LOAD,
   EXCHANGE_ID,
-  HEADS_BYTES,
   RETRIED,
   SHED,
   TOLD_TO_CALLERS,
@@ -26,7 +25,7 @@
 import { BOUNDS, Hostility } from './hostility.js';
 import { type Journey, journeyOf } from './journey.js';
 import { readLoad } from '../admission/load.js';
-import { LIGHT_BYTES, Uplink } from '../admission/uplink.js';
+import { Uplink } from '../admission/uplink.js';
 import { type Quarantine } from '../quarantine/quarantine.js';
 import { refuse } from './refusal.js';
 import { refusalIn } from './relayed_refusal.js';
@@ -254,9 +253,7 @@
     const length = Number(answer.headers['content-length'] ?? 0);
     this.#weights.learn(journey.route.name, length);
     journey.response.writeHead(status, answerHeaders(answer, this.#told));
-    const departure = length > LIGHT_BYTES ? this.uplink.depart(length) : undefined;
-    if (!departure) this.uplink.passed(HEADS_BYTES + length);
-    const bytes = await exchange.relay(answer, journey.response, departure);
+    const bytes = await exchange.relay(answer, journey.response, this.uplink.begin(length));
     journey.trace.relayed(bytes, this.clock.now() - now);
     return undefined;
   }
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -2,7 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Readable } from 'node:stream';
 import { Configuration } from '../configuration/configuration.js';
-import { asOutcome, type Endpoint, MAX_TIMEOUT_MS, notRun } from '../contracts.js';
+import { asOutcome, notRun } from '../contracts.js';
 import { type RequestLog, silentRequests, type Trace } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
@@ -15,25 +15,21 @@
   CLAIM,
   headerOf,
   IDEMPOTENCY_KEY,
-  LIMIT,
   LOAD,
-  PRIORITY,
-  REMAINING,
   REPEATABLE,
   EXCHANGE_ID,
-  HEADS_BYTES,
   requestHeaders,
   RETRIED,
   RETRY_AFTER,
   ROUTE,
   SHED,
-  TARGET,
   UPSTREAM,
   VERDICT,
 } from './headers.js';
-import { Limit, type Outcome, type Ticket } from '../admission/limit.js';
+import { type Admission, admissionOf, type Announced } from './admission.js';
+import { Limit, type Outcome } from '../admission/limit.js';
 import { type Load, writeLoad } from '../admission/load.js';
-import { type Departure, LIGHT_BYTES, Uplink } from '../admission/uplink.js';
+import { type Departure, Uplink } from '../admission/uplink.js';
 import { type Flights } from '../quarantine/flights.js';
 import { Weights } from '../placement/weights.js';
 import { type HeldClaim } from '../claims/held_claim.js';
@@ -43,35 +39,9 @@
 import { refuse } from './refusal.js';
 import { Traffic } from './traffic.js';
 
-/** The upstream instance beside this process, as it last announced itself. */
-export interface Announced extends Endpoint {
-  readonly host: string;
-  readonly port: number;
-  /** The id by which it knows itself. */
-  readonly id?: string | undefined;
-  /** How much longer it is slow after its start, in milliseconds; unknown when absent. */
-  readonly coldMs?: number | undefined;
-}
-
-/** A request that came from an entry. */
-interface Admission extends Ticket {
-  /** Name of the route. */
-  readonly kind: string;
-  readonly targetAt: number;
-  readonly request: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly announced: Announced;
-  readonly trace: Trace;
-  /** The place of its answer on the link, if that will be heavy. */
-  departure?: Departure | undefined;
-}
-
 /** Connections to the upstream instance at most; it takes about 100 from everybody. */
 const MAX_CONNECTIONS = 100;
 const DEFAULT_SLOTS = 20;
-const DEFAULT_REMAINING_MS = 10_000;
-const DEFAULT_PRIORITY = 5;
-const MAX_PRIORITY = 9;
 /** Entries close idle connections well before, so that none is closed under a request. */
 const KEEP_ALIVE_MS = 75_000;
 const SERVICE_UNAVAILABLE = 503;
@@ -216,25 +186,10 @@
 
   #admit(request: IncomingMessage, response: ServerResponse, trace: Trace): Admission {
     const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
-    const kind = headerOf(request, ROUTE) ?? '';
-    trace.about = { route: kind, upstream };
+    trace.about = { route: headerOf(request, ROUTE) ?? '', upstream };
     const announced = this.#serving(upstream);
-    const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
-    const priority = within(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
-    const named = headerOf(request, LIMIT);
-    const now = this.clock.now();
-    return {
-      request,
-      response,
-      announced,
-      trace,
-      priority: Math.floor(priority),
-      kind,
-      targetAt: now + Number(headerOf(request, TARGET) ?? remaining),
-      deadline: now + remaining,
-      limit: named === undefined ? undefined : this.configuration().find('limit', named),
-      onGone: (callback) => response.once('close', callback),
-    };
+    const { clock, configuration } = this;
+    return admissionOf({ request, response, announced, trace }, configuration(), clock.now());
   }
 
   #serving(upstream: string): Announced {
@@ -269,27 +224,15 @@
       admission.departure?.[Symbol.dispose]();
       claim.settle(await exchange.watch(answer, relayAndKeep(answer, response)));
     } else {
-      const departure = this.#departing(admission, answer);
-      const bytes = await exchange.relay(answer, response, departure);
+      const length = Number(answer.headers['content-length'] ?? 0);
+      this.#weights.learn(admission.kind, length);
+      admission.departure = this.uplink.begin(length, admission.departure);
+      const bytes = await exchange.relay(answer, response, admission.departure);
       admission.trace.relayed(bytes, this.clock.now() - startedAt - headMs);
     }
     return { headMs, isShed };
   }
 
-  /** The place of an answer that has begun; a light one needs none. */
-  #departing(admission: Admission, answer: IncomingMessage): Departure | undefined {
-    const bytes = Number(answer.headers['content-length'] ?? 0);
-    this.#weights.learn(admission.kind, bytes);
-    admission.departure?.resize(bytes);
-    if (bytes > LIGHT_BYTES) {
-      admission.departure ??= this.uplink.depart(bytes);
-      return admission.departure;
-    }
-    admission.departure?.[Symbol.dispose]();
-    this.uplink.passed(HEADS_BYTES + bytes);
-    return undefined;
-  }
-
   #atEnd(exchange: string) {
     const { inFlight, slots, waiting, leavingMs } = this.load;
     return { exchange, inFlight, slots, waiting, leavingMs };
@@ -372,8 +315,3 @@
   if (status === TOO_MANY_REQUESTS) return true;
   return status === SERVICE_UNAVAILABLE && headers[RETRY_AFTER] !== undefined;
 }
-
-function within(text: string | undefined, otherwise: number, most: number): number {
-  const value = Number(text ?? otherwise);
-  return value >= 0 ? Math.min(value, most) : otherwise;
-}
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -50,9 +50,6 @@
 export const TOLD_TO_CALLERS: ReadonlySet<string> = new Set([VERDICT, REASON, REPLAYED, RETRIED]);
 export const NONE: ReadonlySet<string> = new Set();
 
-/** What the heads of a request and its answer, and the acknowledgement, weigh at one hop. */
-export const HEADS_BYTES = 1_000;
-
 /** Headers that belong to one connection and are never passed on. */
 const HOP_BY_HOP: ReadonlySet<string> = new Set([
   'connection',
--- a/src/test/admission/uplink_test.ts
+++ b/src/test/admission/uplink_test.ts
@@ -88,4 +88,18 @@
     await unknown.depart(BYTES).turn(BYTES);
     expect(unknown.backlogMs).to.equal(0);
   });
+
+  // Guards against a promise that outlives its answer: the link would look full for good.
+  it('takes back what was promised to an answer that turns out light', () => {
+    const promised = uplink.depart(BYTES);
+    expect(uplink.begin(1_000, promised)).to.equal(undefined);
+    expect(uplink.backlogMs).to.be.below(5);
+  });
+
+  it('gives a heavy answer the place that was promised, or one of its own', () => {
+    const promised = uplink.depart(BYTES);
+    expect(uplink.begin(2 * BYTES, promised)).to.equal(promised);
+    expect(uplink.backlogMs).to.be.closeTo((2 * BYTES * 8) / KBPS / 0.93, 1);
+    expect(uplink.begin(BYTES)).not.to.equal(undefined);
+  });
 });
