--- /dev/null
+++ b/src/test/platform/start_test.ts
@@ -0,0 +1,54 @@
+import { type ChildProcess, spawn } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtemp, readFile, rm } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { createInterface } from 'node:readline';
+import { expect } from 'chai';
+import { meshMachine, writeSettings } from '../../standins/mesh_machine.js';
+
+const BUILD_MS = 60_000;
+/** Nobody listens there: the process starts all the same, and is not ready. */
+const NO_STORE_PORT = 9;
+
+async function build(): Promise<void> {
+  const building = spawn(process.execPath, ['deploy/build.mjs'], { stdio: 'ignore' });
+  expect(await once(building, 'exit')).to.deep.equal([0, null]);
+}
+
+/** What the process prints until it has started. */
+async function linesUntilStarted(child: ChildProcess): Promise<string[]> {
+  const events: string[] = [];
+  for await (const line of createInterface({ input: child.stdout! })) {
+    const { event } = JSON.parse(line) as { event: string };
+    events.push(event);
+    if (event === 'started') break;
+  }
+  return events;
+}
+
+describe('the process of the platform', () => {
+  // Guards against a build and a start that disagree in their flags: V8 then compiles all anew.
+  it('starts from code that its build has compiled', async function test() {
+    this.timeout(BUILD_MS);
+    await build();
+    const deploy = await readFile('deploy/system.toml', 'utf8');
+    const [, words = ''] = /^run = "node (.*)"$/m.exec(deploy) ?? [];
+    const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
+    const machine = meshMachine(0, 1, ['listings']);
+    const path = join(folder, 'settings.json');
+    await writeSettings(path, machine, [machine], NO_STORE_PORT);
+    const child = spawn(process.execPath, words.split(' '), {
+      stdio: ['ignore', 'pipe', 'ignore'],
+      env: { ...process.env, BARLEYHAVEN_SETTINGS: path },
+    });
+    const exited = once(child, 'exit');
+    try {
+      expect(await linesUntilStarted(child)).to.deep.equal(['started']);
+    } finally {
+      child.kill('SIGKILL');
+      await exited;
+      await rm(folder, { recursive: true });
+    }
+  });
+});
