--- a/src/bench/drawing.ts
+++ b/src/bench/drawing.ts
@@ -13,6 +13,7 @@
     'baselinePeakSourceCallsPerSecond',
   ],
   'added-latency': ['directP99Ms', 'throughP99Ms', 'addedP99Ms'],
+  cold: ['bareNodeMs', 'readyMs', 'settledMs', 'idleMsPerSecond', 'versionMs', 'first300MsEach'],
   overload: ['goodput', 'baselineGoodput', 'capacity'],
 };
 const WIDTH = 900;
