Survive what is no message, and a notification too long for a frame

What could happen: since notifications no longer go through the library, a frame that decodes to nil from an introduced neighbour threw in the socket's handler and ended the process; one too long to be sent rejected the task that sends it, so that the gossip of a process stood still. Change: only objects are looked at; what can't be sent is dropped, as the library did. Both tests failed before.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -40,6 +40,9 @@
   outfile: 'target/rehearse.cjs',
 };
 
+/** After so long a rehearsal is given up, in milliseconds. */
+const REHEARSAL_MS = 60_000;
+
 /** With the flags of the deploy file: V8 takes only what was compiled with the same. */
 async function rehearse() {
   const file = await readFile('deploy/system.toml', 'utf8');
@@ -52,9 +55,6 @@
   if (code !== 0) console.error('not rehearsed: processes will start from the source');
 }
 
-/** After so long a rehearsal is given up, in milliseconds. */
-const REHEARSAL_MS = 60_000;
-
 const PROGRAMS = ['barleyhavend', 'barleyhaven', 'index', 'bench/main', 'bench/demo'];
 // Each runs in a process of its own, started by name.
 const BENCH = ['platform_main', 'baseline_main', 'plain_proxy_main', 'upstream_main'];
--- a/src/link/peer.ts
+++ b/src/link/peer.ts
@@ -133,7 +133,7 @@
   }
 }
 
-/** Sends the same to several ends; it is made and encoded once. */
+/** Sends the same to several ends; it is made and encoded once. Nobody hears of what is not sent. */
 export function notifyAll<Params>(
   peers: readonly Peer[],
   method: Method<Params, unknown>,
@@ -141,7 +141,16 @@
 ): void {
   const packed = method.pack ? method.pack(params) : params;
   const notification = createJSONRPCNotification(method.name, packed);
-  for (const { link } of peers) if (!link.closed.aborted) link.send(notification);
+  for (const { link } of peers) if (!link.closed.aborted) sendOrDrop(link, notification);
+}
+
+/** A message too long for a frame would else end the task that tells of it, such as the gossip. */
+function sendOrDrop(link: Link, notification: unknown): void {
+  try {
+    link.send(notification);
+  } catch {
+    // Whoever lacks it asks for it, in parts.
+  }
 }
 
 interface Notification {
@@ -150,5 +159,6 @@
 }
 
 function isNotification(message: unknown): message is Notification {
+  if (typeof message !== 'object' || message === null) return false;
   return isJSONRPCRequest(message) && message.id === undefined;
 }
--- a/src/test/link/peer_test.ts
+++ b/src/test/link/peer_test.ts
@@ -57,6 +57,26 @@
     expect(peer.link.closed.aborted).to.equal(false);
   });
 
+  // Guards against bytes that are no message ending the process.
+  it('passes over what is no message at all', () => {
+    const taken: number[] = [];
+    const { link } = introduced(taken);
+    for (const message of [null, undefined, 7, 'text', [], {}]) link.deliver(message);
+    link.deliver({ jsonrpc: '2.0', method: 'news', params: 1 });
+    expect(taken).to.deep.equal([1]);
+  });
+
+  // Guards against a message too long for a frame ending the task that sends it.
+  it('goes on when a message is too long to be sent', () => {
+    const ends = [introduced([]), introduced([])];
+    ends[0]!.link.send = () => {
+      throw new Error('too long');
+    };
+    const peers = ends.map(({ peer }) => peer);
+    expect(() => notifyAll(peers, NEWS, 7)).not.to.throw();
+    expect(ends[1]!.link.sent).to.have.length(1);
+  });
+
   it('takes notifications in the order in which they came', () => {
     const taken: number[] = [];
     const { link } = introduced(taken);
