--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -13,6 +13,7 @@
   meshMachine,
   operatorsObject,
   PORTS,
+  putInForce,
   writeSettings,
 } from '../standins/mesh_machine.js';
 import { MeshUpstream, type MeshUpstreamOptions } from '../standins/mesh_upstream.js';
@@ -27,7 +28,6 @@
   readonly routes: number;
 }
 
-const CONFIGURATION = 'config/main';
 const STORE_CALL_MS = 5_000;
 const READY_MS = 90_000;
 const POLL_MS = 100;
@@ -88,11 +88,7 @@
     const { routes, services } = this.options;
     this.#number += 1;
     const value = operatorsObject(this.#number, routes + this.#number, services);
-    const { store } = this.#store;
-    const deadline = this.clock.now() + STORE_CALL_MS;
-    const before = await store.get(CONFIGURATION, deadline);
-    if (before) await store.update(CONFIGURATION, value, before.revision, deadline);
-    else await store.create(CONFIGURATION, value, deadline);
+    await putInForce(this.#store.store, value, this.clock.now() + STORE_CALL_MS);
   }
 
   /** One request of a caller beside machine number `index`; resolves to whether it was served. */
@@ -127,8 +123,7 @@
     const storePort = Number(this.#store.url.port);
     for (const machine of this.machines) {
       const path = join(this.#folder, `${machine.name}.json`);
-      await writeSettings(path, machine, this.machines, storePort);
-      const environment = { BARLEYHAVEN_SETTINGS: path };
+      const environment = await writeSettings(path, machine, this.machines, storePort);
       this.programs.push(this.#owned.use(Program.launch(words, ROOT, environment)));
     }
   }
--- a/src/platform/rehearse.ts
+++ b/src/platform/rehearse.ts
@@ -13,10 +13,10 @@
   meshMachine,
   operatorsObject,
   PORTS,
+  putInForce,
   writeSettings,
 } from '../standins/mesh_machine.js';
 import { MeshUpstream } from '../standins/mesh_upstream.js';
-import { type PlatformStore } from '../standins/platform_store.js';
 import { PlatformServer } from '../standins/platform_server.js';
 import { loadCompiled } from './compiled.js';
 
@@ -31,27 +31,28 @@
 const SETTLE_MS = 2_500;
 const STORE_CALL_MS = 5_000;
 const OK = 200;
-const CONFIGURATION = 'config/main';
 
 const clock = new MachineClock();
 
 async function rehearse(): Promise<number> {
   const loaded = loadCompiled(join(__dirname, 'barleyhavend.cjs'));
   const { store, url } = await PlatformServer.start(clock);
-  await store.create(CONFIGURATION, operatorsObject(1, ROUTES, SERVICES), soon());
+  await putInForce(store, operatorsObject(1, ROUTES, SERVICES), soon());
   const machines = [0, 1].map((index) => meshMachine(index, 1, SERVICES));
   const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
   for (const machine of machines) {
     await MeshUpstream.start(clock, machine, { delayMs: DELAY_MS, bytes: BYTES });
     const path = join(folder, machine.name);
-    await writeSettings(path, machine, machines, Number(url.port));
-    void loaded.bundle.run({ BARLEYHAVEN_SETTINGS: path });
+    void loaded.bundle.run(await writeSettings(path, machine, machines, Number(url.port)));
   }
   await clock.sleepUntil(clock.now() + SETTLE_MS);
   let served = 0;
   for (let count = 1; count <= REQUESTS; count++) {
     if (await call(machines[count % machines.length]!, count)) served += 1;
-    if (count % VERSION_EVERY === 0) await putInForce(store, 1 + count / VERSION_EVERY);
+    if (count % VERSION_EVERY === 0) {
+      const number = 1 + count / VERSION_EVERY;
+      await putInForce(store, operatorsObject(number, ROUTES + number, SERVICES), soon());
+    }
   }
   loaded.keep();
   await rm(folder, { recursive: true });
@@ -62,12 +63,6 @@
   return clock.now() + STORE_CALL_MS;
 }
 
-async function putInForce(store: PlatformStore, number: number): Promise<void> {
-  const before = await store.get(CONFIGURATION, soon());
-  const value = operatorsObject(number, ROUTES + number, SERVICES);
-  await store.update(CONFIGURATION, value, before!.revision, soon());
-}
-
 function call({ host }: MeshMachine, count: number): Promise<boolean> {
   const path = `/${SERVICES[0]}/${count % ROUTES}/${count}`;
   const headers = callHeaders(`rehearsal-${count}`);
--- a/src/standins/mesh_machine.ts
+++ b/src/standins/mesh_machine.ts
@@ -1,9 +1,12 @@
 /** A machine as the operators' platform describes it to the process on it, on loopback. */
 import { writeFile } from 'node:fs/promises';
+import { type PlatformStore } from './platform_store.js';
 
 /** Ports are the same on all machines; each has a loopback address of its own. */
 export const PORTS = { inbound: 8624, outbound: 8629, ready: 8625, control: 8620, upstream: 8628 };
 const INTERNAL_PORTS = [7600, 7615] as const;
+/** Key under which the operator's object stands in the store. */
+const CONFIGURATION = 'config/main';
 /** Host of all routes. */
 const HOST = 'suppers.example';
 /** Machines that a settings file names as a way in. */
@@ -33,13 +36,13 @@
   };
 }
 
-/** Writes the settings file of a machine. */
+/** Writes the settings file of a machine; resolves to the environment that names it to its process. */
 export async function writeSettings(
   path: string,
   machine: MeshMachine,
   all: readonly MeshMachine[],
   storePort: number,
-): Promise<void> {
+): Promise<Readonly<Record<string, string>>> {
   const at = (port: number, host = machine.host) => `${host}:${port}`;
   const settings = {
     nodeName: machine.name,
@@ -61,6 +64,18 @@
     platform: { address: `127.0.0.1:${storePort}` },
   };
   await writeFile(path, JSON.stringify(settings));
+  return { BARLEYHAVEN_SETTINGS: path };
+}
+
+/** Puts an operator's object in force, the first one or a later. `deadline` in ms since the epoch. */
+export async function putInForce(
+  store: PlatformStore,
+  value: string,
+  deadline: number,
+): Promise<void> {
+  const before = await store.get(CONFIGURATION, deadline);
+  if (before) await store.update(CONFIGURATION, value, before.revision, deadline);
+  else await store.create(CONFIGURATION, value, deadline);
 }
 
 /** A configuration as the operator writes it: so many routes, given to the services in turn. */
--- a/src/test/platform/start_test.ts
+++ b/src/test/platform/start_test.ts
@@ -37,10 +37,10 @@
     const folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
     const machine = meshMachine(0, 1, ['listings']);
     const path = join(folder, 'settings.json');
-    await writeSettings(path, machine, [machine], NO_STORE_PORT);
+    const environment = await writeSettings(path, machine, [machine], NO_STORE_PORT);
     const child = spawn(process.execPath, words.split(' '), {
       stdio: ['ignore', 'pipe', 'ignore'],
-      env: { ...process.env, BARLEYHAVEN_SETTINGS: path },
+      env: { ...process.env, ...environment },
     });
     const exited = once(child, 'exit');
     try {
