Keep the version that an endpoint reports, and tell it to the others where it matters

Cause: the version was thrown away when a report was decoded, so nothing could tell endpoints of a version that is being rolled out from the others. It goes into statements about members only where roll-outs are followed: elsewhere statements, their hashes and their bytes stay as they were, also towards processes of the version before.

--- a/src/contracts/member.ts
+++ b/src/contracts/member.ts
@@ -12,6 +12,8 @@
   state: EndpointState,
   /** Requests it can run at a time. */
   slots: z.number().int().min(1),
+  /** Version of its software; absent where nothing depends on it, and until it has said so. */
+  version: z.string().optional(),
 });
 export type Endpoint = z.infer<typeof Endpoint>;
 
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -46,6 +46,9 @@
 
   #departed: Life | undefined;
 
+  /** Whether the others hear of its version; only roll-outs need it. */
+  tellsVersion = false;
+
   readonly #listeners = new Set<(announcement: Announcement) => void>();
 
   constructor(
@@ -133,11 +136,17 @@
     this.#last = announcement;
     for (const listener of this.#listeners) listener(announcement);
     const { upstream, slots } = announcement;
+    const version = this.tellsVersion ? announcement.version : undefined;
     const isDraining = this.#isLeaving && announcement.state !== 'down';
     const state = isDraining ? 'draining' : announcement.state;
     const held = this.roster.self.endpoint;
-    const isSame = held?.upstream === upstream && held.state === state && held.slots === slots;
-    if (!isSame) this.roster.announce({ upstream, state, slots });
+    const isSame =
+      held?.upstream === upstream &&
+      held.state === state &&
+      held.slots === slots &&
+      held.version === version;
+    if (isSame) return;
+    this.roster.announce({ upstream, state, slots, ...(version !== undefined && { version }) });
   }
 }
 
--- a/src/membership/statement.ts
+++ b/src/membership/statement.ts
@@ -45,7 +45,8 @@
     one.dataCentre === other.dataCentre &&
     one.endpoint?.state === other.endpoint?.state &&
     one.endpoint?.slots === other.endpoint?.slots &&
-    one.endpoint?.upstream === other.endpoint?.upstream
+    one.endpoint?.upstream === other.endpoint?.upstream &&
+    one.endpoint?.version === other.endpoint?.version
   );
 }
 
@@ -56,10 +57,11 @@
  */
 export function hashOf(member: Member): number {
   const { endpoint } = member;
+  const version = endpoint?.version === undefined ? '' : ` ${endpoint.version}`;
   const text =
     `${member.instance} ${member.dataCentre} ${member.host} ${member.linkPort} ` +
     `${member.guardPort} ${member.operatorsPort} ${member.incarnation} ${member.sequence} ` +
-    `${member.liveness} ${endpoint?.upstream} ${endpoint?.state} ${endpoint?.slots}`;
+    `${member.liveness} ${endpoint?.upstream} ${endpoint?.state} ${endpoint?.slots}${version}`;
   let hash = FNV_OFFSET;
   for (let index = 0; index < text.length; index++) {
     hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -9,6 +9,7 @@
   service: z.string(),
   address: HostPort,
   slots: z.number().int().min(1),
+  version: z.string().optional(),
   coldRemaining: Duration.optional(),
   state: z.enum(['ready', 'draining']),
   /** Rises with each report of one life. */
@@ -56,8 +57,8 @@
 }
 
 function announcementOf(id: string, report: z.infer<typeof Report>): Announcement {
-  const { service, address, slots, state, sequence, born, coldRemaining: coldMs } = report;
-  return { upstream: service, state, slots, ...address, id, born, sequence, coldMs };
+  const { service, address, slots, version, state, sequence, born, coldRemaining: coldMs } = report;
+  return { upstream: service, state, slots, version, ...address, id, born, sequence, coldMs };
 }
 
 function answer(response: ServerResponse, status: number): void {
