Roll out versions: try them, judge them, and complete or withdraw them by the fleet itself

Change: src/rollout/. Guards count the answers of their endpoints by route and flood the sums, which only grow; readers, and guards of the new version, judge by CUSUM on failures and on times against the old version in the same seconds; the trial's share comes in bursts on few endpoints, so that what is bad under load shows within a tenth of the requests; then a proof with a large share, then all, then the word in the platform. Withdrawn wins over what goes on; the platform's word is final. Guards of a withdrawn version refuse what still comes. Versions that appear without an order are held back until a reader has found that nobody ordered them.

--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -7,6 +7,7 @@
 export * from './contracts/note.js';
 export * from './contracts/reconciliation.js';
 export * from './contracts/resource.js';
+export * from './contracts/rollout.js';
 export * from './contracts/status.js';
 export * from './contracts/survey.js';
 export * from './contracts/verdict.js';
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -28,6 +28,8 @@
 import { type Log, SilentLog } from '../logs/log.js';
 import { RequestLog } from '../logs/request_log.js';
 import { Tally } from '../logs/tally.js';
+import { type OrderSource } from '../rollout/order_source.js';
+import { Rollouts } from '../rollout/rollouts.js';
 import { recordBeliefs } from './beliefs.js';
 import { EndedRequests } from './ended_requests.js';
 import { OperatorsPort } from './operators_port.js';
@@ -45,6 +47,8 @@
   readonly dialect?: Dialect;
   /** Where versions come from; the log of release notes when absent. */
   readonly feed?: (replica: Replica) => Feed;
+  /** Where operators order roll-outs; endpoints of all versions are alike when absent. */
+  readonly orders?: OrderSource;
   readonly pace?: Pace;
   /** Where lines are written; nowhere when absent. */
   readonly log?: Log;
@@ -88,6 +92,9 @@
 
   readonly safeguards: Safeguards;
 
+  /** Absent where nobody can order any. */
+  readonly rollouts: Rollouts | undefined;
+
   readonly #operators: OperatorsPort;
 
   readonly #linkServer: Server;
@@ -96,6 +103,8 @@
 
   #isStopping = false;
 
+  readonly #stopping = new AbortController();
+
   #appliedAt: number;
 
   private constructor(
@@ -114,10 +123,12 @@
       { platform, clock, random, feed, dialer: new TcpDialer(codec) },
     );
     this.source = new Source(platform, clock, random);
-    const balancer = new Balancer(this.roster, clock, random);
+    this.rollouts = this.#followedRollouts();
+    const balancer = new Balancer(this.roster, clock, random, this.rollouts?.plan);
     this.guard = ports.guard;
     this.guard.configuration = () => this.replica.current;
     this.control.endpointLease.onTaken((announcement) => this.guard.announce(announcement));
+    this.guard.rollouts = this.rollouts;
     this.guard.onRefused = () => this.control.endpointLease.refused();
     this.entry = new Entry(
       () => this.replica.current,
@@ -240,6 +251,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.#stopping.abort();
     await this.control.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
@@ -281,6 +293,17 @@
     await this.log.drain(clock.now() + LAST_LINES_MS);
   }
 
+  #followedRollouts(): Rollouts | undefined {
+    const { orders: source, clock, random } = this.surroundings;
+    if (!source) return undefined;
+    const { roster, ranking, mesh, methods, endpointLease } = this.control;
+    endpointLease.tellsVersion = true;
+    const { log } = this;
+    const { rolloutShare: allowedShare } = this.settings;
+    const parts = { roster, ranking, mesh, methods, clock, random, log, source, allowedShare };
+    return new Rollouts(parts);
+  }
+
   #retries(): Retries {
     const { retryPercent, retrySlack, retryWindowMs } = this.settings;
     if (retrySlack === undefined) return { ...USUAL_RETRIES, percent: retryPercent };
@@ -298,6 +321,7 @@
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, this.settings.callerPort);
     this.control.start();
+    void this.rollouts?.run(this.#stopping.signal);
     const { dataCentre, incarnation } = this.roster.self;
     const { callerPort } = this;
     this.log.record('info', { event: 'started', dataCentre, callerPort, incarnation });
--- a/src/daemon/settings.ts
+++ b/src/daemon/settings.ts
@@ -40,6 +40,7 @@
   retrySlack: z.coerce.number().min(0).optional(),
   retryWindowMs: z.coerce.number().int().min(100).max(600_000).default(10_000),
   uplinkKbps: z.coerce.number().positive().optional(),
+  rolloutShare: z.coerce.number().gt(0).max(1).default(0.1),
   logLevel: z.enum(['debug', 'info', 'warn', 'silent']).default('info'),
   stopMs: z.coerce.number().int().min(0).max(600_000).default(30_000),
 };
@@ -70,6 +71,8 @@
   retryWindowMs: 'That window, in milliseconds',
   uplinkKbps:
     'What the network link of this machine carries, in kilobits a second; heavy answers are not paced when absent',
+  rolloutShare:
+    "Share of an upstream's requests that a bad version may get while it is rolled out, 0 to 1",
   logLevel: 'Least level of lines on standard output: debug, info, warn or silent',
   stopMs: 'Time a stop may take to let requests finish, in milliseconds',
 };
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -15,6 +15,7 @@
   Push,
   Recall,
   Recalled,
+  RolloutNews,
   RosterDifference,
   RosterExchange,
   Scope,
@@ -64,3 +65,9 @@
   params: Bulletin,
   result: Nothing,
 };
+/** Orders that upstreams move to another version, and the evidence about it. */
+export const ROLLOUT: Method<RolloutNews, unknown> = {
+  name: 'rollout',
+  params: RolloutNews,
+  result: Nothing,
+};
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -3,7 +3,7 @@
  * line: times are in milliseconds, instants in milliseconds since the epoch.
  */
 import * as z from 'zod';
-import { Verdict } from '../contracts.js';
+import { RolloutPhase, Verdict } from '../contracts.js';
 
 /** Work at an upstream instance, as it was known when a decision was made. */
 const LoadSeen = {
@@ -163,6 +163,27 @@
     slots: z.number(),
     id: z.string().optional(),
   }),
+  z.object({
+    event: z.literal('rollout-changed'),
+    upstream: z.string(),
+    version: z.string(),
+    phase: RolloutPhase,
+    /** How long the operator gives it. */
+    durationMs: z.number(),
+  }),
+  z.object({
+    /** The verdict of this process, and what it goes by. */
+    event: z.literal('rollout-judged'),
+    upstream: z.string(),
+    version: z.string(),
+    phase: RolloutPhase,
+    reason: z.string(),
+    /** Of the version on trial. */
+    answered: z.number(),
+    failed: z.number(),
+    /** From 0 to 1, where it is withdrawn. */
+    suspicion: z.number(),
+  }),
   z.object({
     event: z.literal('dependency-lost'),
     dependency: z.enum(['platform']),
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -58,6 +58,12 @@
     return rank >= 0 && rank < READERS;
   }
 
+  /** Place of this process among the readers of all data centres; -1 if it is none. */
+  get readerPlace(): number {
+    if (!this.isReader) return -1;
+    return this.dataCentres().indexOf(this.roster.self.dataCentre) * READERS + this.#ownRank;
+  }
+
   get isRoot(): boolean {
     return this.#ownRank === 0;
   }
--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -1,15 +1,21 @@
 /** Chooses among the endpoints of an upstream. */
-import { type Member, type OutcomeError } from '../contracts.js';
+import { type Endpoint, type Member, type OutcomeError } from '../contracts.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Experience, type Seen } from './experience.js';
 import { type Load } from '../admission/load.js';
+import { type Cohorts, OneCohort } from './cohorts.js';
+import { onTrial, TrialDeals } from './trial_group.js';
 
 /** The endpoints of one upstream, as seen from the own data centre. */
 interface Group {
   readonly near: Experience[];
   readonly far: Experience[];
+  /** Those whose version is on trial, in the same order in all processes. */
+  readonly trial: Experience[];
+  /** Those that take requests only if no other does. */
+  readonly held: Experience[];
   /** Moving average of all answers, in milliseconds. */
   typicalMs: number;
 }
@@ -29,6 +35,7 @@
 /** So many failed answers in a row make an outlier. */
 const OUTLIER_FAILURES = 5;
 const MAX_DOUBLINGS = 10;
+const NONE_TRIED: ReadonlySet<Experience> = new Set();
 
 /**
  * Two random choices by in-flight work times latency, both as seen from here: what endpoints
@@ -40,13 +47,35 @@
 
   #generation = -1;
 
+  #cohortsGeneration = -1;
+
   #groups = new Map<string, Group>();
 
+  readonly #deals: TrialDeals;
+
   constructor(
     private readonly roster: Roster,
     private readonly clock: Clock,
     private readonly random: Random,
-  ) {}
+    private readonly cohorts: Cohorts = new OneCohort(),
+  ) {
+    this.#deals = new TrialDeals(random);
+  }
+
+  /** The endpoint for the first attempt of a request; a share of these goes to a version on trial. */
+  first(upstream: string, route: string, awayMs = 0): Experience | undefined {
+    return this.#trial(upstream, route) ?? this.choose(upstream, NONE_TRIED, awayMs);
+  }
+
+  #trial(upstream: string, route: string): Experience | undefined {
+    const group = this.#group(upstream);
+    if (!group || group.trial.length === 0) return undefined;
+    const now = this.clock.now();
+    const stable = group.near.length + group.far.length;
+    const share = this.cohorts.trialShare(upstream, stable, now);
+    if (!this.#deals.next(route, share.share)) return undefined;
+    return onTrial(group.trial, share, this.random, now);
+  }
 
   /**
    * An endpoint that takes work for `upstream`, other than those tried; undefined if none does.
@@ -179,7 +208,11 @@
   }
 
   #group(upstream: string): Group | undefined {
-    if (this.#generation !== this.roster.generation) this.#index();
+    const { generation } = this.cohorts;
+    if (this.#generation !== this.roster.generation || this.#cohortsGeneration !== generation) {
+      this.#cohortsGeneration = generation;
+      this.#index();
+    }
     return this.#groups.get(upstream);
   }
 
@@ -195,8 +228,9 @@
       const experience = known.get(member.instance) ?? this.#meet(member, isFirst);
       experience.member = member;
       this.#experiences.set(member.instance, experience);
-      this.#place(experience, member.endpoint.upstream, before);
+      this.#place(experience, member.endpoint, before);
     }
+    for (const group of this.#groups.values()) this.#arrange(group);
   }
 
   /** At the start of this process nobody is known yet, and all are taken for warm. */
@@ -206,15 +240,32 @@
     return experience;
   }
 
-  #place(experience: Experience, upstream: string, before: ReadonlyMap<string, Group>): void {
+  #place(
+    experience: Experience,
+    { upstream, version }: Endpoint,
+    before: ReadonlyMap<string, Group>,
+  ): void {
     let group = this.#groups.get(upstream);
     if (!group) {
       const typicalMs = before.get(upstream)?.typicalMs ?? FIRST_GUESS_MS;
-      group = { near: [], far: [], typicalMs };
+      group = { near: [], far: [], trial: [], held: [], typicalMs };
       this.#groups.set(upstream, group);
     }
+    const role = this.cohorts.roleOf(upstream, version);
+    if (role === 'stable') this.#admit(group, experience);
+    else if (role !== 'shut') group[role].push(experience);
+  }
+
+  #admit({ near, far }: Group, experience: Experience): void {
     const isNear = experience.member.dataCentre === this.roster.self.dataCentre;
-    (isNear ? group.near : group.far).push(experience);
+    (isNear ? near : far).push(experience);
+  }
+
+  #arrange(group: Group): void {
+    const { near, far, trial, held } = group;
+    trial.sort((one, other) => (one.member.instance < other.member.instance ? -1 : 1));
+    if (near.length + far.length > 0) return;
+    for (const experience of held) this.#admit(group, experience);
   }
 }
 
--- a/src/platform/host_settings.ts
+++ b/src/platform/host_settings.ts
@@ -27,7 +27,11 @@
     retryBudgetRatio: z.number().default(0.2),
     budgetSlack: z.number().default(0),
     budgetWindow: Duration,
+    /** Share of a service's requests that a bad version may get. */
+    exposureShare: z.number().gt(0).max(1).default(0.1),
   }),
+  /** The parts of the platform's rules that are in force. */
+  contracts: z.array(z.string()).default([]),
   limits: z.object({ maxFds: z.number().int(), linkMbps: z.number().positive().optional() }),
   service: z.string(),
   /** Of the upstream instance beside this process. */
@@ -44,6 +48,8 @@
 
 const KBPS_PER_MBPS = 1_000;
 
+const ROLLOUT_CONTRACT = 'rollout';
+
 /** Ports of the internal range, counted from its first. */
 const LINK_PORT = 0;
 const OPERATORS_PORT = 1;
@@ -71,6 +77,11 @@
   }
 }
 
+/** Whether operators may order roll-outs. */
+export function hasRollouts({ contracts }: HostFile): boolean {
+  return contracts.includes(ROLLOUT_CONTRACT);
+}
+
 /** Link ports of the machines that the file names as a way in. */
 export function seedsOf({ seeds, internalPortRange }: HostFile) {
   return seeds.map(({ host }) => ({ host, port: internalPortRange[0] + LINK_PORT }));
@@ -103,6 +114,7 @@
     retrySlack: bounds.budgetSlack,
     retryWindowMs: bounds.budgetWindow,
     ...(linkMbps !== undefined && { uplinkKbps: linkMbps * KBPS_PER_MBPS }),
+    rolloutShare: bounds.exposureShare,
     logLevel: 'debug',
     stopMs: bounds.grace - STOP_MARGIN_MS,
   };
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -11,10 +11,11 @@
 import { MachineClock } from '../runtime/clock.js';
 import { MachineRandom } from '../runtime/random.js';
 import { endpointReports } from './endpoint_reports.js';
-import { type HostFile, readHostFile, seedsOf, settingsOf } from './host_settings.js';
+import { type HostFile, hasRollouts, readHostFile, seedsOf, settingsOf } from './host_settings.js';
 import { HttpPlatform } from './http_platform.js';
 import { MeshDialect } from './mesh_dialect.js';
 import { ObjectFeed } from './object_feed.js';
+import { ObjectOrders } from './object_orders.js';
 import { readinessPort } from './readiness_port.js';
 
 /** The variable that names the settings file. */
@@ -42,6 +43,7 @@
     codec: new MsgpackCodec(),
     dialect: new MeshDialect(() => file.service),
     feed: (replica) => new ObjectFeed(platform, replica, clock),
+    ...(hasRollouts(file) && { orders: new ObjectOrders(platform) }),
     pace: PROMPT,
     log,
   });
--- a/src/requests/attempts.ts
+++ b/src/requests/attempts.ts
@@ -48,8 +48,8 @@
 
   /** The endpoint to begin with. */
   first(): Experience {
-    const { upstream, awayMs } = this.journey;
-    const endpoint = this.balancer.choose(upstream, NONE_TRIED, awayMs);
+    const { upstream, route, awayMs } = this.journey;
+    const endpoint = this.balancer.first(upstream, route.name, awayMs);
     if (endpoint) return endpoint;
     const retryAt = this.clock.now() + NO_ENDPOINT_MS;
     throw notRun('no-endpoint', `nobody serves ${upstream}`, retryAt);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -35,6 +35,7 @@
 import { type HeldClaim } from '../claims/held_claim.js';
 import { runOnce } from '../claims/once.js';
 import { relayAndKeep } from '../claims/outcome.js';
+import { type Observer, type Ran } from '../rollout/observer.js';
 import { OWN_DIALECT } from './own_dialect.js';
 import { refuse } from './refusal.js';
 import { Traffic } from './traffic.js';
@@ -46,6 +47,7 @@
 const KEEP_ALIVE_MS = 75_000;
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
+const SERVER_ERROR = 500;
 
 export class Guard implements AsyncDisposable {
   readonly server: Server;
@@ -65,6 +67,9 @@
   /** Set before the first request. */
   requestLog: RequestLog;
 
+  /** Set before the first request; without it nothing is counted and no version shut out. */
+  rollouts: Observer | undefined;
+
   /** Called when the upstream instance refuses a connection: nobody listens there any more. */
   onRefused: () => void = () => {};
 
@@ -156,7 +161,9 @@
   async #run(admission: Admission, source: Readable, claim?: HeldClaim): Promise<void> {
     const { flights } = this;
     admission.departure = this.#departure(admission);
-    const forward = () => this.#forward(admission, source, claim);
+    const { rollouts } = this;
+    const carry = () => this.#forward(admission, source, claim);
+    const forward = rollouts ? () => rollouts.observe(admission.kind, carry) : carry;
     const work = flights ? () => flights.watch(admission, forward) : forward;
     try {
       await this.limit.run(admission, work);
@@ -198,11 +205,17 @@
       throw notRun('no-endpoint', `${upstream} is not served here`);
     }
     if (this.limit.isDraining) throw notRun('draining', `${upstream} is leaving`);
+    // An entry that has not heard the verdict yet would go on giving a bad version its share.
+    if (this.rollouts?.isShut) throw notRun('draining', `${upstream} is rolled back`);
     return announced;
   }
 
-  async #forward(admission: Admission, source: Readable, claim?: HeldClaim): Promise<Outcome> {
-    const { request, response } = admission;
+  async #forward(
+    admission: Admission,
+    source: Readable,
+    claim?: HeldClaim,
+  ): Promise<Outcome & Ran> {
+    const { request, response, announced } = admission;
     const startedAt = this.clock.now();
     this.#noteAdmitted(admission);
     if (source === request) askForBody(request, response);
@@ -230,7 +243,9 @@
       const bytes = await exchange.relay(answer, response, admission.departure);
       admission.trace.relayed(bytes, this.clock.now() - startedAt - headMs);
     }
-    return { headMs, isShed };
+    // An endpoint that is cold is slow whatever its version.
+    const tookMs = (announced.coldMs ?? 0) > 0 ? undefined : headMs;
+    return { headMs, isShed, isFailure: status >= SERVER_ERROR, tookMs };
   }
 
   #atEnd(exchange: string) {
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -5,6 +5,7 @@
 import { ConvergenceProfile, type Profile } from '../../distribution/profile.js';
 import { type Codec, MsgpackCodec } from '../../link/codec.js';
 import { type Clock } from '../../runtime/clock.js';
+import { type Platform } from '../../platform/platform.js';
 import { type Random, SeededRandom } from '../../runtime/random.js';
 import { Gate, GatedClock } from '../../standins/gate.js';
 import { type Host, MemoryNetwork } from '../../standins/memory_network.js';
@@ -29,6 +30,8 @@
   readonly fanout?: number;
   readonly seed?: number;
   readonly codec?: Codec;
+  /** Called with each process before it starts, and what it has of the outside world. */
+  readonly onLaunch?: (node: Node, platform: Platform, clock: Clock) => void;
 }
 
 const SETTLE_MS = 8_000;
@@ -184,6 +187,7 @@
     );
     const node = { name, host, control, isAlive: true };
     this.nodes.set(name, node);
+    this.options.onLaunch?.(node, platform, clock);
     control.start();
     return node;
   }
--- a/src/test/placement/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -3,6 +3,7 @@
 import { type EndpointState, type Liveness, OutcomeError } from '../../contracts.js';
 import { Roster } from '../../membership/roster.js';
 import { Balancer } from '../../placement/balancer.js';
+import { Cohorts, type Role, type TrialShare } from '../../placement/cohorts.js';
 import { type Experience } from '../../placement/experience.js';
 import { Clock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
@@ -236,4 +237,64 @@
     clock.instant += 300;
     expect(balancer.another('bookings', NONE, clock.now() + 300)).to.equal(a);
   });
+
+  describe('with a version on trial', () => {
+    const roles: Record<string, Role> = { v1: 'stable', v2: 'trial', v3: 'shut', v4: 'held' };
+
+    class Trial extends Cohorts {
+      readonly generation = 1;
+
+      turn = 0;
+
+      roleOf(_: string, version: string | undefined): Role {
+        return roles[version ?? ''] ?? 'stable';
+      }
+
+      trialShare(): TrialShare {
+        return { share: 0.2, count: 2, turn: this.turn };
+      }
+    }
+
+    function fleet(versions: readonly string[]) {
+      const { clock, roster, place } = set([]);
+      const members = versions.map((version, index) => {
+        const member = place({ name: `${version}-${index}` });
+        return { ...member, endpoint: { ...member.endpoint, version } };
+      });
+      roster.merge(members);
+      const trial = new Trial();
+      const balancer = new Balancer(roster, clock, new SeededRandom(SEED), trial);
+      const counts = (choose: () => Experience | undefined) => {
+        const found: Record<string, number> = {};
+        for (let request = 0; request < 400; request++) {
+          const name = choose()?.member.instance ?? 'nobody';
+          found[name] = (found[name] ?? 0) + 1;
+        }
+        return found;
+      };
+      return { balancer, trial, counts };
+    }
+
+    it('gives its share to those whose turn it is, and nothing to those shut out or held', () => {
+      const versions = ['v1', 'v1', 'v2', 'v2', 'v2', 'v2', 'v3', 'v4'];
+      const { balancer, trial, counts } = fleet(versions);
+      const first = () => balancer.first('bookings', 'seats');
+      const before = counts(first);
+      trial.turn = 1;
+      expect([before, counts(first)]).toMatchSnapshot();
+    });
+
+    // Guards against retries adding to what a bad version may get.
+    it('sends no second attempt there', () => {
+      const { balancer, counts } = fleet(['v1', 'v1', 'v2', 'v2']);
+      const names = Object.keys(counts(() => balancer.choose('bookings', NONE)));
+      expect(names.sort()).to.deep.equal(['v1-0', 'v1-1']);
+    });
+
+    // Guards against an upstream being down because it is not known whether its version was ordered.
+    it('asks those held back where there is nobody else', () => {
+      const { balancer, counts } = fleet(['v3', 'v4']);
+      expect(counts(() => balancer.first('bookings', 'seats'))).to.deep.equal({ 'v4-1': 400 });
+    });
+  });
 });
--- /dev/null
+++ b/src/test/rollout/orders_test.ts
@@ -0,0 +1,75 @@
+import { expect } from 'chai';
+import * as fc from 'fast-check';
+import { type Rollout, RolloutPhase } from '../../contracts.js';
+import { Orders } from '../../rollout/orders.js';
+import { orderOf } from './order.js';
+
+const SEED = 21;
+
+const statement = fc.record({
+  version: fc.constantFrom('v2', 'v3'),
+  orderedAt: fc.integer({ min: 5, max: 6 }),
+  revision: fc.integer({ min: 6, max: 12 }),
+  phase: fc.constantFrom(...RolloutPhase.options),
+  isNoted: fc.boolean(),
+  isDeleted: fc.boolean(),
+});
+
+/** An object that is written over for another version does so at a revision above all of the former. */
+function isPossible(statements: readonly Rollout[]): boolean {
+  return [5, 6].every((orderedAt) => {
+    const of = (version: string) =>
+      statements
+        .filter((one) => one.orderedAt === orderedAt && one.version === version)
+        .map(({ revision }) => revision);
+    return Math.max(...of('v2')) < Math.min(...of('v3'));
+  });
+}
+
+function merged(statements: readonly Rollout[]) {
+  const orders = new Orders();
+  for (const one of statements) orders.merge(one);
+  return orders.of('listings');
+}
+
+describe('Orders', () => {
+  it('come to the same whatever the order and the repetition of the news', () => {
+    const histories = fc
+      .array(statement, { minLength: 1, maxLength: 8 })
+      .map((changes) => changes.map(orderOf))
+      .filter(isPossible);
+    const shuffled = histories.chain((news) =>
+      fc.tuple(
+        fc.constant(news),
+        fc.shuffledSubarray([...news, ...news], { minLength: 2 * news.length }),
+      ),
+    );
+    fc.assert(
+      fc.property(shuffled, ([news, again]) => {
+        expect(merged(again)).to.deep.equal(merged(news));
+      }),
+      { seed: SEED },
+    );
+  });
+
+  // Guards against a process that missed a verdict, or hears of it late, taking it back.
+  it('never take a verdict back', () => {
+    const orders = new Orders();
+    orders.merge(orderOf({ phase: 'withdrawn' }));
+    for (const phase of ['trial', 'proof', 'promoting'] as const) {
+      expect(orders.merge(orderOf({ phase, revision: 9 }))).to.equal(phase === 'trial');
+      expect(orders.of('listings')?.phase).to.equal('withdrawn');
+    }
+  });
+
+  // Guards against the verdict on one order falling on the next one for the same upstream.
+  it('begin anew with a newer order, and ignore what is said of an older one', () => {
+    const orders = new Orders();
+    orders.merge(orderOf({ phase: 'rolled-back', revision: 9 }));
+    orders.merge(orderOf({ version: 'v3', revision: 11 }));
+    orders.merge(orderOf({ phase: 'completed', revision: 9 }));
+    expect(orders.of('listings')).to.include({ version: 'v3', phase: 'trial' });
+    orders.merge(orderOf({ orderedAt: 20, revision: 20 }));
+    expect(orders.of('listings')).to.include({ version: 'v2', phase: 'trial' });
+  });
+});
--- /dev/null
+++ b/src/test/rollout/rollout_fleet.ts
@@ -0,0 +1,192 @@
+/** Processes that roll out a version under load, in this process and on fake timers. */
+import { type Clock } from '../../runtime/clock.js';
+import { SilentLog } from '../../logs/log.js';
+import { Balancer } from '../../placement/balancer.js';
+import { ObjectOrders } from '../../platform/object_orders.js';
+import { type Platform } from '../../platform/platform.js';
+import { Rollouts } from '../../rollout/rollouts.js';
+import { SeededRandom } from '../../runtime/random.js';
+import { type Node, TestFleet } from '../distribution/test_fleet.js';
+
+const UPSTREAM = 'listings';
+const KEY = `rollouts/${UPSTREAM}`;
+const SIZES = { arima: 6, couva: 6, tobago: 6 };
+const SLOTS = 6;
+const ALLOWED_SHARE = 0.1;
+const ALLOWED_SLACK = 50;
+/** Bad answers after which a version gets nothing, and how long that may take, in milliseconds. */
+const BAD_ANSWERS = 50;
+const ROLL_BACK_MS = 5_000;
+const STEP_MS = 20;
+const REQUESTS_A_STEP = 5;
+const WORK_MS = 130;
+const CALL_MS = 1_000;
+const SEED = 31;
+
+/** How a version answers a request that begins at an instant. */
+export type Conduct = (now: number) => { readonly failing: number; readonly slower: number };
+
+export const SOUND: Conduct = () => ({ failing: 0.005, slower: 1 });
+export const FAILING: Conduct = () => ({ failing: 0.5, slower: 1 });
+
+interface Process {
+  readonly rollouts: Rollouts;
+  readonly balancer: Balancer;
+  readonly stopping: AbortController;
+}
+
+/** A request as it was given to an endpoint. */
+interface Given {
+  readonly at: number;
+  readonly version: string;
+  readonly isBad: boolean;
+}
+
+export class RolloutFleet implements AsyncDisposable {
+  readonly given: Given[] = [];
+
+  readonly #processes = new Map<string, Process>();
+
+  readonly #versions = new Map<string, string>();
+
+  readonly #random = new SeededRandom(SEED);
+
+  #orderedAt = 0;
+
+  fleet!: TestFleet;
+
+  private constructor(private readonly conducts: Readonly<Record<string, Conduct>>) {}
+
+  /** Three data centres; a third of the processes have no endpoint yet, all others one of `v1`. */
+  static async start(conducts: Readonly<Record<string, Conduct>>): Promise<RolloutFleet> {
+    const made = new RolloutFleet({ v1: SOUND, ...conducts });
+    const onLaunch = (node: Node, platform: Platform, clock: Clock) =>
+      made.#launched(node, platform, clock);
+    made.fleet = await TestFleet.start({ sizes: SIZES, onLaunch });
+    for (const { name } of made.fleet.alive) if (!isSpare(name)) made.announce(name, 'v1');
+    await made.fleet.time.advance(3_000);
+    return made;
+  }
+
+  get now(): number {
+    return this.fleet.clock.now();
+  }
+
+  /** Orders a version, and starts its endpoints a second later. */
+  async order(version: string, durationMs: number): Promise<void> {
+    const { platform } = this.fleet;
+    const spec = { service: UPSTREAM, targetVersion: version, duration: `${durationMs}ms` };
+    const before = await platform.get(KEY, this.now + CALL_MS);
+    const value = JSON.stringify(spec);
+    if (before) await platform.update(KEY, value, before.revision, this.now + CALL_MS);
+    else await platform.create(KEY, value, this.now + CALL_MS);
+    this.#orderedAt = this.now;
+    await this.serve(1_000);
+    this.begin(version);
+  }
+
+  /** Starts endpoints of a version beside the processes that have none. */
+  begin(version: string): void {
+    for (const { name } of this.fleet.alive) if (isSpare(name)) this.announce(name, version);
+  }
+
+  announce(name: string, version: string): void {
+    this.#versions.set(name, version);
+    const { control } = this.fleet.nodes.get(name)!;
+    control.roster.announce({ upstream: UPSTREAM, state: 'ready', slots: SLOTS, version });
+  }
+
+  kill(name: string): void {
+    this.#processes.get(name)?.stopping.abort();
+    this.#processes.delete(name);
+    this.fleet.kill(name);
+  }
+
+  /** Starts a process anew; the endpoint beside it has been running on. */
+  revive(name: string): void {
+    this.fleet.launch(name, name.split('-')[0]!);
+    this.announce(name, this.#versions.get(name) ?? 'v1');
+  }
+
+  /** Callers ask at all processes for `ms`. */
+  async serve(ms: number): Promise<void> {
+    const until = this.now + ms;
+    while (this.now < until) {
+      for (let count = 0; count < REQUESTS_A_STEP; count++) this.#ask();
+      await this.fleet.time.advance(STEP_MS);
+    }
+  }
+
+  /** What the platform says of the order. */
+  async status(): Promise<unknown> {
+    const stored = await this.fleet.platform.get(KEY, this.now + CALL_MS);
+    return JSON.parse(stored?.status ?? 'null');
+  }
+
+  /** How far each live process takes the roll-out to be, with how many say so. */
+  get phases(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const { rollouts } of this.#processes.values()) {
+      const phase = rollouts.orders.of(UPSTREAM)?.phase ?? 'unknown';
+      counts[phase] = (counts[phase] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /** Requests given to a version since an instant. */
+  count(version: string, since = 0): number {
+    return this.given.filter((one) => one.version === version && one.at >= since).length;
+  }
+
+  /** Whether a bad version has got more than it may. */
+  exposure(version: string): { readonly isTooMuch: boolean; readonly isTooLate: boolean } {
+    const since = this.given.filter(({ at }) => at >= this.#orderedAt);
+    const own = since.filter((one) => one.version === version);
+    const most = since.length * ALLOWED_SHARE + ALLOWED_SLACK;
+    const known = own.filter(({ isBad }) => isBad)[BAD_ANSWERS - 1];
+    const isLate = ({ at }: Given) => known !== undefined && at > known.at + ROLL_BACK_MS;
+    return { isTooMuch: own.length > most, isTooLate: own.some(isLate) };
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    for (const { stopping } of this.#processes.values()) stopping.abort();
+    await this.fleet[Symbol.asyncDispose]();
+  }
+
+  #launched({ name, control }: Node, platform: Platform, clock: Clock): void {
+    const { roster, ranking, mesh, methods } = control;
+    const random = new SeededRandom(SEED + this.#processes.size);
+    const source = new ObjectOrders(platform);
+    const log = new SilentLog();
+    const allowedShare = ALLOWED_SHARE;
+    const parts = { roster, ranking, mesh, methods, clock, random, log, source, allowedShare };
+    const rollouts = new Rollouts(parts);
+    const balancer = new Balancer(roster, clock, random, rollouts.plan);
+    const stopping = new AbortController();
+    this.#processes.set(name, { rollouts, balancer, stopping });
+    void rollouts.run(stopping.signal);
+  }
+
+  #ask(): void {
+    const entries = [...this.#processes.values()];
+    const entry = entries[this.#random.below(entries.length)]!;
+    const chosen = entry.balancer.first(UPSTREAM, 'browse');
+    const name = chosen?.member.instance ?? '';
+    const guard = this.#processes.get(name);
+    const version = this.#versions.get(name);
+    if (!chosen || !guard || version === undefined || guard.rollouts.isShut) return;
+    const { failing, slower } = this.conducts[version]!(this.now);
+    const isFailure = this.#random.next() < failing;
+    const tookMs = WORK_MS * slower * 2 ** (this.#random.next() * 2 - 1);
+    this.given.push({ at: this.now, version, isBad: isFailure || slower > 2 });
+    void guard.rollouts.observe('browse', async () => {
+      await this.fleet.clock.sleepUntil(this.now + tookMs);
+      return { isFailure, tookMs };
+    });
+  }
+}
+
+/** Two of the six processes of a data centre. */
+function isSpare(name: string): boolean {
+  return Number(name.split('-')[1]) > 4;
+}
--- /dev/null
+++ b/src/test/rollout/rollouts_test.ts
@@ -0,0 +1,163 @@
+import { expect } from 'chai';
+import { type Conduct, FAILING, RolloutFleet } from './rollout_fleet.js';
+
+const DURATION_MS = 16_000;
+const ROLLED_BACK = { state: 'rolled_back', targetVersion: 'v2' };
+const COMPLETED = { state: 'completed', targetVersion: 'v2' };
+const KEPT = { isTooMuch: false, isTooLate: false };
+
+async function outcome(fleet: RolloutFleet, version = 'v2') {
+  const { phases } = fleet;
+  return { status: await fleet.status(), phases, exposure: fleet.exposure(version) };
+}
+
+function readers({ fleet }: RolloutFleet): string[] {
+  return fleet.alive.filter(({ control }) => control.ranking.isReader).map(({ name }) => name);
+}
+
+describe('Rollouts', function rollouts() {
+  this.timeout(60_000);
+
+  it('complete a sound version in time, and stop sending to the old one before they say so', async () => {
+    await using fleet = await RolloutFleet.start({ v2: () => ({ failing: 0.005, slower: 1 }) });
+    await fleet.order('v2', DURATION_MS);
+    let lastOld = fleet.now;
+    while ((await fleet.status()) === null || fleet.phases.completed === undefined) {
+      const before = fleet.count('v1');
+      await fleet.serve(100);
+      if (fleet.count('v1') > before) lastOld = fleet.now;
+    }
+    const idleMs = fleet.now - lastOld;
+    expect({
+      status: await fleet.status(),
+      isEarly: fleet.now - fleet.given[0]!.at < DURATION_MS * 0.62,
+      isIdleBefore: idleMs >= 800,
+    }).to.deep.equal({ status: COMPLETED, isEarly: true, isIdleBefore: true });
+  });
+
+  it('withdraw a version that fails, everywhere, and tell the platform', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    await fleet.order('v2', DURATION_MS);
+    await fleet.serve(DURATION_MS - 1_000);
+    expect(await outcome(fleet)).to.deep.equal({
+      status: ROLLED_BACK,
+      phases: { 'rolled-back': 18 },
+      exposure: KEPT,
+    });
+  });
+
+  // Guards against a version that turns bad in the very second in which it gets a large share.
+  it('withdraw a version that turns bad just before it would be promoted', async () => {
+    let badFrom = Infinity;
+    const late: Conduct = (now) => ({ failing: now >= badFrom ? 0.5 : 0, slower: 1 });
+    await using fleet = await RolloutFleet.start({ v2: late });
+    badFrom = fleet.now + 6_500;
+    await fleet.order('v2', DURATION_MS);
+    await fleet.serve(DURATION_MS - 1_000);
+    expect(await outcome(fleet)).to.deep.include({ status: ROLLED_BACK, exposure: KEPT });
+  });
+
+  // Guards against the evidence dying with those who judge it.
+  it('withdraw a bad version though all readers die as it begins', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    await fleet.order('v2', DURATION_MS);
+    for (const name of readers(fleet)) fleet.kill(name);
+    await fleet.serve(DURATION_MS - 1_000);
+    expect(await outcome(fleet)).to.deep.equal({
+      status: ROLLED_BACK,
+      phases: { 'rolled-back': 12 },
+      exposure: KEPT,
+    });
+  });
+
+  // Guards against a verdict that waits for the platform.
+  it('withdraw a bad version while the platform is away, and tell it afterwards', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    await fleet.order('v2', DURATION_MS);
+    const { faults } = fleet.fleet.platform;
+    faults.down = true;
+    await fleet.serve(DURATION_MS - 1_000);
+    const { phases } = fleet;
+    expect({ phases, exposure: fleet.exposure('v2') }).to.deep.equal({
+      phases: { withdrawn: 18 },
+      exposure: KEPT,
+    });
+    faults.down = false;
+    await fleet.serve(3_000);
+    expect(await fleet.status()).to.deep.equal(ROLLED_BACK);
+  });
+
+  // Guards against a word that was written, and whose answer was lost, being taken for not written.
+  it('say what became of a version once, though answers of the platform are lost', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    const { faults, calls } = fleet.fleet.platform;
+    faults.loseAnswers = 3;
+    const before = calls.writes;
+    await fleet.order('v2', DURATION_MS).catch(() => fleet.begin('v2'));
+    await fleet.serve(DURATION_MS - 1_000);
+    const { phases } = fleet;
+    expect({ status: await fleet.status(), phases }).to.deep.equal({
+      status: ROLLED_BACK,
+      phases: { 'rolled-back': 18 },
+    });
+    expect(calls.writes - before).to.be.at.most(6);
+  });
+
+  // Guards against a data centre that is cut off going on with what the others have found to be bad.
+  it('withdraw a bad version in a data centre that is cut off too', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    await fleet.order('v2', DURATION_MS);
+    const { network, cutOff } = fleet.fleet;
+    network.cut('tobago', 'arima');
+    network.cut('tobago', 'couva');
+    cutOff.add('tobago');
+    await fleet.serve(DURATION_MS - 4_000);
+    expect(fleet.exposure('v2')).to.deep.equal(KEPT);
+    network.heal();
+    cutOff.clear();
+    await fleet.serve(6_000);
+    expect(fleet.phases).to.deep.equal({ 'rolled-back': 18 });
+  });
+
+  // Guards against a process that was away giving a withdrawn version its share again.
+  it('tell a process that starts of a verdict, also without the platform', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    await fleet.order('v2', DURATION_MS);
+    const names = fleet.fleet.alive.map(({ name }) => name).slice(0, 6);
+    for (const name of names) fleet.kill(name);
+    await fleet.serve(7_000);
+    fleet.fleet.platform.faults.down = true;
+    for (const name of names) fleet.revive(name);
+    await fleet.serve(1_000);
+    const since = fleet.now;
+    await fleet.serve(4_000);
+    expect(fleet.count('v2', since)).to.equal(0);
+  });
+
+  it('begin anew when the operator orders another version', async () => {
+    const sound: Conduct = () => ({ failing: 0, slower: 1 });
+    await using fleet = await RolloutFleet.start({ v2: FAILING, v3: sound });
+    await fleet.order('v2', DURATION_MS);
+    await fleet.serve(8_000);
+    await fleet.order('v3', DURATION_MS);
+    await fleet.serve(DURATION_MS - 1_000);
+    expect(await fleet.status()).to.deep.equal({ state: 'completed', targetVersion: 'v3' });
+  });
+
+  // Guards against the endpoints of an order that no reader has seen yet getting their full share.
+  it('give a version nothing while it is not known whether it was ordered, and then all', async () => {
+    const sound: Conduct = () => ({ failing: 0, slower: 1 });
+    await using fleet = await RolloutFleet.start({ v2: sound });
+    const { faults } = fleet.fleet.platform;
+    faults.down = true;
+    fleet.begin('v2');
+    await fleet.serve(4_000);
+    const unknown = fleet.count('v2');
+    faults.down = false;
+    await fleet.serve(3_000);
+    const since = fleet.now;
+    await fleet.serve(2_000);
+    const share = fleet.count('v2', since) / (fleet.count('v1', since) + fleet.count('v2', since));
+    expect({ unknown, isUsed: share > 0.2 }).to.deep.equal({ unknown: 0, isUsed: true });
+  });
+});
