Let a version cost its change, not the whole configuration

Cause: each version that came in was worked out anew over all resources: all keys sorted, one update of the hash for each of them, all routes checked, and at the next request all routes sorted and tabled again. In config storms (31 versions in 5 s, 1,000 routes and more) that is what a process of 0.27 cores does beside its requests. Ruled out: parsing and decoding of pushes (a few resources); the readers' decoding of the whole object stays as it is (6 of 69). Change: keys stay sorted from version to version, the digest is one update over the same text (same value), what a local change puts is checked by itself (validateChange; anything else whole), and the router's tables of hosts that did not change are kept. Tests: properties against working it out anew, for digest, sizes, problems and where requests are led.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -1,4 +1,3 @@
-import { createHash } from 'node:crypto';
 import {
   type Change,
   type Kind,
@@ -13,8 +12,21 @@
   readonly digest: string;
   /** Length as canonical JSON. */
   readonly bytes: number;
+  /** What the digest of a configuration is worked out over. */
+  readonly line: string;
 }
 
+/** Resources by key, with what would else be worked out anew for each version. */
+interface Holding {
+  readonly byKey: ReadonlyMap<ResourceKey, Held>;
+  /** All keys in order. */
+  readonly keys: readonly ResourceKey[];
+  readonly bytes: number;
+}
+
+/** Keys that come and go beyond which sorting all of them again is cheaper than finding their places. */
+const FEW_KEYS = 64;
+
 /** An immutable set of resources at one version. */
 export class Configuration {
   /** Derived data, such as compiled routes, kept as long as the configuration itself. */
@@ -23,7 +35,9 @@
   private constructor(
     readonly number: number,
     readonly digest: string,
-    private readonly held: ReadonlyMap<ResourceKey, Held>,
+    private readonly holding: Holding,
+    /** What was derived from an earlier version last: most of it still holds. */
+    private readonly inherited: ReadonlyMap<symbol, unknown> = new Map(),
   ) {}
 
   /** Holds nothing. */
@@ -32,43 +46,51 @@
   }
 
   static of(number: number, digest: string, resources: Iterable<Resource>): Configuration {
-    return new Configuration(number, digest, hold(new Map(), { put: [...resources], remove: [] }));
+    return new Configuration(number, digest, hold(NOTHING, { put: [...resources], remove: [] }));
   }
 
   get size(): number {
-    return this.held.size;
+    return this.holding.keys.length;
   }
 
   /** Length of all resources as canonical JSON. */
   get bytes(): number {
-    let sum = 0;
-    for (const { bytes } of this.held.values()) sum += bytes;
-    return sum;
+    return this.holding.bytes;
+  }
+
+  /** What was derived under that name from this version, or else from the last one that had it. */
+  earlier(name: symbol): unknown {
+    return this.derived.get(name) ?? this.inherited.get(name);
   }
 
   /** Keys of resources that are longer than `maxBytes`. */
   oversized(maxBytes: number): ResourceKey[] {
-    return [...this.held].filter(([, { bytes }]) => bytes > maxBytes).map(([key]) => key);
+    const { byKey } = this.holding;
+    return [...byKey].filter(([, { bytes }]) => bytes > maxBytes).map(([key]) => key);
+  }
+
+  isOversized(key: ResourceKey, maxBytes: number): boolean {
+    return (this.holding.byKey.get(key)?.bytes ?? 0) > maxBytes;
   }
 
   get(key: ResourceKey): Resource | undefined {
-    return this.held.get(key)?.resource;
+    return this.holding.byKey.get(key)?.resource;
   }
 
   /** The resource of that kind and name, typed by its kind. */
   find<K extends Kind>(kind: K, name: string): Extract<Resource, { kind: K }> | undefined {
-    return this.held.get(`${kind}/${name}`)?.resource as Extract<Resource, { kind: K }> | undefined;
+    return this.get(`${kind}/${name}`) as Extract<Resource, { kind: K }> | undefined;
   }
 
   *all<K extends Kind>(kind: K): Generator<Extract<Resource, { kind: K }>> {
-    for (const { resource } of this.held.values()) {
+    for (const { resource } of this.holding.byKey.values()) {
       if (resource.kind === kind) yield resource as Extract<Resource, { kind: K }>;
     }
   }
 
   /** All resources in key order. */
   resources(): Resource[] {
-    return [...this.held.keys()].sort().map((key) => this.held.get(key)!.resource);
+    return this.holding.keys.map((key) => this.get(key)!);
   }
 
   /** The configuration after `change`, as the next version, with its digest worked out. */
@@ -85,25 +107,27 @@
   changeTo(resources: readonly Resource[]): Change {
     const wanted = new Set(resources.map(resourceKey));
     const put = resources.filter((resource) => {
-      const held = this.held.get(resourceKey(resource));
+      const held = this.holding.byKey.get(resourceKey(resource));
       return held?.resource !== resource && held?.digest !== heldOf(resource).digest;
     });
-    return { put, remove: [...this.held.keys()].filter((key) => !wanted.has(key)) };
+    return { put, remove: this.holding.keys.filter((key) => !wanted.has(key)) };
   }
 
   /** Whether the resources are those that the digest was worked out over. */
   matches(parent: string): boolean {
-    return chain(this.number, parent, stateDigest(this.held)) === this.digest;
+    return chain(this.number, parent, stateDigest(this.holding)) === this.digest;
   }
 
   /** Digest over the resources alone, whatever the version. */
   get state(): string {
-    return stateDigest(this.held);
+    return stateDigest(this.holding);
   }
 
   #after(change: Change, number: number, parent: string): Configuration {
-    const held = hold(this.held, change);
-    return new Configuration(number, chain(number, parent, stateDigest(held)), held);
+    const holding = hold(this.holding, change);
+    const inherited = new Map([...this.inherited, ...this.derived]);
+    const digest = chain(number, parent, stateDigest(holding));
+    return new Configuration(number, digest, holding, inherited);
   }
 }
 
@@ -111,13 +135,52 @@
  * Below the class: some compilers put an alias for its name into it that is not set yet when its
  * static fields are, and the program would end as it starts.
  */
+const NOTHING: Holding = { byKey: new Map(), keys: [], bytes: 0 };
 const EMPTY = Configuration.of(0, GENESIS, []);
 
-function hold(before: ReadonlyMap<ResourceKey, Held>, change: Change): Map<ResourceKey, Held> {
-  const held = new Map(before);
-  for (const key of change.remove) held.delete(key);
-  for (const resource of change.put) held.set(resourceKey(resource), heldOf(resource));
-  return held;
+function hold(before: Holding, { put, remove }: Change): Holding {
+  const byKey = new Map(before.byKey);
+  let { bytes } = before;
+  for (const key of remove) {
+    bytes -= byKey.get(key)?.bytes ?? 0;
+    byKey.delete(key);
+  }
+  for (const resource of put) {
+    const key = resourceKey(resource);
+    const held = heldOf(resource);
+    bytes += held.bytes - (byKey.get(key)?.bytes ?? 0);
+    byKey.set(key, held);
+  }
+  return { byKey, keys: sortedKeys(before, byKey, { put, remove }), bytes };
+}
+
+/** A version changes few of thousands of keys: sorting them all again would be most of its cost. */
+function sortedKeys(
+  before: Holding,
+  byKey: ReadonlyMap<ResourceKey, Held>,
+  { put, remove }: Change,
+): readonly ResourceKey[] {
+  if (put.length + remove.length > FEW_KEYS) return [...byKey.keys()].sort();
+  const isKept = byKey.size >= before.keys.length && remove.every((key) => byKey.has(key));
+  const keys = isKept ? [...before.keys] : before.keys.filter((key) => byKey.has(key));
+  for (const resource of put) {
+    const key = resourceKey(resource);
+    const place = placeOf(key, keys);
+    if (keys[place] !== key) keys.splice(place, 0, key);
+  }
+  return keys;
+}
+
+/** Index of the first key that does not sort before `key`, by binary search. */
+function placeOf(key: ResourceKey, keys: readonly ResourceKey[]): number {
+  let low = 0;
+  let high = keys.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if (keys[middle]! < key) low = middle + 1;
+    else high = middle;
+  }
+  return low;
 }
 
 /**
@@ -130,7 +193,9 @@
   let held = HELD.get(resource);
   if (!held) {
     const text = canonical(resource);
-    held = { resource, digest: sha256(text), bytes: Buffer.byteLength(text) };
+    const digest = sha256(text);
+    const line = `${resourceKey(resource)}=${digest}\n`;
+    held = { resource, digest, bytes: Buffer.byteLength(text), line };
     HELD.set(resource, held);
   }
   return held;
@@ -140,8 +205,7 @@
   return digestOf({ number, parent, state });
 }
 
-function stateDigest(held: ReadonlyMap<ResourceKey, Held>): string {
-  const hash = createHash('sha256');
-  for (const key of [...held.keys()].sort()) hash.update(`${key}=${held.get(key)!.digest}\n`);
-  return hash.digest('hex');
+/** All at once: each update of a hash costs as much as some hundred bytes of it. */
+function stateDigest({ byKey, keys }: Holding): string {
+  return sha256(keys.map((key) => byKey.get(key)!.line).join(''));
 }
--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -1,5 +1,12 @@
 /** The checks a configuration must pass: in the tool, at acceptance and at every proxy. */
-import { type Problem, type Route, type Rule } from '../contracts.js';
+import {
+  type Change,
+  type Problem,
+  type Resource,
+  resourceKey,
+  type Route,
+  type Rule,
+} from '../contracts.js';
 import { type Configuration } from './configuration.js';
 
 export type { Problem };
@@ -13,6 +20,9 @@
 /** Longest configuration, in bytes of canonical JSON, that proxies have the memory for. */
 export const MAX_CONFIGURATION_BYTES = 8_000_000;
 
+/** Resources put by one change up to which they are looked at by themselves. */
+const FEW_RESOURCES = 64;
+
 /** Every problem of the configuration; an empty list means it may be put in force. */
 export function validate(configuration: Configuration): Problem[] {
   const problems = oversizes(configuration);
@@ -26,12 +36,52 @@
   return problems;
 }
 
+/**
+ * The same for what `change` has made of a configuration without problems. Where it touches nothing
+ * that other routes depend on, only what it puts is looked at: it costs its change, not the whole.
+ */
+export function validateChange(configuration: Configuration, change: Change): Problem[] {
+  const isLocal =
+    change.put.every(({ kind }) => kind === 'route' || kind === 'upstream') &&
+    change.remove.every((key) => key.startsWith('route/'));
+  const isSmall = change.put.length <= FEW_RESOURCES;
+  if (!isLocal || !isSmall) return validate(configuration);
+  const everywhere = [...configuration.all('rule')].filter((rule) => rule.everywhere);
+  const problems = exceeded(configuration);
+  for (const resource of change.put) {
+    problems.push(...problemsOf(configuration, resource, everywhere));
+  }
+  return problems;
+}
+
+function problemsOf(
+  configuration: Configuration,
+  resource: Resource,
+  everywhere: readonly Rule[],
+): Problem[] {
+  const problems: Problem[] = [];
+  const path = resourceKey(resource);
+  // One that was put and removed by the same change is not held.
+  if (configuration.get(path) !== resource) return problems;
+  if (configuration.isOversized(path, MAX_RESOURCE_BYTES)) problems.push(oversize(path));
+  if (resource.kind !== 'route') return problems;
+  return problems.concat(
+    danglingReferences(configuration, resource),
+    brokenRules(configuration, resource, everywhere),
+  );
+}
+
 function oversizes(configuration: Configuration): Problem[] {
-  const { size, bytes } = configuration;
-  const problems: Problem[] = configuration.oversized(MAX_RESOURCE_BYTES).map((path) => ({
-    path,
-    message: `is longer than the ${MAX_RESOURCE_BYTES} bytes allowed`,
-  }));
+  const oversized = configuration.oversized(MAX_RESOURCE_BYTES).map(oversize);
+  return [...oversized, ...exceeded(configuration)];
+}
+
+function oversize(path: string): Problem {
+  return { path, message: `is longer than the ${MAX_RESOURCE_BYTES} bytes allowed` };
+}
+
+function exceeded({ size, bytes }: Configuration): Problem[] {
+  const problems: Problem[] = [];
   const exceeds = (amount: number, unit: string, most: number) => {
     if (amount <= most) return;
     const message = `holds ${amount} ${unit}, at most ${most} are allowed`;
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -1,7 +1,7 @@
 /** The configuration in force at one process. */
 import { Configuration } from '../configuration/configuration.js';
 import { GENESIS } from '../configuration/digest.js';
-import { MAX_RESOURCES, type Problem, validate } from '../configuration/validate.js';
+import { MAX_RESOURCES, type Problem, validate, validateChange } from '../configuration/validate.js';
 import { type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
@@ -155,7 +155,7 @@
       ? this.#current.standalone(change, number)
       : this.#current.next(change);
     if (candidate.digest !== digest) return this.#refuse(number, 'digest', []);
-    const problems = validate(candidate);
+    const problems = validateChange(candidate, change);
     if (problems.length > 0) return this.#refuse(number, 'invalid', problems);
     this.#parent = standsAlone ? GENESIS : parent;
     this.#current = candidate;
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -21,11 +21,15 @@
 
 /** Tables by host; `anyHost` holds the routes that name none. */
 interface Compiled {
+  /** All routes in order of specificity. */
+  readonly sorted: readonly Route[];
   readonly byHost: ReadonlyMap<string, Table>;
   readonly anyHost: Table;
 }
 
 const COMPILED = Symbol('compiled routes');
+/** Routes that are new up to which each is put in its place; beyond, all are sorted again. */
+const FEW_ROUTES = 64;
 const REPEATABLE_METHODS: ReadonlySet<string> = new Set([
   'GET',
   'HEAD',
@@ -53,23 +57,68 @@
 function compiled(configuration: Configuration): Compiled {
   const known = configuration.derived.get(COMPILED) as Compiled | undefined;
   if (known) return known;
-  const fresh = compile([...configuration.all('route')].sort(bySpecificity));
+  const earlier = configuration.earlier(COMPILED) as Compiled | undefined;
+  const routes = [...configuration.all('route')];
+  const fresh = earlier ? recompile(earlier, routes) : compile(routes.sort(bySpecificity));
   configuration.derived.set(COMPILED, fresh);
   return fresh;
 }
 
-function compile(routes: readonly Route[]): Compiled {
+/** A version that changes one route of thousands costs a pass, and the table of one host. */
+function recompile(earlier: Compiled, routes: readonly Route[]): Compiled {
+  const before = new Set(earlier.sorted);
+  const now = new Set(routes);
+  const gone = earlier.sorted.filter((route) => !now.has(route));
+  const added = routes.filter((route) => !before.has(route));
+  if (gone.length + added.length === 0) return earlier;
+  const kept = earlier.sorted.filter((route) => now.has(route));
+  const sorted = merged(kept, added);
+  const hosts = new Set([...gone, ...added].map(hostOf));
+  // Routes without a host stand in the tables of all hosts.
+  if (hosts.has(undefined)) return compile(sorted);
+  const byHost = new Map(earlier.byHost);
+  const ofAny = sorted.filter(({ host }) => host === undefined);
+  for (const host of hosts) {
+    const own = sorted.filter((route) => hostOf(route) === host);
+    if (own.length === 0) byHost.delete(host!);
+    else byHost.set(host!, tableOf([...own, ...ofAny]));
+  }
+  return { sorted, byHost, anyHost: earlier.anyHost };
+}
+
+/** Routes in order of specificity, with some more in their places among them. */
+function merged(sorted: readonly Route[], added: readonly Route[]): Route[] {
+  if (added.length > FEW_ROUTES) return [...sorted, ...added].sort(bySpecificity);
+  const all = [...sorted];
+  for (const route of added) {
+    let low = 0;
+    let high = all.length;
+    while (low < high) {
+      const middle = (low + high) >>> 1;
+      if (bySpecificity(all[middle]!, route) < 0) low = middle + 1;
+      else high = middle;
+    }
+    all.splice(low, 0, route);
+  }
+  return all;
+}
+
+function hostOf({ host }: Route): string | undefined {
+  return host?.toLowerCase();
+}
+
+function compile(sorted: readonly Route[]): Compiled {
   const ofHost = new Map<string, Route[]>();
   const ofAny: Route[] = [];
-  for (const route of routes) {
-    const host = route.host?.toLowerCase();
+  for (const route of sorted) {
+    const host = hostOf(route);
     if (host === undefined) ofAny.push(route);
     else listIn(ofHost, host, []).push(route);
   }
   const byHost = new Map<string, Table>();
   // Routes that name a host are the more specific ones, so the others come behind them.
   for (const [host, own] of ofHost) byHost.set(host, tableOf([...own, ...ofAny]));
-  return { byHost, anyHost: tableOf(ofAny) };
+  return { sorted, byHost, anyHost: tableOf(ofAny) };
 }
 
 /** One pass: a version that changes one route of thousands must not hold up requests. */
--- a/src/test/configuration/configuration_test.ts
+++ b/src/test/configuration/configuration_test.ts
@@ -1,7 +1,18 @@
+import * as fc from 'fast-check';
 import { expect } from 'chai';
 import { Configuration } from '../../configuration/configuration.js';
-import { validate } from '../../configuration/validate.js';
-import { Route, Rule, Upstream } from '../../contracts.js';
+import { validate, validateChange } from '../../configuration/validate.js';
+import {
+  type Change,
+  Limit,
+  type Resource,
+  resourceKey,
+  Route,
+  Rule,
+  Upstream,
+} from '../../contracts.js';
+
+const SEED = 17;
 
 const listings = Upstream.parse({ kind: 'upstream', name: 'listings' });
 const menus = Route.parse({
@@ -28,6 +39,74 @@
   });
 });
 
+const name = fc.constantFrom('a', 'b', 'c', 'd');
+const resource: fc.Arbitrary<Resource> = fc.oneof(
+  name.map((of) => Upstream.parse({ kind: 'upstream', name: of })),
+  fc
+    .tuple(name, fc.integer({ min: 1, max: 9 }))
+    .map(([of, slots]) => Limit.parse({ kind: 'limit', name: of, slots })),
+  fc
+    .tuple(name, fc.boolean())
+    .map(([of, requireLimit]) =>
+      Rule.parse({ kind: 'rule', name: of, everywhere: true, requireLimit }),
+    ),
+  fc.tuple(name, name, fc.option(name)).map(([of, upstream, limit]) =>
+    Route.parse({
+      kind: 'route',
+      name: of,
+      pathPrefix: `/${of}`,
+      upstream,
+      ...(limit !== null && { limit }),
+    }),
+  ),
+);
+const change: fc.Arbitrary<Change> = fc.record({
+  put: fc.array(resource, { maxLength: 4 }),
+  remove: fc.array(resource.map(resourceKey), { maxLength: 2 }),
+});
+
+describe('a configuration that is worked out from the one before', () => {
+  const history = fc.array(change, { minLength: 1, maxLength: 12 });
+
+  // Guards against a version that is cheap to work out being another one than what was accepted.
+  it('is the same as one that is worked out anew', () => {
+    fc.assert(
+      fc.property(history, (changes) => {
+        let held = Configuration.empty;
+        for (const next of changes) {
+          held = held.next(next);
+          const anew = Configuration.of(held.number, held.digest, held.resources());
+          const keys = held.resources().map(resourceKey);
+          expect(keys).to.deep.equal([...keys].sort());
+          expect([anew.state, anew.bytes, anew.size]).to.deep.equal([
+            held.state,
+            held.bytes,
+            held.size,
+          ]);
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+
+  // Guards against a version being put in force that a look at all of it would refuse, or the reverse.
+  it('has the same problems as one that is looked at whole', () => {
+    fc.assert(
+      fc.property(history, (changes) => {
+        let held = Configuration.empty;
+        for (const next of changes) {
+          const candidate = held.next(next);
+          const problems = validate(candidate);
+          const found = validateChange(candidate, next);
+          expect(found.length > 0).to.equal(problems.length > 0);
+          if (problems.length === 0) held = candidate;
+        }
+      }),
+      { seed: SEED },
+    );
+  });
+});
+
 describe('validate', () => {
   it('lists every dangling reference by path', () => {
     const route = { ...menus, limit: 'gone', rules: ['none'] };
--- a/src/test/requests/router_test.ts
+++ b/src/test/requests/router_test.ts
@@ -94,4 +94,38 @@
     });
     fc.assert(property, { seed: SEED, numRuns: 500 });
   });
+
+  // Guards against tables that are made from those of the version before leading elsewhere.
+  it('leads where tables made anew do, whatever versions came before', () => {
+    const hosts = fc.constantFrom(undefined, 'a.example', 'B.example');
+    const one = fc
+      .record({ name: fc.constantFrom('k', 'l', 'm', 'n', 'o'), host: hosts, depth: fc.nat(2) })
+      .map(({ name, host, depth }) =>
+        route(name, { pathPrefix: ['/', '/menus', '/menus/today'][depth]!, ...(host && { host }) }),
+      );
+    const changes = fc.array(
+      fc.record({
+        put: fc.array(one, { maxLength: 3 }),
+        remove: fc.array(
+          one.map(({ name }) => `route/${name}`),
+          { maxLength: 1 },
+        ),
+      }),
+      { maxLength: 10 },
+    );
+    const targets = ['/', '/menus', '/menus/today/1', '/other'].flatMap((path) =>
+      ['a.example', 'b.example', 'c.example'].map((host) => targetOf(path, { host })),
+    );
+    const led = (held: Configuration) => targets.map((target) => routeOf(held, target)?.name);
+    fc.assert(
+      fc.property(changes, (versions) => {
+        let held = configuration;
+        for (const change of versions) {
+          held = held.next(change);
+          expect(led(held)).to.deep.equal(led(configurationOf(held.resources() as Route[])));
+        }
+      }),
+      { seed: SEED },
+    );
+  });
 });
