Read orders of roll-outs with fewer calls

Change: a process that starts gets acquainted first and then hears of orders from its readers, unless nobody tells it for 3 s; watches last 20 s; the wait after a failed call doubles up to 4 s. What is found bad still needs no call.

--- a/src/rollout/order_reader.ts
+++ b/src/rollout/order_reader.ts
@@ -10,10 +10,15 @@
 import { type Spread } from './spread.js';
 
 /** How long one watch waits, in milliseconds; several processes hold one, so a silent one costs little. */
-const WATCH_MS = 10_000;
+const WATCH_MS = 20_000;
 const CALL_MS = 1_000;
-/** Cap of the jittered wait after a failed call, in milliseconds. */
+/** Cap of the jittered wait after a failed call, in milliseconds; it doubles with each further one. */
 const RETRY_CAP_MS = 500;
+const MAX_RETRY_CAP_MS = 4_000;
+/** A herd that starts gets acquainted first: else each process would list the orders. In milliseconds. */
+const ACQUAINT_MS = 500;
+/** A process that nobody has told of the orders by then lists them itself, in milliseconds. */
+const UNTOLD_MS = 3_000;
 /** How often a process looks whether it has become a reader, and whether anything is to be done. */
 const LOOK_EVERY_MS = 250;
 /** How much longer each next reader waits for the one before it to write, in milliseconds. */
@@ -41,18 +46,23 @@
 
   /** Runs until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    await Promise.all([this.#repeat(signal, () => this.#read(signal)), this.#write(signal)]);
+    const startedAt = this.clock.now();
+    const reading = this.#repeat(signal, () => this.#read(startedAt, signal));
+    await Promise.all([reading, this.#write(signal)]);
   }
 
-  /** A process that starts reads for itself until it has heard of all orders from one that knows them. */
-  async #read(signal: AbortSignal): Promise<void> {
+  /** Readers read; the others hear of orders from them. */
+  async #read(startedAt: number, signal: AbortSignal): Promise<void> {
     const { clock, orders, source } = this;
-    if (!orders.isComplete) {
-      this.#take(await source.list(clock.now() + CALL_MS));
-    } else if (this.ranking.isReader) {
-      this.#take(await source.follow(clock.now() + WATCH_MS, signal));
+    const now = clock.now();
+    const isUntold = !orders.isComplete && now >= startedAt + UNTOLD_MS;
+    const isReader = this.ranking.isReader && now >= startedAt + ACQUAINT_MS;
+    if (orders.isComplete && isReader) {
+      this.#take(await source.follow(now + WATCH_MS, signal));
+    } else if (isReader || isUntold) {
+      this.#take(await source.list(now + CALL_MS));
     } else {
-      await clock.sleepUntil(clock.now() + LOOK_EVERY_MS, signal);
+      await clock.sleepUntil(now + LOOK_EVERY_MS, signal);
     }
   }
 
@@ -66,13 +76,15 @@
   }
 
   async #repeat(signal: AbortSignal, step: () => Promise<void>): Promise<void> {
+    let capMs = RETRY_CAP_MS;
     while (!signal.aborted) {
       try {
         await step();
+        capMs = RETRY_CAP_MS;
       } catch (error) {
         if (!(error instanceof OutcomeError)) throw error;
-        const wakeAt = this.clock.now() + this.random.jitter(RETRY_CAP_MS);
-        await this.clock.sleepUntil(wakeAt, signal);
+        await this.clock.sleepUntil(this.clock.now() + this.random.jitter(capMs), signal);
+        capMs = Math.min(MAX_RETRY_CAP_MS, capMs * 2);
       }
     }
   }
