Write lines of one served request in sixteen, the same at all hops

Cause: a process in a large fleet sees 20 requests a second and wrote five lines for each. Users ask for failures and refusals: all of those are written as before, within the same bounds, and 20 served a second at most.

--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -8,10 +8,9 @@
 
 /** Decisions kept for one request; those of the last attempts say how it ended. */
 const MAX_EVENTS = 24;
-/**
- * Served requests of which a process writes lines, in a second: at more, each takes processor time
- * from the next. A sample of them is enough; of those that were not served all are written.
- */
+/** One of so many served requests is written, the same at all hops; of those not served all are. */
+const SERVED_SAMPLE = 16;
+/** Served requests of which a process writes lines at most, in a second. */
 const SERVED_PER_SECOND = 20;
 /** Refused requests of which it writes all decisions, in a second. */
 const REFUSED_PER_SECOND = 20;
@@ -56,6 +55,8 @@
 }
 
 const SERVER_ERROR = 500;
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
 
 export class RequestLog {
   readonly #served: TokenBucket;
@@ -88,6 +89,10 @@
     const level = levelOf(ended);
     if (!this.log.writes(level)) return;
     const isRoutine = level === 'debug';
+    if (isRoutine && !isSampled(id)) {
+      this.leftOut += 1;
+      return;
+    }
     if ((isRoutine ? this.#served : this.#refused).take()) {
       for (const { at, event } of decisions) this.log.record(level, { id, ...event }, at);
     } else if (!isRoutine && this.#ends.take()) this.log.record(level, { id, ...ended });
@@ -197,6 +202,18 @@
   }
 }
 
+/**
+ * By the id, so that the lines of a request that was carried over several hops are there whole or not at
+ * all. Lines of every one would take processor time that the next request lacks.
+ */
+function isSampled(id: string): boolean {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < id.length; index++) {
+    hash = Math.imul(hash ^ id.charCodeAt(index), FNV_PRIME);
+  }
+  return ((hash ^ (hash >>> 16)) >>> 0) % SERVED_SAMPLE === 0;
+}
+
 /** Keeps nothing, for processes that write no lines. */
 export function silentRequests(clock: Clock): RequestLog {
   return new RequestLog(new SilentLog(), clock);
--- a/src/test/logs/request_log_test.ts
+++ b/src/test/logs/request_log_test.ts
@@ -52,6 +52,22 @@
     expect(ended, 'metrics count all').to.have.length(1_001);
   });
 
+  // Guards against lines taking the processor time of the requests that they tell of.
+  it('samples served requests, the same ones at each hop', async () => {
+    const logs = [new MemoryLog('debug'), new MemoryLog('debug')];
+    const hops = logs.map(logOf);
+    for (let count = 0; count < 1_600; count++) {
+      for (const hop of hops)
+        hop.begin(`4f2a-${count}`).answered('entry-ended', { statusCode: 200 });
+      await time.advance(50);
+    }
+    const [entry, guard] = logs.map(({ lines }) =>
+      lines.map((line) => ('id' in line ? line.id : '')),
+    );
+    expect(entry).to.deep.equal(guard);
+    expect(entry!.length).to.be.within(70, 130);
+  });
+
   // Overload refuses a thousand requests in a second, each after several attempts. Of some the
   // whole story is written and of more how they ended, so that the lines cost less than the work.
   it('writes a storm of refusals up to two bounds', () => {
