--- a/src/bench/drawing.ts
+++ b/src/bench/drawing.ts
@@ -14,6 +14,14 @@
   ],
   'added-latency': ['directP99Ms', 'throughP99Ms', 'addedP99Ms'],
   cold: ['bareNodeMs', 'readyMs', 'settledMs', 'idleMsPerSecond', 'versionMs', 'first300MsEach'],
+  rollout: [
+    'soundMedianS',
+    'errorsMedianS',
+    'slowMedianS',
+    'lateMedianS',
+    'under-loadMedianS',
+    'one-routeMedianS',
+  ],
   overload: ['goodput', 'baselineGoodput', 'capacity'],
 };
 const WIDTH = 900;
--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -10,6 +10,7 @@
 import { Convergence } from './experiments/convergence.js';
 import { Herd } from './experiments/herd.js';
 import { Overload } from './experiments/overload.js';
+import { RolloutTrials } from './experiments/rollout.js';
 import { Slopes } from './experiments/slopes.js';
 import { replayCommand } from './replay/command.js';
 import { StolenTime } from './stolen_time.js';
@@ -28,6 +29,7 @@
   new Overload(clock),
   new Slopes(clock),
   new Cold(clock),
+  new RolloutTrials(clock),
 ];
 
 interface Flags {
