--- a/src/bench/rollouts/conduct.ts
+++ b/src/bench/rollouts/conduct.ts
@@ -27,7 +27,10 @@
 /** Share of the slots in use from which a version that does not bear load fails. */
 const HEAVY_LOAD = 0.7;
 
-const when = (isBad: (moment: Moment) => boolean, fate: Fate): Conduct => (moment) => (isBad(moment) ? fate : SOUND_FATE);
+const when =
+  (isBad: (moment: Moment) => boolean, fate: Fate): Conduct =>
+  (moment) =>
+    isBad(moment) ? fate : SOUND_FATE;
 
 /** Versions by what is wrong with them; `sound` has nothing wrong with it. */
 export const CONDUCTS = {
--- a/src/contracts/status.ts
+++ b/src/contracts/status.ts
@@ -1,5 +1,6 @@
 /** Where release notes stand across the fleet. */
 import * as z from 'zod';
+import { Rollout } from './rollout.js';
 import { Survey } from './survey.js';
 import { Action } from './version.js';
 
@@ -23,5 +24,7 @@
   /** The latest versions, or those of one note, newest first. */
   versions: z.array(Standing),
   survey: Survey,
+  /** The last order for each upstream, as the process asked knows it. */
+  rollouts: z.array(Rollout).default([]),
 });
 export type Status = z.infer<typeof Status>;
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -21,7 +21,7 @@
 /** The parts of a process that operators act on. */
 export type Operated = Pick<
   Instance,
-  'source' | 'acceptsNotes' | 'surroundings' | 'replica' | 'surveyor' | 'roster'
+  'source' | 'acceptsNotes' | 'surroundings' | 'replica' | 'surveyor' | 'roster' | 'rollouts'
 >;
 
 export function operatorMethods(instance: Operated): JSONRPCServer {
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -20,7 +20,8 @@
   const furthest = Math.max(0, ...survey.holding.map(({ version }) => version));
   const latest = versions[0]?.number ?? 0;
   const head = Math.max(latest, furthest, replica.current.number);
-  return { asOf: clock.now(), head, isLogRead: logged !== undefined, versions, survey };
+  const rollouts = instance.rollouts?.orders.all() ?? [];
+  return { asOf: clock.now(), head, isLogRead: logged !== undefined, versions, survey, rollouts };
 }
 
 async function readLog(
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -1,7 +1,12 @@
 /** The configuration in force at one process. */
 import { Configuration } from '../configuration/configuration.js';
 import { GENESIS } from '../configuration/digest.js';
-import { MAX_RESOURCES, type Problem, validate, validateChange } from '../configuration/validate.js';
+import {
+  MAX_RESOURCES,
+  type Problem,
+  validate,
+  validateChange,
+} from '../configuration/validate.js';
 import { type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
--- a/src/test/tool/render_status_test.ts
+++ b/src/test/tool/render_status_test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import { type Status } from '../../contracts.js';
 import { renderStatus } from '../../tool/render_status.js';
+import { orderOf } from '../rollout/order.js';
 
 const ACCEPTED = Date.UTC(2026, 11, 2, 18, 0, 0);
 const MINUTE_MS = 60_000;
@@ -26,6 +27,7 @@
     unknown: [],
     unreached: [],
   },
+  rollouts: [],
 };
 
 describe('renderStatus', () => {
@@ -33,6 +35,14 @@
     expect(renderStatus(WHOLE)).toMatchSnapshot();
   });
 
+  it('shows how far roll-outs are', () => {
+    const rollouts = [
+      orderOf({ phase: 'proof' }),
+      orderOf({ upstream: 'bookings', version: 'v3', phase: 'rolled-back', durationMs: 12_000 }),
+    ];
+    expect(renderStatus({ ...WHOLE, rollouts })).toMatchSnapshot();
+  });
+
   // One proxy refuses the latest version, two do not answer, and a data centre is cut off. The
   // operator sees each of them apart; none is counted among those that hold the version.
   it('counts nobody as holding a version who has not said so', () => {
--- a/src/tool/render_status.ts
+++ b/src/tool/render_status.ts
@@ -1,5 +1,5 @@
 /** Text for where versions stand. */
-import { type Standing, type Status, type Survey } from '../contracts.js';
+import { type Rollout, type Standing, type Status, type Survey } from '../contracts.js';
 import { instant } from './render_audit.js';
 import { table } from './table.js';
 
@@ -25,13 +25,13 @@
 ];
 
 export function renderStatus(status: Status): string {
-  const { head, asOf, isLogRead, versions, survey } = status;
+  const { head, asOf, isLogRead, versions, survey, rollouts } = status;
   const lines = [`latest version known: ${head}, at ${instant(asOf)}`];
   if (!isLogRead) lines.push('the platform was not reached: later versions may have been accepted');
   const rows = versions.map((version) => rowOf(version, asOf, survey));
   if (rows.length > 0) lines.push(...table([HEADINGS, ...rows]));
   else lines.push('no versions');
-  return [...lines, ...behind(survey), ...unheard(survey)].join('\n');
+  return [...lines, ...behind(survey), ...unheard(survey), ...rolledOut(rollouts)].join('\n');
 }
 
 /** A process that did not answer counts as unknown, never as one that holds the version. */
@@ -87,6 +87,17 @@
   return lines;
 }
 
+function rolledOut(rollouts: readonly Rollout[]): string[] {
+  if (rollouts.length === 0) return [];
+  const rows = rollouts.map(({ upstream, version, phase, durationMs }) => [
+    `  ${upstream}`,
+    `to ${version}`,
+    phase,
+    `within ${Math.round(durationMs / SECOND_MS)} s`,
+  ]);
+  return ['roll-outs:', ...table(rows)];
+}
+
 /** An age in the largest unit that fits, such as `4 min`. */
 function age(ms: number): string {
   const seconds = Math.max(0, Math.floor(ms / SECOND_MS));
