Let requests behind another on a connection end with their caller

Cause: Node tells only the answer whose turn it is that its connection has ended. Ruled out: answers that cannot get away, callers' deadlines (2.6 s at most), bodies (all have deadlines). Change: Traffic remembers the unfinished answers of each connection, and ends those that never had their turn with it; whoever works for them hears it as from any other caller that leaves. Test: fails before with 2 of 3 in flight and no 'close'.

--- a/src/requests/traffic.ts
+++ b/src/requests/traffic.ts
@@ -12,6 +12,9 @@
   /** The answer to the latest request of each connection. */
   readonly #latest = new WeakMap<Duplex, ServerResponse>();
 
+  /** Answers of each connection that are not wholly written. */
+  readonly #unfinished = new WeakMap<Duplex, Set<ServerResponse>>();
+
   #isLeaving = false;
 
   constructor(
@@ -45,13 +48,33 @@
     // Only the latest of several requests on a connection may end it.
     if (isOpen && !before.headersSent) before.removeHeader('connection');
     this.#latest.set(socket, response);
+    const unfinished = this.#unfinishedOf(socket);
+    unfinished.add(response);
     response.once('close', () => {
       this.#inFlight -= 1;
+      unfinished.delete(response);
     });
     if (this.#isLeaving) response.setHeader('connection', 'close');
     return true;
   }
 
+  /**
+   * Node tells only the answer whose turn it is that the connection has ended. Those behind it would
+   * count for ever: their requests would run on for nobody, and a stop would take all the time it has.
+   */
+  #unfinishedOf(socket: Duplex): Set<ServerResponse> {
+    let unfinished = this.#unfinished.get(socket);
+    if (!unfinished) {
+      unfinished = new Set();
+      this.#unfinished.set(socket, unfinished);
+      const all = unfinished;
+      socket.once('close', () => {
+        for (const response of [...all]) if (response.socket === null) abandon(response);
+      });
+    }
+    return unfinished;
+  }
+
   /** From now on each answer asks the other end to close its connection. */
   leave(): void {
     this.#isLeaving = true;
@@ -79,6 +102,12 @@
   }
 }
 
+/** Ends an answer that never had its turn; Node itself only marks it. */
+function abandon(response: ServerResponse): void {
+  response.destroy();
+  response.emit('close');
+}
+
 /** Whether the connection ends with that answer. */
 function isLast(response: ServerResponse): boolean {
   return response.getHeader('connection') === 'close';
--- a/src/test/requests/traffic_test.ts
+++ b/src/test/requests/traffic_test.ts
@@ -63,4 +63,23 @@
     responses[0]!.end();
     await closed;
   });
+
+  // Guards against requests behind another on a connection counting for ever once their caller has gone.
+  it('forgets all requests of a connection that ends', async () => {
+    const { responses, socket, until, closed, traffic } = await leaving();
+    const ended: number[] = [];
+    socket.write(REQUEST.repeat(3));
+    await until(() => responses.length === 3);
+    responses.forEach((response, index) => response.once('close', () => ended.push(index)));
+    socket.destroy();
+    await closed;
+    for (let turn = 0; turn < 50 && traffic.inFlight > 0; turn++) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 2);
+      });
+    }
+    expect([traffic.inFlight, ended]).to.deep.equal([0, [0, 1, 2]]);
+    // Whoever still works on one of them learns by its end that there is nobody to tell.
+    for (const response of responses) expect(response.destroyed).to.equal(true);
+  });
 });
