Wake idle processes less for roll-outs

Cause: each process looked four times a second, in two tasks, whether it had become a reader or something was to be written. Change: once a second where no roll-out is under way.

--- a/src/rollout/order_reader.ts
+++ b/src/rollout/order_reader.ts
@@ -1,5 +1,5 @@
 /** Reads orders, in those processes that rank as readers, and writes what became of them. */
-import { OutcomeError, type Rollout } from '../contracts.js';
+import { OutcomeError, type Rollout, type RolloutPhase } from '../contracts.js';
 import { type Ranking } from '../membership/ranking.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -19,11 +19,15 @@
 const ACQUAINT_MS = 500;
 /** A process that nobody has told of the orders by then lists them itself, in milliseconds. */
 const UNTOLD_MS = 3_000;
-/** How often a process looks whether it has become a reader, and whether anything is to be done. */
+/** How often a reader looks whether anything is to be written while a roll-out is not over, in milliseconds. */
 const LOOK_EVERY_MS = 250;
+/** The same otherwise, and how often a process looks whether it has become a reader. */
+const IDLE_MS = 1_000;
 /** How much longer each next reader waits for the one before it to write, in milliseconds. */
 const TURN_MS = 500;
 
+const FINAL: ReadonlySet<RolloutPhase> = new Set(['rolled-back', 'completed']);
+
 /** What a reader knows of versions that no order is known for. */
 interface Acquaintance {
   readonly newcomers: readonly Newcomer[];
@@ -62,13 +66,14 @@
     } else if (isReader || isUntold) {
       this.#take(await source.list(now + CALL_MS));
     } else {
-      await clock.sleepUntil(now + LOOK_EVERY_MS, signal);
+      await clock.sleepUntil(now + (orders.isComplete ? IDLE_MS : LOOK_EVERY_MS), signal);
     }
   }
 
   async #write(signal: AbortSignal): Promise<void> {
     await this.#repeat(signal, async () => {
-      await this.clock.sleepUntil(this.clock.now() + LOOK_EVERY_MS, signal);
+      const isOver = this.orders.all().every(({ phase }) => FINAL.has(phase));
+      await this.clock.sleepUntil(this.clock.now() + (isOver ? IDLE_MS : LOOK_EVERY_MS), signal);
       if (!this.ranking.isReader || signal.aborted) return;
       await this.#clearNewcomers();
       for (const rollout of this.orders.all()) await this.#concludeInTurn(rollout);
