--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -5,6 +5,7 @@
   type ResourceKey,
   resourceKey,
 } from '../contracts.js';
+import { firstIndex } from '../runtime/search.js';
 import { canonical, digestOf, GENESIS, sha256 } from './digest.js';
 
 interface Held {
@@ -165,24 +166,12 @@
   const keys = isKept ? [...before.keys] : before.keys.filter((key) => byKey.has(key));
   for (const resource of put) {
     const key = resourceKey(resource);
-    const place = placeOf(key, keys);
+    const place = firstIndex(keys.length, (index) => keys[index]! >= key);
     if (keys[place] !== key) keys.splice(place, 0, key);
   }
   return keys;
 }
 
-/** Index of the first key that does not sort before `key`, by binary search. */
-function placeOf(key: ResourceKey, keys: readonly ResourceKey[]): number {
-  let low = 0;
-  let high = keys.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    if (keys[middle]! < key) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
-
 /**
  * Resources never change, and a version is worked out several times on its way into force: each
  * digest is worked out once.
--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -1,27 +1,14 @@
 /** Chooses among the endpoints of an upstream. */
-import { type Endpoint, type Member, type OutcomeError } from '../contracts.js';
+import { type OutcomeError } from '../contracts.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { Experience, type Seen } from './experience.js';
 import { type Load } from '../admission/load.js';
 import { type Cohorts, OneCohort } from './cohorts.js';
+import { FIRST_GUESS_MS, type Group, Groups } from './groups.js';
 import { onTrial, TrialDeals } from './trial_group.js';
 
-/** The endpoints of one upstream, as seen from the own data centre. */
-interface Group {
-  readonly near: Experience[];
-  readonly far: Experience[];
-  /** Those whose version is on trial, in the same order in all processes. */
-  readonly trial: Experience[];
-  /** Those that take requests only if no other does. */
-  readonly held: Experience[];
-  /** Moving average of all answers, in milliseconds. */
-  typicalMs: number;
-}
-
-/** Latency assumed before the first answer from any endpoint, in milliseconds. */
-const FIRST_GUESS_MS = 1;
 /** Weight of the newest answer in the average over the upstream. */
 const NEWEST_WEIGHT = 0.05;
 /** An endpoint that refused for lack of room is avoided for up to this long, in milliseconds. */
@@ -43,22 +30,17 @@
  * first; others are asked when nobody there can serve, or when requests wait there already.
  */
 export class Balancer {
-  #experiences = new Map<string, Experience>();
-
-  #generation = -1;
-
-  #cohortsGeneration = -1;
-
-  #groups = new Map<string, Group>();
+  readonly #groups: Groups;
 
   readonly #deals: TrialDeals;
 
   constructor(
-    private readonly roster: Roster,
+    roster: Roster,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly cohorts: Cohorts = new OneCohort(),
   ) {
+    this.#groups = new Groups(roster, cohorts, clock);
     this.#deals = new TrialDeals(random);
   }
 
@@ -68,7 +50,7 @@
   }
 
   #trial(upstream: string, route: string): Experience | undefined {
-    const group = this.#group(upstream);
+    const group = this.#groups.of(upstream);
     if (!group || group.trial.length === 0) return undefined;
     const now = this.clock.now();
     const stable = group.near.length + group.far.length;
@@ -83,7 +65,7 @@
    * which is above 0 for heavy answers.
    */
   choose(upstream: string, tried: ReadonlySet<Experience>, awayMs = 0): Experience | undefined {
-    const group = this.#group(upstream);
+    const group = this.#groups.of(upstream);
     if (!group) return undefined;
     const now = this.clock.now();
     const isHeavy = awayMs > 0;
@@ -109,7 +91,7 @@
     targetAt: number,
     isHeavy = false,
   ): Experience | undefined {
-    const group = this.#group(upstream);
+    const group = this.#groups.of(upstream);
     if (!group) return undefined;
     const now = this.clock.now();
     const useless = (member: Experience) =>
@@ -123,7 +105,7 @@
 
   /** What a choice of `endpoint` goes by, for the logs. */
   seenOf(endpoint: Experience): Seen {
-    const typicalMs = this.#group(endpoint.member.endpoint?.upstream ?? '')?.typicalMs;
+    const typicalMs = this.#groups.of(endpoint.member.endpoint?.upstream ?? '')?.typicalMs;
     return endpoint.seen(typicalMs ?? FIRST_GUESS_MS, this.clock.now());
   }
 
@@ -136,7 +118,7 @@
       return;
     }
     chosen.answered(tookMs, load, now);
-    const group = this.#groups.get(chosen.member.endpoint?.upstream ?? '');
+    const group = this.#groups.of(chosen.member.endpoint?.upstream ?? '');
     if (group) group.typicalMs += (tookMs - group.typicalMs) * NEWEST_WEIGHT;
   }
 
@@ -206,67 +188,6 @@
     }
     return undefined;
   }
-
-  #group(upstream: string): Group | undefined {
-    const { generation } = this.cohorts;
-    if (this.#generation !== this.roster.generation || this.#cohortsGeneration !== generation) {
-      this.#cohortsGeneration = generation;
-      this.#index();
-    }
-    return this.#groups.get(upstream);
-  }
-
-  #index(): void {
-    const isFirst = this.#generation < 0;
-    const before = this.#groups;
-    const known = this.#experiences;
-    this.#generation = this.roster.generation;
-    this.#groups = new Map();
-    this.#experiences = new Map();
-    for (const member of this.roster.live()) {
-      if (member.endpoint?.state !== 'ready') continue;
-      const experience = known.get(member.instance) ?? this.#meet(member, isFirst);
-      experience.member = member;
-      this.#experiences.set(member.instance, experience);
-      this.#place(experience, member.endpoint, before);
-    }
-    for (const group of this.#groups.values()) this.#arrange(group);
-  }
-
-  /** At the start of this process nobody is known yet, and all are taken for warm. */
-  #meet(member: Member, isFirst: boolean): Experience {
-    const experience = new Experience(member);
-    if (!isFirst) experience.readySince = this.clock.now();
-    return experience;
-  }
-
-  #place(
-    experience: Experience,
-    { upstream, version }: Endpoint,
-    before: ReadonlyMap<string, Group>,
-  ): void {
-    let group = this.#groups.get(upstream);
-    if (!group) {
-      const typicalMs = before.get(upstream)?.typicalMs ?? FIRST_GUESS_MS;
-      group = { near: [], far: [], trial: [], held: [], typicalMs };
-      this.#groups.set(upstream, group);
-    }
-    const role = this.cohorts.roleOf(upstream, version);
-    if (role === 'stable') this.#admit(group, experience);
-    else if (role !== 'shut') group[role].push(experience);
-  }
-
-  #admit({ near, far }: Group, experience: Experience): void {
-    const isNear = experience.member.dataCentre === this.roster.self.dataCentre;
-    (isNear ? near : far).push(experience);
-  }
-
-  #arrange(group: Group): void {
-    const { near, far, trial, held } = group;
-    trial.sort((one, other) => (one.member.instance < other.member.instance ? -1 : 1));
-    if (near.length + far.length > 0) return;
-    for (const experience of held) this.#admit(group, experience);
-  }
 }
 
 /** When all are avoided, one that refused a moment ago is still better than no attempt. */
--- a/src/requests/router.ts
+++ b/src/requests/router.ts
@@ -2,6 +2,7 @@
 import { type IncomingHttpHeaders } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
 import { type Route } from '../contracts.js';
+import { firstIndex } from '../runtime/search.js';
 
 /** What routing looks at. */
 export interface Target {
@@ -91,14 +92,8 @@
   if (added.length > FEW_ROUTES) return [...sorted, ...added].sort(bySpecificity);
   const all = [...sorted];
   for (const route of added) {
-    let low = 0;
-    let high = all.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if (bySpecificity(all[middle]!, route) < 0) low = middle + 1;
-      else high = middle;
-    }
-    all.splice(low, 0, route);
+    const place = firstIndex(all.length, (index) => bySpecificity(all[index]!, route) >= 0);
+    all.splice(place, 0, route);
   }
   return all;
 }
--- a/src/standins/platform_store.ts
+++ b/src/standins/platform_store.ts
@@ -11,6 +11,7 @@
   type Stored,
 } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
+import { firstIndex } from '../runtime/search.js';
 
 /** How the stand-in misbehaves. All can be set while it runs. */
 export interface Faults {
@@ -254,7 +255,9 @@
     this.#sortedKeys ??= [...this.#values.keys()].sort();
     const { prefix, after, limit = Infinity } = range;
     const found: Stored[] = [];
-    const from = firstAfter(this.#sortedKeys, after !== undefined && after >= prefix ? after : '');
+    const keys = this.#sortedKeys;
+    const last = after !== undefined && after >= prefix ? after : '';
+    const from = firstIndex(keys.length, (index) => keys[index]! > last);
     for (let index = from; index < this.#sortedKeys.length && found.length < limit; index++) {
       const key = this.#sortedKeys[index]!;
       if (key.startsWith(prefix)) found.push(this.#values.get(key)!);
@@ -264,18 +267,6 @@
   }
 }
 
-/** Index of the first key that sorts after `key`, by binary search. */
-function firstAfter(keys: readonly string[], key: string): number {
-  let low = 0;
-  let high = keys.length;
-  while (low < high) {
-    const middle = (low + high) >>> 1;
-    if (keys[middle]! <= key) low = middle + 1;
-    else high = middle;
-  }
-  return low;
-}
-
 function unavailable(): OutcomeError {
   return new OutcomeError('platform unavailable', { verdict: 'not-run', reason: 'unavailable' });
 }
