Go on when the platform answers with what holds no orders, and bound the versions remembered

Cause, found by reading: an answer that is no JSON, or not of the store's shape, was thrown by the task that reads orders and would have ended the process; versions that nobody ordered were kept and told for good. Change: such an answer writes a line and is asked for again; 1,000 versions are remembered, the oldest go.

--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -171,6 +171,11 @@
     /** How long the operator gives it. */
     durationMs: z.number(),
   }),
+  z.object({
+    /** The platform answered with something that holds no orders of roll-outs. */
+    event: z.literal('orders-unread'),
+    message: z.string(),
+  }),
   z.object({
     /** The verdict of this process, and what it goes by. */
     event: z.literal('rollout-judged'),
--- a/src/rollout/order_reader.ts
+++ b/src/rollout/order_reader.ts
@@ -1,5 +1,6 @@
 /** Reads orders, in those processes that rank as readers, and writes what became of them. */
 import { OutcomeError, type Rollout, type RolloutPhase } from '../contracts.js';
+import { type Log } from '../logs/log.js';
 import { type Ranking } from '../membership/ranking.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -46,6 +47,7 @@
     private readonly ranking: Ranking,
     private readonly clock: Clock,
     private readonly random: Random,
+    private readonly log: Log,
   ) {}
 
   /** Runs until the signal aborts. */
@@ -87,7 +89,10 @@
         await step();
         capMs = RETRY_CAP_MS;
       } catch (error) {
-        if (!(error instanceof OutcomeError)) throw error;
+        // Failed calls have lines of their own; an answer that is none must not end the process.
+        if (!(error instanceof OutcomeError)) {
+          this.log.record('warn', { event: 'orders-unread', message: String(error) });
+        }
         await this.clock.sleepUntil(this.clock.now() + this.random.jitter(capMs), signal);
         capMs = Math.min(MAX_RETRY_CAP_MS, capMs * 2);
       }
--- a/src/rollout/orders.ts
+++ b/src/rollout/orders.ts
@@ -10,6 +10,9 @@
   completed: 5,
 };
 
+/** Versions that nobody ordered that are remembered; one that is forgotten is looked up again. */
+const MAX_CLEARANCES = 1_000;
+
 type Listener = (rollout: Rollout) => void;
 
 /** Whether requests are still being shared between the two versions. */
@@ -90,7 +93,10 @@
     const key = keyOf(clearance.upstream, clearance.version);
     const held = this.#clearances.get(key);
     if (held && held.revision >= clearance.revision) return false;
+    this.#clearances.delete(key);
     this.#clearances.set(key, clearance);
+    const [oldest] = this.#clearances.keys();
+    if (this.#clearances.size > MAX_CLEARANCES) this.#clearances.delete(oldest!);
     this.#generation += 1;
     return true;
   }
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -74,14 +74,16 @@
       ranking,
       clock,
       random,
+      log,
     );
     orders.onChanged((rollout) => this.#changed(rollout));
   }
 
   get isShut(): boolean {
     const { endpoint } = this.grounds.roster.self;
-    const order = endpoint && this.orders.of(endpoint.upstream);
-    return order?.version === endpoint?.version && order !== undefined && isRefused(order);
+    if (!endpoint) return false;
+    const order = this.orders.of(endpoint.upstream);
+    return order !== undefined && order.version === endpoint.version && isRefused(order);
   }
 
   /** Counts only while that matters. */
--- a/src/test/rollout/orders_test.ts
+++ b/src/test/rollout/orders_test.ts
@@ -72,4 +72,14 @@
     orders.merge(orderOf({ orderedAt: 20, revision: 20 }));
     expect(orders.of('listings')).to.include({ version: 'v2', phase: 'trial' });
   });
+
+  // Guards against versions of the past piling up in every process, and in what it tells the next.
+  it('keep a bounded number of versions that nobody ordered', () => {
+    const orders = new Orders();
+    for (let revision = 1; revision <= 5_000; revision++) {
+      orders.clear({ upstream: 'listings', version: `v${revision}`, revision });
+    }
+    expect(orders.clearances().length).to.be.at.most(1_000);
+    expect(orders.clearedAt('listings', 'v5000')).to.equal(5_000);
+  });
 });
