Take no order for an upstream whose name neighbours cannot read; give shares and statuses of roll-outs the field's words

Cause, found by reading: an entry of another writer with an odd service name passed here, and each message that told of it, with all other orders and verdicts, would have been refused by every neighbour. The rest is names: a phase's share (was dose), an order's status.

--- a/src/bench/rollouts/trial_run.ts
+++ b/src/bench/rollouts/trial_run.ts
@@ -3,7 +3,7 @@
 import { AnswerCounter, EvidenceBook } from '../../rollout/evidence_book.js';
 import { Judgement } from '../../rollout/judgement.js';
 import { orderNameOf } from '../../rollout/orders.js';
-import { countFor, doseOf, mayComplete, nextPhase } from '../../rollout/steps.js';
+import { countFor, shareOf, mayComplete, nextPhase } from '../../rollout/steps.js';
 import { type Random, SeededRandom } from '../../runtime/random.js';
 import { type Conduct, SOUND_FATE } from './conduct.js';
 
@@ -175,7 +175,7 @@
     const mean = (requestsPerSecond * TICK_MS) / 1_000;
     const count = Math.floor(mean) + Number(this.#random.next() < mean % 1);
     const isOnTrial = this.#known === 'trial' || this.#known === 'proof';
-    const { share, turn } = doseOf(this.#known, ALLOWED_SHARE, now);
+    const { share, turn } = shareOf(this.#known, ALLOWED_SHARE, now);
     const among = countFor(share, endpoints);
     for (let one = 0; one < count; one++) {
       const route = this.#random.next() < RARE_SHARE ? 'rare' : 'usual';
--- a/src/platform/object_orders.ts
+++ b/src/platform/object_orders.ts
@@ -1,21 +1,21 @@
 /** Reads operators' orders of roll-outs from the store, and writes what became of them there. */
 import * as z from 'zod';
-import { OutcomeError, type Rollout, type RolloutPhase } from '../contracts.js';
+import { Name, OutcomeError, type Rollout, type RolloutPhase } from '../contracts.js';
 import { type Ordered, OrderSource } from '../rollout/order_source.js';
 import { HISTORY_GONE, type Platform, type Stored } from './platform.js';
 import { Duration } from './wire.js';
 
 const KIND = 'rollouts';
 
-const Order = z.object({ service: z.string(), targetVersion: z.string(), duration: Duration });
+const Order = z.object({ service: Name, targetVersion: z.string(), duration: Duration });
 /** `running` is said of the version it names, not of one that was ordered since. */
-const Word = z.object({
+const OrderStatus = z.object({
   state: z.enum(['running', 'completed', 'rolled_back']),
   targetVersion: z.string(),
 });
-type Word = z.infer<typeof Word>;
+type OrderStatus = z.infer<typeof OrderStatus>;
 
-const PHASES: Readonly<Record<Word['state'], RolloutPhase>> = {
+const PHASES: Readonly<Record<OrderStatus['state'], RolloutPhase>> = {
   running: 'trial',
   completed: 'completed',
   rolled_back: 'rolled-back',
@@ -49,14 +49,14 @@
   }
 
   async conclude({ upstream, version, revision, phase }: Rollout, deadline: number) {
-    const word: Word = { state: stateOf(phase), targetVersion: version };
-    const status = JSON.stringify(word);
+    const said: OrderStatus = { state: stateOf(phase), targetVersion: version };
+    const status = JSON.stringify(said);
     const key = `${KIND}/${upstream}`;
     return (await this.platform.updateStatus(key, status, revision, deadline)) !== undefined;
   }
 }
 
-function stateOf(phase: RolloutPhase): Word['state'] {
+function stateOf(phase: RolloutPhase): OrderStatus['state'] {
   if (phase === 'promoting' || phase === 'completed') return 'completed';
   return phase === 'trial' || phase === 'proof' ? 'running' : 'rolled_back';
 }
@@ -66,7 +66,7 @@
   const order = Order.safeParse(parsed(value));
   if (!order.success) return [];
   const { service: upstream, targetVersion: version, duration: durationMs } = order.data;
-  const said = Word.safeParse(parsed(status));
+  const said = OrderStatus.safeParse(parsed(status));
   const word = said.success && said.data.targetVersion === version ? said.data : undefined;
   const phase = word ? PHASES[word.state] : 'trial';
   const isTakenBack = isDeleted && phase === 'trial';
--- a/src/rollout/plan.ts
+++ b/src/rollout/plan.ts
@@ -4,7 +4,7 @@
 import { Cohorts, type Role, type TrialShare } from '../placement/cohorts.js';
 import { type Clock } from '../runtime/clock.js';
 import { isRefused, type Orders } from './orders.js';
-import { countFor, doseOf } from './steps.js';
+import { countFor, shareOf } from './steps.js';
 
 /** Versions met so soon after the first of an upstream were there before, in milliseconds. */
 const ACQUAINT_MS = 2_000;
@@ -56,7 +56,7 @@
   trialShare(upstream: string, stable: number, now: number): TrialShare {
     const order = this.orders.of(upstream);
     if (!order) return { share: 0, count: 0, turn: 0 };
-    const { share, turn } = doseOf(order.phase, this.allowedShare, now);
+    const { share, turn } = shareOf(order.phase, this.allowedShare, now);
     return { share, turn, count: countFor(share, stable) };
   }
 
--- a/src/rollout/steps.ts
+++ b/src/rollout/steps.ts
@@ -36,7 +36,7 @@
 const USUAL_LOAD = 0.75;
 
 /** What a phase gives to the version on trial at an instant. */
-export interface Dose {
+export interface PhaseShare {
   /** Share of the first attempts. */
   readonly share: number;
   /** Number of the burst: in each other endpoints go first. */
@@ -47,7 +47,7 @@
  * Some versions are bad only under load, which a small share spread evenly never shows. So it is
  * given in bursts, and to as few endpoints as carry it with their slots full.
  */
-export function doseOf(phase: RolloutPhase, allowedShare: number, now: number): Dose {
+export function shareOf(phase: RolloutPhase, allowedShare: number, now: number): PhaseShare {
   const turn = Math.floor(now / PERIOD_MS);
   if (phase === 'proof') return { share: PROOF_SHARE, turn };
   if (phase !== 'trial' || now % PERIOD_MS >= BURST_MS) return { share: 0, turn };
--- a/src/test/platform/object_orders_test.ts
+++ b/src/test/platform/object_orders_test.ts
@@ -51,6 +51,8 @@
     const orders = world.orders();
     await world.order(order('v2'));
     await world.order({ service: 7 }, 'rollouts/odd');
+    // Neighbours would refuse whatever else is told together with a name that they cannot read.
+    await world.order({ ...order('v2'), service: 'No Name' }, 'rollouts/unnamed');
     const { rollouts } = await orders.list(world.deadline);
     const [first] = rollouts;
     const isNoted = await orders.conclude(first!, world.deadline);
--- a/src/test/rollout/judgement_test.ts
+++ b/src/test/rollout/judgement_test.ts
@@ -34,7 +34,7 @@
   /** Of everybody: troubles that meet both versions. */
   readonly weather?: (look: number) => Conduct;
   /** One bad endpoint of the new version, which is sound otherwise. */
-  readonly lemon?: Conduct;
+  readonly faulty?: Conduct;
 }
 
 class Endpoint {
@@ -92,7 +92,7 @@
     }
     for (const turn of turnsAt(look)) {
       const route = routeOf();
-      const conduct = turn === 0 && scene.lemon ? scene.lemon : scene.conduct(route, look);
+      const conduct = turn === 0 && scene.faulty ? scene.faulty : scene.conduct(route, look);
       fresh[turn]!.answer(route, conduct, weather);
     }
     const evidence = [...old, ...fresh].map((endpoint) => endpoint.evidence);
@@ -145,6 +145,6 @@
 
   // Guards against a version being blamed for one of its endpoints.
   it('passes a sound version one endpoint of which is bad', () => {
-    expect(found({ conduct: sound, lemon: { failing: 0.6, slower: 6 } }).bad).to.be.at.most(1);
+    expect(found({ conduct: sound, faulty: { failing: 0.6, slower: 6 } }).bad).to.be.at.most(1);
   });
 });
