--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -61,7 +61,7 @@
 ): Problem[] {
   const problems: Problem[] = [];
   const path = resourceKey(resource);
-  // One that was put and removed by the same change is not held.
+  // Of two of the same name in one change, the later is held.
   if (configuration.get(path) !== resource) return problems;
   if (configuration.isOversized(path, MAX_RESOURCE_BYTES)) problems.push(oversize(path));
   if (resource.kind !== 'route') return problems;
--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -2,6 +2,7 @@
 import { type ServerResponse } from 'node:http';
 import { type OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { fnv1a } from '../runtime/hash.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
 import { type RequestEvent } from './events.js';
 import { type Level, type Log, SilentLog } from './log.js';
@@ -55,8 +56,6 @@
 }
 
 const SERVER_ERROR = 500;
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
 
 export class RequestLog {
   readonly #served: TokenBucket;
@@ -207,10 +206,7 @@
  * all. Lines of every one would take processor time that the next request lacks.
  */
 function isSampled(id: string): boolean {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < id.length; index++) {
-    hash = Math.imul(hash ^ id.charCodeAt(index), FNV_PRIME);
-  }
+  const hash = fnv1a(id);
   return ((hash ^ (hash >>> 16)) >>> 0) % SERVED_SAMPLE === 0;
 }
 
--- a/src/membership/statement.ts
+++ b/src/membership/statement.ts
@@ -1,12 +1,11 @@
 /** Which of two statements about a member holds. */
 import { canonical } from '../configuration/digest.js';
 import { type Liveness, type Member } from '../contracts.js';
+import { fnv1a } from '../runtime/hash.js';
 
 /** How strongly a statement about liveness overrides another of the same age. */
 const PRECEDENCE: Record<Liveness, number> = { alive: 0, suspect: 1, dead: 2, left: 3 };
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
 const MURMUR_FIRST = 0x85ebca6b;
 const MURMUR_SECOND = 0xc2b2ae35;
 
@@ -62,10 +61,7 @@
     `${member.instance} ${member.dataCentre} ${member.host} ${member.linkPort} ` +
     `${member.guardPort} ${member.operatorsPort} ${member.incarnation} ${member.sequence} ` +
     `${member.liveness} ${endpoint?.upstream} ${endpoint?.state} ${endpoint?.slots}${version}`;
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index++) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
+  let hash = fnv1a(text);
   hash = Math.imul(hash ^ (hash >>> 16), MURMUR_FIRST);
   hash = Math.imul(hash ^ (hash >>> 13), MURMUR_SECOND);
   return hash ^ (hash >>> 16);
--- a/src/rollout/judgement.ts
+++ b/src/rollout/judgement.ts
@@ -2,9 +2,9 @@
 import { type Evidence, type RouteAnswers } from '../contracts.js';
 import { keyOf } from './evidence_book.js';
 
-/** Share of failures above the old version's own from which a version counts as bad. */
+/** Least share of failures of a bad version. */
 const BAD_SHARE = 0.25;
-/** The same as a multiple of the old version's share. */
+/** The same as a multiple of what is expected of a good one. */
 const BAD_FACTOR = 3;
 /** Failures that are expected of a good version, as a multiple of the old one's, and besides. */
 const GOOD_FACTOR = 1.5;
--- /dev/null
+++ b/src/runtime/hash.ts
@@ -0,0 +1,13 @@
+/** Short hashes of texts, against chance and not against forgers. */
+
+const FNV_OFFSET = 0x811c9dc5;
+const FNV_PRIME = 0x01000193;
+
+/** FNV-1a over the text's UTF-16 units, a 32-bit number. */
+export function fnv1a(text: string): number {
+  let hash = FNV_OFFSET;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
+  }
+  return hash;
+}
