Tell in the lines how late a process is, how a version came, and whether a goodbye changed anything

What was missing to tell the hypotheses of CONFIG, DRAIN, GONE apart: `late` (a task that woke up over 200 ms too late), `applied` with its origin, `served-older` (a peer that is ahead serves what is no newer than what is held) and `goodbye-heard` with whether it was that of the endpoint beside.

--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -12,14 +12,20 @@
   recordMembers(control, log);
   recordLinks(control, log);
   recordUpstream(control, log);
+  recordGoodbyes(control, log);
   recordPlatform(platform, log, clock);
+  control.gossip.onLate = (lateMs) => log.record('warn', { event: 'late', lateMs });
 }
 
 function recordConfiguration({ replica, readiness }: Control, log: Log): void {
   replica.onApplied(() => {
+    const { origin } = replica;
     const { number: version, digest, size: resources } = replica.current;
-    log.record('info', { event: 'applied', version, digest, resources });
+    log.record('info', { event: 'applied', version, digest, resources, origin });
   });
+  replica.onServedOlder = (served) => {
+    log.record('info', { event: 'served-older', held: replica.current.number, served });
+  };
   replica.onRefused = ({ number: version, reason, problems }) => {
     const texts = problems.map((problem) => JSON.stringify(problem));
     log.record('warn', { event: 'version-refused', version, reason, problems: texts });
@@ -77,6 +83,13 @@
   });
 }
 
+function recordGoodbyes({ endpointLease }: Control, log: Log): void {
+  endpointLease.onGoodbye = ({ id }, isBeside) => {
+    const identity = id === undefined ? {} : { id };
+    log.record('info', { event: 'goodbye-heard', ...identity, isBeside });
+  };
+}
+
 function recordPlatform({ meter }: Platform, log: Log, clock: Clock): void {
   let awaySince = 0;
   meter.onChange(({ isAway, message }) => {
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -130,7 +130,7 @@
   }
 
   #pushed(peer: Peer, versions: readonly Version[]): void {
-    this.replica.apply(versions);
+    this.replica.apply(versions, 'push');
     this.#note(peer, versions.at(-1)?.number ?? 0);
   }
 }
--- a/src/distribution/puller.ts
+++ b/src/distribution/puller.ts
@@ -104,7 +104,7 @@
       }
       const isWhole = answer.page
         ? this.replica.install(await this.#collect(peer, answer.page))
-        : this.replica.apply(answer.versions);
+        : this.replica.apply(answer.versions, 'pull');
       if (this.replica.current.number > before) standing.failures = 0;
       else this.#postpone(standing, isWhole ? 0 : REFUSED_WAIT_MS);
     } catch {
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -25,6 +25,9 @@
   readonly problems: readonly Problem[];
 }
 
+/** How a version came to a process: from the source, or from a peer in one of three ways. */
+export type Origin = 'source' | 'push' | 'pull' | 'pages';
+
 /** Versions kept so that neighbours which are a little behind need no snapshot. */
 const RECENT = 256;
 
@@ -45,11 +48,21 @@
 
   #refusal: Refusal | undefined;
 
+  #origin: Origin = 'source';
+
   readonly #listeners = new Set<(versions: readonly Version[]) => void>();
 
   /** Called with each refusal that is not the one before again. */
   onRefused: (refusal: Refusal) => void = () => {};
 
+  /** Called when a peer serves what is no newer than what is held. */
+  onServedOlder: (served: number) => void = () => {};
+
+  /** How the configuration in force came here. */
+  get origin(): Origin {
+    return this.#origin;
+  }
+
   get current(): Configuration {
     return this.#current;
   }
@@ -77,7 +90,7 @@
   }
 
   /** Puts those versions in force that follow without a gap; false if there is a gap or a refusal. */
-  apply(versions: readonly Version[]): boolean {
+  apply(versions: readonly Version[], origin: Origin = 'source'): boolean {
     const applied: Version[] = [];
     let whole = true;
     for (const version of versions) {
@@ -91,13 +104,18 @@
       if (!whole) break;
       applied.push(version);
     }
-    if (applied.length > 0) this.#announce(applied);
+    if (applied.length === 0) return whole;
+    this.#origin = origin;
+    this.#announce(applied);
     return whole;
   }
 
   /** Puts a whole configuration in force if it is newer than the one held. */
-  install(snapshot: Snapshot): boolean {
-    if (snapshot.number <= this.#current.number) return true;
+  install(snapshot: Snapshot, origin: Origin = 'pages'): boolean {
+    if (snapshot.number <= this.#current.number) {
+      this.onServedOlder(snapshot.number);
+      return true;
+    }
     if (snapshot.resources.length > MAX_RESOURCES) {
       return this.#refuse(snapshot.number, 'too-large', []);
     }
@@ -110,6 +128,7 @@
     this.#recent = [];
     this.#recentAfter = snapshot.number;
     this.#refusal = undefined;
+    this.#origin = origin;
     this.#announce([]);
     return true;
   }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -134,6 +134,26 @@
     version: z.number(),
     digest: z.string(),
     resources: z.number(),
+    /** How it came here. */
+    origin: z.enum(['source', 'push', 'pull', 'pages']),
+  }),
+  z.object({
+    /** A peer that is ahead served what is no newer than what is held here. */
+    event: z.literal('served-older'),
+    held: z.number(),
+    served: z.number(),
+  }),
+  z.object({
+    /** The process stood still, or had more to do than time: it woke up so much too late. */
+    event: z.literal('late'),
+    lateMs: z.number(),
+  }),
+  z.object({
+    /** An upstream instance has said that it leaves. */
+    event: z.literal('goodbye-heard'),
+    id: z.string().optional(),
+    /** Whether it is the one beside this process, which drains from now on. */
+    isBeside: z.boolean(),
   }),
   z.object({
     event: z.literal('version-refused'),
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -46,6 +46,9 @@
 
   #departed: Life | undefined;
 
+  /** Called with each goodbye, and whether it is that of the endpoint beside. */
+  onGoodbye: (life: Life, isBeside: boolean) => void = () => {};
+
   /** Whether the others hear of its version; only roll-outs need it. */
   tellsVersion = false;
 
@@ -95,7 +98,9 @@
   depart(life: Life): void {
     this.#departed = life;
     const last = this.#last;
-    if (!last || !isSameLife(life, last)) return;
+    const isBeside = last !== undefined && isSameLife(life, last);
+    this.onGoodbye(life, isBeside);
+    if (!isBeside) return;
     this.#deadline = Infinity;
     this.#set({ ...last, state: 'draining' });
   }
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -14,6 +14,9 @@
 /** A link on which nothing was heard for so many heartbeats is closed. */
 const SILENT_HEARTBEATS = 4;
 
+/** Waking up so much too late is told, in milliseconds. */
+const LATE_MS = 200;
+
 export class GossipTask {
   readonly news: News;
 
@@ -23,6 +26,9 @@
 
   readonly #retention: Retention;
 
+  /** Called when this process has woken up much too late. */
+  onLate: (lateMs: number) => void = () => {};
+
   constructor(
     private readonly roster: Roster,
     private readonly mesh: Mesh,
@@ -50,7 +56,9 @@
       await this.clock.sleepUntil(wakeAt, signal);
       // After a pause of its own a process has heard nobody, and what was sent meanwhile is still
       // unread: it would close all its links at once. One round later, silence is theirs.
-      wasPaused = this.clock.now() - wakeAt > this.heartbeatMs;
+      const lateMs = Math.round(this.clock.now() - wakeAt);
+      if (lateMs > LATE_MS) this.onLate(lateMs);
+      wasPaused = lateMs > this.heartbeatMs;
     }
     await judging;
   }
--- a/src/source/log_feed.ts
+++ b/src/source/log_feed.ts
@@ -39,7 +39,7 @@
   async #leap(deadline: number): Promise<void> {
     const snapshot = await this.snapshots.load(this.replica.current.number + PAGE, deadline);
     this.#hasLeapt = true;
-    if (snapshot) this.replica.install(snapshot);
+    if (snapshot) this.replica.install(snapshot, 'source');
   }
 }
 
