--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -2,8 +2,11 @@
 import { digestOf } from '../../configuration/digest.js';
 import { type Change, Route, Upstream, type Version, type VersionRecord } from '../../contracts.js';
 import { Control } from '../../daemon/control.js';
+import { type Feed } from '../../distribution/feed.js';
 import { ConvergenceProfile, type Profile } from '../../distribution/profile.js';
+import { type Replica } from '../../distribution/replica.js';
 import { type Codec, MsgpackCodec } from '../../link/codec.js';
+import { type Pace } from '../../membership/pace.js';
 import { type Clock } from '../../runtime/clock.js';
 import { type Platform } from '../../platform/platform.js';
 import { type Random, SeededRandom } from '../../runtime/random.js';
@@ -30,6 +33,9 @@
   readonly fanout?: number;
   readonly seed?: number;
   readonly codec?: Codec;
+  /** Where versions come from instead of the log; `isCut`: whether the process is cut off from it. */
+  readonly feed?: (replica: Replica, clock: Clock, isCut: () => boolean) => Feed;
+  readonly pace?: Pace;
   /** Called with each process before it starts, and what it has of the outside world. */
   readonly onLaunch?: (node: Node, platform: Platform, clock: Clock) => void;
 }
@@ -172,6 +178,7 @@
         fanout: this.options.fanout ?? 2,
         heartbeatMs: HEARTBEAT_MS,
         profile: this.options.profile ?? new ConvergenceProfile(),
+        ...(this.options.pace && { pace: this.options.pace }),
         peers: [...this.nodes.values()]
           .filter((node) => node.name !== name)
           .slice(0, 3)
@@ -182,7 +189,7 @@
         clock,
         random: this.random,
         dialer,
-        feed: (replica) => logFeed(platform, replica),
+        feed: (replica) => this.options.feed?.(replica, clock, isCut) ?? logFeed(platform, replica),
       },
     );
     const node = { name, host, control, isAlive: true };
--- a/src/test/membership/announcement_test.ts
+++ b/src/test/membership/announcement_test.ts
@@ -102,6 +102,28 @@
     expect(world.states).to.eql(['ready', 'draining', 'ready']);
   });
 
+  // Guards against a goodbye that changes nothing: after a restart of this process the instance was
+  // found by its health check, which does not tell when it started.
+  it('drains an instance that leaves and was only looked at before', async () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1' });
+    world.lease.depart({ id: 'i-1', born: 10 });
+    world.lease.take({ ...READY, state: 'draining', id: 'i-1', born: 10, sequence: 9 });
+    await world.time.advance(3 * LEASE_MS);
+    expect(world.states).to.eql(['ready', 'draining']);
+  });
+
+  // Guards against a goodbye that the next report takes back, since it did not say whose life ends.
+  it('drains an instance that leaves without telling when it started', () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 1 });
+    world.lease.depart({ id: 'i-1' });
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 2 });
+    expect(world.states).to.eql(['ready', 'draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 11, sequence: 1 });
+    expect(world.states).to.eql(['ready', 'draining', 'ready']);
+  });
+
   it('does not mind that another instance leaves', () => {
     using world = setUp();
     world.lease.take({ ...READY, id: 'i-2', born: 10, sequence: 1 });
