Look whether the caller is still there right before a request is passed on

Callers saw: upstreams worked for callers who had left over half a second before (GONE; 10 and 42 requests in the users' record). Cause: Node hands over a request first and the end of its connection some turns of the loop later. A process that was late (started anew, paused, a burst) passed on, on either hop, what lay in its sockets together with the goodbye. Class: state read once and acted on after a wait; a closed response does not say so a second time, so work after an await went on for nobody. Ruled out as the only cause: a guard that is not told, it closes the exchange. Ways weighed: to look only when the process knows that it was late, which a process stopped inside the wait for events cannot know; and to look always. The latter stands: a request waits until its connection was read once more, in a late process few go on in a turn.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -18,6 +18,7 @@
 import { firstLook } from '../requests/first_look.js';
 import { Guard } from '../requests/guard.js';
 import { OWN_DIALECT } from '../requests/own_dialect.js';
+import { Presence } from '../requests/presence.js';
 import { partOf, type Retries, USUAL_RETRIES } from '../placement/retry_budget.js';
 import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
@@ -139,6 +140,7 @@
       dialect,
       this.#retries(),
       ports.uplink,
+      ports.presence,
     );
     const { mesh, methods, ranking } = this.control;
     const takesKeys = dialect?.takesKeys ?? true;
@@ -174,8 +176,9 @@
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
     const { clock, dialect } = surroundings;
     const uplink = new Uplink(clock, settings.uplinkKbps);
-    const guard = new Guard(clock, dialect, uplink);
-    const ports = { guard, uplink, link: createServer() };
+    const presence = new Presence();
+    const guard = new Guard(clock, dialect, uplink, presence);
+    const ports = { guard, uplink, presence, link: createServer() };
     const { host } = settings;
     const linkPort = await bind(ports.link, host, settings.linkPort);
     const guardPort = await bind(ports.guard.server, host, settings.guardPort);
@@ -333,6 +336,8 @@
   readonly guard: Guard;
   /** By which answers of both hops leave this machine. */
   readonly uplink: Uplink;
+  /** Both hops pass requests on in the same turns. */
+  readonly presence: Presence;
   readonly link: Server;
 }
 
--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -54,7 +54,11 @@
     targetAt: now + Number(headerOf(request, TARGET) ?? remaining),
     deadline: now + remaining,
     limit: named === undefined ? undefined : configuration.find('limit', named),
-    onGone: (callback) => response.once('close', callback),
+    onGone: (callback) => {
+      // A response that has closed already does not say so again.
+      if (response.destroyed) callback();
+      else response.once('close', callback);
+    },
   };
 }
 
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -31,6 +31,7 @@
 import { refusalIn } from './relayed_refusal.js';
 import { headFingerprint } from '../quarantine/request_fingerprint.js';
 import { OWN_DIALECT } from './own_dialect.js';
+import { Presence } from './presence.js';
 import { withReturnTime } from './return_time.js';
 import {
   type Retries,
@@ -92,6 +93,7 @@
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly retries: Retries = USUAL_RETRIES,
     private readonly uplink: Uplink = new Uplink(clock),
+    private readonly presence = new Presence(),
   ) {
     this.requestLog = silentRequests(clock);
     this.#told = new Set([...TOLD_TO_CALLERS, ...dialect.fromUpstreams]);
@@ -207,12 +209,12 @@
   ): Promise<OutcomeError | undefined> {
     const startedAt = this.clock.now();
     const id = this.#nextId();
-    this.#noteSent(journey, endpoint, id, attempts.number);
     endpoint.inFlight += 1;
-    endpoint.sent(startedAt);
     let failure: OutcomeError | undefined;
     try {
-      failure = await this.#ask(journey, body, endpoint, attempts, id);
+      failure = await this.presence.pass(journey.response, () =>
+        this.#ask(journey, body, endpoint, attempts, id),
+      );
     } catch (error) {
       failure = asOutcome(error);
       this.balancer.refused(endpoint, failure, undefined);
@@ -231,6 +233,8 @@
     id: string,
   ): Promise<OutcomeError | undefined> {
     const startedAt = this.clock.now();
+    this.#noteSent(journey, endpoint, id, attempts.number);
+    endpoint.sent(startedAt);
     const exchange = this.#exchange(journey, body, endpoint, id, () => {
       this.balancer.refused(endpoint, silence(), undefined);
       return !this.traffic.isLeaving && attempts.canMoveFrom(endpoint);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -37,6 +37,7 @@
 import { relayAndKeep } from '../claims/outcome.js';
 import { type Observer, type Ran } from '../rollout/observer.js';
 import { OWN_DIALECT } from './own_dialect.js';
+import { Presence } from './presence.js';
 import { refuse } from './refusal.js';
 import { Traffic } from './traffic.js';
 
@@ -87,6 +88,7 @@
     private readonly clock: Clock,
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly uplink: Uplink = new Uplink(clock),
+    private readonly presence = new Presence(),
   ) {
     this.limit = new Limit(clock, DEFAULT_SLOTS);
     this.requestLog = silentRequests(clock);
@@ -165,8 +167,10 @@
     const carry = () => this.#forward(admission, source, claim);
     const forward = rollouts ? () => rollouts.observe(admission.kind, carry) : carry;
     const work = flights ? () => flights.watch(admission, forward) : forward;
+    // The end of a claimed request is awaited even when its caller has gone: it will ask again.
+    const passOn = claim ? work : () => this.presence.pass(admission.response, work);
     try {
-      await this.limit.run(admission, work);
+      await this.limit.run(admission, passOn);
     } catch (error) {
       admission.departure?.[Symbol.dispose]();
       throw error;
