Bind the process beside an endpoint, and the one that starts there next, by its goodbye

Causes: (1) after a start the endpoint was taken over from a look at its health check, which tells no time of its start; the goodbye, which does, was answered 200 and then not taken for one of the same life, so the endpoint stayed ready until the lease of the look ended (3 s; the record has arrivals after 2.858 and 2.991 s, none later). (2) A goodbye without a start was taken back by the next report. (3) The acknowledgement lived in one process: the next one took a late report, or a health check that lies, at its word. Class: a promise is given before it is kept, and dies with who gave it. Change: what is unknown of a life counts as alike. The last word of an endpoint goes with its statement to all; the 200 waits until two neighbours have it (300 ms at most); a process that starts lets no announcement in before a neighbour was heard (1 s at most), and is bound by what it says. Weighed: to keep it in the platform, which would also outlast the death of all processes at once, at a write for each departure and with the store often the one that is down when it counts; left open.

--- a/src/contracts/member.ts
+++ b/src/contracts/member.ts
@@ -6,6 +6,17 @@
 export const EndpointState = z.enum(['cold', 'ready', 'draining', 'down']);
 export type EndpointState = z.infer<typeof EndpointState>;
 
+/** The last word of an upstream instance that leaves, by which the process beside it is bound. */
+export const Goodbye = z.strictObject({
+  /** The id by which the upstream instance knows itself. */
+  id: z.string(),
+  /** Start of the upstream instance, in milliseconds since the epoch. */
+  born: z.number().int().optional(),
+  /** A later announcement takes it back; absent where nothing does. */
+  sequence: z.number().int().optional(),
+});
+export type Goodbye = z.infer<typeof Goodbye>;
+
 /** One instance of an upstream, as its process announces it. */
 export const Endpoint = z.strictObject({
   upstream: Name,
@@ -14,6 +25,8 @@
   slots: z.number().int().min(1),
   /** Version of its software; absent where nothing depends on it, and until it has said so. */
   version: z.string().optional(),
+  /** Set while it drains because it has said so itself. */
+  goodbye: Goodbye.optional(),
 });
 export type Endpoint = z.infer<typeof Endpoint>;
 
--- a/src/contracts/message.ts
+++ b/src/contracts/message.ts
@@ -1,6 +1,6 @@
 /** Messages between processes: parameters and results of the JSON-RPC methods on a link. */
 import * as z from 'zod';
-import { Member } from './member.js';
+import { Goodbye, Member } from './member.js';
 import { Resource } from './resource.js';
 import { Digest, Version } from './version.js';
 
@@ -94,6 +94,13 @@
 });
 export type Recalled = z.infer<typeof Recalled>;
 
+/** Asks what the upstream instance beside a process said when it left, if that is known. */
+export const GoodbyeQuery = z.strictObject({ instance: z.string() });
+export type GoodbyeQuery = z.infer<typeof GoodbyeQuery>;
+
+export const GoodbyeAnswer = z.strictObject({ goodbye: Goodbye.optional() });
+export type GoodbyeAnswer = z.infer<typeof GoodbyeAnswer>;
+
 /** Asks for the end of the log, as a reader finds it in the platform after being asked. */
 export const Confirm = z.strictObject({
   /** Time in which the answer is of use, in milliseconds. */
--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -85,8 +85,7 @@
 
 function recordGoodbyes({ endpointLease }: Control, log: Log): void {
   endpointLease.onGoodbye = ({ id }, isBeside) => {
-    const identity = id === undefined ? {} : { id };
-    log.record('info', { event: 'goodbye-heard', ...identity, isBeside });
+    log.record('info', { event: 'goodbye-heard', id, isBeside });
   };
 }
 
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -14,6 +14,7 @@
 import { EndpointLease } from '../membership/announcement.js';
 import { Bootstrap } from '../membership/bootstrap.js';
 import { Directory } from '../membership/directory.js';
+import { Goodbyes } from '../membership/goodbyes.js';
 import { GossipTask } from '../membership/gossip.js';
 import { type Pace, STEADY } from '../membership/pace.js';
 import { Probe } from '../membership/probe.js';
@@ -46,6 +47,10 @@
 
 /** How long a stop waits for the neighbours to hear of it, in milliseconds. */
 const FAREWELL_MS = 500;
+/** How long an acknowledgement waits for neighbours that keep it, in milliseconds. */
+const KEPT_MS = 300;
+/** Neighbours that keep what is acknowledged; both would have to die with this process. */
+const KEEPERS = 2;
 
 export class Control implements AsyncDisposable {
   readonly replica = new Replica();
@@ -74,6 +79,8 @@
   /** What the upstream instance beside this process announces. */
   readonly endpointLease: EndpointLease;
 
+  readonly #goodbyes: Goodbyes;
+
   readonly #bootstrap: Bootstrap;
 
   readonly #probe: Probe;
@@ -161,6 +168,7 @@
     const { roster, ranking, mesh } = this;
     this.directory = new Directory(platform, roster, ranking, clock, random, pace);
     this.endpointLease = new EndpointLease(roster, clock, options.leaseMs);
+    this.#goodbyes = new Goodbyes(roster, this.endpointLease, clock, mesh, methods);
     const addresses = () => this.peers;
     this.#bootstrap = new Bootstrap(addresses, mesh, this.directory, clock, random, pace);
     this.#probe = new Probe(roster, ranking, mesh, clock, random, addresses);
@@ -173,6 +181,7 @@
       this.#bootstrap.run(signal),
       this.#probe.run(signal),
       this.endpointLease.run(signal),
+      this.#goodbyes.run(signal),
       this.mesh.run(signal),
       this.#follow(signal),
       this.directory.run(signal),
@@ -180,6 +189,14 @@
     ];
   }
 
+  /**
+   * Resolves when neighbours hold what was said last of the endpoint beside: an acknowledgement
+   * before that would be forgotten if this process died.
+   */
+  async kept(): Promise<void> {
+    await this.gossip.news.settle(this.surroundings.clock.now() + KEPT_MS, KEEPERS);
+  }
+
   /** Says that this process leaves; resolves when its neighbours know. */
   async leave(): Promise<void> {
     this.roster.leave();
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -6,6 +6,8 @@
   Bulletin,
   Confirm,
   Confirmed,
+  GoodbyeAnswer,
+  GoodbyeQuery,
   Gossip,
   Heartbeat,
   Hello,
@@ -53,6 +55,11 @@
   params: Recall,
   result: Recalled,
 };
+export const GOODBYE: Method<GoodbyeQuery, GoodbyeAnswer> = {
+  name: 'goodbye',
+  params: GoodbyeQuery,
+  result: GoodbyeAnswer,
+};
 export const CONFIRM: Method<Confirm, Confirmed> = {
   name: 'confirm',
   params: Confirm,
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -151,7 +151,7 @@
   z.object({
     /** An upstream instance has said that it leaves. */
     event: z.literal('goodbye-heard'),
-    id: z.string().optional(),
+    id: z.string(),
     /** Whether it is the one beside this process, which drains from now on. */
     isBeside: z.boolean(),
   }),
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -1,11 +1,11 @@
 /** What the upstream instance beside a process says of itself, again and again. */
 import * as z from 'zod';
-import { Endpoint } from '../contracts.js';
+import { Endpoint, type Goodbye } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Roster } from './roster.js';
 
 /** Body of `PUT /announcement`: the endpoint, and where this process reaches it. */
-export const Announcement = Endpoint.extend({
+export const Announcement = Endpoint.omit({ goodbye: true }).extend({
   host: z.string(),
   port: z.number().int(),
   /** The id by which the upstream instance knows itself. */
@@ -20,7 +20,7 @@
 export type Announcement = z.infer<typeof Announcement>;
 
 /** One life of an upstream instance. */
-export type Life = Pick<Announcement, 'id' | 'born'>;
+export type Life = Pick<Goodbye, 'id' | 'born'>;
 
 /** An announcement holds for this long, in milliseconds; upstreams repeat it several times. */
 export const LEASE_MS = 3_000;
@@ -44,7 +44,10 @@
 
   #isLeaving = false;
 
-  #departed: Life | undefined;
+  #goodbye: Goodbye | undefined;
+
+  /** Announcements that came before the neighbours were heard. */
+  #held: Announcement[] | undefined;
 
   /** Called with each goodbye, and whether it is that of the endpoint beside. */
   onGoodbye: (life: Life, isBeside: boolean) => void = () => {};
@@ -62,7 +65,7 @@
 
   /** Whether anything was announced so far. */
   get isKnown(): boolean {
-    return this.#last !== undefined;
+    return this.#last !== undefined || (this.#held?.length ?? 0) > 0;
   }
 
   /** Calls `listener` with each announcement taken, and with the state `down` if it ends. */
@@ -76,8 +79,12 @@
    * nothing.
    */
   take(announcement: Announcement): void {
+    if (this.#held) {
+      this.#held.push(announcement);
+      return;
+    }
     if (this.#last && isOvertaken(announcement, this.#last)) return;
-    if (this.#hasLeft(announcement)) return;
+    if (this.#goodbye && isBound(announcement, this.#goodbye)) return;
     const now = this.clock.now();
     this.#deadline = now + this.leaseMs;
     // An upstream that is dying may still announce itself while its port refuses.
@@ -96,15 +103,37 @@
 
   /** Takes note that an upstream instance leaves for good: it drains, whatever it says later. */
   depart(life: Life): void {
-    this.#departed = life;
     const last = this.#last;
-    const isBeside = last !== undefined && isSameLife(life, last);
-    this.onGoodbye(life, isBeside);
+    const born = life.born ?? (last?.id === life.id ? last.born : undefined);
+    this.recall({ id: life.id, ...(born !== undefined && { born }) });
+  }
+
+  /** Is bound by what the upstream instance beside said when it left, here or to an earlier process. */
+  recall(goodbye: Goodbye): void {
+    this.#goodbye = goodbye;
+    const last = this.#last;
+    const isBeside = last !== undefined && isBound(last, goodbye);
+    this.onGoodbye(goodbye, isBeside);
     if (!isBeside) return;
     this.#deadline = Infinity;
     this.#set({ ...last, state: 'draining' });
   }
 
+  /**
+   * Takes no announcement until `release`. A process that starts does not know yet what was said to
+   * the one before it; a report that was held up on its way would bring back what has said goodbye.
+   */
+  hold(): void {
+    this.#held ??= [];
+  }
+
+  /** Takes what came meanwhile, and whatever comes from now on. */
+  release(): void {
+    const held = this.#held ?? [];
+    this.#held = undefined;
+    for (const announcement of held) this.take(announcement);
+  }
+
   /** Ends the lease at once: a connection to the upstream instance was refused. */
   refused(): void {
     this.#refusedUntil = this.clock.now() + REFUSED_MS;
@@ -123,10 +152,6 @@
     }
   }
 
-  #hasLeft(life: Life): boolean {
-    return this.#departed !== undefined && isSameLife(life, this.#departed);
-  }
-
   /** When the lease runs out; never while there is none. */
   get #due(): number {
     return this.#last && this.#last.state !== 'down' ? this.#deadline : Infinity;
@@ -144,19 +169,38 @@
     const version = this.tellsVersion ? announcement.version : undefined;
     const isDraining = this.#isLeaving && announcement.state !== 'down';
     const state = isDraining ? 'draining' : announcement.state;
+    const goodbye = this.#goodbyeIn(announcement);
     const held = this.roster.self.endpoint;
     const isSame =
       held?.upstream === upstream &&
       held.state === state &&
       held.slots === slots &&
-      held.version === version;
+      held.version === version &&
+      (held.goodbye === undefined) === (goodbye === undefined);
     if (isSame) return;
-    this.roster.announce({ upstream, state, slots, ...(version !== undefined && { version }) });
+    this.roster.announce({
+      upstream,
+      state,
+      slots,
+      ...(version !== undefined && { version }),
+      ...(goodbye && { goodbye }),
+    });
+  }
+
+  /** What binds a process that starts here after this one. */
+  #goodbyeIn(announcement: Announcement): Goodbye | undefined {
+    const { state, id, born, sequence } = announcement;
+    if (state !== 'draining' || id === undefined) return undefined;
+    if (this.#goodbye && isBound(announcement, this.#goodbye)) return this.#goodbye;
+    return { id, ...(born !== undefined && { born }), ...(sequence !== undefined && { sequence }) };
   }
 }
 
-function isSameLife(one: Life, other: Life): boolean {
-  return one.id === other.id && (one.born === undefined || one.born === other.born);
+/** Whether it is of the life that said goodbye, and not said after that. What is unknown counts as alike. */
+function isBound({ id, born, sequence }: Announcement, goodbye: Goodbye): boolean {
+  if (id !== goodbye.id) return false;
+  if (born !== undefined && goodbye.born !== undefined && born !== goodbye.born) return false;
+  return sequence === undefined || goodbye.sequence === undefined || sequence <= goodbye.sequence;
 }
 
 /** Whether `held` is of a later life, or was said later in the same one. */
--- /dev/null
+++ b/src/membership/goodbyes.ts
@@ -0,0 +1,76 @@
+/** Keeps what upstream instances said when they left, for processes that start beside them again. */
+import { type Goodbye, type Member } from '../contracts.js';
+import { type Mesh } from '../distribution/mesh.js';
+import { GOODBYE } from '../distribution/methods.js';
+import { type Methods, type Peer } from '../link/peer.js';
+import { type Clock } from '../runtime/clock.js';
+import { type EndpointLease } from './announcement.js';
+import { type Roster } from './roster.js';
+
+/** How long a process that starts waits for the word of a neighbour at most, in milliseconds. */
+const HOLD_MS = 1_000;
+const ASK_TIMEOUT_MS = 1_000;
+/** Neighbours whose word is enough. */
+const ENOUGH_ANSWERS = 3;
+/** Goodbyes kept at most; at the design size every endpoint several times over. */
+const MAX_GOODBYES = 4_096;
+
+/**
+ * A process that acknowledges a goodbye is bound by it, and so is the one that starts there after
+ * it, which has heard nothing: a late report, or a health check that lies, would bring the endpoint
+ * back and callers would be cut as it exits. All others have heard of the goodbye, so it asks them.
+ */
+export class Goodbyes {
+  readonly #kept = new Map<string, Goodbye>();
+
+  readonly #answered = new AbortController();
+
+  #answers = 0;
+
+  constructor(
+    private readonly roster: Roster,
+    private readonly lease: EndpointLease,
+    private readonly clock: Clock,
+    mesh: Mesh,
+    methods: Methods,
+  ) {
+    lease.hold();
+    roster.onNews((members) => members.forEach((member) => this.#keep(member)));
+    mesh.onOpen((peer) => void this.#ask(peer));
+    methods.on(GOODBYE, (_, { instance }) => {
+      const goodbye = this.#kept.get(instance);
+      return goodbye ? { goodbye } : {};
+    });
+  }
+
+  /** Lets announcements in once a neighbour was heard, or when none can be. */
+  async run(signal: AbortSignal): Promise<void> {
+    const ended = AbortSignal.any([signal, this.#answered.signal]);
+    await this.clock.sleepUntil(this.clock.now() + HOLD_MS, ended);
+    this.lease.release();
+  }
+
+  #keep({ instance, endpoint }: Member): void {
+    if (!endpoint?.goodbye || instance === this.roster.self.instance) return;
+    // Reinserted, so that the one heard longest ago is the first to go.
+    this.#kept.delete(instance);
+    this.#kept.set(instance, endpoint.goodbye);
+    if (this.#kept.size <= MAX_GOODBYES) return;
+    const [oldest] = this.#kept.keys();
+    if (oldest !== undefined) this.#kept.delete(oldest);
+  }
+
+  async #ask(peer: Peer): Promise<void> {
+    if (this.#answers >= ENOUGH_ANSWERS) return;
+    const { instance } = this.roster.self;
+    try {
+      const deadline = this.clock.now() + ASK_TIMEOUT_MS;
+      const { goodbye } = await peer.request(GOODBYE, { instance }, deadline);
+      this.#answers += 1;
+      if (goodbye) this.lease.recall(goodbye);
+      this.#answered.abort();
+    } catch {
+      // Another neighbour may tell; a process of an earlier release knows no such question.
+    }
+  }
+}
--- a/src/membership/news.ts
+++ b/src/membership/news.ts
@@ -55,16 +55,20 @@
     return this.#received;
   }
 
-  /** Sends what waits and resolves when all neighbours have it, or at the deadline. */
-  async settle(deadline: number): Promise<void> {
+  /** Sends what waits and resolves when `enough` neighbours, or all, have it, or at the deadline. */
+  async settle(deadline: number, enough = Infinity): Promise<void> {
     const items = this.#drain();
+    let confirmed = 0;
+    const isEnough = new AbortController();
     const sending = this.mesh.peers.map(async (peer) => {
       const members = unknownTo(peer, items);
       if (members.length === 0) return;
       this.#sent += 1;
       await peer.request(GOSSIP, { members }, deadline);
+      confirmed += 1;
+      if (confirmed >= enough) isEnough.abort();
     });
-    await Promise.allSettled(sending);
+    await Promise.race([Promise.allSettled(sending), aborted(isEnough.signal)]);
   }
 
   #gather(members: readonly Member[], origin: Origin): void {
@@ -113,3 +117,9 @@
   const instance = peer.member?.instance ?? '';
   return items.filter(({ knownTo }) => !knownTo.has(instance)).map(({ member }) => member);
 }
+
+function aborted(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => {
+    signal.addEventListener('abort', () => resolve(), { once: true });
+  });
+}
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -23,6 +23,8 @@
 export interface Reported {
   take(announcement: Announcement): void;
   depart(life: Life): void;
+  /** Resolves when what was said last outlives this process. */
+  kept(): Promise<void>;
 }
 
 /** Reports with another service name are from another writer, and name no endpoint of this machine. */
@@ -44,11 +46,13 @@
       const report = Report.parse(JSON.parse(body));
       if (report.service !== service) return 400;
       reported.take(announcementOf(id, report));
+      if (report.state === 'draining') await reported.kept();
       return 200;
     }
     case 'instances.deregister': {
       const { born } = Departure.parse(body === '' ? {} : JSON.parse(body));
       reported.depart({ id, born });
+      await reported.kept();
       return 200;
     }
     default:
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -69,7 +69,12 @@
 
 async function openPorts({ listen, service }: HostFile, instance: Instance): Promise<void> {
   if (listen.control) {
-    const reports = endpointReports(() => service, instance.control.endpointLease);
+    const { control } = instance;
+    const reports = endpointReports(() => service, {
+      take: (announcement) => control.endpointLease.take(announcement),
+      depart: (life) => control.endpointLease.depart(life),
+      kept: () => control.kept(),
+    });
     await bind(reports, listen.control.host, listen.control.port);
   }
   const ready = readinessPort(() => instance.isReady);
--- a/src/test/platform/endpoint_reports_test.ts
+++ b/src/test/platform/endpoint_reports_test.ts
@@ -23,6 +23,7 @@
     const server = endpointReports(() => 'listings', {
       take: (announcement) => told.push(announcement),
       depart: (life) => told.push({ departs: life }),
+      kept: () => Promise.resolve(),
     });
     await listen(server);
     const { port } = server.address() as AddressInfo;
