Never serve pages of a version that the asking process holds already

Callers saw: requests handled as a version had it that was replaced long before, and 404 for routes that had been added (CONFIG). Cause: pages of a whole configuration are cut once and serve as long as the versions after them are kept. They also served processes that hold that version or a later one. For these they change nothing, count as a failure, and come again: nothing but becoming a reader ends it. Class: a copy made for one is taken for what another one asked for. The earlier cut is kept beside, for who is collecting it. Test: versions that readers skip, failed before, known red until now.

--- a/src/distribution/pages.ts
+++ b/src/distribution/pages.ts
@@ -5,27 +5,44 @@
 /** Size of a page, or of several versions in one answer, in bytes of JSON. */
 export const PAGE_BYTES = 128 * 1024;
 
+/** One version, cut up. */
+interface Cut {
+  readonly number: number;
+  readonly pages: readonly SnapshotPage[];
+}
+
+/** Versions whose pages are kept: whoever is collecting the earlier one goes on with it. */
+const MAX_CUTS = 2;
+
 export class Pages {
-  #cut: { readonly number: number; readonly pages: readonly SnapshotPage[] } | undefined;
+  /** The latest comes first. */
+  #cuts: readonly Cut[] = [];
 
   constructor(private readonly replica: Replica) {}
 
-  /** The page that starts at resource `offset` of version `number`, or else the first page. */
-  page(number: number | undefined, offset: number): SnapshotPage {
-    const pages = this.#pages();
-    const wanted = pages.find((page) => page.number === number && page.offset === offset);
-    return wanted ?? pages[0]!;
+  /**
+   * The page that starts at resource `offset` of version `number`, or else the first page of a
+   * version above `after`, which the asking process holds.
+   */
+  page(number: number | undefined, offset: number, after: number): SnapshotPage {
+    const wanted = this.#cuts
+      .find((cut) => cut.number === number)
+      ?.pages.find((page) => page.offset === offset);
+    return wanted ?? this.#pages(after)[0]!;
   }
 
   /**
    * Were pages made anew for each version, a process that pulls through a burst of versions would
-   * begin again with each. The old ones serve as long as the versions after them are kept.
+   * begin again with each. The old ones serve as long as the versions after them are kept, and only
+   * whoever is behind them: served to others they change nothing, and who asked stays behind for good.
    */
-  #pages(): readonly SnapshotPage[] {
-    if (this.#cut && this.replica.since(this.#cut.number)) return this.#cut.pages;
+  #pages(after: number): readonly SnapshotPage[] {
+    const [cut] = this.#cuts;
+    if (cut && cut.number > after && this.replica.since(cut.number)) return cut.pages;
     const snapshot = this.replica.snapshot();
-    this.#cut = { number: snapshot.number, pages: cut(snapshot) };
-    return this.#cut.pages;
+    const made = { number: snapshot.number, pages: cutUp(snapshot) };
+    this.#cuts = [made, ...this.#cuts].slice(0, MAX_CUTS);
+    return made.pages;
   }
 }
 
@@ -40,7 +57,7 @@
 
 const sizes = new WeakMap<Version, number>();
 
-function cut({ number, digest, parent, resources }: Snapshot): SnapshotPage[] {
+function cutUp({ number, digest, parent, resources }: Snapshot): SnapshotPage[] {
   const pages: SnapshotPage[] = [];
   let offset = 0;
   for (const batch of batches(resources)) {
--- a/src/distribution/relay.ts
+++ b/src/distribution/relay.ts
@@ -50,7 +50,7 @@
     const versions = page ? undefined : this.replica.since(after);
     const fitting = versions && fit(versions);
     if (fitting) return { versions: fitting };
-    return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0) };
+    return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0, after) };
   }
 }
 
--- a/src/test/distribution/skipped_versions_test.ts
+++ b/src/test/distribution/skipped_versions_test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai';
 import { type Resource, Route, Upstream } from '../../contracts.js';
-import { Feed } from '../../distribution/feed.js';
 import { type Replica } from '../../distribution/replica.js';
 import { PROMPT } from '../../membership/pace.js';
 import { type Clock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { NewestObject, TardyFeed } from './newest_object.js';
+import { StillFeed } from './still_feed.js';
 import { type Node, TestFleet } from './test_fleet.js';
 
 const SIZES = { arima: 10, chaguanas: 9 };
@@ -106,22 +106,6 @@
   return found;
 }
 
-/** Never hears of a version: what a process holds is put there by the test. */
-class StillFeed extends Feed {
-  constructor(private readonly clock: Clock) {
-    super();
-  }
-
-  async catchUp(): Promise<boolean> {
-    return true;
-  }
-
-  async follow(deadline: number, signal: AbortSignal): Promise<boolean> {
-    await this.clock.sleepUntil(deadline, signal);
-    return true;
-  }
-}
-
 describe('versions that readers skip', () => {
   // Guards against a process that stays behind for good: what it holds is no version of its peers.
   it('do not keep a process behind that holds one of them', async () => {
