Send a large change as one message, compressed, instead of the whole configuration in pages

Callers saw: 404 for routes that had been added 2.5 s before, and routes by older versions (CONFIG), around versions with 1,400 routes more. Cause: a change over 128 kB was not pushed but hinted at; each process then pulled the whole configuration (2,526 routes), a page a round trip, uncompressed, from one of the few that had it, over a link of 5.88 Mbit/s that sends to eight children and carries requests too. Class: the cost of a change was that of the whole, as soon as it passed a bound that was meant for something else. What a child lacks alike is one message. Test: a large version over narrow links; the bound is 1 s of the 2.5, since reading, checking and other traffic need the rest. Processes of the version before do not read compressed messages: they close the link, and pull again.

--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -1,13 +1,13 @@
 /** Moves versions from process to process: down the tree, and to whoever is behind. */
 import { type Heartbeat, type Recall, type Recalled, type Version } from '../contracts.js';
-import { type Methods, type Peer } from '../link/peer.js';
+import { type Methods, notifyAll, type Peer } from '../link/peer.js';
 import { READERS, type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Mesh } from './mesh.js';
 import { AHEAD, PULL, PUSH, RECALL } from './methods.js';
-import { PAGE_BYTES, sizeOf } from './pages.js';
+import { CHANGE_BYTES, sizeOf } from './pages.js';
 import { type Profile } from './profile.js';
 import { Puller } from './puller.js';
 import { Relay } from './relay.js';
@@ -100,23 +100,37 @@
   #spread(): void {
     const versions = this.#gathered;
     this.#gathered = [];
-    const children = new Set(this.ranking.children.map(({ instance }) => instance));
+    const isChild = new Set(this.ranking.children.map(({ instance }) => instance));
+    const children: Peer[] = [];
     for (const peer of this.mesh.peers) {
-      if (peer.member && children.has(peer.member.instance)) this.#feed(peer, versions);
+      if (peer.member && isChild.has(peer.member.instance)) children.push(peer);
       else if (this.profile.pushes) this.#hint(peer);
     }
+    this.#feed(children, versions);
   }
 
   /**
-   * A child is sent the versions themselves if the profile has it so. One that lacks earlier ones
-   * too, or for whom they are too large for one frame, hears that they are there and pulls.
+   * Children are sent the versions themselves if the profile has it so; those that lack the same
+   * ones get one message, which is encoded once. For whom they are too large for one message, or
+   * who lacks earlier ones too, hears that they are there and pulls.
    */
-  #feed(peer: Peer, versions: readonly Version[]): void {
-    const news = versions.filter((version) => version.number > peer.version);
-    const bytes = news.reduce((sum, version) => sum + sizeOf(version), 0);
-    if (this.profile.pushes && news.length > 0 && bytes <= PAGE_BYTES) {
-      peer.notify(PUSH, { versions: news });
-    } else this.#hint(peer);
+  #feed(children: readonly Peer[], versions: readonly Version[]): void {
+    const alike = new Map<number, Peer[]>();
+    for (const peer of children) {
+      const count = versions.filter(({ number }) => number > peer.version).length;
+      alike.set(count, [...(alike.get(count) ?? []), peer]);
+    }
+    for (const [count, peers] of alike) {
+      const news = versions.slice(versions.length - count);
+      if (this.#mayPush(news)) notifyAll(peers, PUSH, { versions: news });
+      else peers.forEach((peer) => this.#hint(peer));
+    }
+  }
+
+  #mayPush(versions: readonly Version[]): boolean {
+    if (!this.profile.pushes || versions.length === 0) return false;
+    const bytes = versions.reduce((sum, version) => sum + sizeOf(version), 0);
+    return bytes <= CHANGE_BYTES;
   }
 
   /**
--- a/src/distribution/pages.ts
+++ b/src/distribution/pages.ts
@@ -5,6 +5,12 @@
 /** Size of a page, or of several versions in one answer, in bytes of JSON. */
 export const PAGE_BYTES = 128 * 1024;
 
+/**
+ * Largest change that goes as one message, in bytes of JSON. Were a larger one than a page cut off
+ * here, each process would pull the whole configuration instead of what it lacks.
+ */
+export const CHANGE_BYTES = 1024 * 1024;
+
 /** One version, cut up. */
 interface Cut {
   readonly number: number;
--- a/src/distribution/relay.ts
+++ b/src/distribution/relay.ts
@@ -2,7 +2,7 @@
 import PQueue from 'p-queue';
 import { type Pull, type Pulled, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
-import { PAGE_BYTES, Pages, sizeOf } from './pages.js';
+import { CHANGE_BYTES, PAGE_BYTES, Pages, sizeOf } from './pages.js';
 import { type Replica } from './replica.js';
 
 const CONCURRENCY = 4;
@@ -49,18 +49,20 @@
   #answer({ after, page }: Pull): Pulled {
     const versions = page ? undefined : this.replica.since(after);
     const fitting = versions && fit(versions);
-    if (fitting) return { versions: fitting };
+    if (fitting) return { versions: [...fitting] };
     return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0, after) };
   }
 }
 
 /** As many versions as go into one answer; undefined if not even the first does. */
-function fit(versions: readonly Version[]): Version[] | undefined {
+function fit(versions: readonly Version[]): readonly Version[] | undefined {
+  const [first] = versions;
+  if (!first) return versions;
+  if (sizeOf(first) > CHANGE_BYTES) return undefined;
   let bytes = 0;
   const end = versions.findIndex((version) => {
     bytes += sizeOf(version);
     return bytes > PAGE_BYTES;
   });
-  if (end < 0) return [...versions];
-  return end === 0 ? undefined : versions.slice(0, end);
+  return end < 0 ? versions : versions.slice(0, Math.max(1, end));
 }
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -7,6 +7,8 @@
 import { LineLog } from '../logs/log.js';
 import { standardOutput } from '../logs/sink.js';
 import { MsgpackCodec } from '../link/codec.js';
+import { LongMessageCodec } from '../link/long_message_codec.js';
+import { MAX_FRAME_BYTES } from '../link/tcp_link.js';
 import { PROMPT } from '../membership/pace.js';
 import { MachineClock } from '../runtime/clock.js';
 import { MachineRandom } from '../runtime/random.js';
@@ -40,7 +42,7 @@
     platform,
     clock,
     random: new MachineRandom(),
-    codec: new MsgpackCodec(),
+    codec: new LongMessageCodec(new MsgpackCodec(), MAX_FRAME_BYTES),
     dialect: new MeshDialect(() => file.service),
     feed: (replica) => new ObjectFeed(platform, replica, clock),
     ...(hasRollouts(file) && { orders: new ObjectOrders(platform) }),
--- a/src/standins/memory_link.ts
+++ b/src/standins/memory_link.ts
@@ -4,6 +4,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Gate } from './gate.js';
+import { type Lane } from './lane.js';
 
 /** How messages fare, all settable while links are open. Chances are in [0, 1]. */
 export interface LinkFaults {
@@ -31,6 +32,12 @@
   readonly isCut: () => boolean;
 }
 
+/** Where one end of a link is. */
+export interface Place {
+  readonly gate: Gate;
+  readonly lane?: Lane | undefined;
+}
+
 /** Length of the frame header that a real link writes before each message, in bytes. */
 const HEADER_BYTES = 4;
 /** How far an overtaken message falls back, in milliseconds. */
@@ -58,13 +65,18 @@
   private constructor(
     private readonly wire: Wire,
     private readonly gate: Gate,
+    /** By which this end's machine sends; wide enough for anything when absent. */
+    private readonly lane: Lane | undefined,
   ) {
     super();
   }
 
   /** The two ends of one link; each belongs to the process behind its gate. */
-  static pair(wire: Wire, near: Gate, far: Gate): [MemoryLink, MemoryLink] {
-    const ends: [MemoryLink, MemoryLink] = [new MemoryLink(wire, near), new MemoryLink(wire, far)];
+  static pair(wire: Wire, near: Place, far: Place): [MemoryLink, MemoryLink] {
+    const ends: [MemoryLink, MemoryLink] = [
+      new MemoryLink(wire, near.gate, near.lane),
+      new MemoryLink(wire, far.gate, far.lane),
+    ];
     const [one, other] = ends;
     one.#far = other;
     other.#far = one;
@@ -106,7 +118,7 @@
     await this.gate.passed();
     const { clock } = this.wire;
     const far = this.#far;
-    await clock.sleepUntil(this.#arrival());
+    await clock.sleepUntil(this.#arrival(HEADER_BYTES + bytes.length));
     if (this.isSilent || this.wire.isCut()) return;
     await far.gate.passed();
     if (far.closed.aborted) return;
@@ -114,9 +126,11 @@
     far.#deliver(this.wire.codec.decode(bytes));
   }
 
-  #arrival(): number {
+  #arrival(bytes: number): number {
     const { clock, random, faults } = this.wire;
-    const earliest = clock.now() + faults.latencyMs + random.jitter(faults.delayMs);
+    const now = clock.now();
+    const leaves = this.lane?.departure(bytes, now) ?? now;
+    const earliest = leaves + faults.latencyMs + random.jitter(faults.delayMs);
     if (random.next() < faults.reorder) return earliest + random.jitter(OVERTAKEN_MS);
     this.#arrivesAt = Math.max(this.#arrivesAt, earliest);
     return this.#arrivesAt;
--- a/src/standins/memory_network.ts
+++ b/src/standins/memory_network.ts
@@ -5,15 +5,13 @@
 import { type Link } from '../link/link.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
-import { type Gate } from './gate.js';
-import { type LinkFaults, MemoryLink, noFaults } from './memory_link.js';
+import { type LinkFaults, MemoryLink, noFaults, type Place } from './memory_link.js';
 
 /** One process as the network sees it. */
-export interface Host {
+export interface Host extends Place {
   readonly host: string;
   readonly port: number;
   readonly dataCentre: string;
-  readonly gate: Gate;
   readonly accept: (link: Link) => void;
 }
 
@@ -96,7 +94,7 @@
   #connect(from: Host, target: Host, isCut: () => boolean): Link {
     const { clock, random, codec, faults } = this;
     const wire = { clock, random, codec, faults, isCut };
-    const ends = MemoryLink.pair(wire, from.gate, target.gate);
+    const ends = MemoryLink.pair(wire, from, target);
     this.#connections.push({ ends, hosts: [from, target] });
     target.accept(ends[1]);
     return ends[0];
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -11,6 +11,7 @@
 import { type Platform } from '../../platform/platform.js';
 import { type Random, SeededRandom } from '../../runtime/random.js';
 import { Gate, GatedClock } from '../../standins/gate.js';
+import { Lane } from '../../standins/lane.js';
 import { type Host, MemoryNetwork } from '../../standins/memory_network.js';
 import { PlatformStore } from '../../standins/platform_store.js';
 import { ReachedPlatform } from '../../standins/reached_platform.js';
@@ -36,6 +37,8 @@
   /** Where versions come from instead of the log; `isCut`: whether the process is cut off from it. */
   readonly feed?: (replica: Replica, clock: Clock, isCut: () => boolean) => Feed;
   readonly pace?: Pace;
+  /** Rate of each machine's link to the network; wide enough for anything when absent. */
+  readonly linkKbps?: number;
   /** Called with each process before it starts, and what it has of the outside world. */
   readonly onLaunch?: (node: Node, platform: Platform, clock: Clock) => void;
 }
@@ -153,12 +156,14 @@
     const clock = new GatedClock(this.clock, gate);
     const isCut = () => this.cutOff.has(dataCentre) || this.cutOff.has(name);
     const platform = new ReachedPlatform(this.platform, clock, gate, isCut);
+    const { linkKbps } = this.options;
     const port = 1_000 + [...this.nodes.keys(), name].indexOf(name);
     const host: Host = {
       host: '10.0.0.1',
       port,
       dataCentre,
       gate,
+      lane: linkKbps === undefined ? undefined : new Lane(linkKbps),
       accept: (link) => control.mesh.accept(link),
     };
     const dialer = this.network.attach(host);
--- a/src/test/membership/reconciliation_test.ts
+++ b/src/test/membership/reconciliation_test.ts
@@ -33,7 +33,7 @@
     const { clock } = this.time;
     const random = new SeededRandom(1);
     const wire = { clock, random, codec: this.codec, faults: noFaults(), isCut: () => false };
-    const [near, far] = MemoryLink.pair(wire, new Gate(), new Gate());
+    const [near, far] = MemoryLink.pair(wire, { gate: new Gate() }, { gate: new Gate() });
     this.#add(this.one, near, this.other);
     this.#add(this.other, far, this.one);
   }
