Send what differs to a process that holds a version its peers never held

Cause: a process whose version stands in nobody's chain was sent the whole configuration, checked it whole, and could then only hint to those below it, each of which pulled the whole again: a cascade down the tree, in the middle of a storm, over links that requests use. Class: a chain of versions was asked of a source that has none; each version of the operator's object stands alone. Ways weighed: to have all readers see the same versions (needs agreement, or the platform to keep them); the chain for the log alone and content by digest for the object (the larger rebuilding, not done); the difference by content where versions do not fit, beside the chain. A peer that has failed is asked without summary, which is also the way with processes of the version before. Tests: versions that readers skip (origin: a difference), settles with a peer that holds any other version (property), relay.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -7,6 +7,7 @@
 } from '../contracts.js';
 import { firstIndex } from '../runtime/search.js';
 import { canonical, digestOf, GENESIS, sha256 } from './digest.js';
+import { type Contribution, contributionOf, summaryOf } from './summary.js';
 
 interface Held {
   readonly resource: Resource;
@@ -15,6 +16,8 @@
   readonly bytes: number;
   /** What the digest of a configuration is worked out over. */
   readonly line: string;
+  /** What a summary of a configuration is made of. */
+  readonly contribution: Contribution;
 }
 
 /** Resources by key, with what would else be worked out anew for each version. */
@@ -106,12 +109,23 @@
 
   /** What turns this configuration into one of exactly `resources`. */
   changeTo(resources: readonly Resource[]): Change {
-    const wanted = new Set(resources.map(resourceKey));
-    const put = resources.filter((resource) => {
-      const held = this.holding.byKey.get(resourceKey(resource));
-      return held?.resource !== resource && held?.digest !== heldOf(resource).digest;
-    });
-    return { put, remove: this.holding.keys.filter((key) => !wanted.has(key)) };
+    return this.#changeTo(resources, this.holding.keys);
+  }
+
+  /** Tells another process where its configuration differs. */
+  get summary(): readonly number[] {
+    const held = [...this.holding.byKey.values()];
+    return summaryOf(held.map(({ contribution }) => contribution));
+  }
+
+  /** The resources in those buckets of the summary. */
+  within(buckets: readonly number[]): Resource[] {
+    return this.#keysWithin(buckets).map((key) => this.get(key)!);
+  }
+
+  /** What turns this configuration into one that has exactly `resources` in those buckets. */
+  changeWithin(buckets: readonly number[], resources: readonly Resource[]): Change {
+    return this.#changeTo(resources, this.#keysWithin(buckets));
   }
 
   /** Whether the resources are those that the digest was worked out over. */
@@ -124,6 +138,22 @@
     return stateDigest(this.holding);
   }
 
+  #keysWithin(buckets: readonly number[]): ResourceKey[] {
+    const wanted = new Set(buckets);
+    const { byKey, keys } = this.holding;
+    return keys.filter((key) => wanted.has(byKey.get(key)!.contribution.bucket));
+  }
+
+  /** Puts `resources` in the place of what `keys` name. */
+  #changeTo(resources: readonly Resource[], keys: readonly ResourceKey[]): Change {
+    const wanted = new Set(resources.map(resourceKey));
+    const put = resources.filter((resource) => {
+      const held = this.holding.byKey.get(resourceKey(resource));
+      return held?.resource !== resource && held?.digest !== heldOf(resource).digest;
+    });
+    return { put, remove: keys.filter((key) => !wanted.has(key)) };
+  }
+
   #after(change: Change, number: number, parent: string): Configuration {
     const holding = hold(this.holding, change);
     const inherited = new Map([...this.inherited, ...this.derived]);
@@ -184,7 +214,8 @@
     const text = canonical(resource);
     const digest = sha256(text);
     const line = `${resourceKey(resource)}=${digest}\n`;
-    held = { resource, digest, bytes: Buffer.byteLength(text), line };
+    const contribution = contributionOf(resourceKey(resource), digest);
+    held = { resource, digest, bytes: Buffer.byteLength(text), line, contribution };
     HELD.set(resource, held);
   }
   return held;
--- a/src/contracts/message.ts
+++ b/src/contracts/message.ts
@@ -50,6 +50,8 @@
   after: z.number().int().min(0),
   /** The version whose pages are being collected, and how many resources have come. */
   page: z.strictObject({ number: z.number().int(), offset: z.number().int().min(0) }).optional(),
+  /** Summary of what the sender holds, by which it is told the difference where versions do not fit. */
+  summary: z.array(z.number().int()).optional(),
 });
 export type Pull = z.infer<typeof Pull>;
 
@@ -66,12 +68,25 @@
 });
 export type SnapshotPage = z.infer<typeof SnapshotPage>;
 
+/** What the configuration of one process has where that of another differs. */
+export const Difference = z.strictObject({
+  number: z.number().int().min(0),
+  digest: Digest,
+  parent: Digest,
+  /** Buckets of the summary that differ. */
+  buckets: z.array(z.number().int()),
+  /** All resources in them. */
+  resources: z.array(Resource),
+});
+export type Difference = z.infer<typeof Difference>;
+
 /**
- * The versions asked for, as many as fit; a page when the log does not reach back that far or a
+ * The versions asked for, as many as fit; the difference or a page when the log does not reach back that far or a
  * version is larger than a page; or neither from a peer that is busy.
  */
 export const Pulled = z.strictObject({
   versions: z.array(Version),
+  difference: Difference.optional(),
   page: SnapshotPage.optional(),
   /** How long to stay away before asking again, in milliseconds. */
   busyMs: z.number().optional(),
--- a/src/distribution/puller.ts
+++ b/src/distribution/puller.ts
@@ -95,23 +95,38 @@
 
   async #pull(peer: Peer): Promise<void> {
     const standing = this.#standing(peer);
-    const before = this.replica.current.number;
+    const before = this.replica.current;
     try {
-      const answer = await this.#request(peer, { after: before });
+      const answer = await this.#request(peer, this.#pullOf(standing));
       if (answer.busyMs !== undefined) {
         standing.retryAt = this.#back(answer.busyMs);
         return;
       }
-      const isWhole = answer.page
-        ? this.replica.install(await this.#collect(peer, answer.page))
-        : this.replica.apply(answer.versions, 'pull');
-      if (this.replica.current.number > before) standing.failures = 0;
+      // It was worked out against what is not in force any more.
+      if (answer.difference && this.replica.current !== before) return;
+      const isWhole = await this.#take(peer, answer);
+      if (this.replica.current.number > before.number) standing.failures = 0;
       else this.#postpone(standing, isWhole ? 0 : REFUSED_WAIT_MS);
     } catch {
       this.#postpone(standing, 0);
     }
   }
 
+  /**
+   * With a summary of what is held, if it holds anything. A peer that has failed is asked without: it
+   * may be of a release that knows none, or the difference that it told may not add up.
+   */
+  #pullOf({ failures }: Standing): Pull {
+    const { number: after, summary } = this.replica.current;
+    return after > 0 && failures === 0 ? { after, summary: [...summary] } : { after };
+  }
+
+  async #take(peer: Peer, { versions, difference, page }: Pulled): Promise<boolean> {
+    if (difference) return this.replica.settle(difference, this.clock.now());
+    if (page) return this.replica.install(await this.#collect(peer, page));
+    return this.replica.apply(versions, 'pull');
+  }
+
   /** Asks for the pages that follow the first; rejects if they do not make one snapshot. */
   async #collect(peer: Peer, first: SnapshotPage): Promise<Snapshot> {
     const { number, digest, parent, total } = first;
--- a/src/distribution/relay.ts
+++ b/src/distribution/relay.ts
@@ -1,6 +1,13 @@
 /** Answers the pulls of others, so many at a time. */
 import PQueue from 'p-queue';
-import { type Pull, type Pulled, type Version } from '../contracts.js';
+import { differing } from '../configuration/summary.js';
+import {
+  type Difference,
+  type Pull,
+  type Pulled,
+  type Resource,
+  type Version,
+} from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { CHANGE_BYTES, PAGE_BYTES, Pages, sizeOf } from './pages.js';
 import { type Replica } from './replica.js';
@@ -46,12 +53,33 @@
     await this.clock.sleepUntil(this.clock.now() + HOLD_MS);
   }
 
-  #answer({ after, page }: Pull): Pulled {
+  #answer({ after, page, summary }: Pull): Pulled {
     const versions = page ? undefined : this.replica.since(after);
     const fitting = versions && fit(versions);
     if (fitting) return { versions: [...fitting] };
+    const difference = summary && this.#difference(summary);
+    if (difference) return { versions: [], difference };
     return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0, after) };
   }
+
+  /**
+   * A source that holds only the newest version lets its readers skip others, so a process may hold
+   * one that none of its peers held. Content is compared instead; undefined if pages are better.
+   */
+  #difference(summary: readonly number[]): Difference | undefined {
+    const { current } = this.replica;
+    const buckets = differing(summary, current.summary);
+    const resources = current.within(buckets);
+    if (bytesOf(resources) > CHANGE_BYTES) return undefined;
+    const { number, digest } = current;
+    const { parent } = this.replica;
+    return { number, digest, parent, buckets, resources };
+  }
+}
+
+/** Bytes of JSON that resources take, roughly. */
+function bytesOf(resources: readonly Resource[]): number {
+  return resources.reduce((sum, resource) => sum + JSON.stringify(resource).length, 0);
 }
 
 /** As many versions as go into one answer; undefined if not even the first does. */
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -7,7 +7,7 @@
   validate,
   validateChange,
 } from '../configuration/validate.js';
-import { type Resource, type Snapshot, type Version } from '../contracts.js';
+import { type Difference, type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
 /** Why a version was refused; the configuration before it stays in force. */
@@ -25,8 +25,8 @@
   readonly problems: readonly Problem[];
 }
 
-/** How a version came to a process: from the source, or from a peer in one of three ways. */
-export type Origin = 'source' | 'push' | 'pull' | 'pages';
+/** How a version came to a process: from the source, or from a peer in one of four ways. */
+export type Origin = 'source' | 'push' | 'pull' | 'difference' | 'pages';
 
 /** Versions kept so that neighbours which are a little behind need no snapshot. */
 const RECENT = 256;
@@ -133,11 +133,35 @@
     return true;
   }
 
+  /**
+   * Puts in force what a peer holds, by where it differs from what is held here. One that stands
+   * alone becomes a version of its own, so that those who follow this process get just the change.
+   */
+  settle({ number, digest, parent, buckets, resources }: Difference, acceptedAt: number): boolean {
+    if (number <= this.#current.number) {
+      this.onServedOlder(number);
+      return true;
+    }
+    const change = this.#current.changeWithin(buckets, resources);
+    if (parent !== GENESIS) {
+      const whole = this.#current.standalone(change, number).resources();
+      return this.install({ number, digest, parent, resources: whole }, 'difference');
+    }
+    const held = this.#current.digest;
+    const version = { number, parent: held, digest, note: '', acceptedAt, change } as const;
+    return this.apply([{ ...version, standsAlone: true }], 'difference');
+  }
+
   /** Notes that a version cannot be put in force, so that operators see why it is not. */
   reject(number: number, reason: Refusal['reason']): void {
     this.#refuse(number, reason, []);
   }
 
+  /** Digest over which that of the configuration in force was worked out. */
+  get parent(): string {
+    return this.#parent;
+  }
+
   /** The whole configuration in force. */
   snapshot(): Snapshot {
     const { number, digest } = this.#current;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -135,7 +135,7 @@
     digest: z.string(),
     resources: z.number(),
     /** How it came here. */
-    origin: z.enum(['source', 'push', 'pull', 'pages']),
+    origin: z.enum(['source', 'push', 'pull', 'difference', 'pages']),
   }),
   z.object({
     /** A peer that is ahead served what is no newer than what is held here. */
--- a/src/test/distribution/relay_test.ts
+++ b/src/test/distribution/relay_test.ts
@@ -76,4 +76,16 @@
     herd.forEach(({ host }) => host.gate.open());
     expect(await fleet.time.until(() => fleet.holds(20), 6_000)).to.equal(true);
   });
+
+  // Guards against the whole configuration for whoever holds a version that the relay never held.
+  it('answers with what differs where no version fits, and with pages where nearly all does', async () => {
+    using time = new FakeTime();
+    const about = 'x'.repeat(2_000);
+    const relay = new Relay(replicaAt(700, about), time.clock);
+    const summaryAt = (number: number) => [...replicaAt(number, about).current.summary];
+    const some = await relay.answer({ after: 20, summary: summaryAt(690) });
+    const all = await relay.answer({ after: 20, summary: summaryAt(20) });
+    expect([some.difference?.number, some.page]).to.deep.equal([700, undefined]);
+    expect([all.difference, all.page?.number]).to.deep.equal([undefined, 700]);
+  });
 });
--- a/src/test/distribution/replica_test.ts
+++ b/src/test/distribution/replica_test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
+import fc from 'fast-check';
 import { Configuration } from '../../configuration/configuration.js';
 import { type Change, Route, Upstream, type Version } from '../../contracts.js';
+import { differing } from '../../configuration/summary.js';
 import { Replica } from '../../distribution/replica.js';
 
 const listings = Upstream.parse({ kind: 'upstream', name: 'listings' });
@@ -55,4 +57,39 @@
     expect(replica.refusal?.reason).to.equal('invalid');
     expect(replica.current).to.equal(Configuration.empty);
   });
+
+  // Whatever two processes hold, and however they came by it: what differs brings the one that is
+  // behind to exactly what the other holds, and those that follow it get only the change.
+  it('settles with a peer that holds any other version (property)', () => {
+    const contents = fc.uniqueArray(fc.integer({ min: 0, max: 60 }), { maxLength: 40 });
+    const resources = (indices: readonly number[], tag: number) =>
+      indices.map((index) =>
+        Upstream.parse({ kind: 'upstream', name: `u-${index}`, about: `${index % tag}` }),
+      );
+    const property = fc.property(contents, contents, fc.boolean(), (held, wanted, isChained) => {
+      const [behind, ahead] = [new Replica(), new Replica()];
+      behind.replace(24, resources(held, 5), 0);
+      if (isChained)
+        ahead.apply([versionAfter(Configuration.empty, { put: [listings], remove: [] })]);
+      ahead.replace(27, resources(wanted, 3), 0);
+      const { current, parent } = ahead;
+      const buckets = differing(behind.current.summary, current.summary);
+      const { number, digest } = current;
+      const difference = { number, digest, parent, buckets, resources: current.within(buckets) };
+      expect(behind.settle(difference, 0)).to.equal(true);
+      expect(behind.current.digest).to.equal(digest);
+      expect(behind.since(24)?.length).to.equal(1);
+    });
+    fc.assert(property, { seed: 24, numRuns: 60 });
+  });
+
+  it('refuses a difference that does not add up, and keeps what it holds', () => {
+    const [behind, ahead] = [new Replica(), new Replica()];
+    behind.replace(24, [listings], 0);
+    ahead.replace(27, [listings, menus], 0);
+    const { number, digest } = ahead.current;
+    const difference = { number, digest, parent: ahead.parent, buckets: [], resources: [] };
+    expect(behind.settle(difference, 0)).to.equal(false);
+    expect([behind.current.number, behind.refusal?.reason]).to.deep.equal([24, 'digest']);
+  });
 });
--- a/src/test/distribution/skipped_versions_test.ts
+++ b/src/test/distribution/skipped_versions_test.ts
@@ -129,7 +129,7 @@
     fleet.network.heal();
     const isInForce = () => far.current.number === 27;
     expect(await fleet.time.until(isInForce, SETTLE_MS + IN_FORCE_MS)).to.equal(true);
-    expect(far.current.digest).to.equal(near.current.digest);
+    expect([far.current.digest, far.origin]).to.deep.equal([near.current.digest, 'difference']);
   });
 
   // Guards against the same in a fleet whose processes start, die, pause and are cut meanwhile.
