--- a/src/test/admission/limit_test.ts
+++ b/src/test/admission/limit_test.ts
@@ -136,6 +136,15 @@
     expect(limit.load).to.include({ inFlight: 0, waiting: 0 });
   });
 
+  // Guards against work for a caller who had left before its request came to wait: it says so once.
+  it('takes out at once what nobody waits for already', async () => {
+    const onGone = (callback: () => void) => callback();
+    const runs = [...batch(4), run({ name: 'gone', onGone })];
+    expect(await settled(runs)).to.deep.equal({ done: 4, 'not-run cancelled': 1 });
+    expect(begun).not.to.include('gone');
+    expect(limit.load).to.include({ inFlight: 0, waiting: 0 });
+  });
+
   // The caller goes away while its request runs. Its slot is taken until the instance is done:
   // freed before, it would let the instance be given more than it bears.
   it('keeps the slot of what runs on without its caller', async () => {
