--- a/src/contracts/member.ts
+++ b/src/contracts/member.ts
@@ -7,7 +7,7 @@
 export type EndpointState = z.infer<typeof EndpointState>;
 
 /** The last word of an upstream instance that leaves, by which the process beside it is bound. */
-export const Goodbye = z.strictObject({
+export const Drain = z.strictObject({
   /** The id by which the upstream instance knows itself. */
   id: z.string(),
   /** Start of the upstream instance, in milliseconds since the epoch. */
@@ -15,7 +15,7 @@
   /** A later announcement takes it back; absent where nothing does. */
   sequence: z.number().int().optional(),
 });
-export type Goodbye = z.infer<typeof Goodbye>;
+export type Drain = z.infer<typeof Drain>;
 
 /** One instance of an upstream, as its process announces it. */
 export const Endpoint = z.strictObject({
@@ -26,7 +26,7 @@
   /** Version of its software; absent where nothing depends on it, and until it has said so. */
   version: z.string().optional(),
   /** Set while it drains because it has said so itself. */
-  goodbye: Goodbye.optional(),
+  drain: Drain.optional(),
 });
 export type Endpoint = z.infer<typeof Endpoint>;
 
--- a/src/contracts/message.ts
+++ b/src/contracts/message.ts
@@ -1,6 +1,6 @@
 /** Messages between processes: parameters and results of the JSON-RPC methods on a link. */
 import * as z from 'zod';
-import { Goodbye, Member } from './member.js';
+import { Drain, Member } from './member.js';
 import { Resource } from './resource.js';
 import { Digest, Version } from './version.js';
 
@@ -110,11 +110,11 @@
 export type Recalled = z.infer<typeof Recalled>;
 
 /** Asks what the upstream instance beside a process said when it left, if that is known. */
-export const GoodbyeQuery = z.strictObject({ instance: z.string() });
-export type GoodbyeQuery = z.infer<typeof GoodbyeQuery>;
+export const DrainQuery = z.strictObject({ instance: z.string() });
+export type DrainQuery = z.infer<typeof DrainQuery>;
 
-export const GoodbyeAnswer = z.strictObject({ goodbye: Goodbye.optional() });
-export type GoodbyeAnswer = z.infer<typeof GoodbyeAnswer>;
+export const DrainAnswer = z.strictObject({ drain: Drain.optional() });
+export type DrainAnswer = z.infer<typeof DrainAnswer>;
 
 /** Asks for the end of the log, as a reader finds it in the platform after being asked. */
 export const Confirm = z.strictObject({
--- a/src/daemon/beliefs.ts
+++ b/src/daemon/beliefs.ts
@@ -12,7 +12,7 @@
   recordMembers(control, log);
   recordLinks(control, log);
   recordUpstream(control, log);
-  recordGoodbyes(control, log);
+  recordDrains(control, log);
   recordPlatform(platform, log, clock);
   control.gossip.onLate = (lateMs) => log.record('warn', { event: 'late', lateMs });
 }
@@ -83,9 +83,9 @@
   });
 }
 
-function recordGoodbyes({ endpointLease }: Control, log: Log): void {
-  endpointLease.onGoodbye = ({ id }, isBeside) => {
-    log.record('info', { event: 'goodbye-heard', id, isBeside });
+function recordDrains({ endpointLease }: Control, log: Log): void {
+  endpointLease.onDrain = ({ id }, isBeside) => {
+    log.record('info', { event: 'drain-announced', id, isBeside });
   };
 }
 
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -14,7 +14,7 @@
 import { EndpointLease } from '../membership/announcement.js';
 import { Bootstrap } from '../membership/bootstrap.js';
 import { Directory } from '../membership/directory.js';
-import { Goodbyes } from '../membership/goodbyes.js';
+import { Drains } from '../membership/drains.js';
 import { GossipTask } from '../membership/gossip.js';
 import { type Pace, STEADY } from '../membership/pace.js';
 import { Probe } from '../membership/probe.js';
@@ -79,7 +79,7 @@
   /** What the upstream instance beside this process announces. */
   readonly endpointLease: EndpointLease;
 
-  readonly #goodbyes: Goodbyes;
+  readonly #drains: Drains;
 
   readonly #bootstrap: Bootstrap;
 
@@ -168,7 +168,7 @@
     const { roster, ranking, mesh } = this;
     this.directory = new Directory(platform, roster, ranking, clock, random, pace);
     this.endpointLease = new EndpointLease(roster, clock, options.leaseMs);
-    this.#goodbyes = new Goodbyes(roster, this.endpointLease, clock, mesh, methods);
+    this.#drains = new Drains(roster, this.endpointLease, clock, mesh, methods);
     const addresses = () => this.peers;
     this.#bootstrap = new Bootstrap(addresses, mesh, this.directory, clock, random, pace);
     this.#probe = new Probe(roster, ranking, mesh, clock, random, addresses);
@@ -181,7 +181,7 @@
       this.#bootstrap.run(signal),
       this.#probe.run(signal),
       this.endpointLease.run(signal),
-      this.#goodbyes.run(signal),
+      this.#drains.run(signal),
       this.mesh.run(signal),
       this.#follow(signal),
       this.directory.run(signal),
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -6,8 +6,8 @@
   Bulletin,
   Confirm,
   Confirmed,
-  GoodbyeAnswer,
-  GoodbyeQuery,
+  DrainAnswer,
+  DrainQuery,
   Gossip,
   Heartbeat,
   Hello,
@@ -55,10 +55,10 @@
   params: Recall,
   result: Recalled,
 };
-export const GOODBYE: Method<GoodbyeQuery, GoodbyeAnswer> = {
-  name: 'goodbye',
-  params: GoodbyeQuery,
-  result: GoodbyeAnswer,
+export const DRAIN: Method<DrainQuery, DrainAnswer> = {
+  name: 'drain',
+  params: DrainQuery,
+  result: DrainAnswer,
 };
 export const CONFIRM: Method<Confirm, Confirmed> = {
   name: 'confirm',
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -150,7 +150,7 @@
   }),
   z.object({
     /** An upstream instance has said that it leaves. */
-    event: z.literal('goodbye-heard'),
+    event: z.literal('drain-announced'),
     id: z.string(),
     /** Whether it is the one beside this process, which drains from now on. */
     isBeside: z.boolean(),
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -1,11 +1,11 @@
 /** What the upstream instance beside a process says of itself, again and again. */
 import * as z from 'zod';
-import { Endpoint, type Goodbye } from '../contracts.js';
+import { Endpoint, type Drain } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Roster } from './roster.js';
 
 /** Body of `PUT /announcement`: the endpoint, and where this process reaches it. */
-export const Announcement = Endpoint.omit({ goodbye: true }).extend({
+export const Announcement = Endpoint.omit({ drain: true }).extend({
   host: z.string(),
   port: z.number().int(),
   /** The id by which the upstream instance knows itself. */
@@ -20,7 +20,7 @@
 export type Announcement = z.infer<typeof Announcement>;
 
 /** One life of an upstream instance. */
-export type Life = Pick<Goodbye, 'id' | 'born'>;
+export type Life = Pick<Drain, 'id' | 'born'>;
 
 /** An announcement holds for this long, in milliseconds; upstreams repeat it several times. */
 export const LEASE_MS = 3_000;
@@ -44,13 +44,13 @@
 
   #isLeaving = false;
 
-  #goodbye: Goodbye | undefined;
+  #drain: Drain | undefined;
 
   /** Announcements that came before the neighbours were heard. */
   #held: Announcement[] | undefined;
 
-  /** Called with each goodbye, and whether it is that of the endpoint beside. */
-  onGoodbye: (life: Life, isBeside: boolean) => void = () => {};
+  /** Called with each drain, and whether it is that of the endpoint beside. */
+  onDrain: (life: Life, isBeside: boolean) => void = () => {};
 
   /** Whether the others hear of its version; only roll-outs need it. */
   tellsVersion = false;
@@ -84,7 +84,7 @@
       return;
     }
     if (this.#last && isOvertaken(announcement, this.#last)) return;
-    if (this.#goodbye && isBound(announcement, this.#goodbye)) return;
+    if (this.#drain && isBound(announcement, this.#drain)) return;
     const now = this.clock.now();
     this.#deadline = now + this.leaseMs;
     // An upstream that is dying may still announce itself while its port refuses.
@@ -109,11 +109,11 @@
   }
 
   /** Is bound by what the upstream instance beside said when it left, here or to an earlier process. */
-  recall(goodbye: Goodbye): void {
-    this.#goodbye = goodbye;
+  recall(drain: Drain): void {
+    this.#drain = drain;
     const last = this.#last;
-    const isBeside = last !== undefined && isBound(last, goodbye);
-    this.onGoodbye(goodbye, isBeside);
+    const isBeside = last !== undefined && isBound(last, drain);
+    this.onDrain(drain, isBeside);
     if (!isBeside) return;
     this.#deadline = Infinity;
     this.#set({ ...last, state: 'draining' });
@@ -121,7 +121,7 @@
 
   /**
    * Takes no announcement until `release`. A process that starts does not know yet what was said to
-   * the one before it; a report that was held up on its way would bring back what has said goodbye.
+   * the one before it; a report that was held up on its way would bring back what drains already.
    */
   hold(): void {
     this.#held ??= [];
@@ -169,38 +169,38 @@
     const version = this.tellsVersion ? announcement.version : undefined;
     const isDraining = this.#isLeaving && announcement.state !== 'down';
     const state = isDraining ? 'draining' : announcement.state;
-    const goodbye = this.#goodbyeIn(announcement);
+    const drain = this.#drainIn(announcement);
     const held = this.roster.self.endpoint;
     const isSame =
       held?.upstream === upstream &&
       held.state === state &&
       held.slots === slots &&
       held.version === version &&
-      (held.goodbye === undefined) === (goodbye === undefined);
+      (held.drain === undefined) === (drain === undefined);
     if (isSame) return;
     this.roster.announce({
       upstream,
       state,
       slots,
       ...(version !== undefined && { version }),
-      ...(goodbye && { goodbye }),
+      ...(drain && { drain }),
     });
   }
 
   /** What binds a process that starts here after this one. */
-  #goodbyeIn(announcement: Announcement): Goodbye | undefined {
+  #drainIn(announcement: Announcement): Drain | undefined {
     const { state, id, born, sequence } = announcement;
     if (state !== 'draining' || id === undefined) return undefined;
-    if (this.#goodbye && isBound(announcement, this.#goodbye)) return this.#goodbye;
+    if (this.#drain && isBound(announcement, this.#drain)) return this.#drain;
     return { id, ...(born !== undefined && { born }), ...(sequence !== undefined && { sequence }) };
   }
 }
 
-/** Whether it is of the life that said goodbye, and not said after that. What is unknown counts as alike. */
-function isBound({ id, born, sequence }: Announcement, goodbye: Goodbye): boolean {
-  if (id !== goodbye.id) return false;
-  if (born !== undefined && goodbye.born !== undefined && born !== goodbye.born) return false;
-  return sequence === undefined || goodbye.sequence === undefined || sequence <= goodbye.sequence;
+/** Whether it is of the life that drains, and not said after that. What is unknown counts as alike. */
+function isBound({ id, born, sequence }: Announcement, drain: Drain): boolean {
+  if (id !== drain.id) return false;
+  if (born !== undefined && drain.born !== undefined && born !== drain.born) return false;
+  return sequence === undefined || drain.sequence === undefined || sequence <= drain.sequence;
 }
 
 /** Whether `held` is of a later life, or was said later in the same one. */
--- a/src/membership/goodbyes.ts
+++ b/src/membership/drains.ts
@@ -1,7 +1,7 @@
 /** Keeps what upstream instances said when they left, for processes that start beside them again. */
-import { type Goodbye, type Member } from '../contracts.js';
+import { type Drain, type Member } from '../contracts.js';
 import { type Mesh } from '../distribution/mesh.js';
-import { GOODBYE } from '../distribution/methods.js';
+import { DRAIN } from '../distribution/methods.js';
 import { type Methods, type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
 import { type EndpointLease } from './announcement.js';
@@ -12,16 +12,16 @@
 const ASK_TIMEOUT_MS = 1_000;
 /** Neighbours whose word is enough. */
 const ENOUGH_ANSWERS = 3;
-/** Goodbyes kept at most; at the design size every endpoint several times over. */
-const MAX_GOODBYES = 4_096;
+/** Drains kept at most; at the design size every endpoint several times over. */
+const MAX_DRAINS = 4_096;
 
 /**
- * A process that acknowledges a goodbye is bound by it, and so is the one that starts there after
+ * A process that acknowledges a drain is bound by it, and so is the one that starts there after
  * it, which has heard nothing: a late report, or a health check that lies, would bring the endpoint
- * back and callers would be cut as it exits. All others have heard of the goodbye, so it asks them.
+ * back and callers would be cut as it exits. All others have heard of the drain, so it asks them.
  */
-export class Goodbyes {
-  readonly #kept = new Map<string, Goodbye>();
+export class Drains {
+  readonly #kept = new Map<string, Drain>();
 
   readonly #answered = new AbortController();
 
@@ -37,9 +37,9 @@
     lease.hold();
     roster.onNews((members) => members.forEach((member) => this.#keep(member)));
     mesh.onOpen((peer) => void this.#ask(peer));
-    methods.on(GOODBYE, (_, { instance }) => {
-      const goodbye = this.#kept.get(instance);
-      return goodbye ? { goodbye } : {};
+    methods.on(DRAIN, (_, { instance }) => {
+      const drain = this.#kept.get(instance);
+      return drain ? { drain } : {};
     });
   }
 
@@ -51,11 +51,11 @@
   }
 
   #keep({ instance, endpoint }: Member): void {
-    if (!endpoint?.goodbye || instance === this.roster.self.instance) return;
+    if (!endpoint?.drain || instance === this.roster.self.instance) return;
     // Reinserted, so that the one heard longest ago is the first to go.
     this.#kept.delete(instance);
-    this.#kept.set(instance, endpoint.goodbye);
-    if (this.#kept.size <= MAX_GOODBYES) return;
+    this.#kept.set(instance, endpoint.drain);
+    if (this.#kept.size <= MAX_DRAINS) return;
     const [oldest] = this.#kept.keys();
     if (oldest !== undefined) this.#kept.delete(oldest);
   }
@@ -65,9 +65,9 @@
     const { instance } = this.roster.self;
     try {
       const deadline = this.clock.now() + ASK_TIMEOUT_MS;
-      const { goodbye } = await peer.request(GOODBYE, { instance }, deadline);
+      const { drain } = await peer.request(DRAIN, { instance }, deadline);
       this.#answers += 1;
-      if (goodbye) this.lease.recall(goodbye);
+      if (drain) this.lease.recall(drain);
       this.#answered.abort();
     } catch {
       // Another neighbour may tell; a process of an earlier release knows no such question.
--- a/src/requests/presence.ts
+++ b/src/requests/presence.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * Node reads the request first and the goodbye that lies right behind it a turn of its loop later.
+ * Node reads the request first and the end of the connection right behind it a turn of its loop later.
  * A process that was late, paused or has just started would pass on what callers gave up long ago:
  * upstreams would work for nobody. Here each request waits until its connection has been read once
  * more, which is soon in a process that is in time. One that is late passes on few in a turn, so
--- a/src/test/membership/announcement_test.ts
+++ b/src/test/membership/announcement_test.ts
@@ -102,7 +102,7 @@
     expect(world.states).to.eql(['ready', 'draining', 'ready']);
   });
 
-  // Guards against a goodbye that changes nothing: after a restart of this process the instance was
+  // Guards against a drain that changes nothing: after a restart of this process the instance was
   // found by its health check, which does not tell when it started.
   it('drains an instance that leaves and was only looked at before', async () => {
     using world = setUp();
@@ -113,7 +113,7 @@
     expect(world.states).to.eql(['ready', 'draining']);
   });
 
-  // Guards against a goodbye that the next report takes back, since it did not say whose life ends.
+  // Guards against a drain that the next report takes back, since it did not say whose life ends.
   it('drains an instance that leaves without telling when it started', () => {
     using world = setUp();
     world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 1 });
--- a/src/test/membership/goodbyes_test.ts
+++ b/src/test/membership/drains_test.ts
@@ -26,8 +26,8 @@
     .map(({ control }) => control.roster.get(name)?.endpoint?.state);
 }
 
-describe('goodbyes of endpoints', () => {
-  // Guards against a process that takes an endpoint back which had said goodbye to the one before it.
+describe('drains of endpoints', () => {
+  // Guards against a process that takes an endpoint back which had told the one before it that it drains.
   it('bind the process that starts after the one that heard them', async () => {
     await using fleet = await start();
     const [{ name, host, control }] = fleet.alive as [(typeof fleet.alive)[0]];
@@ -46,7 +46,7 @@
     expect(believed(fleet, name)).to.deep.equal(['ready', 'ready', 'ready']);
   });
 
-  // Guards against the same for an endpoint that only said that it drains; it may think better of it.
+  // Guards against the same for an endpoint that only said that it drains; which a later report takes back.
   it('bind it until the endpoint says otherwise later', async () => {
     await using fleet = await start();
     const [{ name, host, control }] = fleet.alive as [(typeof fleet.alive)[0]];
--- a/src/test/requests/held_callers.ts
+++ b/src/test/requests/held_callers.ts
@@ -18,7 +18,7 @@
 
 /**
  * Holds this process while one caller for each head of a request connects to `port`, sends it and
- * leaves: when this process goes on, each request lies in its socket together with the goodbye.
+ * leaves: when this process goes on, each request lies in its socket together with the end of its connection.
  */
 export function leaveWhileHeld(port: number, heads: readonly string[]): void {
   // eslint-disable-next-line n/no-sync -- This process has to stand still meanwhile.
