Send nothing for a caller who left while the request waited for its connection

The end of the caller's connection is known some turns before that of its answer; it counts now. Test: Exchange, failed before (served).

--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -14,6 +14,7 @@
 import { type Connections } from './connections.js';
 import { trailersOf } from './headers.js';
 import { PacedAnswer } from './paced_answer.js';
+import { isGone } from './presence.js';
 
 /**
  * A new connection takes about a millisecond, also to another data centre. A lost packet is sent
@@ -88,7 +89,7 @@
       this.#abandon = reject;
       const left = Math.max(0, deadline - this.clock.now());
       this.#timer = setTimeout(() => this.#fail('deadline', 'no answer in time'), left);
-      outgoing.caller?.once('close', () => this.#fail('cancelled', 'the caller has gone'));
+      outgoing.caller?.once('close', () => this.#cancel());
       request.once('socket', (socket) => this.#watch(socket));
       this.#awaitAcknowledgement(request);
       request.once('response', (answer) => {
@@ -202,7 +203,20 @@
     if (this.#broken) throw this.#broken;
   }
 
+  #cancel(): void {
+    this.#fail('cancelled', 'the caller has gone');
+  }
+
+  /**
+   * The request may have waited for its connection, and is written in this turn or when that stands:
+   * a caller who left meanwhile is known of sooner than the end of its answer is told.
+   */
   #watch(socket: Socket): void {
+    const { caller } = this.outgoing;
+    if (caller && isGone(caller)) {
+      this.#cancel();
+      return;
+    }
     if (!socket.connecting) {
       this.#verdict = 'may-have-run';
       return;
@@ -211,7 +225,8 @@
     socket.once('close', () => clearTimeout(timer));
     socket.once('connect', () => {
       clearTimeout(timer);
-      this.#verdict = 'may-have-run';
+      if (caller && isGone(caller)) this.#cancel();
+      else this.#verdict = 'may-have-run';
     });
   }
 
--- a/src/requests/presence.ts
+++ b/src/requests/presence.ts
@@ -91,6 +91,6 @@
 }
 
 /** Whether nobody waits for the answer any more. */
-function isGone({ destroyed, req }: ServerResponse): boolean {
+export function isGone({ destroyed, req }: ServerResponse): boolean {
   return destroyed || req.socket.destroyed || req.socket.readableEnded;
 }
