Doubt an endpoint that declines a look after a start until it repeats that it is ready

The process that starts looks at the health check once, as before, now also when a report came first; one that declines, not for lack of room, is taken for draining until the next report of the same life. Cost: a healthy endpoint whose check says otherwise comes back a report later. Weighed: a write to the platform for each departure.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -267,7 +267,8 @@
 
   /**
    * The upstream instance may have been running on while this process was restarted. Until its
-   * next announcement it would get no work, and callers would be refused with its slots free.
+   * next announcement it would get no work, and callers would be refused with its slots free. One
+   * that declines may have told the process before that it drains.
    */
   async #lookBeside(): Promise<void> {
     const { upstreamName, upstreamAddress } = this.settings;
@@ -275,14 +276,16 @@
     const { clock, dialect = OWN_DIALECT } = this.surroundings;
     await this.replica.above(0, clock.now() + FIRST_LOOK_MS, clock, NEVER);
     const path = this.replica.current.find('upstream', upstreamName)?.healthPath;
-    if (path === undefined || this.control.endpointLease.isKnown) return;
-    const found = await firstLook({ ...upstreamAddress, path }, dialect);
-    if (!found || this.control.endpointLease.isKnown) return;
-    this.control.endpointLease.take({
+    if (path === undefined) return;
+    const { endpointLease } = this.control;
+    const { identity, isDeclined } = await firstLook({ ...upstreamAddress, path }, dialect);
+    if (isDeclined) endpointLease.doubt();
+    if (!identity || endpointLease.isKnown) return;
+    endpointLease.take({
       upstream: upstreamName,
       state: 'ready',
       ...upstreamAddress,
-      ...found,
+      ...identity,
       coldMs: 0,
     });
   }
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -46,6 +46,9 @@
 
   #drain: Drain | undefined;
 
+  /** Whether one `ready` is not enough to be believed. */
+  #isDoubted = false;
+
   /** Announcements that came before the neighbours were heard. */
   #held: Announcement[] | undefined;
 
@@ -87,6 +90,13 @@
     if (this.#drain && isBound(announcement, this.#drain)) return;
     const now = this.clock.now();
     this.#deadline = now + this.leaseMs;
+    if (this.#isDoubted && announcement.state === 'ready') {
+      this.#isDoubted = this.#last === undefined;
+      if (this.#isDoubted) {
+        this.#set({ ...announcement, state: 'draining' });
+        return;
+      }
+    }
     // An upstream that is dying may still announce itself while its port refuses.
     const isRefusing = now < this.#refusedUntil && announcement.state === 'ready';
     this.#set(isRefusing ? { ...announcement, state: 'down' } : announcement);
@@ -119,6 +129,16 @@
     this.#set({ ...last, state: 'draining' });
   }
 
+  /**
+   * The endpoint has declined a look, after a start of this process: it may have told the one before
+   * that it drains, and nobody is left who knows. One report that it is ready may have been held up
+   * on its way; it is believed with the next, which an endpoint that does take work sends soon.
+   */
+  doubt(): void {
+    this.#isDoubted = true;
+    if (this.#last?.state === 'ready') this.#set({ ...this.#last, state: 'draining' });
+  }
+
   /**
    * Takes no announcement until `release`. A process that starts does not know yet what was said to
    * the one before it; a report that was held up on its way would bring back what drains already.
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -77,6 +77,11 @@
     return { id, slots };
   }
 
+  declines(answer: IncomingMessage): boolean {
+    const hasNoRoom = headerOf(answer, NOT_EXECUTED_HEADER) !== undefined;
+    return answer.statusCode === SERVICE_UNAVAILABLE && !hasNoRoom;
+  }
+
   /** Callers take fractions, and come back sooner for it. */
   retryAfter(waitMs: number): string {
     return (Math.max(1, waitMs) / MS_PER_SECOND).toFixed(3);
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -47,6 +47,9 @@
   /** Who answers a health check, if it takes work. */
   abstract identityOf(answer: IncomingMessage): Identity | undefined;
 
+  /** Whether a health check was answered by an instance that takes no work, not for lack of room. */
+  abstract declines(answer: IncomingMessage): boolean;
+
   /** The value of `Retry-After` for a wait in milliseconds. */
   abstract retryAfter(waitMs: number): string;
 }
--- a/src/requests/first_look.ts
+++ b/src/requests/first_look.ts
@@ -11,15 +11,22 @@
   readonly path: string;
 }
 
-/** Undefined if nobody answers there, or if it takes no work. */
-export async function firstLook(place: Place, dialect: Dialect): Promise<Identity | undefined> {
+/** What the look has shown; neither of both if nobody answers there. */
+export interface Look {
+  /** Set if it takes work. */
+  readonly identity?: Identity | undefined;
+  /** Whether it says that it takes none. */
+  readonly isDeclined: boolean;
+}
+
+export async function firstLook(place: Place, dialect: Dialect): Promise<Look> {
   try {
     const answer = await ask(place);
     answer.resume();
-    return dialect.identityOf(answer);
+    return { identity: dialect.identityOf(answer), isDeclined: dialect.declines(answer) };
   } catch {
     // Nobody there yet: its first announcement will tell.
-    return undefined;
+    return { isDeclined: false };
   }
 }
 
--- a/src/requests/own_dialect.ts
+++ b/src/requests/own_dialect.ts
@@ -40,6 +40,10 @@
     return undefined;
   }
 
+  declines(): boolean {
+    return false;
+  }
+
   /** Whole seconds, as HTTP has it. */
   retryAfter(waitMs: number): string {
     return String(Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)));
--- a/src/test/membership/announcement_test.ts
+++ b/src/test/membership/announcement_test.ts
@@ -124,6 +124,28 @@
     expect(world.states).to.eql(['ready', 'draining', 'ready']);
   });
 
+  // Guards against a late report that is believed by a process of which all neighbours died with the
+  // one before it: nobody is left who knows that the endpoint drains.
+  it('believes an endpoint that declines a look only when it repeats itself', () => {
+    using world = setUp();
+    world.lease.doubt();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 3 });
+    expect(world.states).to.eql(['draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 3 });
+    expect(world.states).to.eql(['draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 7 });
+    expect(world.states).to.eql(['draining', 'ready']);
+  });
+
+  it('takes back what an endpoint said just before it declined a look', () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 3 });
+    world.lease.doubt();
+    expect(world.states).to.eql(['ready', 'draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 4 });
+    expect(world.states).to.eql(['ready', 'draining', 'ready']);
+  });
+
   it('does not mind that another instance leaves', () => {
     using world = setUp();
     world.lease.take({ ...READY, id: 'i-2', born: 10, sequence: 1 });
--- a/src/test/platform/mesh_dialect_test.ts
+++ b/src/test/platform/mesh_dialect_test.ts
@@ -45,6 +45,9 @@
     const headers = { 'barleyhaven-instance-id': 'i-1', 'barleyhaven-server-load': '3,0,18' };
     expect(dialect.identityOf(message(headers))).to.deep.equal({ id: 'i-1', slots: 18 });
     expect(dialect.identityOf(message(headers, 503))).to.equal(undefined);
+    expect(dialect.declines(message(headers, 503))).to.equal(true);
+    expect(dialect.declines(message({ 'barleyhaven-not-executed': '1' }, 503))).to.equal(false);
+    expect(dialect.declines(message(headers))).to.equal(false);
     expect(dialect.identityOf(message({ 'barleyhaven-instance-id': 'i-1' }))).to.equal(undefined);
   });
 
