--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -18,6 +18,7 @@
 import { firstLook } from '../requests/first_look.js';
 import { Guard } from '../requests/guard.js';
 import { OWN_DIALECT } from '../requests/own_dialect.js';
+import { Presence } from '../requests/presence.js';
 import { partOf, type Retries, USUAL_RETRIES } from '../placement/retry_budget.js';
 import { Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
@@ -139,6 +140,7 @@
       dialect,
       this.#retries(),
       ports.uplink,
+      ports.presence,
     );
     const { mesh, methods, ranking } = this.control;
     const takesKeys = dialect?.takesKeys ?? true;
@@ -174,8 +176,9 @@
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
     const { clock, dialect } = surroundings;
     const uplink = new Uplink(clock, settings.uplinkKbps);
-    const guard = new Guard(clock, dialect, uplink);
-    const ports = { guard, uplink, link: createServer() };
+    const presence = new Presence();
+    const guard = new Guard(clock, dialect, uplink, presence);
+    const ports = { guard, uplink, presence, link: createServer() };
     const { host } = settings;
     const linkPort = await bind(ports.link, host, settings.linkPort);
     const guardPort = await bind(ports.guard.server, host, settings.guardPort);
@@ -264,7 +267,8 @@
 
   /**
    * The upstream instance may have been running on while this process was restarted. Until its
-   * next announcement it would get no work, and callers would be refused with its slots free.
+   * next announcement it would get no work, and callers would be refused with its slots free. One
+   * that declines may have told the process before that it drains.
    */
   async #lookBeside(): Promise<void> {
     const { upstreamName, upstreamAddress } = this.settings;
@@ -272,14 +276,16 @@
     const { clock, dialect = OWN_DIALECT } = this.surroundings;
     await this.replica.above(0, clock.now() + FIRST_LOOK_MS, clock, NEVER);
     const path = this.replica.current.find('upstream', upstreamName)?.healthPath;
-    if (path === undefined || this.control.endpointLease.isKnown) return;
-    const found = await firstLook({ ...upstreamAddress, path }, dialect);
-    if (!found || this.control.endpointLease.isKnown) return;
-    this.control.endpointLease.take({
+    if (path === undefined) return;
+    const { endpointLease } = this.control;
+    const { identity, isDeclined } = await firstLook({ ...upstreamAddress, path }, dialect);
+    if (isDeclined) endpointLease.doubt();
+    if (!identity || endpointLease.isKnown) return;
+    endpointLease.take({
       upstream: upstreamName,
       state: 'ready',
       ...upstreamAddress,
-      ...found,
+      ...identity,
       coldMs: 0,
     });
   }
@@ -333,6 +339,8 @@
   readonly guard: Guard;
   /** By which answers of both hops leave this machine. */
   readonly uplink: Uplink;
+  /** Both hops pass requests on in the same turns. */
+  readonly presence: Presence;
   readonly link: Server;
 }
 
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -6,6 +6,8 @@
   Bulletin,
   Confirm,
   Confirmed,
+  DrainAnswer,
+  DrainQuery,
   Gossip,
   Heartbeat,
   Hello,
@@ -53,6 +55,11 @@
   params: Recall,
   result: Recalled,
 };
+export const DRAIN: Method<DrainQuery, DrainAnswer> = {
+  name: 'drain',
+  params: DrainQuery,
+  result: DrainAnswer,
+};
 export const CONFIRM: Method<Confirm, Confirmed> = {
   name: 'confirm',
   params: Confirm,
--- a/src/distribution/relay.ts
+++ b/src/distribution/relay.ts
@@ -1,8 +1,15 @@
 /** Answers the pulls of others, so many at a time. */
 import PQueue from 'p-queue';
-import { type Pull, type Pulled, type Version } from '../contracts.js';
+import { differing } from '../configuration/summary.js';
+import {
+  type Difference,
+  type Pull,
+  type Pulled,
+  type Resource,
+  type Version,
+} from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
-import { PAGE_BYTES, Pages, sizeOf } from './pages.js';
+import { CHANGE_BYTES, PAGE_BYTES, Pages, sizeOf } from './pages.js';
 import { type Replica } from './replica.js';
 
 const CONCURRENCY = 4;
@@ -46,21 +53,44 @@
     await this.clock.sleepUntil(this.clock.now() + HOLD_MS);
   }
 
-  #answer({ after, page }: Pull): Pulled {
+  #answer({ after, page, summary }: Pull): Pulled {
     const versions = page ? undefined : this.replica.since(after);
     const fitting = versions && fit(versions);
-    if (fitting) return { versions: fitting };
-    return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0) };
+    if (fitting) return { versions: [...fitting] };
+    const difference = summary && this.#difference(summary);
+    if (difference) return { versions: [], difference };
+    return { versions: [], page: this.#pages.page(page?.number, page?.offset ?? 0, after) };
   }
+
+  /**
+   * A source that holds only the newest version lets its readers skip others, so a process may hold
+   * one that none of its peers held. Content is compared instead; undefined if pages are better.
+   */
+  #difference(summary: readonly number[]): Difference | undefined {
+    const { current } = this.replica;
+    const buckets = differing(summary, current.summary);
+    const resources = current.within(buckets);
+    if (bytesOf(resources) > CHANGE_BYTES) return undefined;
+    const { number, digest } = current;
+    const { parent } = this.replica;
+    return { number, digest, parent, buckets, resources };
+  }
+}
+
+/** Bytes of JSON that resources take, roughly. */
+function bytesOf(resources: readonly Resource[]): number {
+  return resources.reduce((sum, resource) => sum + JSON.stringify(resource).length, 0);
 }
 
 /** As many versions as go into one answer; undefined if not even the first does. */
-function fit(versions: readonly Version[]): Version[] | undefined {
+function fit(versions: readonly Version[]): readonly Version[] | undefined {
+  const [first] = versions;
+  if (!first) return versions;
+  if (sizeOf(first) > CHANGE_BYTES) return undefined;
   let bytes = 0;
   const end = versions.findIndex((version) => {
     bytes += sizeOf(version);
     return bytes > PAGE_BYTES;
   });
-  if (end < 0) return [...versions];
-  return end === 0 ? undefined : versions.slice(0, end);
+  return end < 0 ? versions : versions.slice(0, Math.max(1, end));
 }
--- a/src/test/membership/announcement_test.ts
+++ b/src/test/membership/announcement_test.ts
@@ -102,6 +102,50 @@
     expect(world.states).to.eql(['ready', 'draining', 'ready']);
   });
 
+  // Guards against a drain that changes nothing: after a restart of this process the instance was
+  // found by its health check, which does not tell when it started.
+  it('drains an instance that leaves and was only looked at before', async () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1' });
+    world.lease.depart({ id: 'i-1', born: 10 });
+    world.lease.take({ ...READY, state: 'draining', id: 'i-1', born: 10, sequence: 9 });
+    await world.time.advance(3 * LEASE_MS);
+    expect(world.states).to.eql(['ready', 'draining']);
+  });
+
+  // Guards against a drain that the next report takes back, since it did not say whose life ends.
+  it('drains an instance that leaves without telling when it started', () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 1 });
+    world.lease.depart({ id: 'i-1' });
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 2 });
+    expect(world.states).to.eql(['ready', 'draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 11, sequence: 1 });
+    expect(world.states).to.eql(['ready', 'draining', 'ready']);
+  });
+
+  // Guards against a late report that is believed by a process of which all neighbours died with the
+  // one before it: nobody is left who knows that the endpoint drains.
+  it('believes an endpoint that declines a look only when it repeats itself', () => {
+    using world = setUp();
+    world.lease.doubt();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 3 });
+    expect(world.states).to.eql(['draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 3 });
+    expect(world.states).to.eql(['draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 7 });
+    expect(world.states).to.eql(['draining', 'ready']);
+  });
+
+  it('takes back what an endpoint said just before it declined a look', () => {
+    using world = setUp();
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 3 });
+    world.lease.doubt();
+    expect(world.states).to.eql(['ready', 'draining']);
+    world.lease.take({ ...READY, id: 'i-1', born: 10, sequence: 4 });
+    expect(world.states).to.eql(['ready', 'draining', 'ready']);
+  });
+
   it('does not mind that another instance leaves', () => {
     using world = setUp();
     world.lease.take({ ...READY, id: 'i-2', born: 10, sequence: 1 });
