Look at callers before their requests take a slot, and again only after a wait

Cause (of my own, by reading): the look stood after the slot was taken, so in a late process slots stood idle for two turns of its loop with each request, in the very burst in which they are short. Change: a request is looked at as it comes in, before admission, and goes on at once if it was seen in the last 10 ms; after a wait in line the connection has been read before, and the look of the same turn tells. What it waits counts into its time. Test: Presence (nested pass begins at once).

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -176,7 +176,7 @@
   static async start(settings: Settings, surroundings: Surroundings): Promise<Instance> {
     const { clock, dialect } = surroundings;
     const uplink = new Uplink(clock, settings.uplinkKbps);
-    const presence = new Presence();
+    const presence = new Presence(clock);
     const guard = new Guard(clock, dialect, uplink, presence);
     const ports = { guard, uplink, presence, link: createServer() };
     const { host } = settings;
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -93,7 +93,7 @@
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly retries: Retries = USUAL_RETRIES,
     private readonly uplink: Uplink = new Uplink(clock),
-    private readonly presence = new Presence(),
+    private readonly presence = new Presence(clock),
   ) {
     this.requestLog = silentRequests(clock);
     this.#told = new Set([...TOLD_TO_CALLERS, ...dialect.fromUpstreams]);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -88,7 +88,7 @@
     private readonly clock: Clock,
     private readonly dialect: Dialect = OWN_DIALECT,
     private readonly uplink: Uplink = new Uplink(clock),
-    private readonly presence = new Presence(),
+    private readonly presence = new Presence(clock),
   ) {
     this.limit = new Limit(clock, DEFAULT_SLOTS);
     this.requestLog = silentRequests(clock);
@@ -141,14 +141,12 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.traffic.enter(response)) return;
     response.writeProcessing();
+    const arrivedAt = this.clock.now();
     const exchange = headerOf(request, EXCHANGE_ID) ?? '';
     const trace = this.requestLog.begin(this.dialect.requestIdOf(request.headers) ?? exchange);
     try {
-      const admission = this.#admit(request, response, trace);
-      const route = headerOf(request, CLAIM);
-      const opening = await this.flights?.admit(admission.announced.upstream, request, response);
-      if (route === undefined) await this.#run(admission, opening?.body ?? request);
-      else await this.#once(admission, route);
+      // Before it takes a slot, which would stand idle meanwhile.
+      await this.presence.pass(response, () => this.#take(request, response, trace, arrivedAt));
       trace.answered('guard-ended', response, this.#atEnd(exchange));
     } catch (error) {
       if (isRefusal(error)) this.onRefused();
@@ -160,6 +158,19 @@
     }
   }
 
+  async #take(
+    request: IncomingMessage,
+    response: ServerResponse,
+    trace: Trace,
+    arrivedAt: number,
+  ): Promise<void> {
+    const admission = this.#admit(request, response, trace, arrivedAt);
+    const route = headerOf(request, CLAIM);
+    const opening = await this.flights?.admit(admission.announced.upstream, request, response);
+    if (route === undefined) await this.#run(admission, opening?.body ?? request);
+    else await this.#once(admission, route);
+  }
+
   async #run(admission: Admission, source: Readable, claim?: HeldClaim): Promise<void> {
     const { flights } = this;
     admission.departure = this.#departure(admission);
@@ -195,12 +206,16 @@
     );
   }
 
-  #admit(request: IncomingMessage, response: ServerResponse, trace: Trace): Admission {
+  #admit(
+    request: IncomingMessage,
+    response: ServerResponse,
+    trace: Trace,
+    arrivedAt: number,
+  ): Admission {
     const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
     trace.about = { route: headerOf(request, ROUTE) ?? '', upstream };
     const announced = this.#serving(upstream);
-    const { clock, configuration } = this;
-    return admissionOf({ request, response, announced, trace }, configuration(), clock.now());
+    return admissionOf({ request, response, announced, trace }, this.configuration(), arrivedAt);
   }
 
   #serving(upstream: string): Announced {
--- a/src/requests/presence.ts
+++ b/src/requests/presence.ts
@@ -1,17 +1,20 @@
 /** Passes requests on in short turns, each after a look whether its caller is still there. */
 import { type ServerResponse } from 'node:http';
 import { notRun } from '../contracts.js';
+import { type Clock } from '../runtime/clock.js';
 
 /** How long requests are passed on before callers are looked at anew, in milliseconds. */
 const TURN_MS = 25;
-/** What was seen of callers longer ago is looked at once more, in milliseconds. */
+/** What was seen of a caller so short a time ago still holds, in milliseconds. */
+const FRESH_MS = 10;
+/** After so long a turn of the loop callers are looked at once more, in milliseconds. */
 const STALE_MS = 100;
 /** Looks that a busy process adds at most, so that requests do get on. */
 const MAX_STALE_LOOKS = 2;
 
 /** A request that waits for a look. */
 interface Waiting {
-  /** Turn in which it came. */
+  /** The first turn of which the look tells whether its caller is there. */
   readonly turn: number;
   readonly begin: () => void;
 }
@@ -35,8 +38,14 @@
 
   #line: Waiting[] = [];
 
+  /** When the caller of an answer was last seen to be there. */
+  readonly #seenAt = new WeakMap<ServerResponse, number>();
+
+  constructor(private readonly clock: Clock) {}
+
   /**
-   * Begins `work` once its caller is known to be there; rejects with `not-run` if it has gone.
+   * Begins `work` once its caller is known to be there; rejects with `not-run` if it has gone. Called
+   * when a request has come in, and again wherever it is passed on after a wait.
    *
    * @example
    * ```ts
@@ -46,14 +55,22 @@
   pass<T>(response: ServerResponse, work: () => Promise<T>): Promise<T> {
     return new Promise((resolve, reject) => {
       const begin = () => {
+        this.#seenAt.set(response, this.clock.now());
         if (isGone(response)) reject(notRun('cancelled', 'the caller has gone'));
         else work().then(resolve, reject);
       };
-      this.#line.push({ turn: this.#turn, begin });
-      this.#turnSoon();
+      const seenAt = this.#seenAt.get(response);
+      if (seenAt !== undefined && this.clock.now() - seenAt <= FRESH_MS) begin();
+      else this.#wait(begin, seenAt === undefined);
     });
   }
 
+  /** A connection of which the request has just been read has to be read once more first. */
+  #wait(begin: () => void, isNew: boolean): void {
+    this.#line.push({ turn: this.#turn + (isNew ? 2 : 1), begin });
+    this.#turnSoon();
+  }
+
   #turnSoon(): void {
     if (this.#isTurning) return;
     this.#isTurning = true;
@@ -64,13 +81,13 @@
   #look(): void {
     this.#isTurning = false;
     this.#turn += 1;
-    const now = performance.now();
+    const now = this.clock.now();
     if (this.#isStale(now)) this.#staleLooks += 1;
     else {
       this.#staleLooks = 0;
       this.#begin(now + TURN_MS);
     }
-    this.#lookedAt = performance.now();
+    this.#lookedAt = this.clock.now();
     if (this.#line.length > 0) this.#turnSoon();
   }
 
@@ -78,15 +95,16 @@
     return now - this.#lookedAt > STALE_MS && this.#staleLooks < MAX_STALE_LOOKS;
   }
 
-  /** Those that came in the turn before, whose connections have been read since. */
+  /** Those whose connections have been read since they came, in their order, as long as there is time. */
   #begin(until: number): void {
-    let count = 0;
-    for (const { turn, begin } of this.#line) {
-      if (turn + 1 >= this.#turn || performance.now() >= until) break;
-      begin();
-      count += 1;
+    const begun = new Set<Waiting>();
+    for (const waiting of this.#line.filter(({ turn }) => turn <= this.#turn)) {
+      if (this.clock.now() >= until) break;
+      begun.add(waiting);
+      waiting.begin();
     }
-    this.#line = this.#line.slice(count);
+    // What has begun may have put others in line.
+    this.#line = this.#line.filter((waiting) => !begun.has(waiting));
   }
 }
 
--- a/src/test/requests/presence_test.ts
+++ b/src/test/requests/presence_test.ts
@@ -1,4 +1,8 @@
+import { type ServerResponse } from 'node:http';
 import { expect } from 'chai';
+import { asOutcome } from '../../contracts.js';
+import { Presence } from '../../requests/presence.js';
+import { MachineClock } from '../../runtime/clock.js';
 import { headOf, leaveWhileHeld } from './held_callers.js';
 import { Path } from './path.js';
 
@@ -10,7 +14,33 @@
     setTimeout(resolve, SETTLE_MS);
   });
 
+/** A caller as it is seen from its connection. */
+function caller() {
+  const socket = { destroyed: false, readableEnded: false };
+  const response = { destroyed: false, req: { socket } } as unknown as ServerResponse;
+  return { socket, response };
+}
+
 describe('Presence', () => {
+  // Guards against slots that stand idle for a look at a caller who was seen moments ago.
+  it('lets a request on at once right after a look, and looks again after a wait', async () => {
+    const clock = new MachineClock();
+    const presence = new Presence(clock);
+    const { socket, response } = caller();
+    let isAtOnce = false;
+    await presence.pass(response, async () => {
+      const again = presence.pass(response, async () => {
+        isAtOnce = true;
+      });
+      expect(isAtOnce).to.equal(true);
+      await again;
+    });
+    await clock.sleepUntil(clock.now() + 50);
+    const late = presence.pass(response, async () => 'passed on').catch(asOutcome);
+    socket.readableEnded = true;
+    expect(await late).to.include({ verdict: 'not-run', reason: 'cancelled' });
+  });
+
   // Guards against work for callers who left while the process stood still.
   it('keeps an entry that is late from passing on what nobody waits for', async () => {
     await using path = await Path.start();
