Publish no drain that no later report could undo

Found by reading the change: an instance that reports without numbers, drains and thinks better of it would have stayed away for good after a restart of the process beside it. Test: drains of endpoints, failed before.

--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -207,12 +207,13 @@
     });
   }
 
-  /** What binds a process that starts here after this one. */
+  /** What binds a process that starts here after this one; nothing that no later word could undo. */
   #drainIn(announcement: Announcement): Drain | undefined {
     const { state, id, born, sequence } = announcement;
     if (state !== 'draining' || id === undefined) return undefined;
     if (this.#drain && isBound(announcement, this.#drain)) return this.#drain;
-    return { id, ...(born !== undefined && { born }), ...(sequence !== undefined && { sequence }) };
+    if (sequence === undefined) return undefined;
+    return { id, sequence, ...(born !== undefined && { born }) };
   }
 }
 
--- a/src/test/membership/drains_test.ts
+++ b/src/test/membership/drains_test.ts
@@ -62,6 +62,21 @@
     expect(believed(fleet, name)).to.deep.equal(['ready', 'ready', 'ready']);
   });
 
+  // Guards against an endpoint that stays away for good, since its reports have no order.
+  it('bind nobody where a later report could not be told from an earlier one', async () => {
+    await using fleet = await start();
+    const [{ name, host, control }] = fleet.alive as [(typeof fleet.alive)[0]];
+    const unordered = { ...READY, born: undefined, sequence: undefined };
+    control.endpointLease.take({ ...unordered, state: 'draining' });
+    await fleet.time.advance(GOSSIP_MS);
+    fleet.kill(name);
+    const successor = fleet.launch(name, host.dataCentre).control.endpointLease;
+    await fleet.time.advance(START_MS);
+    successor.take(unordered);
+    await fleet.time.advance(GOSSIP_MS);
+    expect(believed(fleet, name)).to.deep.equal(['ready', 'ready', 'ready']);
+  });
+
   // Guards against a process without neighbours that waits for their word for good.
   it('are asked for in vain where nobody can know of any', async () => {
     await using fleet = await TestFleet.start({ sizes: { arima: 1 }, pace: PROMPT });
