--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -35,24 +35,29 @@
 }
 
 /** What it came with. */
-type Arrival = Pick<Admission, 'request' | 'response' | 'announced' | 'trace'>;
+export interface Arrival extends Pick<Admission, 'request' | 'response' | 'trace'> {
+  /** In milliseconds since the epoch; what it waits from then on counts into its time. */
+  readonly at: number;
+}
 
-/** Reads what the entry says of the request; `now` in milliseconds since the epoch. */
+/** Reads what the entry says of the request. */
 export function admissionOf(
-  arrival: Arrival,
+  { request, response, trace, at }: Arrival,
+  announced: Announced,
   configuration: Configuration,
-  now: number,
 ): Admission {
-  const { request, response } = arrival;
   const remaining = within(headerOf(request, REMAINING), DEFAULT_REMAINING_MS, MAX_TIMEOUT_MS);
   const priority = within(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
   const named = headerOf(request, LIMIT);
   return {
-    ...arrival,
+    request,
+    response,
+    trace,
+    announced,
     priority: Math.floor(priority),
     kind: headerOf(request, ROUTE) ?? '',
-    targetAt: now + Number(headerOf(request, TARGET) ?? remaining),
-    deadline: now + remaining,
+    targetAt: at + Number(headerOf(request, TARGET) ?? remaining),
+    deadline: at + remaining,
     limit: named === undefined ? undefined : configuration.find('limit', named),
     onGone: (callback) => {
       // A response that has closed already does not say so again.
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -3,7 +3,7 @@
 import { type Readable } from 'node:stream';
 import { Configuration } from '../configuration/configuration.js';
 import { asOutcome, notRun } from '../contracts.js';
-import { type RequestLog, silentRequests, type Trace } from '../logs/request_log.js';
+import { type RequestLog, silentRequests } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Body, EmptyBody, hasBody, OpenedBody, StreamedBody } from './body.js';
 import { type Claims } from '../claims/claims.js';
@@ -26,7 +26,7 @@
   UPSTREAM,
   VERDICT,
 } from './headers.js';
-import { type Admission, admissionOf, type Announced } from './admission.js';
+import { type Admission, admissionOf, type Announced, type Arrival } from './admission.js';
 import { Limit, type Outcome } from '../admission/limit.js';
 import { type Load, writeLoad } from '../admission/load.js';
 import { type Departure, Uplink } from '../admission/uplink.js';
@@ -141,12 +141,12 @@
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.traffic.enter(response)) return;
     response.writeProcessing();
-    const arrivedAt = this.clock.now();
     const exchange = headerOf(request, EXCHANGE_ID) ?? '';
     const trace = this.requestLog.begin(this.dialect.requestIdOf(request.headers) ?? exchange);
     try {
+      const arrival = { request, response, trace, at: this.clock.now() };
       // Before it takes a slot, which would stand idle meanwhile.
-      await this.presence.pass(response, () => this.#take(request, response, trace, arrivedAt));
+      await this.presence.pass(response, () => this.#take(arrival));
       trace.answered('guard-ended', response, this.#atEnd(exchange));
     } catch (error) {
       if (isRefusal(error)) this.onRefused();
@@ -158,13 +158,9 @@
     }
   }
 
-  async #take(
-    request: IncomingMessage,
-    response: ServerResponse,
-    trace: Trace,
-    arrivedAt: number,
-  ): Promise<void> {
-    const admission = this.#admit(request, response, trace, arrivedAt);
+  async #take(arrival: Arrival): Promise<void> {
+    const { request, response } = arrival;
+    const admission = this.#admit(arrival);
     const route = headerOf(request, CLAIM);
     const opening = await this.flights?.admit(admission.announced.upstream, request, response);
     if (route === undefined) await this.#run(admission, opening?.body ?? request);
@@ -206,16 +202,11 @@
     );
   }
 
-  #admit(
-    request: IncomingMessage,
-    response: ServerResponse,
-    trace: Trace,
-    arrivedAt: number,
-  ): Admission {
+  #admit(arrival: Arrival): Admission {
+    const { request, trace } = arrival;
     const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
     trace.about = { route: headerOf(request, ROUTE) ?? '', upstream };
-    const announced = this.#serving(upstream);
-    return admissionOf({ request, response, announced, trace }, this.configuration(), arrivedAt);
+    return admissionOf(arrival, this.#serving(upstream), this.configuration());
   }
 
   #serving(upstream: string): Announced {
