Tell of a caller that leaves when its connection ends, not when its answer closes

The same class of GONE on its way down: Node closes an answer some turns of the loop after its caller has ended the connection, on each hop, and a late process has long turns; meanwhile the upstream works on. The end of the connection cancels now, also requests behind another. Weighed: to destroy the connection at once, which would lose answers before it that are still being written. Test: Traffic, failed before (no event).

--- a/src/requests/admission.ts
+++ b/src/requests/admission.ts
@@ -6,6 +6,7 @@
 import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
 import { type Trace } from '../logs/request_log.js';
 import { headerOf, LIMIT, PRIORITY, REMAINING, ROUTE, TARGET } from './headers.js';
+import { whenGone } from './presence.js';
 
 const DEFAULT_REMAINING_MS = 10_000;
 const DEFAULT_PRIORITY = 5;
@@ -59,11 +60,7 @@
     targetAt: at + Number(headerOf(request, TARGET) ?? remaining),
     deadline: at + remaining,
     limit: named === undefined ? undefined : configuration.find('limit', named),
-    onGone: (callback) => {
-      // A response that has closed already does not say so again.
-      if (response.destroyed) callback();
-      else response.once('close', callback);
-    },
+    onGone: (callback) => whenGone(response, callback),
   };
 }
 
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -14,7 +14,7 @@
 import { type Connections } from './connections.js';
 import { trailersOf } from './headers.js';
 import { PacedAnswer } from './paced_answer.js';
-import { isGone } from './presence.js';
+import { isGone, whenGone } from './presence.js';
 
 /**
  * A new connection takes about a millisecond, also to another data centre. A lost packet is sent
@@ -89,7 +89,7 @@
       this.#abandon = reject;
       const left = Math.max(0, deadline - this.clock.now());
       this.#timer = setTimeout(() => this.#fail('deadline', 'no answer in time'), left);
-      outgoing.caller?.once('close', () => this.#cancel());
+      if (outgoing.caller) whenGone(outgoing.caller, () => this.#cancel());
       request.once('socket', (socket) => this.#watch(socket));
       this.#awaitAcknowledgement(request);
       request.once('response', (answer) => {
--- a/src/requests/presence.ts
+++ b/src/requests/presence.ts
@@ -108,7 +108,23 @@
   }
 }
 
+/** Emitted by an answer when its caller ends the connection, some turns of the loop before `close`. */
+export const GONE = 'gone';
+
 /** Whether nobody waits for the answer any more. */
 export function isGone({ destroyed, req }: ServerResponse): boolean {
   return destroyed || req.socket.destroyed || req.socket.readableEnded;
 }
+
+/**
+ * Calls back, perhaps twice, when nobody waits for the answer any more; at once if that is so
+ * already, since an answer that has closed does not say so again.
+ */
+export function whenGone(response: ServerResponse, callback: () => void): void {
+  if (isGone(response)) {
+    callback();
+    return;
+  }
+  response.once(GONE, callback);
+  response.once('close', callback);
+}
--- a/src/requests/traffic.ts
+++ b/src/requests/traffic.ts
@@ -2,6 +2,7 @@
 import { type Server, type ServerResponse } from 'node:http';
 import { type Duplex } from 'node:stream';
 import { type Clock } from '../runtime/clock.js';
+import { GONE } from './presence.js';
 
 /** How often is looked whether everything has been answered, in milliseconds. */
 const LOOK_EVERY_MS = 10;
@@ -68,6 +69,10 @@
       unfinished = new Set();
       this.#unfinished.set(socket, unfinished);
       const all = unfinished;
+      // The server answers nothing more on a connection that its caller has ended.
+      socket.once('end', () => {
+        for (const response of [...all]) if (!response.writableEnded) response.emit(GONE);
+      });
       socket.once('close', () => {
         for (const response of [...all]) if (response.socket === null) abandon(response);
       });
--- a/src/test/requests/traffic_test.ts
+++ b/src/test/requests/traffic_test.ts
@@ -82,4 +82,21 @@
     // Whoever still works on one of them learns by its end that there is nobody to tell.
     for (const response of responses) expect(response.destroyed).to.equal(true);
   });
+
+  // Guards against work that goes on for a caller who has left, turn after turn of a late process.
+  it('tells that a caller has gone before the answer closes', async () => {
+    const { responses, socket, until, closed } = await leaving();
+    socket.write(REQUEST + REQUEST);
+    await until(() => responses.length === 2);
+    const told: string[] = [];
+    responses.forEach((response, index) => {
+      response.once('gone', () => told.push(`gone ${index}`));
+      response.once('close', () => told.push(`close ${index}`));
+    });
+    socket.end();
+    await closed;
+    await until(() => told.length === 4);
+    expect(told.slice(0, 2)).to.deep.equal(['gone 0', 'gone 1']);
+    expect(told.slice(2).sort()).to.deep.equal(['close 0', 'close 1']);
+  });
 });
