Let a late process pass requests on for as long as it has just read

Change: no look is put off; a turn passes on as long as the reading before it took, 25 to 150 ms. What is known of a caller is then no older than one reading and one turn. Tests: as before (Presence), all hold.

--- a/src/requests/presence.ts
+++ b/src/requests/presence.ts
@@ -3,14 +3,12 @@
 import { notRun } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
-/** How long requests are passed on before callers are looked at anew, in milliseconds. */
+/** How long requests are passed on at least before callers are looked at anew, in milliseconds. */
 const TURN_MS = 25;
+/** How long at most: so much older is what is known of the last of them. */
+const LONGEST_TURN_MS = 150;
 /** What was seen of a caller so short a time ago still holds, in milliseconds. */
 const FRESH_MS = 10;
-/** After so long a turn of the loop callers are looked at once more, in milliseconds. */
-const STALE_MS = 100;
-/** Looks that a busy process adds at most, so that requests do get on. */
-const MAX_STALE_LOOKS = 2;
 
 /** A request that waits for a look. */
 interface Waiting {
@@ -23,8 +21,8 @@
  * Node reads the request first and the end of the connection right behind it a turn of its loop later.
  * A process that was late, paused or has just started would pass on what callers gave up long ago:
  * upstreams would work for nobody. Here each request waits until its connection has been read once
- * more, which is soon in a process that is in time. One that is late passes on few in a turn, so
- * that what it knows of the others does not grow old meanwhile.
+ * more, which is soon in a process that is in time. One that is late passes requests on for as long
+ * as it has just read: what it knows of callers does not grow old, and nobody waits for its reading.
  */
 export class Presence {
   #turn = 0;
@@ -32,8 +30,6 @@
   /** Instant at which the last turn ended, and the reading of connections began. */
   #lookedAt = 0;
 
-  #staleLooks = 0;
-
   #isTurning = false;
 
   #line: Waiting[] = [];
@@ -82,19 +78,12 @@
     this.#isTurning = false;
     this.#turn += 1;
     const now = this.clock.now();
-    if (this.#isStale(now)) this.#staleLooks += 1;
-    else {
-      this.#staleLooks = 0;
-      this.#begin(now + TURN_MS);
-    }
+    const readMs = now - this.#lookedAt;
+    this.#begin(now + Math.min(LONGEST_TURN_MS, Math.max(TURN_MS, readMs)));
     this.#lookedAt = this.clock.now();
     if (this.#line.length > 0) this.#turnSoon();
   }
 
-  #isStale(now: number): boolean {
-    return now - this.#lookedAt > STALE_MS && this.#staleLooks < MAX_STALE_LOOKS;
-  }
-
   /** Those whose connections have been read since they came, in their order, as long as there is time. */
   #begin(until: number): void {
     const begun = new Set<Waiting>();
