Keep the latest of a bounded map in one place; take the lengths of resources that are known

Found by reading the change once more: what neighbours remember of versions and of drains bounded their maps with the same lines, and an answer with a difference turned resources into JSON to measure them, whose length the configuration holds.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -123,6 +123,12 @@
     return this.#keysWithin(buckets).map((key) => this.get(key)!);
   }
 
+  /** Length of the resources in those buckets as canonical JSON. */
+  bytesWithin(buckets: readonly number[]): number {
+    const { byKey } = this.holding;
+    return this.#keysWithin(buckets).reduce((sum, key) => sum + byKey.get(key)!.bytes, 0);
+  }
+
   /** What turns this configuration into one that has exactly `resources` in those buckets. */
   changeWithin(buckets: readonly number[], resources: readonly Resource[]): Change {
     return this.#changeTo(resources, this.#keysWithin(buckets));
--- a/src/distribution/relay.ts
+++ b/src/distribution/relay.ts
@@ -1,13 +1,7 @@
 /** Answers the pulls of others, so many at a time. */
 import PQueue from 'p-queue';
 import { differing } from '../configuration/summary.js';
-import {
-  type Difference,
-  type Pull,
-  type Pulled,
-  type Resource,
-  type Version,
-} from '../contracts.js';
+import { type Difference, type Pull, type Pulled, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { CHANGE_BYTES, PAGE_BYTES, Pages, sizeOf } from './pages.js';
 import { type Replica } from './replica.js';
@@ -69,19 +63,14 @@
   #difference(summary: readonly number[]): Difference | undefined {
     const { current } = this.replica;
     const buckets = differing(summary, current.summary);
+    if (current.bytesWithin(buckets) > CHANGE_BYTES) return undefined;
     const resources = current.within(buckets);
-    if (bytesOf(resources) > CHANGE_BYTES) return undefined;
     const { number, digest } = current;
     const { parent } = this.replica;
     return { number, digest, parent, buckets, resources };
   }
 }
 
-/** Bytes of JSON that resources take, roughly. */
-function bytesOf(resources: readonly Resource[]): number {
-  return resources.reduce((sum, resource) => sum + JSON.stringify(resource).length, 0);
-}
-
 /** As many versions as go into one answer; undefined if not even the first does. */
 function fit(versions: readonly Version[]): readonly Version[] | undefined {
   const [first] = versions;
--- a/src/distribution/remembered.ts
+++ b/src/distribution/remembered.ts
@@ -1,5 +1,6 @@
 /** The version last heard from each instance, whatever became of the process since. */
 import { type Member } from '../contracts.js';
+import { setLatest } from '../runtime/latest.js';
 
 interface Entry {
   /** Incarnation that was heard last. */
@@ -25,12 +26,7 @@
    */
   note({ instance, incarnation }: Member, version: number, isSure: boolean): void {
     const entry = succeed(this.#entries.get(instance), incarnation, version, isSure);
-    // Reinserted, so that the entry heard longest ago is the first to go.
-    this.#entries.delete(instance);
-    this.#entries.set(instance, entry);
-    if (this.#entries.size <= MAX_ENTRIES) return;
-    const [oldest] = this.#entries.keys();
-    if (oldest !== undefined) this.#entries.delete(oldest);
+    setLatest(this.#entries, instance, entry, MAX_ENTRIES);
   }
 
   /**
--- a/src/membership/drains.ts
+++ b/src/membership/drains.ts
@@ -4,6 +4,7 @@
 import { DRAIN } from '../distribution/methods.js';
 import { type Methods, type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
+import { setLatest } from '../runtime/latest.js';
 import { type EndpointLease } from './announcement.js';
 import { type Roster } from './roster.js';
 
@@ -52,12 +53,7 @@
 
   #keep({ instance, endpoint }: Member): void {
     if (!endpoint?.drain || instance === this.roster.self.instance) return;
-    // Reinserted, so that the one heard longest ago is the first to go.
-    this.#kept.delete(instance);
-    this.#kept.set(instance, endpoint.drain);
-    if (this.#kept.size <= MAX_DRAINS) return;
-    const [oldest] = this.#kept.keys();
-    if (oldest !== undefined) this.#kept.delete(oldest);
+    setLatest(this.#kept, instance, endpoint.drain, MAX_DRAINS);
   }
 
   async #ask(peer: Peer): Promise<void> {
