Show the rate limits that upstream instances state: a line, a metric

The guard now reads the statement of each answer that belongs to its request, for the run that is announced; an answer that was asked for before the statement doesn't withdraw it. Line `rate-limit-changed`, metric `rate_limit`.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -171,7 +171,7 @@
     this.replica.onApplied(() => {
       this.#appliedAt = clock.now();
     });
-    recordStateChanges(this.control, platform, this.log, clock);
+    recordStateChanges(this.control, this.guard, platform, this.log, clock);
   }
 
   /** Whether this process accepts release notes: its configuration comes from their log. */
--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -2,12 +2,14 @@
 import { type Member } from '../contracts.js';
 import { type Log } from '../logs/log.js';
 import { type Platform } from '../platform/platform.js';
+import { type Guard } from '../requests/guard.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Control } from './control.js';
 
 /** Subscribes to all changes for the lifetime of the process. */
 export function recordStateChanges(
   control: Control,
+  guard: Guard,
   platform: Platform,
   log: Log,
   clock: Clock,
@@ -17,6 +19,7 @@
   recordMembers(control, log);
   recordLinks(control, log);
   recordUpstream(control, log);
+  recordRateLimit(guard, log);
   recordDrains(control, log);
   recordPlatform(platform, log, clock);
   control.gossip.onLateWakeUp = (lateMs) => log.record('warn', { event: 'late', lateMs });
@@ -88,6 +91,13 @@
   });
 }
 
+function recordRateLimit({ rateLimit }: Guard, log: Log): void {
+  rateLimit.onChange = (perSecond) => {
+    const limit = Number.isFinite(perSecond) ? { perSecond } : {};
+    log.record('info', { event: 'rate-limit-changed', ...limit });
+  };
+}
+
 function recordDrains({ endpointLease }: Control, log: Log): void {
   endpointLease.onDrain = ({ id }, isBeside) => {
     log.record('info', { event: 'drain-announced', id, isBeside });
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -126,6 +126,12 @@
     message: z.string(),
     stack: z.string(),
   }),
+  z.object({
+    /** The upstream instance beside this process stated a rate limit, changed or withdrew it. */
+    event: z.literal('rate-limit-changed'),
+    /** Requests per second that it takes; absent without a limit. */
+    perSecond: z.number().optional(),
+  }),
   z.object({ event: z.literal('reloaded') }),
   z.object({ event: z.literal('reload-failed'), message: z.string() }),
   z.object({ event: z.literal('ready'), version: z.number() }),
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -2,11 +2,13 @@
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type Identity, type ResponseKind } from '../requests/dialect.js';
 import { headerOf } from '../requests/headers.js';
+import { parseRate } from '../admission/rate_limit.js';
 import {
   CALLER_HEADER,
   INSTANCE_HEADER,
   LOAD_HEADER,
   NOT_EXECUTED_HEADER,
+  RATE_LIMIT_HEADER,
   REQUEST_ID_HEADER,
   SIGNATURE_HEADER,
   TARGET_HEADER,
@@ -82,6 +84,13 @@
     return answer.statusCode === SERVICE_UNAVAILABLE && !hasNoRoom;
   }
 
+  /** An answer that the instance has not signed may come from something before it. */
+  rateLimitOf(answer: IncomingMessage): number | undefined {
+    const text = headerOf(answer, RATE_LIMIT_HEADER);
+    if (text !== undefined) return parseRate(text);
+    return headerOf(answer, SIGNATURE_HEADER) === undefined ? undefined : Infinity;
+  }
+
   /** In fractions of a second, which callers accept, so that they need not wait for a whole one. */
   retryAfter(waitMs: number): string {
     return (Math.max(1, waitMs) / MS_PER_SECOND).toFixed(3);
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -17,6 +17,8 @@
 export const LOAD_HEADER = 'barleyhaven-server-load';
 /** On answers: id of the answering instance. */
 export const INSTANCE_HEADER = 'barleyhaven-instance-id';
+/** On answers: requests per second that the instance takes from all machines together. */
+export const RATE_LIMIT_HEADER = 'server-limit';
 
 const MS_PER_SECOND = 1_000;
 const DURATION = /^(\d+(?:\.\d+)?)(ms|s)$/;
--- a/src/requests/default_dialect.ts
+++ b/src/requests/default_dialect.ts
@@ -1,7 +1,15 @@
 /** The default header conventions, documented in `docs/OPERATORS.md`. */
-import { type IncomingHttpHeaders } from 'node:http';
+import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type ResponseKind } from './dialect.js';
-import { CALLER_REQUEST_ID, CALLER_TIMEOUT, headerOf, NO_HEADERS, RETRIED } from './headers.js';
+import {
+  CALLER_REQUEST_ID,
+  CALLER_TIMEOUT,
+  headerOf,
+  INSTANCE_RATE_LIMIT,
+  NO_HEADERS,
+  RETRIED,
+} from './headers.js';
+import { parseRate } from '../admission/rate_limit.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -44,6 +52,11 @@
     return false;
   }
 
+  rateLimitOf(answer: IncomingMessage): number | undefined {
+    const text = headerOf(answer, INSTANCE_RATE_LIMIT);
+    return text === undefined ? Infinity : parseRate(text);
+  }
+
   /** Whole seconds, as HTTP requires, and at least one. */
   retryAfter(waitMs: number): string {
     return String(Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)));
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -50,6 +50,12 @@
   /** Whether a health check shows that the instance accepts no work, for a reason other than lack of capacity. */
   abstract refusesWork(answer: IncomingMessage): boolean;
 
+  /**
+   * The requests per second that the instance takes from all processes together, as the answer
+   * states: `Infinity` if it has no such limit, undefined if the answer does not tell.
+   */
+  abstract rateLimitOf(answer: IncomingMessage): number | undefined;
+
   /** The value of `Retry-After` for a delay in milliseconds. */
   abstract retryAfter(waitMs: number): string;
 }
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -34,6 +34,7 @@
 } from './guard_request.js';
 import { ConcurrencyLimiter, type JobResult } from '../admission/concurrency_limiter.js';
 import { type Load, formatLoad } from '../admission/load.js';
+import { RateLimit } from '../admission/rate_limit.js';
 import { type Reservation, Uplink } from '../admission/uplink.js';
 import { type CrashDetector } from '../quarantine/crash_detector.js';
 import { AnswerSizes } from '../placement/answer_sizes.js';
@@ -60,6 +61,9 @@
 
   readonly limit: ConcurrencyLimiter;
 
+  /** The rate limit of the upstream instance, as its answers state it. */
+  readonly rateLimit: RateLimit;
+
   readonly tracker: RequestTracker;
 
   announced: AnnouncedEndpoint | undefined;
@@ -96,6 +100,7 @@
     private readonly disconnectCheck = new DisconnectCheck(clock),
   ) {
     this.limit = new ConcurrencyLimiter(clock, DEFAULT_SLOTS);
+    this.rateLimit = new RateLimit(clock);
     this.requestLog = silentRequestLog(clock);
     this.#connections = new ConnectionPool(clock, MAX_CONNECTIONS);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -246,7 +251,7 @@
     claim?.start();
     const exchange = this.#exchange(guardRequest, bodyOf(request, source), claim);
     const answer = await exchange.send();
-    this.#checkResponse(request, answer, exchange);
+    this.#checkResponse(guardRequest, answer, exchange, startedAt);
     const headMs = this.clock.now() - startedAt;
     const status = answer.statusCode ?? SERVICE_UNAVAILABLE;
     const isShed = isShedResponse(status, answer);
@@ -290,8 +295,14 @@
   }
 
   /** Throws if the response is a refusal, or belongs to another request. */
-  #checkResponse(request: IncomingMessage, answer: IncomingMessage, exchange: Exchange): void {
+  #checkResponse(
+    { request, announced }: GuardRequest,
+    answer: IncomingMessage,
+    exchange: Exchange,
+    sentAt: number,
+  ): void {
     const kind = this.dialect.classifyResponse(request, answer);
+    if (kind === 'answer' || kind === 'shed') this.#recordStatements(announced, answer, sentAt);
     if (kind === 'answer') return;
     if (kind === 'crossed') throw exchange.abortMismatched();
     exchange.discard(answer);
@@ -301,6 +312,17 @@
     throw notRun('no-endpoint', 'another instance has the announced address');
   }
 
+  /** Records what the upstream instance states about itself, unless another run has begun since. */
+  #recordStatements(
+    { id, born }: AnnouncedEndpoint,
+    answer: IncomingMessage,
+    sentAt: number,
+  ): void {
+    if (this.announced?.id !== id || this.announced?.born !== born) return;
+    const perSecond = this.dialect.rateLimitOf(answer);
+    if (perSecond !== undefined) this.rateLimit.record(perSecond, sentAt);
+  }
+
   #exchange(guardRequest: GuardRequest, body: Body, claim: HeldClaim | undefined): Exchange {
     const { request, response, announced, deadline } = guardRequest;
     const { host, port, id } = announced;
--- a/src/requests/guard_request.ts
+++ b/src/requests/guard_request.ts
@@ -18,6 +18,8 @@
   readonly port: number;
   /** The id that the instance gave itself. */
   readonly id?: string | undefined;
+  /** Its start time, in milliseconds since the epoch. */
+  readonly born?: number | undefined;
   /** Remaining warm-up time after its start, in milliseconds; unknown when absent. */
   readonly coldMs?: number | undefined;
 }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -44,6 +44,8 @@
 export const CALLER_REQUEST_ID = 'x-request-id';
 /** From callers: the same key means the same request. */
 export const IDEMPOTENCY_KEY = 'idempotency-key';
+/** From upstream instances: the requests per second that one takes from all processes together. */
+export const INSTANCE_RATE_LIMIT = 'instance-rate-limit';
 export const RETRY_AFTER = 'retry-after';
 
 /** Internal headers forwarded to callers on responses. */
--- a/src/test/platform/mesh_dialect_test.ts
+++ b/src/test/platform/mesh_dialect_test.ts
@@ -51,6 +51,22 @@
     expect(dialect.identityOf(message({ 'barleyhaven-instance-id': 'i-1' }))).to.equal(undefined);
   });
 
+  it('reads the rate limit of an instance; its own answer without one means that it has none', () => {
+    const signed = { 'barleyhaven-response-signature': 's' };
+    const cases = {
+      'an answer that states one': message({ ...signed, 'server-limit': '23.2' }),
+      'an answer that states none': message(signed),
+      'a refusal that states one': message({ 'server-limit': '0' }, 503),
+      'a refusal that states none': message({}, 503),
+      'an answer that states something else': message({ ...signed, 'server-limit': 'many' }),
+    };
+    const rates = Object.entries(cases).map(([name, answer]) => [
+      name,
+      dialect.rateLimitOf(answer),
+    ]);
+    expect(Object.fromEntries(rates)).toMatchSnapshot();
+  });
+
   it('gives the retry delay in fractions of a second', () => {
     expect([dialect.retryAfter(125), dialect.retryAfter(-5)]).to.deep.equal(['0.125', '0.001']);
   });
