--- /dev/null
+++ b/src/test/requests/rate_limit_test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai';
+import { Conduct } from '../../standins/upstream_conduct.js';
+import { type ReceivedRequest } from '../../standins/upstream_server.js';
+import { TestPath } from './test_path.js';
+
+const CALLS = 300;
+const CALL_EVERY_MS = 10;
+const WINDOW_MS = 2_000;
+/** Requests of the window that an instance tolerates beyond one and a half times its limit. */
+const SLACK = 5;
+
+/** States a rate limit in each answer, and notes when each request arrived. */
+class LimitedConduct extends Conduct {
+  readonly arrivals: number[] = [];
+
+  constructor(public perSecond: string) {
+    super();
+  }
+
+  answer({ incoming, response, id }: ReceivedRequest): void {
+    this.arrivals.push(Date.now());
+    incoming.resume();
+    response.writeHead(200, { 'instance-rate-limit': this.perSecond, 'x-request': id });
+    response.end();
+  }
+
+  /** Most arrivals in any window. */
+  get mostInWindow(): number {
+    const counts = this.arrivals.map(
+      (from) => this.arrivals.filter((at) => at >= from && at < from + WINDOW_MS).length,
+    );
+    return Math.max(0, ...counts);
+  }
+}
+
+const pause = (ms: number) =>
+  new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+
+/** Sends steady calls; resolves to the number of answers by status. */
+async function call(path: TestPath): Promise<Record<number, number>> {
+  const calls: Promise<{ status: number }>[] = [];
+  for (let index = 0; index < CALLS; index++) {
+    calls.push(path.ask({ path: '/menus', headers: { 'request-timeout-ms': '1000' } }));
+    await pause(CALL_EVERY_MS);
+  }
+  const counts: Record<number, number> = {};
+  for (const { status } of await Promise.all(calls)) counts[status] = (counts[status] ?? 0) + 1;
+  return counts;
+}
+
+describe('an upstream instance with a rate limit', () => {
+  // Guards against an instance in need that gets more requests than it says it can take.
+  it('gets no more requests than it states, while the others get the rest', async () => {
+    await using path = await TestPath.start(2);
+    const conduct = new LimitedConduct('15');
+    path.endpoints[0]!.upstream.conduct = conduct;
+    expect(await call(path)).to.deep.equal({ 200: CALLS });
+    expect(conduct.mostInWindow).to.be.within(1, (1.5 * 15 * WINDOW_MS) / 1_000 + SLACK);
+  });
+});
