Keep to the rate limit that an upstream instance states

What an instance says about itself in its answers was passed on to callers; only what it announces decided anything.

Change: the process beside the instance, which all its requests pass, holds a token bucket whose rate the answers set. A job that finds no token waits in the same order as for a slot, or is refused at once with the time of its turn if it would be late.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -1,10 +1,11 @@
-/** Limits the number of requests that one upstream instance gets at a time. */
+/** Limits the number of requests that one upstream instance gets at a time, and per second. */
 import PQueue from 'p-queue';
 import { type Limit as LimitResource, notRun, OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { AdaptiveSlots } from './adaptive_slots.js';
 import { type Load } from './load.js';
 import { movingAverage, NamedLimit } from './named_limit.js';
+import { RateLimit } from './rate_limit.js';
 import { type WaitingJob, WaitingQueue, type WaitingOptions } from './waiting_queue.js';
 
 /** Retry delay told to a refused caller when no better estimate is known, in milliseconds. */
@@ -61,6 +62,9 @@
   /** Set while the upstream instance drains: waiting jobs are refused instead of started. */
   isDraining = false;
 
+  /** Requests per second that the instance takes; it states so in its answers. */
+  readonly rateLimit: RateLimit;
+
   readonly #slots: AdaptiveSlots;
 
   readonly #waitingQueue = new WaitingQueue();
@@ -74,6 +78,9 @@
 
   #heldMs = 0;
 
+  /** Fires when the rate limit allows the next job. */
+  #rateTimer: NodeJS.Timeout | undefined;
+
   /** Until when late jobs do not wait for slots, in milliseconds since the epoch. */
   #contendedUntil = 0;
 
@@ -81,6 +88,7 @@
     private readonly clock: Clock,
     slots: number,
   ) {
+    this.rateLimit = new RateLimit(clock);
     this.#slots = new AdaptiveSlots(clock, slots);
     const queueClass = queueClassOf(this.#waitingQueue);
     this.#queue = new PQueue({ concurrency: this.#slots.current, queueClass });
@@ -125,14 +133,43 @@
    */
   async run(job: Job, work: Work): Promise<void> {
     const limit = this.#namedLimit(job.limit);
-    const isFree = this.#queue.pending < this.#queue.concurrency && this.#queue.size === 0;
-    if (!isFree || !limit.hasFreeSlot) await this.#enqueue(job, limit, work);
+    if (!this.#isFree || !limit.hasFreeSlot) await this.#enqueue(job, limit, work);
     else {
       const start = () => this.#execute(job, limit, work);
       await limit.run(() => this.#queue.add(start), job.priority);
     }
   }
 
+  /** Records the rate limit that an answer states; see `RateLimit.record`. */
+  recordRateLimit(perSecond: number, sentAt: number): void {
+    this.rateLimit.record(perSecond, sentAt);
+    this.#applyRateLimit();
+  }
+
+  /** Forgets what a former run of the upstream instance stated. */
+  forgetRateLimit(): void {
+    this.rateLimit.reset();
+    this.#applyRateLimit();
+  }
+
+  /** Whether a job would start at once. */
+  get #isFree(): boolean {
+    const { pending, concurrency, size, isPaused } = this.#queue;
+    return pending < concurrency && size === 0 && !isPaused;
+  }
+
+  /** Holds all jobs back until the rate limit allows the next one. */
+  #applyRateLimit(): void {
+    clearTimeout(this.#rateTimer);
+    const waitMs = this.rateLimit.nextAt - this.clock.now();
+    if (waitMs <= 0) this.#queue.start();
+    else {
+      this.#queue.pause();
+      this.#rateTimer = setTimeout(() => this.#applyRateLimit(), Math.ceil(waitMs));
+      this.#rateTimer.unref();
+    }
+  }
+
   async #enqueue(job: Job, limit: NamedLimit, work: Work): Promise<void> {
     const waiting = this.#admit(job, limit);
     const { priority } = job;
@@ -191,7 +228,8 @@
     if (exceedsDeadline || lacksRoom || limit.waiting >= limit.maxWaiting) {
       throw this.#overloaded(job, waiting, inTimeMs);
     }
-    const isFull = this.#queue.pending >= this.#queue.concurrency;
+    const { pending, concurrency, isPaused } = this.#queue;
+    const isFull = pending >= concurrency || isPaused;
     if (isFull && !waiting.isLate && targetAt < deadline) {
       this.#contendedUntil = now + CONTENTION_MS;
     }
@@ -219,6 +257,8 @@
 
   async #execute(job: Job, limit: NamedLimit, work: Work): Promise<void> {
     const startedAt = this.clock.now();
+    this.rateLimit.take();
+    this.#applyRateLimit();
     const { pending, concurrency } = this.#queue;
     const isSaturated = pending >= concurrency;
     const isFull = pending >= concurrency * FULL_SHARE;
@@ -250,7 +290,9 @@
 
   /** Estimated time until the job gets a slot, in milliseconds. */
   #expectedWaitMs(waiting: WaitingJob): number {
-    return (this.#waitingQueue.heldMsAhead(waiting) + this.#heldMs) / this.#queue.concurrency;
+    const heldMs = this.#waitingQueue.heldMsAhead(waiting) + this.#heldMs;
+    const slotMs = heldMs / this.#queue.concurrency;
+    return Math.max(slotMs, this.rateLimit.waitMs(this.#waitingQueue.jobsAhead(waiting)));
   }
 
   #namedLimit(limit: LimitResource | undefined): NamedLimit {
@@ -274,7 +316,10 @@
     const now = this.clock.now();
     const excessMs = waitMs + heldMs - Math.max(0, targetAt - now);
     const afterMs = heldMs > 0 ? Math.max(MIN_RETRY_AFTER_MS, excessMs) : DEFAULT_RETRY_AFTER_MS;
-    return notRun('overloaded', 'no slot will be free in time', now + afterMs);
+    const cause = this.#queue.isPaused
+      ? 'the rate limit of the upstream instance allows no more in time'
+      : 'no slot will be free in time';
+    return notRun('overloaded', cause, now + afterMs);
   }
 }
 
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -58,6 +58,12 @@
     return sum;
   }
 
+  /** Number of jobs that will start before `waiting`. */
+  jobsAhead(waiting: WaitingJob): number {
+    const index = this.#items.findIndex((item) => comesBefore(waiting, item.waiting));
+    return index < 0 ? this.#items.length : index;
+  }
+
   /**
    * Marks a job as late and moves it behind all that are in time. A job that still waits for a named
    * limit is not in this queue yet; it is marked, and will be added as late.
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -105,13 +105,16 @@
   }
 
   #limit(): void {
-    const { limit, rateLimit } = this.instance.guard;
+    const { limit } = this.instance.guard;
     this.#gauge('limit_in_flight', 'Requests at the upstream instance', () => limit.inFlight);
     this.#gauge('limit_slots', 'Requests that it may get at a time', () => limit.load.slots);
     this.#gauge(
       'rate_limit',
       'Requests per second that the upstream instance takes; 0 without a limit',
-      () => (Number.isFinite(rateLimit.perSecond) ? rateLimit.perSecond : 0),
+      () => {
+        const { perSecond } = limit.rateLimit;
+        return Number.isFinite(perSecond) ? perSecond : 0;
+      },
     );
     this.#labelled('retry_tokens', 'Retries that the budget allows', ['upstream'], (gauge) => {
       for (const [upstream, { tokens }] of this.instance.entry.budgets) {
--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -91,10 +91,10 @@
   });
 }
 
-function recordRateLimit({ rateLimit }: Guard, log: Log): void {
+function recordRateLimit({ limit: { rateLimit } }: Guard, log: Log): void {
   rateLimit.onChange = (perSecond) => {
-    const limit = Number.isFinite(perSecond) ? { perSecond } : {};
-    log.record('info', { event: 'rate-limit-changed', ...limit });
+    const stated = Number.isFinite(perSecond) ? { perSecond } : {};
+    log.record('info', { event: 'rate-limit-changed', ...stated });
   };
 }
 
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -34,7 +34,6 @@
 } from './guard_request.js';
 import { ConcurrencyLimiter, type JobResult } from '../admission/concurrency_limiter.js';
 import { type Load, formatLoad } from '../admission/load.js';
-import { RateLimit } from '../admission/rate_limit.js';
 import { type Reservation, Uplink } from '../admission/uplink.js';
 import { type CrashDetector } from '../quarantine/crash_detector.js';
 import { AnswerSizes } from '../placement/answer_sizes.js';
@@ -61,9 +60,6 @@
 
   readonly limit: ConcurrencyLimiter;
 
-  /** The rate limit of the upstream instance, as its answers state it. */
-  readonly rateLimit: RateLimit;
-
   readonly tracker: RequestTracker;
 
   announced: AnnouncedEndpoint | undefined;
@@ -100,7 +96,6 @@
     private readonly disconnectCheck = new DisconnectCheck(clock),
   ) {
     this.limit = new ConcurrencyLimiter(clock, DEFAULT_SLOTS);
-    this.rateLimit = new RateLimit(clock);
     this.requestLog = silentRequestLog(clock);
     this.#connections = new ConnectionPool(clock, MAX_CONNECTIONS);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -115,6 +110,7 @@
     const before = this.announced;
     this.announced = announced;
     this.limit.slots = announced.slots;
+    if (before && isOtherRun(before, announced)) this.limit.forgetRateLimit();
     this.#updateDraining();
     const wasReady = before?.state === 'ready' || before?.state === 'draining';
     const isOther = before?.port !== announced.port || before.host !== announced.host;
@@ -318,9 +314,9 @@
     answer: IncomingMessage,
     sentAt: number,
   ): void {
-    if (this.announced?.id !== id || this.announced?.born !== born) return;
+    if (!this.announced || isOtherRun(this.announced, { id, born })) return;
     const perSecond = this.dialect.rateLimitOf(answer);
-    if (perSecond !== undefined) this.rateLimit.record(perSecond, sentAt);
+    if (perSecond !== undefined) this.limit.recordRateLimit(perSecond, sentAt);
   }
 
   #exchange(guardRequest: GuardRequest, body: Body, claim: HeldClaim | undefined): Exchange {
@@ -366,6 +362,15 @@
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, expectsContinue: false });
 }
 
+/** Whether two announcements come from different runs of the instance; a start time may be unknown. */
+function isOtherRun(
+  one: Pick<AnnouncedEndpoint, 'id' | 'born'>,
+  other: Pick<AnnouncedEndpoint, 'id' | 'born'>,
+): boolean {
+  if (one.id !== other.id) return true;
+  return one.born !== undefined && other.born !== undefined && one.born !== other.born;
+}
+
 function isConnectionRefused(error: unknown): boolean {
   const { cause } = asOutcome(error) as { cause?: NodeJS.ErrnoException };
   return cause?.code === 'ECONNREFUSED';
--- a/src/test/admission/concurrency_limiter_test.ts
+++ b/src/test/admission/concurrency_limiter_test.ts
@@ -217,6 +217,43 @@
     expect(limit.load.slots).to.equal(20);
   });
 
+  // Guards against an instance in need that gets more requests than it says it can take.
+  it('starts no more jobs per second than the rate limit allows, and all once it is withdrawn', async () => {
+    limit.restart(true);
+    limit.recordRateLimit(10, 0);
+    const runs = batch(15, { withinMs: 5_000 });
+    await timers.tickAsync(1_000);
+    const before = started.length;
+    limit.recordRateLimit(Infinity, clock.now() + 1);
+    await timers.tickAsync(0);
+    expect([before, started.length]).to.deep.equal([10, 15]);
+    expect(await countOutcomes(runs)).to.deep.equal({ done: 15 });
+  });
+
+  // Guards against callers that wait for a job that the rate limit cannot let start in time.
+  it('refuses at once what the rate limit cannot let start in time', async () => {
+    limit.restart(true);
+    limit.recordRateLimit(10, 0);
+    const runs = batch(15, { withinMs: 520 });
+    const ended: string[] = [];
+    runs.forEach((outcome) => {
+      void outcome.then((text) => ended.push(text));
+    });
+    await timers.tickAsync(0);
+    expect(ended).to.deep.equal(Array(10).fill('not-run overloaded'));
+    expect(await countOutcomes(runs)).to.deep.equal({ done: 5, 'not-run overloaded': 10 });
+  });
+
+  it('forgets the rate limit of a former run', async () => {
+    limit.restart(true);
+    limit.recordRateLimit(1, 0);
+    limit.forgetRateLimit();
+    const runs = batch(15);
+    await timers.tickAsync(0);
+    expect(started).to.have.length(15);
+    await countOutcomes(runs);
+  });
+
   // Guards against a busy loop: a job that waits for a named limit is not in the waiting queue when
   // its target passes, and must be marked late all the same, or its timer fires again at once.
   it('marks a job as late that still waits for a named limit', async () => {
--- a/src/test/admission/waiting_queue_test.ts
+++ b/src/test/admission/waiting_queue_test.ts
@@ -53,6 +53,8 @@
     add('behind', { targetAt: 300, heldMs: 50 });
     expect(queue.heldMsAhead(waiting({ targetAt: 200 }))).to.equal(30);
     expect(queue.heldMsAhead(waiting({ isLate: true }))).to.equal(80);
+    expect(queue.jobsAhead(waiting({ targetAt: 200 }))).to.equal(1);
+    expect(queue.jobsAhead(waiting({ isLate: true }))).to.equal(2);
   });
 
   it('keeps its order and its counts as jobs come and go (property)', () => {
--- a/src/test/requests/rate_limit_test.ts
+++ b/src/test/requests/rate_limit_test.ts
@@ -1,3 +1,4 @@
+import { once } from 'node:events';
 import { expect } from 'chai';
 import { Conduct } from '../../standins/upstream_conduct.js';
 import { type ReceivedRequest } from '../../standins/upstream_server.js';
@@ -59,4 +60,34 @@
     expect(await call(path)).to.deep.equal({ 200: CALLS });
     expect(conduct.mostInWindow).to.be.within(1, (1.5 * 15 * WINDOW_MS) / 1_000 + SLACK);
   });
+
+  it('is left alone again once its answers state no limit, and keeps one through unreadable ones', async () => {
+    await using path = await TestPath.start(1);
+    const { guard, upstream } = path.endpoints[0]!;
+    const seen: number[] = [];
+    for (const stated of ['50', 'many', '-1', '1e9', undefined]) {
+      upstream.conduct = stated === undefined ? undefined : new LimitedConduct(stated);
+      const { status } = await path.ask({ path: '/menus' });
+      expect(status).to.equal(200);
+      seen.push(guard.limit.rateLimit.perSecond);
+    }
+    expect(seen).to.deep.equal([50, 50, 50, 50, Infinity]);
+  });
+
+  // Guards against a new run that is held to the limit of the one before it at the same address.
+  it('has none when a new run begins, even if an answer of the old one comes late', async () => {
+    await using path = await TestPath.start(1);
+    const { guard, upstream } = path.endpoints[0]!;
+    const oldRun = { ...guard.announced!, id: 'i-1', born: 1 };
+    guard.announce(oldRun);
+    upstream.conduct = new LimitedConduct('50');
+    await path.ask({ path: '/menus' });
+    upstream.delayMs = 100;
+    const late = path.ask({ path: '/menus' });
+    await once(upstream, 'run');
+    guard.announce({ ...oldRun, born: 2 });
+    expect(guard.limit.rateLimit.perSecond).to.equal(Infinity);
+    await late;
+    expect(guard.limit.rateLimit.perSecond).to.equal(Infinity);
+  });
 });
