Let the replay's requests end by the decisions, not by an error of its own

Seen while two ways to keep rate limits were compared: in the replay no request was refused, all that were turned away failed. Cause: since a trace has `add` where it had `note`; the replay's stand-in for a routed request is cast, so the compiler let `note` stand, and the first refusal of each request ended in a TypeError, counted as may-have-run. So the replays after say nothing about retries. The stand-in is checked against the type now.

--- a/src/bench/replay/simulated_node.ts
+++ b/src/bench/replay/simulated_node.ts
@@ -13,6 +13,7 @@
 import { EmptyBody } from '../../requests/body.js';
 import { type RoutedRequest } from '../../requests/routed_request.js';
 import { withRetryTime } from '../../requests/retry_time.js';
+import { type Trace } from '../../logs/request_log.js';
 import { type Clock } from '../../runtime/clock.js';
 import { type Random } from '../../runtime/random.js';
 import { type RequestKind } from './pattern.js';
@@ -262,7 +263,7 @@
       targetAt,
       isRepeatable,
       retryPercent: RETRY_PERCENT,
-      trace: { note: () => {} },
+      trace: { add: () => {} } satisfies Pick<Trace, 'add'>,
       isRetriedElsewhere: false,
     } as unknown as RoutedRequest;
   }
--- a/src/test/bench/replay_test.ts
+++ b/src/test/bench/replay_test.ts
@@ -66,6 +66,12 @@
     }
   });
 
+  // Guards against a replay in which requests that were refused end by an error of the replay itself.
+  it('counts as failed only what an instance has failed', async () => {
+    const { refused, failed } = await replay(await patternOf('cut'), new CurrentPolicy(), 1);
+    expect(failed).to.be.lessThan(refused);
+  });
+
   // With a FIFO queue every caller is served just too late, even after the burst has ended.
   it('recovers from a burst from which a FIFO queue does not recover', async () => {
     const pattern = await patternOf('burst');
