Choose endpoints by the room that their rate limits leave

Cause: the process beside an instance keeps its rate limit, but entries did not know of it: to them it looked idle, so they went on choosing it, and the requests came back after a hop, or waited there while others had room.

A third way, equal shares of the limit by entry, was not tried: entries have unequal traffic, and what one leaves unused is lost to the others.

The rate has a header of its own: processes of the version before would refuse a load with a sixth number.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -106,7 +106,10 @@
   get load(): Load {
     const { inFlight, waiting } = this;
     const heldMs = Math.round(this.#heldMs);
-    return { inFlight, slots: this.#slots.current, waiting, heldMs, leavingMs: 0 };
+    const load = { inFlight, slots: this.#slots.current, waiting, heldMs, leavingMs: 0 };
+    const perSecond = this.rateLimit.applied;
+    if (perSecond === Infinity) return load;
+    return { ...load, rate: { perSecond, waitMs: this.rateLimit.waitMs(waiting) } };
   }
 
   /** Average time that a job of that kind holds a slot, in milliseconds; 0 if unknown. */
--- a/src/admission/load.ts
+++ b/src/admission/load.ts
@@ -1,4 +1,14 @@
-/** The load of a guard, which it reports in a header of its answers. */
+/** The load of a guard, which it reports in headers of its answers. */
+import { parseRate } from './rate_limit.js';
+
+/** The rate limit that an upstream instance has stated, and how much of it is taken. */
+export interface Rate {
+  /** Requests per second, above 0. */
+  readonly perSecond: number;
+  /** Time until one more request could start, in milliseconds. */
+  readonly waitMs: number;
+}
+
 export interface Load {
   readonly inFlight: number;
   readonly slots: number;
@@ -7,19 +17,39 @@
   readonly heldMs: number;
   /** Time until the uplink has sent all large answers with a reservation, in milliseconds. */
   readonly leavingMs: number;
+  /** Absent without a rate limit. */
+  readonly rate?: Rate | undefined;
 }
 
 /** Integers: in flight, slots, waiting, `heldMs` and `leavingMs`; the last is optional. */
 const LOAD_PATTERN = /^(\d{1,6}),(\d{1,6}),(\d{1,6}),(\d{1,7})(?:,(\d{1,7}))?$/;
+/** Requests per second, a decimal number, and `waitMs`, an integer. */
+const RATE_PATTERN = /^([\d.]{1,30}),(\d{1,7})$/;
+/** Decimal places of a formatted rate. */
+const RATE_PLACES = 3;
+const MAX_WAIT_MS = 9_999_999;
 
 export function formatLoad({ inFlight, slots, waiting, heldMs, leavingMs }: Load): string {
   return `${inFlight},${slots},${waiting},${heldMs},${leavingMs}`;
 }
 
-/** Returns undefined if the text is not a valid load. */
-export function parseLoad(text: string | undefined): Load | undefined {
+/** Formatted apart from the load: processes of earlier releases reject a load with more numbers. */
+export function formatRate({ perSecond, waitMs }: Rate): string {
+  return `${perSecond.toFixed(RATE_PLACES)},${Math.min(MAX_WAIT_MS, Math.ceil(waitMs))}`;
+}
+
+/** Returns undefined if the text is not a valid load; an invalid rate is left out. */
+export function parseLoad(text: string | undefined, rateText?: string): Load | undefined {
   const match = text === undefined ? null : LOAD_PATTERN.exec(text);
   if (!match) return undefined;
   const [, inFlight = 0, slots = 0, waiting = 0, heldMs = 0] = match.map(Number);
-  return { inFlight, slots, waiting, heldMs, leavingMs: Number(match[5] ?? 0) };
+  const rate = parseRateReport(rateText);
+  const load = { inFlight, slots, waiting, heldMs, leavingMs: Number(match[5] ?? 0) };
+  return rate ? { ...load, rate } : load;
+}
+
+function parseRateReport(text: string | undefined): Rate | undefined {
+  const [, perSecondText = '', waitMs] = RATE_PATTERN.exec(text ?? '') ?? [];
+  const perSecond = parseRate(perSecondText);
+  return perSecond ? { perSecond, waitMs: Number(waitMs) } : undefined;
 }
--- a/src/admission/rate_limit.ts
+++ b/src/admission/rate_limit.ts
@@ -46,6 +46,11 @@
     return this.#perSecond;
   }
 
+  /** Requests per second that may start; above 0, and `Infinity` without a limit. */
+  get applied(): number {
+    return Math.max(MIN_PER_SECOND, this.#perSecond);
+  }
+
   /** Instant from which the next request may start, in milliseconds since the epoch. */
   get nextAt(): number {
     if (this.#perSecond === Infinity) return 0;
@@ -84,7 +89,7 @@
   }
 
   get #intervalMs(): number {
-    return MS_PER_SECOND / Math.max(MIN_PER_SECOND, this.#perSecond);
+    return MS_PER_SECOND / this.applied;
   }
 
   /** A limit that is new begins without tokens: the requests sent just before count towards it. */
--- a/src/bench/replay/change_schedule.ts
+++ b/src/bench/replay/change_schedule.ts
@@ -31,6 +31,11 @@
     return this.#activeFor('grey', upstream, index, now)?.factor ?? 0;
   }
 
+  /** Requests per second that the instance states it takes; `Infinity` without a limit. */
+  rateLimit(upstream: string, index: number, now: number): number {
+    return this.#activeFor('limited', upstream, index, now)?.factor ?? Infinity;
+  }
+
   isDown(upstream: string, index: number, now: number): boolean {
     return this.#activeFor('gone', upstream, index, now) !== undefined;
   }
--- a/src/bench/replay/pattern.ts
+++ b/src/bench/replay/pattern.ts
@@ -45,12 +45,13 @@
  * - `shift`: a share of all callers moves to `dataCentre`.
  * - `slow`: work at a share of the instances takes `factor` times as long.
  * - `grey`: a share of the instances refuses the fraction `factor` of its requests for lack of slots.
+ * - `limited`: a share of the instances states a rate limit of `factor` requests per second.
  * - `gone`: a share of the instances is down.
  * - `cut`: network partition between `dataCentre` and all others.
  * - `herd`: all processes are down, and restart with no state.
  */
 const PatternChange = z.object({
-  what: z.enum(['burst', 'shift', 'slow', 'grey', 'gone', 'cut', 'herd']),
+  what: z.enum(['burst', 'shift', 'slow', 'grey', 'limited', 'gone', 'cut', 'herd']),
   at: z.number().min(0),
   forSeconds: z.number().positive(),
   factor: z.number().positive().default(1),
--- a/src/bench/replay/policy.ts
+++ b/src/bench/replay/policy.ts
@@ -20,6 +20,8 @@
 export interface Limiter {
   readonly load: Load;
   heldMsOf(kind: string): number;
+  /** Records the rate limit that an answer states; its request was sent at `sentAt`. */
+  recordRateLimit(perSecond: number, sentAt: number): void;
   run(ticket: Job, work: () => Promise<JobResult>): Promise<void>;
 }
 
@@ -184,6 +186,8 @@
     return 0;
   }
 
+  recordRateLimit(): void {}
+
   async run({ deadline }: Job, work: () => Promise<JobResult>): Promise<void> {
     await this.#queue.add(async () => {
       if (this.clock.now() >= deadline)
--- a/src/bench/replay/simulated_node.ts
+++ b/src/bench/replay/simulated_node.ts
@@ -105,6 +105,7 @@
     await this.#limiter.run(ticket, async (): Promise<JobResult> => {
       const startedAt = this.clock.now();
       isSuccess = await this.#execute(kind, ticket.deadline);
+      this.#readRateLimit(startedAt);
       return { headMs: this.clock.now() - startedAt, isShed: false };
     });
     const answerBytes = this.#drawAnswerBytes(kind);
@@ -219,6 +220,12 @@
     }
   }
 
+  #readRateLimit(sentAt: number): void {
+    const { schedule } = this.simulation;
+    const perSecond = schedule.rateLimit(this.upstream, this.index, this.clock.now());
+    this.#limiter.recordRateLimit(perSecond, sentAt);
+  }
+
   /** Runs a request at the upstream instance; resolves to whether it succeeded. */
   async #execute(kind: RequestKind, deadline: number): Promise<boolean> {
     const { schedule } = this.simulation;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -60,6 +60,8 @@
     /** Expected time of one more request, by which endpoints are compared. */
     costMs: z.number(),
     ...LoadFields,
+    /** Expected wait for the rate limit of the upstream instance; absent without a wait. */
+    rateWaitMs: z.number().optional(),
     /** Age of the load that the endpoint reported last; absent before its first report. */
     loadAgeMs: z.number().optional(),
   }),
--- a/src/placement/endpoint_stats.ts
+++ b/src/placement/endpoint_stats.ts
@@ -29,6 +29,7 @@
 const WARM_UP_MS = 10_000;
 /** Cost factor of an endpoint at the beginning of that time. */
 const COLD_COST_FACTOR = 3;
+const MS_PER_SECOND = 1_000;
 
 /** The figures on which a choice is based. */
 export interface EndpointSnapshot {
@@ -37,6 +38,8 @@
   readonly inFlight: number;
   readonly slots: number;
   readonly waiting: number;
+  /** Expected wait for the rate limit, in milliseconds; absent without a wait. */
+  readonly rateWaitMs?: number;
   /** Age of the reported load, in milliseconds; absent before the first report. */
   readonly loadAgeMs?: number;
 }
@@ -131,6 +134,7 @@
   /** Whether requests wait there, or will soon; large answers also wait for the uplink. */
   isSaturated(now: number, isLarge = false): boolean {
     if (!this.#load) return false;
+    if (this.#rateWaitMs(now) > 0) return true;
     if (isLarge && this.#uplinkBacklogMs(now) > this.#load.heldMs) return true;
     return this.#load.waiting > 0
       ? now - this.#loadAt < LOAD_HALF_LIFE_MS
@@ -139,36 +143,53 @@
 
   /** Whether one more request could be answered by `targetAt`, or at least start at once. */
   canServe(targetAt: number, now: number, isLarge = false): boolean {
-    if (!this.#load || now - this.#loadAt > LOAD_VALID_MS) return true;
+    if (!this.#load) return true;
     const { slots, heldMs } = this.#load;
+    const rateWaitMs = this.#rateWaitMs(now);
+    if (rateWaitMs > 0 && now + rateWaitMs + heldMs > targetAt) return false;
+    if (now - this.#loadAt > LOAD_VALID_MS) return true;
     if (isLarge && now + Math.max(heldMs, this.#uplinkBacklogMs(now)) > targetAt) return false;
     const waiting = this.#estimatedInFlight(now) + 1 - slots;
     return waiting <= 0 || now + heldMs * (1 + waiting / slots) <= targetAt;
   }
 
   /**
-   * Expected time of one more request, in milliseconds: its wait and its own duration, and for a
-   * large answer also the time until the uplink is free. An old latency decays to the one that is
+   * Expected time of one more request, in milliseconds: its wait and its own duration, the wait for
+   * the rate limit, and for a large answer also the time until the uplink is free. An old latency decays to the one that is
    * typical of the upstream, so that an endpoint that was slow once is tried again.
    */
   cost(typicalMs: number, now: number, isLarge = false): number {
     const assumed = typicalMs * OPTIMISM;
     const latency = assumed + this.#latencyGap(assumed, now);
-    const costMs = this.#occupancyFactor(now) * latency * this.#warmUpFactor(now);
+    const workMs = this.#occupancyFactor(now) * latency * this.#warmUpFactor(now);
+    const costMs = workMs + this.#rateWaitMs(now);
     return isLarge ? costMs + this.#uplinkBacklogMs(now) : costMs;
   }
 
   snapshot(typicalMs: number, now: number): EndpointSnapshot {
     const slots = this.#load?.slots ?? this.member.endpoint?.slots ?? 1;
+    const rateWaitMs = Math.round(this.#rateWaitMs(now));
     return {
       costMs: Math.round(this.cost(typicalMs, now)),
       inFlight: Math.round(this.#estimatedInFlight(now)),
       slots,
       waiting: this.#load?.waiting ?? 0,
+      ...(rateWaitMs > 0 && { rateWaitMs }),
       ...(this.#load && { loadAgeMs: Math.round(now - this.#loadAt) }),
     };
   }
 
+  /**
+   * Expected wait for the rate limit, in milliseconds. Requests sent since the last report come
+   * first; those of other processes are unknown, and the next report tells of them.
+   */
+  #rateWaitMs(now: number): number {
+    if (!this.#load?.rate) return 0;
+    const { perSecond, waitMs } = this.#load.rate;
+    const reportedMs = waitMs + (this.#sentSinceReport * MS_PER_SECOND) / perSecond;
+    return Math.max(0, reportedMs - (now - this.#loadAt));
+  }
+
   /** Remaining part of the uplink backlog of the last report, in milliseconds. */
   #uplinkBacklogMs(now: number): number {
     return this.#load ? Math.max(0, this.#load.leavingMs - (now - this.#loadAt)) : 0;
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -17,6 +17,7 @@
   headerOf,
   LOAD,
   EXCHANGE_ID,
+  RATE,
   RETRIED,
   SHED,
   CALLER_VISIBLE_HEADERS,
@@ -245,7 +246,7 @@
     const answer = await exchange.send();
     if (answer.headers[EXCHANGE_ID] !== id) throw exchange.abortMismatched();
     const now = this.clock.now();
-    const load = parseLoad(headerOf(answer, LOAD));
+    const load = parseLoad(headerOf(answer, LOAD), headerOf(answer, RATE));
     const refusal = parseGuardRefusal(answer, now);
     if (answer.headers[RETRIED] !== undefined) routed.isRetriedElsewhere = true;
     if (refusal) {
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -16,6 +16,7 @@
   headerOf,
   IDEMPOTENCY_KEY,
   LOAD,
+  RATE,
   REPEATABLE,
   EXCHANGE_ID,
   requestHeaders,
@@ -33,7 +34,7 @@
   type Arrival,
 } from './guard_request.js';
 import { ConcurrencyLimiter, type JobResult } from '../admission/concurrency_limiter.js';
-import { type Load, formatLoad } from '../admission/load.js';
+import { type Load, formatLoad, formatRate } from '../admission/load.js';
 import { type Reservation, Uplink } from '../admission/uplink.js';
 import { type CrashDetector } from '../quarantine/crash_detector.js';
 import { AnswerSizes } from '../placement/answer_sizes.js';
@@ -254,7 +255,7 @@
     // Internal headers set by the upstream instance are dropped: only barleyhaven may set them.
     const headers = responseHeaders(answer, this.dialect.allowedFromUpstreams);
     headers.push(VERDICT, 'ran', EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
-    headers.push(LOAD, formatLoad(this.load));
+    headers.push(...this.#loadHeaders());
     if (isShed) headers.push(SHED, '1');
     response.writeHead(status, headers);
     if (claim) {
@@ -347,7 +348,18 @@
   /** Sets the headers by which an entry matches a refusal to its request, and the load. */
   #setExchangeHeaders(request: IncomingMessage, response: ServerResponse): void {
     response.setHeader(EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
-    response.setHeader(LOAD, formatLoad(this.load));
+    const headers = this.#loadHeaders();
+    for (let index = 0; index < headers.length; index += 2) {
+      response.setHeader(headers[index]!, headers[index + 1]!);
+    }
+  }
+
+  /** The load as headers, as alternating names and values. */
+  #loadHeaders(): string[] {
+    const { load } = this;
+    const headers = [LOAD, formatLoad(load)];
+    if (load.rate) headers.push(RATE, formatRate(load.rate));
+    return headers;
   }
 }
 
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -20,6 +20,8 @@
 export const SHED = 'barleyhaven-shed';
 /** On responses between processes: the load of the guard, see `Load`. */
 export const LOAD = 'barleyhaven-load';
+/** On responses between processes: the rate limit of the upstream instance, see `Rate`. */
+export const RATE = 'barleyhaven-rate';
 
 /** Name of the route, on a request that must run under a claim. */
 export const CLAIM = 'barleyhaven-claim';
--- a/src/test/admission/load_test.ts
+++ b/src/test/admission/load_test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { parseLoad, formatLoad } from '../../admission/load.js';
+import { parseLoad, formatLoad, formatRate } from '../../admission/load.js';
 
 describe('Load', () => {
   const load = { inFlight: 3, slots: 13, waiting: 2, heldMs: 340, leavingMs: 1_250 };
@@ -13,8 +13,16 @@
     expect(parseLoad('3,13,2,340')).to.deep.equal({ ...load, leavingMs: 0 });
   });
 
+  it('parses the rate that it has formatted, and leaves out an invalid one', () => {
+    const rate = { perSecond: 23.7, waitMs: 120 };
+    expect(parseLoad(formatLoad(load), formatRate(rate))).to.deep.equal({ ...load, rate });
+    for (const text of ['', '23.7', '0,120', 'many,1', '1.2.3,1', '23.7,-1']) {
+      expect(parseLoad(formatLoad(load), text), text).to.deep.equal(load);
+    }
+  });
+
   it('rejects any other text', () => {
     const texts = [undefined, '', '3,13', '3,13,2,340,', '3,13,2,340,1,1', 'a,13,2,340'];
-    expect(texts.map(parseLoad)).to.deep.equal(texts.map(() => undefined));
+    expect(texts.map((text) => parseLoad(text))).to.deep.equal(texts.map(() => undefined));
   });
 });
--- a/src/test/placement/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -73,6 +73,35 @@
     ]);
   });
 
+  // Guards against requests that go to an instance which takes no more of them now, and are refused.
+  it('sends an endpoint with a rate limit no more requests than it has room for', () => {
+    const { balancer, clock, choose } = setUp(local);
+    const counts: Record<string, number> = {};
+    const idle = { inFlight: 0, slots: 20, waiting: 0, heldMs: 1, leavingMs: 0 };
+    let nextAt = 0;
+    for (let request = 0; request < 200; request++) {
+      const chosen = choose()!;
+      const name = chosen.member.instance;
+      counts[name] = (counts[name] ?? 0) + 1;
+      chosen.recordSent(clock.instant);
+      const isLimited = name === 'c';
+      if (isLimited) nextAt = Math.max(clock.instant, nextAt) + 500;
+      const rate = { perSecond: 2, waitMs: nextAt - clock.instant };
+      balancer.recordAnswer(chosen, 1, isLimited ? { ...idle, rate } : idle, false);
+      clock.instant += STEP_MS;
+    }
+    expect(counts.c).to.be.within(10, 2 * 200 * (STEP_MS / 1_000));
+  });
+
+  it('moves no refused request to an endpoint whose rate limit would make it late', () => {
+    const { balancer, clock, choose } = setUp([{ name: 'a' }]);
+    const load = { inFlight: 0, slots: 20, waiting: 0, heldMs: 1, leavingMs: 0 };
+    balancer.recordAnswer(choose()!, 1, { ...load, rate: { perSecond: 2, waitMs: 400 } }, false);
+    const alternative = (withinMs: number) =>
+      balancer.chooseAlternative('bookings', NONE, clock.instant + withinMs)?.member.instance;
+    expect([alternative(300), alternative(500)]).to.deep.equal([undefined, 'a']);
+  });
+
   it('sends fewer requests to a slow endpoint, and tries it again after a while', () => {
     const { countChoices, clock } = setUp(local);
     const slow = countChoices((name) => (name === 'c' ? 50 : 1));
