Tell a process that has just started of its instance's rate limit

Cause: what a guard has learnt ends with its process.

Change: entries hand over the rate that an endpoint reported last; the guard applies it until an answer of the instance has reached it. Why it is enough: the machines that count are those that have passed on a statement, and just these know it. Weighed against it: the rate in the member's record, which all processes would store and gossip at each change of a limit.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -149,6 +149,12 @@
     this.#applyRateLimit();
   }
 
+  /** Applies a rate limit that an entry knows of; see `RateLimit.adopt`. */
+  adoptRateLimit(perSecond: number): void {
+    this.rateLimit.adopt(perSecond);
+    this.#applyRateLimit();
+  }
+
   /** Forgets what a former run of the upstream instance stated. */
   forgetRateLimit(): void {
     this.rateLimit.reset();
--- a/src/admission/rate_limit.ts
+++ b/src/admission/rate_limit.ts
@@ -34,6 +34,9 @@
   /** Instant of the last answer that stated a limit. */
   #statedAt = 0;
 
+  /** Whether an answer of this run of the instance has stated a limit, or none. */
+  #hasAnswer = false;
+
   /** Requests that may start now; below 0 after a request was started early. */
   #tokens = 0;
 
@@ -77,14 +80,24 @@
    * may overtake each other, so only a request sent after the last statement can withdraw it.
    */
   record(perSecond: number, sentAt: number): void {
+    this.#hasAnswer = true;
     if (perSecond === Infinity) {
       if (this.#perSecond === Infinity || sentAt <= this.#statedAt) return;
     } else this.#statedAt = this.clock.now();
     this.#set(perSecond);
   }
 
+  /**
+   * Applies a limit that the instance stated to another process, until an answer reaches this one. A
+   * process that has just started would otherwise fill all slots before the first answer tells it.
+   */
+  adopt(perSecond: number): void {
+    if (!this.#hasAnswer && this.#perSecond === Infinity) this.#set(perSecond);
+  }
+
   /** Forgets the limit, for a new run of the instance. */
   reset(): void {
+    this.#hasAnswer = false;
     this.#set(Infinity);
   }
 
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -17,6 +17,7 @@
   headerOf,
   LOAD,
   EXCHANGE_ID,
+  KNOWN_RATE,
   RATE,
   RETRIED,
   SHED,
@@ -276,6 +277,8 @@
     const { member } = endpoint;
     const { response, target, deadline, isRepeatable } = routed;
     const headers = handoverHeaders(routed, id, this.dialect, this.clock);
+    if (endpoint.ratePerSecond !== undefined)
+      headers.push(KNOWN_RATE, String(endpoint.ratePerSecond));
     return new Exchange(
       {
         connections: this.#connections,
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -15,6 +15,7 @@
   CLAIM,
   headerOf,
   IDEMPOTENCY_KEY,
+  KNOWN_RATE,
   LOAD,
   RATE,
   REPEATABLE,
@@ -35,6 +36,7 @@
 } from './guard_request.js';
 import { ConcurrencyLimiter, type JobResult } from '../admission/concurrency_limiter.js';
 import { type Load, formatLoad, formatRate } from '../admission/load.js';
+import { parseRate } from '../admission/rate_limit.js';
 import { type Reservation, Uplink } from '../admission/uplink.js';
 import { type CrashDetector } from '../quarantine/crash_detector.js';
 import { AnswerSizes } from '../placement/answer_sizes.js';
@@ -221,7 +223,10 @@
     const { request, trace } = arrival;
     const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
     trace.destination = { route: headerOf(request, ROUTE) ?? '', upstream };
-    return guardRequestOf(arrival, this.#requireEndpoint(upstream), this.configuration());
+    const announced = this.#requireEndpoint(upstream);
+    const knownRate = parseRate(headerOf(request, KNOWN_RATE) ?? '');
+    if (knownRate !== undefined) this.limit.adoptRateLimit(knownRate);
+    return guardRequestOf(arrival, announced, this.configuration());
   }
 
   #requireEndpoint(upstream: string): AnnouncedEndpoint {
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -22,6 +22,8 @@
 export const LOAD = 'barleyhaven-load';
 /** On responses between processes: the rate limit of the upstream instance, see `Rate`. */
 export const RATE = 'barleyhaven-rate';
+/** On requests between processes: the rate limit of the endpoint as the entry knows it. */
+export const KNOWN_RATE = 'barleyhaven-known-rate';
 
 /** Name of the route, on a request that must run under a claim. */
 export const CLAIM = 'barleyhaven-claim';
--- a/src/test/admission/rate_limit_test.ts
+++ b/src/test/admission/rate_limit_test.ts
@@ -83,6 +83,23 @@
     expect(rateLimit.nextAt).to.be.at.most(time.clock.now());
   });
 
+  it('applies what others know only until an answer tells, and again in a new run', () => {
+    const seen: number[] = [];
+    const steps = [
+      () => rateLimit.adopt(15),
+      () => rateLimit.adopt(20),
+      () => rateLimit.record(Infinity, time.clock.now()),
+      () => rateLimit.adopt(15),
+      () => rateLimit.reset(),
+      () => rateLimit.adopt(15),
+    ];
+    for (const step of steps) {
+      step();
+      seen.push(rateLimit.perSecond);
+    }
+    expect(seen).to.deep.equal([15, 15, Infinity, Infinity, Infinity, 15]);
+  });
+
   it('parses decimal numbers only', () => {
     const texts = ['15', '23.2', '0', '0.5', '', '-1', '1e9', ' 15', '15, 20', 'NaN', 'Infinity'];
     expect(Object.fromEntries(texts.map((text) => [text, parseRate(text)]))).toMatchSnapshot();
--- a/src/test/requests/rate_limit_test.ts
+++ b/src/test/requests/rate_limit_test.ts
@@ -61,6 +61,21 @@
     expect(conduct.mostInWindow).to.be.within(1, (1.5 * 15 * WINDOW_MS) / 1_000 + SLACK);
   });
 
+  // Guards against a process that has just started beside the instance and does not know its limit.
+  it('gets no more after a restart of the process beside it', async () => {
+    await using path = await TestPath.start(1);
+    const { upstream } = path.endpoints[0]!;
+    const conduct = new LimitedConduct('2');
+    upstream.conduct = conduct;
+    await path.ask({ path: '/menus' });
+    upstream.delayMs = 300;
+    await path.replaceGuard(0);
+    const headers = { 'request-timeout-ms': '1000' };
+    const calls = Array.from({ length: 40 }, () => path.ask({ path: '/menus', headers }));
+    await Promise.all(calls);
+    expect(conduct.mostInWindow).to.be.within(1, (1.5 * 2 * WINDOW_MS) / 1_000 + SLACK);
+  });
+
   it('is left alone again once its answers state no limit, and keeps one through unreadable ones', async () => {
     await using path = await TestPath.start(1);
     const { guard, upstream } = path.endpoints[0]!;
--- a/src/test/requests/test_path.ts
+++ b/src/test/requests/test_path.ts
@@ -1,6 +1,6 @@
 /** One entry and several guards with upstream instances, over real HTTP on loopback. */
 import { Agent, type IncomingMessage, type OutgoingHttpHeaders, request } from 'node:http';
-import { connect } from 'node:net';
+import { type AddressInfo, connect } from 'node:net';
 import { Configuration } from '../../configuration/configuration.js';
 import { type Endpoint, type Member, Resource } from '../../contracts.js';
 import { Roster } from '../../membership/roster.js';
@@ -12,7 +12,7 @@
 import { type Clock, MachineClock } from '../../runtime/clock.js';
 import { ResourceStack } from '../../runtime/resource_stack.js';
 import { SeededRandom } from '../../runtime/random.js';
-import { listen, LOOPBACK } from '../../standins/listen.js';
+import { closeServer, listen, LOOPBACK } from '../../standins/listen.js';
 import { UpstreamServer } from '../../standins/upstream_server.js';
 
 const RESOURCES: readonly Resource[] = [
@@ -129,6 +129,20 @@
     });
   }
 
+  /** Ends the process beside an upstream instance; another takes its place and knows nothing. */
+  async replaceGuard(index: number): Promise<Guard> {
+    const { guard, ...endpoint } = this.endpoints[index]!;
+    const { port } = guard.server.address() as AddressInfo;
+    await guard[Symbol.asyncDispose]();
+    await closeServer(guard.server);
+    const successor = this.#owned.use(new Guard(this.clock));
+    successor.configuration = guard.configuration;
+    successor.announce({ ...guard.announced!, coldMs: 0 });
+    await listen(successor.server, port);
+    this.endpoints[index] = { ...endpoint, guard: successor };
+    return successor;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.#owned[Symbol.asyncDispose]();
   }
