Send no more requests to an instance that says in an answer that it leaves

An endpoint may say in its answers that it leaves (Server-Leaving); a machine that has passed such an answer on must send it nothing more, in touch or not.

Cause: of the same class as the limit, what an instance says about itself in its answers was not read; only its reports counted.

Change: the guard takes the statement for the word of that run, which nothing in the same run takes back: it starts no more work there, refuses what waits, publishes the drain, and so binds its successor as a drain that was announced does. Entries also keep the run and name it in each further request to that process, which refuses it if the run is still the same. A new run, by id or start time, gets requests again.

Ruled out: avoiding the endpoint at the entry by time, which ends too early or shuts out the next run at that address.

--- a/src/bench/fleet.ts
+++ b/src/bench/fleet.ts
@@ -14,6 +14,8 @@
   /** One node with an endpoint is started for each, in every data centre. */
   readonly upstreams: readonly string[];
   readonly delayMs?: number;
+  /** Whether the upstream instances announce ids. */
+  readonly hasIds?: boolean;
 }
 
 /** An instance of the daemon with the upstream instance that it serves. */
@@ -62,7 +64,7 @@
     dataCentre: string,
     name: string,
     upstreamName: string,
-    { delayMs = 0 }: FleetOptions,
+    { delayMs = 0, hasIds = false }: FleetOptions,
   ): Promise<void> {
     const { clock } = this;
     const [first] = this.nodes;
@@ -85,7 +87,11 @@
     const dependencies = { platform, clock, random: new MachineRandom(), codec };
     const instance = this.resources.use(await Instance.start(settings, dependencies));
     const upstream = this.resources.use(
-      await UpstreamServer.start(clock, { upstream: upstreamName, delayMs }),
+      await UpstreamServer.start(clock, {
+        upstream: upstreamName,
+        delayMs,
+        ...(hasIds && { id: name }),
+      }),
     );
     void upstream.announceTo(instance.operatorsPort);
     this.nodes.push({ instance, upstream });
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -137,6 +137,7 @@
     this.guard.configuration = () => this.replica.current;
     this.control.endpointLease.onAnnouncement((announcement) => this.guard.announce(announcement));
     this.guard.rolloutObserver = this.rollouts;
+    this.guard.onLeaving = (run) => this.control.endpointLease.depart(run);
     this.guard.onConnectionRefused = () => this.control.endpointLease.connectionRefused();
     this.entry = new Entry(
       () => this.replica.current,
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import { Endpoint, type Drain } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { type InstanceRun, isSameRun } from './instance_run.js';
 import { type Roster } from './roster.js';
 
 /** Body of `PUT /announcement`: the state of the local endpoint and the address it listens on. */
@@ -19,9 +20,6 @@
 });
 export type Announcement = z.infer<typeof Announcement>;
 
-/** One run of an upstream instance, identified by its id and start time. */
-export type InstanceRun = Pick<Drain, 'id' | 'born'>;
-
 /** Lease duration in milliseconds; upstreams announce several times within it. */
 export const DEFAULT_LEASE_MS = 3_000;
 /** `ready` counts as `down` for this long after a refused connection, in milliseconds. */
@@ -226,9 +224,9 @@
  * Whether an announcement is of the run that drains and does not come after the drain. Start times
  * and sequences that are unknown count as matching.
  */
-function isCoveredBy({ id, born, sequence }: Announcement, drain: Drain): boolean {
-  if (id !== drain.id) return false;
-  if (born !== undefined && drain.born !== undefined && born !== drain.born) return false;
+function isCoveredBy(announcement: Announcement, drain: Drain): boolean {
+  const { sequence } = announcement;
+  if (!isSameRun(announcement, drain)) return false;
   return sequence === undefined || drain.sequence === undefined || sequence <= drain.sequence;
 }
 
--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -165,6 +165,11 @@
     }
   }
 
+  /** Records that the upstream instance is leaving; a membership update will tell so, too. */
+  recordLeaving(chosen: EndpointStats): void {
+    chosen.avoidUntil = Math.max(chosen.avoidUntil, this.clock.now() + INITIAL_AVOID_MS);
+  }
+
   /** Records that the upstream instance shed a request for lack of capacity. */
   recordShed(chosen: EndpointStats): void {
     const until = this.clock.now() + this.random.jitter(MAX_SHED_AVOID_MS);
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -2,7 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text } from 'node:stream/consumers';
 import * as z from 'zod';
-import { type Announcement, type InstanceRun } from '../membership/announcement.js';
+import { type Announcement } from '../membership/announcement.js';
+import { type InstanceRun } from '../membership/instance_run.js';
 import { Duration, HostPort } from './wire.js';
 
 const Report = z.object({
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -6,6 +6,7 @@
 import {
   CALLER_HEADER,
   INSTANCE_HEADER,
+  LEAVING_HEADER,
   LOAD_HEADER,
   NOT_EXECUTED_HEADER,
   RATE_LIMIT_HEADER,
@@ -20,6 +21,7 @@
 const SERVICE_UNAVAILABLE = 503;
 const TOO_MANY_REQUESTS = 429;
 const MS_PER_SECOND = 1_000;
+const LEAVING_VALUE = '1';
 
 export class MeshDialect extends Dialect {
   readonly allowedFromCallers: ReadonlySet<string> = new Set([REQUEST_ID_HEADER]);
@@ -91,6 +93,10 @@
     return headerOf(answer, SIGNATURE_HEADER) === undefined ? undefined : Infinity;
   }
 
+  isLeaving(answer: IncomingMessage): boolean {
+    return headerOf(answer, LEAVING_HEADER) === LEAVING_VALUE;
+  }
+
   /** In fractions of a second, which callers accept, so that they need not wait for a whole one. */
   retryAfter(waitMs: number): string {
     return (Math.max(1, waitMs) / MS_PER_SECOND).toFixed(3);
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -19,6 +19,8 @@
 export const INSTANCE_HEADER = 'barleyhaven-instance-id';
 /** On answers: requests per second that the instance takes from all machines together. */
 export const RATE_LIMIT_HEADER = 'server-limit';
+/** On answers: `1` if the instance is leaving. */
+export const LEAVING_HEADER = 'server-leaving';
 
 const MS_PER_SECOND = 1_000;
 const DURATION = /^(\d+(?:\.\d+)?)(ms|s)$/;
--- a/src/requests/default_dialect.ts
+++ b/src/requests/default_dialect.ts
@@ -5,6 +5,7 @@
   CALLER_REQUEST_ID,
   CALLER_TIMEOUT,
   headerOf,
+  INSTANCE_LEAVING,
   INSTANCE_RATE_LIMIT,
   NO_HEADERS,
   RETRIED,
@@ -12,6 +13,7 @@
 import { parseRate } from '../admission/rate_limit.js';
 
 const MS_PER_SECOND = 1000;
+const LEAVING_VALUE = '1';
 
 export class DefaultDialect extends Dialect {
   readonly allowedFromCallers = NO_HEADERS;
@@ -57,6 +59,10 @@
     return text === undefined ? Infinity : parseRate(text);
   }
 
+  isLeaving(answer: IncomingMessage): boolean {
+    return headerOf(answer, INSTANCE_LEAVING) === LEAVING_VALUE;
+  }
+
   /** Whole seconds, as HTTP requires, and at least one. */
   retryAfter(waitMs: number): string {
     return String(Math.max(1, Math.ceil(waitMs / MS_PER_SECOND)));
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -56,6 +56,9 @@
    */
   abstract rateLimitOf(answer: IncomingMessage): number | undefined;
 
+  /** Whether the instance states in the answer that it is leaving; that holds for its whole run. */
+  abstract isLeaving(answer: IncomingMessage): boolean;
+
   /** The value of `Retry-After` for a delay in milliseconds. */
   abstract retryAfter(waitMs: number): string;
 }
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -15,7 +15,9 @@
   CLAIM,
   headerOf,
   IDEMPOTENCY_KEY,
+  KNOWN_LEAVING,
   KNOWN_RATE,
+  LEAVING,
   LOAD,
   RATE,
   REPEATABLE,
@@ -43,6 +45,7 @@
 import { type HeldClaim } from '../claims/held_claim.js';
 import { runOnce } from '../claims/once.js';
 import { relayAndRecord } from '../claims/outcome.js';
+import { formatRun, type InstanceRun, isSameRun, parseRun } from '../membership/instance_run.js';
 import { type Observer, type ObservedAnswer } from '../rollout/observer.js';
 import { DEFAULT_DIALECT } from './default_dialect.js';
 import { DisconnectCheck } from './disconnect_check.js';
@@ -82,6 +85,9 @@
   /** Called when the upstream instance refuses a connection: nothing listens there any more. */
   onConnectionRefused: () => void = () => {};
 
+  /** Called when the upstream instance has stated in an answer that it leaves. */
+  onLeaving: (run: InstanceRun) => void = () => {};
+
   /** The configuration in force, in which the limits of routes are looked up. */
   configuration = () => Configuration.empty;
 
@@ -89,6 +95,9 @@
 
   readonly #answerSizes = new AnswerSizes();
 
+  /** The last run of the upstream instance that has stated in an answer that it leaves. */
+  #leavingRun: InstanceRun | undefined;
+
   /** Whether this process is stopping. */
   #isShuttingDown = false;
 
@@ -113,7 +122,7 @@
     const before = this.announced;
     this.announced = announced;
     this.limit.slots = announced.slots;
-    if (before && isOtherRun(before, announced)) this.limit.forgetRateLimit();
+    if (before && !isSameRun(before, announced)) this.limit.forgetRateLimit();
     this.#updateDraining();
     const wasReady = before?.state === 'ready' || before?.state === 'draining';
     const isOther = before?.port !== announced.port || before.host !== announced.host;
@@ -144,7 +153,25 @@
   }
 
   #updateDraining(): void {
-    this.limit.isDraining = this.#isShuttingDown || this.announced?.state === 'draining';
+    const isAnnounced = this.announced?.state === 'draining';
+    this.limit.isDraining = this.#isShuttingDown || isAnnounced || this.#isLeaving;
+  }
+
+  get #isLeaving(): boolean {
+    const { announced } = this;
+    return (
+      announced !== undefined &&
+      this.#leavingRun !== undefined &&
+      isSameRun(announced, this.#leavingRun)
+    );
+  }
+
+  /** Starts no more work at a run of the instance that leaves; instances without an id have no runs. */
+  #recordLeaving(run: InstanceRun): void {
+    if (this.#isLeaving || !this.announced || !isSameRun(this.announced, run)) return;
+    this.#leavingRun = run;
+    this.#updateDraining();
+    this.onLeaving(run);
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -223,12 +250,19 @@
     const { request, trace } = arrival;
     const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
     trace.destination = { route: headerOf(request, ROUTE) ?? '', upstream };
+    this.#adoptKnown(request);
     const announced = this.#requireEndpoint(upstream);
-    const knownRate = parseRate(headerOf(request, KNOWN_RATE) ?? '');
-    if (knownRate !== undefined) this.limit.adoptRateLimit(knownRate);
     return guardRequestOf(arrival, announced, this.configuration());
   }
 
+  /** Adopts what the upstream instance has stated to the entry, maybe before this process started. */
+  #adoptKnown(request: IncomingMessage): void {
+    const perSecond = parseRate(headerOf(request, KNOWN_RATE) ?? '');
+    if (perSecond !== undefined) this.limit.adoptRateLimit(perSecond);
+    const run = parseRun(headerOf(request, KNOWN_LEAVING));
+    if (run) this.#recordLeaving(run);
+  }
+
   #requireEndpoint(upstream: string): AnnouncedEndpoint {
     const { announced } = this;
     if (announced?.upstream !== upstream || announced.state === 'down') {
@@ -260,7 +294,7 @@
     // Internal headers set by the upstream instance are dropped: only barleyhaven may set them.
     const headers = responseHeaders(answer, this.dialect.allowedFromUpstreams);
     headers.push(VERDICT, 'ran', EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
-    headers.push(...this.#loadHeaders());
+    headers.push(...this.#stateHeaders());
     if (isShed) headers.push(SHED, '1');
     response.writeHead(status, headers);
     if (claim) {
@@ -320,7 +354,10 @@
     answer: IncomingMessage,
     sentAt: number,
   ): void {
-    if (!this.announced || isOtherRun(this.announced, { id, born })) return;
+    if (!this.announced || !isSameRun(this.announced, { id, born })) return;
+    if (id !== undefined && this.dialect.isLeaving(answer)) {
+      this.#recordLeaving(born === undefined ? { id } : { id, born });
+    }
     const perSecond = this.dialect.rateLimitOf(answer);
     if (perSecond !== undefined) this.limit.recordRateLimit(perSecond, sentAt);
   }
@@ -350,20 +387,21 @@
     );
   }
 
-  /** Sets the headers by which an entry matches a refusal to its request, and the load. */
+  /** Sets the headers by which an entry matches a refusal to its request, and the state. */
   #setExchangeHeaders(request: IncomingMessage, response: ServerResponse): void {
     response.setHeader(EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
-    const headers = this.#loadHeaders();
+    const headers = this.#stateHeaders();
     for (let index = 0; index < headers.length; index += 2) {
       response.setHeader(headers[index]!, headers[index + 1]!);
     }
   }
 
-  /** The load as headers, as alternating names and values. */
-  #loadHeaders(): string[] {
+  /** Load and statements of the upstream instance, as alternating names and values of headers. */
+  #stateHeaders(): string[] {
     const { load } = this;
     const headers = [LOAD, formatLoad(load)];
     if (load.rate) headers.push(RATE, formatRate(load.rate));
+    if (this.#isLeaving && this.#leavingRun) headers.push(LEAVING, formatRun(this.#leavingRun));
     return headers;
   }
 }
@@ -379,15 +417,6 @@
   return new StreamedBody(request, { prefix: [], maxBytes: Infinity, expectsContinue: false });
 }
 
-/** Whether two announcements come from different runs of the instance; a start time may be unknown. */
-function isOtherRun(
-  one: Pick<AnnouncedEndpoint, 'id' | 'born'>,
-  other: Pick<AnnouncedEndpoint, 'id' | 'born'>,
-): boolean {
-  if (one.id !== other.id) return true;
-  return one.born !== undefined && other.born !== undefined && one.born !== other.born;
-}
-
 function isConnectionRefused(error: unknown): boolean {
   const { cause } = asOutcome(error) as { cause?: NodeJS.ErrnoException };
   return cause?.code === 'ECONNREFUSED';
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -24,6 +24,10 @@
 export const RATE = 'barleyhaven-rate';
 /** On requests between processes: the rate limit of the endpoint as the entry knows it. */
 export const KNOWN_RATE = 'barleyhaven-known-rate';
+/** On responses between processes: the run of the upstream instance, if it has said that it leaves. */
+export const LEAVING = 'barleyhaven-leaving';
+/** On requests between processes: a run of the endpoint of which the entry knows that it leaves. */
+export const KNOWN_LEAVING = 'barleyhaven-known-leaving';
 
 /** Name of the route, on a request that must run under a claim. */
 export const CLAIM = 'barleyhaven-claim';
@@ -50,6 +54,8 @@
 export const IDEMPOTENCY_KEY = 'idempotency-key';
 /** From upstream instances: the requests per second that one takes from all processes together. */
 export const INSTANCE_RATE_LIMIT = 'instance-rate-limit';
+/** From upstream instances: `1` from one that is leaving. */
+export const INSTANCE_LEAVING = 'instance-leaving';
 export const RETRY_AFTER = 'retry-after';
 
 /** Internal headers forwarded to callers on responses. */
--- a/src/standins/upstream_server.ts
+++ b/src/standins/upstream_server.ts
@@ -15,6 +15,8 @@
 
 export interface UpstreamOptions {
   readonly upstream: string;
+  /** The id that it announces; none if absent. */
+  readonly id?: string;
   readonly slots?: number;
   /** Time that each request takes, in milliseconds. */
   readonly delayMs?: number;
@@ -99,6 +101,7 @@
   announce(operatorsPort: number): Promise<void> {
     const body = JSON.stringify({
       upstream: this.options.upstream,
+      id: this.options.id,
       state: this.state,
       slots: this.options.slots ?? DEFAULT_SLOTS,
       host: LOOPBACK,
--- a/src/test/platform/mesh_dialect_test.ts
+++ b/src/test/platform/mesh_dialect_test.ts
@@ -67,6 +67,16 @@
     expect(Object.fromEntries(rates)).toMatchSnapshot();
   });
 
+  it('reads whether an instance is leaving', () => {
+    const values = ['1', '0', ''].map((value) => message({ 'server-leaving': value }));
+    expect([...values, message({})].map((answer) => dialect.isLeaving(answer))).to.deep.equal([
+      true,
+      false,
+      false,
+      false,
+    ]);
+  });
+
   it('gives the retry delay in fractions of a second', () => {
     expect([dialect.retryAfter(125), dialect.retryAfter(-5)]).to.deep.equal(['0.125', '0.001']);
   });
