--- a/src/standins/upstream_conduct.ts
+++ b/src/standins/upstream_conduct.ts
@@ -1,5 +1,5 @@
 /** Ways in which the stand-in for an upstream instance responds to a request: correct and faulty ones. */
-import { type ServerResponse } from 'node:http';
+import { type OutgoingHttpHeaders, type ServerResponse } from 'node:http';
 import { type Socket } from 'node:net';
 import { Readable } from 'node:stream';
 import { type ReceivedRequest } from './upstream_server.js';
@@ -122,6 +122,23 @@
   }
 }
 
+/** Sends an empty response with headers in which the instance states something about itself. */
+export class StatingConduct extends Conduct {
+  /** Instants at which requests arrived, in milliseconds since the epoch. */
+  readonly arrivals: number[] = [];
+
+  constructor(private readonly headers: OutgoingHttpHeaders) {
+    super();
+  }
+
+  answer({ incoming, response, id }: ReceivedRequest): void {
+    this.arrivals.push(Date.now());
+    incoming.resume();
+    response.writeHead(200, { ...this.headers, 'x-request': id });
+    response.end();
+  }
+}
+
 /** Responds without ever reading the body of the request. */
 class Early extends Conduct {
   answer({ response, id }: ReceivedRequest): void {
--- a/src/test/daemon/leaving_test.ts
+++ b/src/test/daemon/leaving_test.ts
@@ -2,8 +2,7 @@
 import { Fleet, type FleetNode } from '../../bench/fleet.js';
 import { ReleaseNote } from '../../contracts.js';
 import { MachineClock } from '../../runtime/clock.js';
-import { Conduct } from '../../standins/upstream_conduct.js';
-import { type ReceivedRequest } from '../../standins/upstream_server.js';
+import { StatingConduct } from '../../standins/upstream_conduct.js';
 import { Client } from '../../tool/client.js';
 import { ask } from '../requests/test_path.js';
 
@@ -18,14 +17,6 @@
   },
 });
 
-class LeavingConduct extends Conduct {
-  answer({ incoming, response }: ReceivedRequest): void {
-    incoming.resume();
-    response.writeHead(200, { 'instance-leaving': '1' });
-    response.end();
-  }
-}
-
 describe('Instance', () => {
   // Guards against processes that send new work to an instance because it is published as ready.
   it('publishes its upstream instance as draining once an answer states that it leaves', async () => {
@@ -42,7 +33,7 @@
     await new Client(`127.0.0.1:${leaving.instance.operatorsPort}`).call('submit', NOTE);
     const isApplied = ({ instance }: FleetNode) => instance.replica.current.number === 1;
     await fleet.waitUntil(() => fleet.nodes.every(isApplied), deadline);
-    leaving.upstream.conduct = new LeavingConduct();
+    leaving.upstream.conduct = new StatingConduct({ 'instance-leaving': '1' });
     while (stateSeen() === 'ready' && clock.now() < deadline) {
       await ask(other.instance.callerPort, { path: '/seats' });
     }
--- a/src/test/requests/leaving_test.ts
+++ b/src/test/requests/leaving_test.ts
@@ -1,29 +1,16 @@
 import { expect } from 'chai';
-import { Conduct } from '../../standins/upstream_conduct.js';
-import { type ReceivedRequest } from '../../standins/upstream_server.js';
+import { StatingConduct } from '../../standins/upstream_conduct.js';
 import { type AnnouncedEndpoint } from '../../requests/guard_request.js';
 import { TestPath } from './test_path.js';
 
 const CALLS = 20;
 
-/** States in each answer that the instance is leaving. */
-class LeavingConduct extends Conduct {
-  runs = 0;
-
-  answer({ incoming, response, id }: ReceivedRequest): void {
-    this.runs += 1;
-    incoming.resume();
-    response.writeHead(200, { 'instance-leaving': '1', 'x-request': id });
-    response.end();
-  }
-}
-
 /** Lets the first instance of the path say that it leaves, and makes requests until it has. */
-async function leave(path: TestPath): Promise<LeavingConduct> {
-  const conduct = new LeavingConduct();
+async function leave(path: TestPath): Promise<StatingConduct> {
+  const conduct = new StatingConduct({ 'instance-leaving': '1' });
   path.endpoints[0]!.upstream.conduct = conduct;
   announce(path, { id: 'i-1', born: 1 });
-  while (conduct.runs === 0) await path.ask({ path: '/menus' });
+  while (conduct.arrivals.length === 0) await path.ask({ path: '/menus' });
   return conduct;
 }
 
@@ -45,7 +32,7 @@
     const conduct = await leave(path);
     announce(path, { state: 'ready' });
     expect(await statuses(path)).to.deep.equal([200]);
-    expect(conduct.runs).to.equal(1);
+    expect(conduct.arrivals).to.have.length(1);
   });
 
   // Guards against a process that has just started beside the instance and never heard of it.
@@ -54,7 +41,7 @@
     const conduct = await leave(path);
     await path.replaceGuard(0);
     expect(await statuses(path)).to.deep.equal([503]);
-    expect(conduct.runs).to.equal(1);
+    expect(conduct.arrivals).to.have.length(1);
   });
 
   // Guards against an instance that is shut out because the one before it at its address left.
--- a/src/test/requests/rate_limit_test.ts
+++ b/src/test/requests/rate_limit_test.ts
@@ -1,7 +1,6 @@
 import { once } from 'node:events';
 import { expect } from 'chai';
-import { Conduct } from '../../standins/upstream_conduct.js';
-import { type ReceivedRequest } from '../../standins/upstream_server.js';
+import { StatingConduct } from '../../standins/upstream_conduct.js';
 import { TestPath } from './test_path.js';
 
 const CALLS = 300;
@@ -10,28 +9,14 @@
 /** Requests of the window that an instance tolerates beyond one and a half times its limit. */
 const SLACK = 5;
 
-/** States a rate limit in each answer, and notes when each request arrived. */
-class LimitedConduct extends Conduct {
-  readonly arrivals: number[] = [];
+const limitedTo = (perSecond: string) => new StatingConduct({ 'instance-rate-limit': perSecond });
 
-  constructor(public perSecond: string) {
-    super();
-  }
-
-  answer({ incoming, response, id }: ReceivedRequest): void {
-    this.arrivals.push(Date.now());
-    incoming.resume();
-    response.writeHead(200, { 'instance-rate-limit': this.perSecond, 'x-request': id });
-    response.end();
-  }
-
-  /** Most arrivals in any window. */
-  get mostInWindow(): number {
-    const counts = this.arrivals.map(
-      (from) => this.arrivals.filter((at) => at >= from && at < from + WINDOW_MS).length,
-    );
-    return Math.max(0, ...counts);
-  }
+/** Most arrivals in any window. */
+function mostInWindow({ arrivals }: StatingConduct): number {
+  const counts = arrivals.map(
+    (from) => arrivals.filter((at) => at >= from && at < from + WINDOW_MS).length,
+  );
+  return Math.max(0, ...counts);
 }
 
 const pause = (ms: number) =>
@@ -55,17 +40,17 @@
   // Guards against an instance in need that gets more requests than it says it can take.
   it('gets no more requests than it states, while the others get the rest', async () => {
     await using path = await TestPath.start(2);
-    const conduct = new LimitedConduct('15');
+    const conduct = limitedTo('15');
     path.endpoints[0]!.upstream.conduct = conduct;
     expect(await call(path)).to.deep.equal({ 200: CALLS });
-    expect(conduct.mostInWindow).to.be.within(1, (1.5 * 15 * WINDOW_MS) / 1_000 + SLACK);
+    expect(mostInWindow(conduct)).to.be.within(1, (1.5 * 15 * WINDOW_MS) / 1_000 + SLACK);
   });
 
   // Guards against a process that has just started beside the instance and does not know its limit.
   it('gets no more after a restart of the process beside it', async () => {
     await using path = await TestPath.start(1);
     const { upstream } = path.endpoints[0]!;
-    const conduct = new LimitedConduct('2');
+    const conduct = limitedTo('2');
     upstream.conduct = conduct;
     await path.ask({ path: '/menus' });
     upstream.delayMs = 300;
@@ -73,7 +58,7 @@
     const headers = { 'request-timeout-ms': '1000' };
     const calls = Array.from({ length: 40 }, () => path.ask({ path: '/menus', headers }));
     await Promise.all(calls);
-    expect(conduct.mostInWindow).to.be.within(1, (1.5 * 2 * WINDOW_MS) / 1_000 + SLACK);
+    expect(mostInWindow(conduct)).to.be.within(1, (1.5 * 2 * WINDOW_MS) / 1_000 + SLACK);
   });
 
   it('is left alone again once its answers state no limit, and keeps one through unreadable ones', async () => {
@@ -81,7 +66,7 @@
     const { guard, upstream } = path.endpoints[0]!;
     const seen: number[] = [];
     for (const stated of ['50', 'many', '-1', '1e9', undefined]) {
-      upstream.conduct = stated === undefined ? undefined : new LimitedConduct(stated);
+      upstream.conduct = stated === undefined ? undefined : limitedTo(stated);
       const { status } = await path.ask({ path: '/menus' });
       expect(status).to.equal(200);
       seen.push(guard.limit.rateLimit.perSecond);
@@ -95,7 +80,7 @@
     const { guard, upstream } = path.endpoints[0]!;
     const oldRun = { ...guard.announced!, id: 'i-1', born: 1 };
     guard.announce(oldRun);
-    upstream.conduct = new LimitedConduct('50');
+    upstream.conduct = limitedTo('50');
     await path.ask({ path: '/menus' });
     upstream.delayMs = 100;
     const late = path.ask({ path: '/menus' });
