--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -172,6 +172,13 @@
     this.replica.onApplied(() => {
       this.#appliedAt = clock.now();
     });
+    ports.disconnectCheck.onLongWait = (waitedMs, waiting) => {
+      this.log.record('warn', {
+        event: 'caller-check-late',
+        waitedMs: Math.round(waitedMs),
+        waiting,
+      });
+    };
     recordStateChanges(this.control, this.guard, platform, this.log, clock);
   }
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -128,6 +128,13 @@
     message: z.string(),
     stack: z.string(),
   }),
+  z.object({
+    /** A request waited long for the check of its caller; at most one line a second. */
+    event: z.literal('caller-check-late'),
+    waitedMs: z.number(),
+    /** Requests that wait for the check. */
+    waiting: z.number(),
+  }),
   z.object({
     /** The upstream instance beside this process stated a rate limit, changed or withdrew it. */
     event: z.literal('rate-limit-changed'),
--- a/src/requests/disconnect_check.ts
+++ b/src/requests/disconnect_check.ts
@@ -9,11 +9,17 @@
 const MAX_BATCH_MS = 150;
 /** A caller seen to be connected this recently is not checked again, in milliseconds. */
 const RECENTLY_SEEN_MS = 10;
+/** A longer wait for the check is reported, in milliseconds. */
+const LONG_WAIT_MS = 100;
+/** Minimum time between two reports, in milliseconds. */
+const REPORT_INTERVAL_MS = 1_000;
 
 /** A request that waits for the check. */
 interface QueuedRequest {
   /** Number of the first batch before which its connection has been read again. */
   readonly batch: number;
+  /** In milliseconds since the epoch. */
+  readonly queuedAt: number;
   readonly start: () => void;
 }
 
@@ -25,6 +31,11 @@
  * the reading before it: its knowledge of callers stays fresh, and reading does not hold up requests.
  */
 export class DisconnectCheck {
+  /** Called for a request that waited long, with the number of those that still wait. */
+  onLongWait: (waitedMs: number, waiting: number) => void = () => {};
+
+  #reportedAt = 0;
+
   #batch = 0;
 
   /** Instant at which the last batch ended and Node began to read connections again. */
@@ -63,7 +74,8 @@
 
   /** A connection whose request has just been read must be read once more than others. */
   #enqueue(start: () => void, isNew: boolean): void {
-    this.#queue.push({ batch: this.#batch + (isNew ? 2 : 1), start });
+    const batch = this.#batch + (isNew ? 2 : 1);
+    this.#queue.push({ batch, queuedAt: this.clock.now(), start });
     this.#schedule();
   }
 
@@ -88,13 +100,21 @@
   #startQueued(until: number): void {
     const started = new Set<QueuedRequest>();
     for (const queued of this.#queue.filter(({ batch }) => batch <= this.#batch)) {
-      if (this.clock.now() >= until) break;
+      const now = this.clock.now();
+      if (now >= until) break;
+      this.#reportLongWait(now - queued.queuedAt, now);
       started.add(queued);
       queued.start();
     }
     // The started work may have queued further requests.
     this.#queue = this.#queue.filter((queued) => !started.has(queued));
   }
+
+  #reportLongWait(waitedMs: number, now: number): void {
+    if (waitedMs < LONG_WAIT_MS || now < this.#reportedAt + REPORT_INTERVAL_MS) return;
+    this.#reportedAt = now;
+    this.onLongWait(waitedMs, this.#queue.length);
+  }
 }
 
 /** Emitted by a response when its caller ends the connection, some event loop iterations before `close`. */
--- a/src/test/requests/disconnect_check_test.ts
+++ b/src/test/requests/disconnect_check_test.ts
@@ -41,6 +41,20 @@
     expect(await late).to.include({ verdict: 'not-run', reason: 'cancelled' });
   });
 
+  it('reports a request that waited long for the check, once a second', async () => {
+    const clock = new MachineClock();
+    const disconnectCheck = new DisconnectCheck(clock);
+    const waits: number[] = [];
+    disconnectCheck.onLongWait = (waitedMs) => waits.push(waitedMs);
+    const checks = [1, 2, 3].map(() =>
+      disconnectCheck.runIfConnected(caller().response, async () => {}),
+    );
+    const until = clock.now() + 150;
+    while (clock.now() < until);
+    await Promise.all(checks);
+    expect(waits).to.have.length(1);
+  });
+
   // Guards against work for callers who disconnected while the process was blocked.
   it('keeps a stalled entry from forwarding requests of disconnected callers', async () => {
     await using path = await TestPath.start();
