Let entries remember what instances state beyond the statistics of an endpoint

Change: one map, bounded, of what each instance has stated, rate and leave, with its run; it takes the place of LeavingRuns. The run is named in both, so that a new run is not held to the limit of an old one that only entries remember.

--- a/src/membership/instance_run.ts
+++ b/src/membership/instance_run.ts
@@ -14,7 +14,7 @@
 }
 
 /** The run as a header value; the id is encoded, since an instance may choose any text. */
-export function formatRun({ id, born }: InstanceRun): string {
+export function formatRun({ id, born }: { id: string; born?: number | undefined }): string {
   return `${encodeURIComponent(id)},${born ?? ''}`;
 }
 
--- a/src/placement/endpoint_stats.ts
+++ b/src/placement/endpoint_stats.ts
@@ -98,11 +98,6 @@
     this.#sentSinceReport = 0;
   }
 
-  /** The rate limit that it reported last, in requests per second; undefined without one. */
-  get ratePerSecond(): number | undefined {
-    return this.#load?.rate?.perSecond;
-  }
-
   /** Records a request that is sent now, and that reported loads do not include yet. */
   recordSent(now: number): void {
     this.#sentSinceReport += 1;
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -17,8 +17,6 @@
   headerOf,
   LOAD,
   EXCHANGE_ID,
-  KNOWN_LEAVING,
-  KNOWN_RATE,
   LEAVING,
   RATE,
   RETRIED,
@@ -36,7 +34,7 @@
 import { headFingerprint } from '../quarantine/request_fingerprint.js';
 import { DEFAULT_DIALECT } from './default_dialect.js';
 import { DisconnectCheck } from './disconnect_check.js';
-import { LeavingRuns } from './leaving_runs.js';
+import { KnownStatements } from './known_statements.js';
 import { withRetryTime } from './retry_time.js';
 import {
   type RetrySettings,
@@ -86,7 +84,7 @@
 
   readonly #answerSizes = new AnswerSizes();
 
-  readonly #leavingRuns = new LeavingRuns();
+  readonly #knownStatements = new KnownStatements();
 
   /** Internal headers forwarded to callers on responses. */
   readonly #callerVisibleHeaders: ReadonlySet<string>;
@@ -253,7 +251,8 @@
     if (answer.headers[EXCHANGE_ID] !== id) throw exchange.abortMismatched();
     const now = this.clock.now();
     const load = parseLoad(headerOf(answer, LOAD), headerOf(answer, RATE));
-    this.#recordLeaving(endpoint, headerOf(answer, LEAVING));
+    this.#knownStatements.record(endpoint.member.instance, answer, load);
+    if (headerOf(answer, LEAVING) !== undefined) this.balancer.recordLeaving(endpoint);
     const refusal = parseGuardRefusal(answer, now);
     if (answer.headers[RETRIED] !== undefined) routed.isRetriedElsewhere = true;
     if (refusal) {
@@ -273,12 +272,6 @@
     return undefined;
   }
 
-  #recordLeaving(endpoint: EndpointStats, run: string | undefined): void {
-    if (run === undefined) return;
-    this.#leavingRuns.record(endpoint.member.instance, run);
-    this.balancer.recordLeaving(endpoint);
-  }
-
   #exchange(
     routed: RoutedRequest,
     body: Body,
@@ -289,7 +282,7 @@
     const { member } = endpoint;
     const { response, target, deadline, isRepeatable } = routed;
     const headers = handoverHeaders(routed, id, this.dialect, this.clock);
-    headers.push(...this.#knownStatements(endpoint));
+    headers.push(...this.#knownStatements.headersFor(member.instance));
     return new Exchange(
       {
         connections: this.#connections,
@@ -309,15 +302,6 @@
     );
   }
 
-  /** What the upstream instance has stated, for a guard that has just started and does not know. */
-  #knownStatements({ member, ratePerSecond }: EndpointStats): string[] {
-    const headers: string[] = [];
-    if (ratePerSecond !== undefined) headers.push(KNOWN_RATE, String(ratePerSecond));
-    const leaving = this.#leavingRuns.of(member.instance);
-    if (leaving !== undefined) headers.push(KNOWN_LEAVING, leaving);
-    return headers;
-  }
-
   #noteSent(
     { trace }: RoutedRequest,
     endpoint: EndpointStats,
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -26,6 +26,7 @@
   RETRIED,
   RETRY_AFTER,
   ROUTE,
+  RUN,
   SHED,
   UPSTREAM,
   VERDICT,
@@ -267,10 +268,11 @@
 
   /** Adopts what the upstream instance has stated to the entry, maybe before this process started. */
   #adoptKnown(request: IncomingMessage): void {
+    const run = parseRun(headerOf(request, RUN));
+    if (!this.announced || !isSameRun(this.announced, run ?? {})) return;
     const perSecond = parseRate(headerOf(request, KNOWN_RATE) ?? '');
     if (perSecond !== undefined) this.limit.adoptRateLimit(perSecond);
-    const run = parseRun(headerOf(request, KNOWN_LEAVING));
-    if (run) this.#recordLeaving(run);
+    if (run && headerOf(request, KNOWN_LEAVING) !== undefined) this.#recordLeaving(run);
   }
 
   #requireEndpoint(upstream: string): AnnouncedEndpoint {
@@ -408,10 +410,14 @@
 
   /** Load and statements of the upstream instance, as alternating names and values of headers. */
   #stateHeaders(): string[] {
-    const { load } = this;
+    const { load, announced } = this;
     const headers = [LOAD, formatLoad(load)];
     if (load.rate) headers.push(RATE, formatRate(load.rate));
-    if (this.#isLeaving && this.#leavingRun) headers.push(LEAVING, formatRun(this.#leavingRun));
+    if (this.#isLeaving) headers.push(LEAVING, '1');
+    const hasStatement = load.rate !== undefined || this.#isLeaving;
+    if (hasStatement && announced?.id !== undefined) {
+      headers.push(RUN, formatRun({ id: announced.id, born: announced.born }));
+    }
     return headers;
   }
 }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -24,10 +24,12 @@
 export const RATE = 'barleyhaven-rate';
 /** On requests between processes: the rate limit of the endpoint as the entry knows it. */
 export const KNOWN_RATE = 'barleyhaven-known-rate';
-/** On responses between processes: the run of the upstream instance, if it has said that it leaves. */
+/** On responses between processes: the upstream instance has stated that it is leaving. */
 export const LEAVING = 'barleyhaven-leaving';
-/** On requests between processes: a run of the endpoint of which the entry knows that it leaves. */
+/** On requests between processes: the entry knows that the endpoint is leaving. */
 export const KNOWN_LEAVING = 'barleyhaven-known-leaving';
+/** Between processes: the run of the upstream instance that has stated this, see `formatRun`. */
+export const RUN = 'barleyhaven-run';
 
 /** Name of the route, on a request that must run under a claim. */
 export const CLAIM = 'barleyhaven-claim';
--- a/src/test/requests/rate_limit_test.ts
+++ b/src/test/requests/rate_limit_test.ts
@@ -61,6 +61,20 @@
     expect(mostInWindow(conduct)).to.be.within(1, (1.5 * 2 * WINDOW_MS) / 1_000 + SLACK);
   });
 
+  // Guards against a new run that is held to the limit of an old one which only entries remember.
+  it('is not held to the limit of its former run after a restart of the process beside it', async () => {
+    await using path = await TestPath.start(1);
+    const { guard, upstream } = path.endpoints[0]!;
+    guard.announce({ ...guard.announced!, id: 'i-1', born: 1 });
+    upstream.conduct = limitedTo('0.5');
+    await path.ask({ path: '/menus' });
+    upstream.conduct = undefined;
+    const successor = await path.replaceGuard(0);
+    successor.announce({ ...successor.announced!, born: 2 });
+    const { status } = await path.ask({ path: '/menus' });
+    expect([status, successor.limit.rateLimit.perSecond]).to.deep.equal([200, Infinity]);
+  });
+
   it('is left alone again once its answers state no limit, and keeps one through unreadable ones', async () => {
     await using path = await TestPath.start(1);
     const { guard, upstream } = path.endpoints[0]!;
--- a/src/test/requests/test_path.ts
+++ b/src/test/requests/test_path.ts
@@ -129,16 +129,25 @@
     });
   }
 
-  /** Ends the process beside an upstream instance; another takes its place and knows nothing. */
+  /**
+   * Ends the process beside an upstream instance; another takes its place and knows nothing. The
+   * entry serves a request in between, and so notices that the endpoint is gone.
+   */
   async replaceGuard(index: number): Promise<Guard> {
     const { guard, ...endpoint } = this.endpoints[index]!;
+    const { endpoint: announced, ...before } = this.roster.get(endpoint.name)!;
+    const started = { ...before, incarnation: before.incarnation + 1 };
     const { port } = guard.server.address() as AddressInfo;
     await guard[Symbol.asyncDispose]();
     await closeServer(guard.server);
+    this.roster.merge([started]);
+    await this.ask({ path: '/menus' });
     const successor = this.#owned.use(new Guard(this.clock));
     successor.configuration = guard.configuration;
     successor.announce({ ...guard.announced!, coldMs: 0 });
     await listen(successor.server, port);
+    const sequence = started.sequence + 1;
+    this.roster.merge([{ ...started, sequence, ...(announced && { endpoint: announced }) }]);
     this.endpoints[index] = { ...endpoint, guard: successor };
     return successor;
   }
