--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -15,18 +15,13 @@
   CLAIM,
   headerOf,
   IDEMPOTENCY_KEY,
-  KNOWN_LEAVING,
-  KNOWN_RATE,
-  LEAVING,
   LOAD,
-  RATE,
   REPEATABLE,
   EXCHANGE_ID,
   requestHeaders,
   RETRIED,
   RETRY_AFTER,
   ROUTE,
-  RUN,
   SHED,
   UPSTREAM,
   VERDICT,
@@ -38,18 +33,18 @@
   type Arrival,
 } from './guard_request.js';
 import { ConcurrencyLimiter, type JobResult } from '../admission/concurrency_limiter.js';
-import { type Load, formatLoad, formatRate } from '../admission/load.js';
-import { parseRate } from '../admission/rate_limit.js';
+import { type Load, formatLoad } from '../admission/load.js';
 import { type Reservation, Uplink } from '../admission/uplink.js';
 import { type CrashDetector } from '../quarantine/crash_detector.js';
 import { AnswerSizes } from '../placement/answer_sizes.js';
 import { type HeldClaim } from '../claims/held_claim.js';
 import { runOnce } from '../claims/once.js';
 import { relayAndRecord } from '../claims/outcome.js';
-import { formatRun, type InstanceRun, isSameRun, parseRun } from '../membership/instance_run.js';
 import { type Observer, type ObservedAnswer } from '../rollout/observer.js';
 import { DEFAULT_DIALECT } from './default_dialect.js';
 import { DisconnectCheck } from './disconnect_check.js';
+import { type InstanceRun } from '../membership/instance_run.js';
+import { InstanceStatements } from './instance_statements.js';
 import { refuse } from './refusal.js';
 import { RequestTracker } from './request_tracker.js';
 
@@ -96,8 +91,7 @@
 
   readonly #answerSizes = new AnswerSizes();
 
-  /** The last run of the upstream instance that has stated in an answer that it leaves. */
-  #leavingRun: InstanceRun | undefined;
+  readonly #statements: InstanceStatements;
 
   /** Whether this process is stopping. */
   #isShuttingDown = false;
@@ -109,6 +103,11 @@
     private readonly disconnectCheck = new DisconnectCheck(clock),
   ) {
     this.limit = new ConcurrencyLimiter(clock, DEFAULT_SLOTS);
+    this.#statements = new InstanceStatements(dialect, this.limit);
+    this.#statements.onLeaving = (run) => {
+      this.#updateDraining();
+      this.onLeaving(run);
+    };
     this.requestLog = silentRequestLog(clock);
     this.#connections = new ConnectionPool(clock, MAX_CONNECTIONS);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
@@ -123,7 +122,7 @@
     const before = this.announced;
     this.announced = announced;
     this.limit.slots = announced.slots;
-    if (before && !isSameRun(before, announced)) this.limit.forgetRateLimit();
+    this.#statements.announced = announced;
     this.#updateDraining();
     const wasReady = before?.state === 'ready' || before?.state === 'draining';
     const isOther = before?.port !== announced.port || before.host !== announced.host;
@@ -155,24 +154,7 @@
 
   #updateDraining(): void {
     const isAnnounced = this.announced?.state === 'draining';
-    this.limit.isDraining = this.#isShuttingDown || isAnnounced || this.#isLeaving;
-  }
-
-  get #isLeaving(): boolean {
-    const { announced } = this;
-    return (
-      announced !== undefined &&
-      this.#leavingRun !== undefined &&
-      isSameRun(announced, this.#leavingRun)
-    );
-  }
-
-  /** Starts no more work at a run of the instance that leaves; instances without an id have no runs. */
-  #recordLeaving(run: InstanceRun): void {
-    if (this.#isLeaving || !this.announced || !isSameRun(this.announced, run)) return;
-    this.#leavingRun = run;
-    this.#updateDraining();
-    this.onLeaving(run);
+    this.limit.isDraining = this.#isShuttingDown || isAnnounced || this.#statements.isLeaving;
   }
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -261,20 +243,11 @@
     const { request, trace } = arrival;
     const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
     trace.destination = { route: headerOf(request, ROUTE) ?? '', upstream };
-    this.#adoptKnown(request);
+    this.#statements.adopt(request);
     const announced = this.#requireEndpoint(upstream);
     return guardRequestOf(arrival, announced, this.configuration());
   }
 
-  /** Adopts what the upstream instance has stated to the entry, maybe before this process started. */
-  #adoptKnown(request: IncomingMessage): void {
-    const run = parseRun(headerOf(request, RUN));
-    if (!this.announced || !isSameRun(this.announced, run ?? {})) return;
-    const perSecond = parseRate(headerOf(request, KNOWN_RATE) ?? '');
-    if (perSecond !== undefined) this.limit.adoptRateLimit(perSecond);
-    if (run && headerOf(request, KNOWN_LEAVING) !== undefined) this.#recordLeaving(run);
-  }
-
   #requireEndpoint(upstream: string): AnnouncedEndpoint {
     const { announced } = this;
     if (announced?.upstream !== upstream || announced.state === 'down') {
@@ -350,7 +323,7 @@
     sentAt: number,
   ): void {
     const kind = this.dialect.classifyResponse(request, answer);
-    if (kind === 'answer' || kind === 'shed') this.#recordStatements(announced, answer, sentAt);
+    if (kind === 'answer' || kind === 'shed') this.#statements.record(announced, answer, sentAt);
     if (kind === 'answer') return;
     if (kind === 'crossed') throw exchange.abortMismatched();
     exchange.discard(answer);
@@ -360,20 +333,6 @@
     throw notRun('no-endpoint', 'another instance has the announced address');
   }
 
-  /** Records what the upstream instance states about itself, unless another run has begun since. */
-  #recordStatements(
-    { id, born }: AnnouncedEndpoint,
-    answer: IncomingMessage,
-    sentAt: number,
-  ): void {
-    if (!this.announced || !isSameRun(this.announced, { id, born })) return;
-    if (id !== undefined && this.dialect.isLeaving(answer)) {
-      this.#recordLeaving(born === undefined ? { id } : { id, born });
-    }
-    const perSecond = this.dialect.rateLimitOf(answer);
-    if (perSecond !== undefined) this.limit.recordRateLimit(perSecond, sentAt);
-  }
-
   #exchange(guardRequest: GuardRequest, body: Body, claim: HeldClaim | undefined): Exchange {
     const { request, response, announced, deadline } = guardRequest;
     const { host, port, id } = announced;
@@ -410,15 +369,7 @@
 
   /** Load and statements of the upstream instance, as alternating names and values of headers. */
   #stateHeaders(): string[] {
-    const { load, announced } = this;
-    const headers = [LOAD, formatLoad(load)];
-    if (load.rate) headers.push(RATE, formatRate(load.rate));
-    if (this.#isLeaving) headers.push(LEAVING, '1');
-    const hasStatement = load.rate !== undefined || this.#isLeaving;
-    if (hasStatement && announced?.id !== undefined) {
-      headers.push(RUN, formatRun({ id: announced.id, born: announced.born }));
-    }
-    return headers;
+    return [LOAD, formatLoad(this.load), ...this.#statements.headers];
   }
 }
 
