--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -42,12 +42,18 @@
 
   readonly programs: Program[] = [];
 
+  readonly upstreams: MeshUpstream[] = [];
+
   readonly #resources = new ResourceStack();
 
   #store!: PlatformServer;
 
   #folder = '';
 
+  #storePort = 0;
+
+  #nodeArguments: string[] = [];
+
   #number = 0;
 
   #requestCount = 0;
@@ -108,6 +114,12 @@
     return status === OK;
   }
 
+  /** Kills the process of machine `index` and starts it again; its upstream instance keeps running. */
+  async restart(index: number): Promise<void> {
+    await this.programs[index]!.kill();
+    this.programs[index] = await this.#launch(this.machines[index]!);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     // A graceful stop lets Node write a profile that flags such as `--cpu-prof` ask for.
     await Promise.all(this.programs.map((program) => program.stop()));
@@ -116,20 +128,23 @@
 
   async #open(): Promise<void> {
     await buildForPlatform();
-    const nodeArguments = await readNodeArguments();
+    this.#nodeArguments = await readNodeArguments();
     this.#store = this.#resources.use(await PlatformServer.start(this.clock));
     await this.publishVersion();
     this.#folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
     this.#resources.use({ [Symbol.asyncDispose]: () => rm(this.#folder, { recursive: true }) });
     for (const machine of this.machines) {
-      this.#resources.use(await MeshUpstream.start(this.clock, machine, this.options));
-    }
-    const storePort = Number(this.#store.url.port);
-    for (const machine of this.machines) {
-      const path = join(this.#folder, `${machine.name}.json`);
-      const environment = await writeSettings(path, machine, this.machines, storePort);
-      this.programs.push(this.#resources.use(Program.launch(nodeArguments, ROOT, environment)));
+      const upstream = await MeshUpstream.start(this.clock, machine, this.options);
+      this.upstreams.push(this.#resources.use(upstream));
     }
+    this.#storePort = Number(this.#store.url.port);
+    for (const machine of this.machines) this.programs.push(await this.#launch(machine));
+  }
+
+  async #launch(machine: MeshMachine): Promise<Program> {
+    const path = join(this.#folder, `${machine.name}.json`);
+    const environment = await writeSettings(path, machine, this.machines, this.#storePort);
+    return this.#resources.use(Program.launch(this.#nodeArguments, ROOT, environment));
   }
 }
 
--- a/src/standins/mesh_machine.ts
+++ b/src/standins/mesh_machine.ts
@@ -4,6 +4,8 @@
 
 /** Ports, the same on all machines: each machine has a loopback address of its own. */
 export const PORTS = { inbound: 8624, outbound: 8629, ready: 8625, control: 8620, upstream: 8628 };
+/** Path of the health check of every upstream instance. */
+export const HEALTH_PATH = '/healthz';
 const INTERNAL_PORTS = [7600, 7615] as const;
 /** Key of the operator's configuration object in the store. */
 const CONFIGURATION_KEY = 'config/main';
@@ -100,7 +102,7 @@
   return JSON.stringify({
     version: `r${number}`,
     routes: Object.fromEntries(routeEntries) as Record<string, unknown>,
-    services: Object.fromEntries(services.map((name) => [name, { healthPath: '/healthz' }])),
+    services: Object.fromEntries(services.map((name) => [name, { healthPath: HEALTH_PATH }])),
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_048_576,
--- a/src/standins/mesh_upstream.ts
+++ b/src/standins/mesh_upstream.ts
@@ -2,13 +2,14 @@
 import {
   createServer,
   type IncomingMessage,
+  type OutgoingHttpHeaders,
   request,
   type Server,
   type ServerResponse,
 } from 'node:http';
 import { bind } from '../daemon/bind.js';
 import { type Clock } from '../runtime/clock.js';
-import { type MeshMachine, PORTS } from './mesh_machine.js';
+import { HEALTH_PATH, type MeshMachine, PORTS } from './mesh_machine.js';
 import { closeServer } from './listen.js';
 
 const REPORT_EVERY_MS = 1_500;
@@ -22,6 +23,12 @@
 }
 
 export class MeshUpstream implements AsyncDisposable {
+  /** Headers in which it states something about itself, in each response. */
+  statements: OutgoingHttpHeaders = {};
+
+  /** Instants at which requests arrived, health checks aside, in milliseconds since the epoch. */
+  readonly arrivals: number[] = [];
+
   readonly #server: Server;
 
   readonly #stopping = new AbortController();
@@ -60,6 +67,7 @@
 
   async #answer(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     incoming.resume();
+    if (incoming.url !== HEALTH_PATH) this.arrivals.push(this.clock.now());
     await this.clock.sleepUntil(this.clock.now() + this.options.delayMs);
     response.writeHead(200, {
       'content-length': this.#body.length,
@@ -67,6 +75,7 @@
       'barleyhaven-response-signature': 'stand-in',
       'barleyhaven-instance-id': this.machine.name,
       'barleyhaven-server-load': `1,0,${SLOTS}`,
+      ...this.statements,
     });
     response.end(this.#body);
   }
