--- a/src/placement/endpoint_stats.ts
+++ b/src/placement/endpoint_stats.ts
@@ -155,8 +155,9 @@
 
   /**
    * Expected time of one more request, in milliseconds: its wait and its own duration, the wait for
-   * the rate limit, and for a large answer also the time until the uplink is free. An old latency decays to the one that is
-   * typical of the upstream, so that an endpoint that was slow once is tried again.
+   * the rate limit, and for a large answer also the time until the uplink is free. An old latency
+   * decays to the one that is typical of the upstream, so that an endpoint that was slow once is tried
+   * again.
    */
   cost(typicalMs: number, now: number, isLarge = false): number {
     const assumed = typicalMs * OPTIMISM;
