Build the load of a guard once for each answer

The headers of statements asked the limiter for its load a second time, on the path of every request, for the rate that the load just formatted holds already. Behaviour is as before.

--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -369,7 +369,8 @@
 
   /** Load and statements of the upstream instance, as alternating names and values of headers. */
   #stateHeaders(): string[] {
-    return [LOAD, formatLoad(this.load), ...this.#statements.headers];
+    const { load } = this;
+    return [LOAD, formatLoad(load), ...this.#statements.headersWith(load.rate)];
   }
 }
 
--- a/src/requests/instance_statements.ts
+++ b/src/requests/instance_statements.ts
@@ -1,7 +1,7 @@
 /** What the upstream instance beside a guard has stated about itself in its answers. */
 import { type IncomingMessage } from 'node:http';
 import { type ConcurrencyLimiter } from '../admission/concurrency_limiter.js';
-import { formatRate } from '../admission/load.js';
+import { formatRate, type Rate } from '../admission/load.js';
 import { parseRate } from '../admission/rate_limit.js';
 import { formatRun, type InstanceRun, isSameRun, parseRun } from '../membership/instance_run.js';
 import { type Dialect } from './dialect.js';
@@ -54,10 +54,9 @@
     if (run && headerOf(request, KNOWN_LEAVING) !== undefined) this.#leave(run);
   }
 
-  /** Headers for entries, as alternating names and values. */
-  get headers(): string[] {
+  /** Headers for entries, as alternating names and values; `rate` is that of the reported load. */
+  headersWith(rate: Rate | undefined): string[] {
     const headers: string[] = [];
-    const { rate } = this.limit.load;
     if (rate) headers.push(RATE, formatRate(rate));
     if (this.isLeaving) headers.push(LEAVING, '1');
     const { id, born } = this.#announced ?? {};
