--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -38,6 +38,8 @@
   readonly priority: number;
   /** Jobs of one kind take about the same time. */
   readonly kind?: string;
+  /** The team of its caller; absent for callers without one. */
+  readonly team?: string | undefined;
   /** Instant by which the answer should arrive, in milliseconds since the epoch; defaults to the deadline. */
   readonly targetAt?: number;
   /** In milliseconds since the epoch. */
--- a/src/admission/load.ts
+++ b/src/admission/load.ts
@@ -9,6 +9,14 @@
   readonly waitMs: number;
 }
 
+/** How long work takes on the machine of an upstream instance, as it stated last. */
+export interface Slowness {
+  /** 1 as usual, 2.5 if work takes 2.5 times as long. */
+  readonly factor: number;
+  /** Age of the statement, in milliseconds. */
+  readonly ageMs: number;
+}
+
 export interface Load {
   readonly inFlight: number;
   readonly slots: number;
@@ -19,6 +27,8 @@
   readonly leavingMs: number;
   /** Absent without a rate limit. */
   readonly rate?: Rate | undefined;
+  /** Absent if the instance does not state how fast its machine is. */
+  readonly slowness?: Slowness | undefined;
 }
 
 /** Integers: in flight, slots, waiting, `heldMs` and `leavingMs`; the last is optional. */
--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -1,4 +1,4 @@
-/** The resources of a configuration: upstreams, routes, limits and the insurer's rules. */
+/** The resources of a configuration: upstreams, routes, limits, teams and the insurer's rules. */
 import * as z from 'zod';
 
 export const MAX_NAME_LENGTH = 63;
@@ -52,6 +52,31 @@
 });
 export type Rule = z.infer<typeof Rule>;
 
+/** Maximum number of keys of one team. */
+export const MAX_KEYS_PER_TEAM = 64;
+/** Maximum of the figures of a team's quota, in requests per second and in requests. */
+export const MAX_QUOTA = 1_000_000;
+
+/** A group of callers that share keys, a priority and a quota. */
+export const Team = z.strictObject({
+  kind: z.literal('team'),
+  name: Name,
+  /**
+   * SHA-256 digests of its keys, in hexadecimal digits. The keys themselves are not kept. Without
+   * any, nobody can call as this team.
+   */
+  keyDigests: z
+    .array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest of 64 hexadecimal digits'))
+    .max(MAX_KEYS_PER_TEAM),
+  /** Replaces the priority of the route for its requests; higher goes first. */
+  priority: z.number().int().min(0).max(9).optional(),
+  /** Requests per second allowed over all processes; no limit when absent or 0. */
+  ratePerS: z.number().min(0).max(MAX_QUOTA).optional(),
+  /** Requests allowed at once beyond the rate, after a time with fewer. */
+  burst: z.number().min(0).max(MAX_QUOTA).optional(),
+});
+export type Team = z.infer<typeof Team>;
+
 /** Matches requests, and selects the upstream and the rules for them. */
 export const Route = z.strictObject({
   kind: z.literal('route'),
@@ -85,6 +110,8 @@
   repeatable: z.boolean().optional(),
   /** Whether requests without an `Idempotency-Key` are refused. */
   requireKey: z.boolean().default(false),
+  /** Whether callers need no team key. Without teams in the configuration, none does. */
+  public: z.boolean().optional(),
   /** Priority among waiting requests; higher goes first. */
   priority: z.number().int().min(0).max(9).default(5),
   maxBodyBytes: z
@@ -96,12 +123,14 @@
 });
 export type Route = z.infer<typeof Route>;
 
-export const Resource = z.discriminatedUnion('kind', [Upstream, Limit, Rule, Route]);
+export const Resource = z.discriminatedUnion('kind', [Upstream, Limit, Rule, Route, Team]);
 export type Resource = z.infer<typeof Resource>;
 export type Kind = Resource['kind'];
 
 /** Identity of a resource: `kind/name`, such as `route/menus`. */
-export const ResourceKey = z.string().regex(/^(upstream|limit|rule|route)\/[a-z0-9][a-z0-9.-]*$/);
+export const ResourceKey = z
+  .string()
+  .regex(/^(upstream|limit|rule|route|team)\/[a-z0-9][a-z0-9.-]*$/);
 export type ResourceKey = z.infer<typeof ResourceKey>;
 
 export function resourceKey(resource: Pick<Resource, 'kind' | 'name'>): ResourceKey {
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -2,6 +2,7 @@
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type Identity, type ResponseKind } from '../requests/dialect.js';
 import { headerOf } from '../requests/headers.js';
+import { tokenOf } from '../teams/credentials.js';
 import { parseRate } from '../admission/rate_limit.js';
 import {
   CALLER_HEADER,
@@ -13,7 +14,9 @@
   REQUEST_ID_HEADER,
   SIGNATURE_HEADER,
   TARGET_HEADER,
+  TEAM_HEADER,
   TIMEOUT_HEADER,
+  parseSlowness,
 } from './wire.js';
 
 const OK = 200;
@@ -26,7 +29,11 @@
 export class MeshDialect extends Dialect {
   readonly allowedFromCallers: ReadonlySet<string> = new Set([REQUEST_ID_HEADER]);
 
-  readonly allowedFromEntries: ReadonlySet<string> = new Set([REQUEST_ID_HEADER, CALLER_HEADER]);
+  readonly allowedFromEntries: ReadonlySet<string> = new Set([
+    REQUEST_ID_HEADER,
+    CALLER_HEADER,
+    TEAM_HEADER,
+  ]);
 
   readonly allowedFromUpstreams: ReadonlySet<string> = new Set([
     REQUEST_ID_HEADER,
@@ -54,8 +61,14 @@
     return timeoutMs > 0 ? timeoutMs : undefined;
   }
 
-  entryHeaders(): readonly string[] {
-    return [CALLER_HEADER, this.service()];
+  keyOf(request: IncomingMessage): string | undefined {
+    return tokenOf(request);
+  }
+
+  entryHeaders(team: string | undefined): readonly string[] {
+    const headers = [CALLER_HEADER, this.service()];
+    if (team !== undefined) headers.push(TEAM_HEADER, team);
+    return headers;
   }
 
   guardHeaders(remainingMs: number, endpoint: string | undefined): readonly string[] {
@@ -93,6 +106,10 @@
     return headerOf(answer, SIGNATURE_HEADER) === undefined ? undefined : Infinity;
   }
 
+  slownessOf(answer: IncomingMessage): number | undefined {
+    return parseSlowness(headerOf(answer, LOAD_HEADER));
+  }
+
   isLeaving(answer: IncomingMessage): boolean {
     return headerOf(answer, LEAVING_HEADER) === LEAVING_VALUE;
   }
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -13,7 +13,12 @@
 export const CALLER_HEADER = 'barleyhaven-caller-service';
 /** On answers: the request was not run. */
 export const NOT_EXECUTED_HEADER = 'barleyhaven-not-executed';
-/** On answers: numbers of running requests, waiting requests and slots, separated by commas. */
+/** Name of the team that the caller's key belongs to. */
+export const TEAM_HEADER = 'barleyhaven-tenant';
+/**
+ * On answers: numbers of running requests, waiting requests and slots, separated by commas. Some
+ * instances add how long work takes on their machine at this moment, in percent of the usual time.
+ */
 export const LOAD_HEADER = 'barleyhaven-server-load';
 /** On answers: id of the answering instance. */
 export const INSTANCE_HEADER = 'barleyhaven-instance-id';
@@ -25,6 +30,17 @@
 const MS_PER_SECOND = 1_000;
 const DURATION = /^(\d+(?:\.\d+)?)(ms|s)$/;
 
+const SLOWNESS = /^\d{1,6},\d{1,6},\d{1,6},(\d{2,5})$/;
+const MIN_PERCENT = 10;
+const MAX_PERCENT = 10_000;
+const PERCENT = 100;
+
+/** The fourth figure of a load header as a factor, 1 as usual; undefined if absent or invalid. */
+export function parseSlowness(load: string | undefined): number | undefined {
+  const percent = Number(SLOWNESS.exec(load ?? '')?.[1]);
+  return percent >= MIN_PERCENT && percent <= MAX_PERCENT ? percent / PERCENT : undefined;
+}
+
 /** A duration such as `1500ms` or `2.5s`, decoded to milliseconds. */
 export const Duration = z
   .string()
--- a/src/requests/default_dialect.ts
+++ b/src/requests/default_dialect.ts
@@ -9,7 +9,9 @@
   INSTANCE_RATE_LIMIT,
   NO_HEADERS,
   RETRIED,
+  TEAM,
 } from './headers.js';
+import { tokenOf } from '../teams/credentials.js';
 import { parseRate } from '../admission/rate_limit.js';
 
 const MS_PER_SECOND = 1000;
@@ -18,7 +20,7 @@
 export class DefaultDialect extends Dialect {
   readonly allowedFromCallers = NO_HEADERS;
 
-  readonly allowedFromEntries = NO_HEADERS;
+  readonly allowedFromEntries: ReadonlySet<string> = new Set([TEAM]);
 
   readonly allowedFromUpstreams: ReadonlySet<string> = new Set([RETRIED]);
 
@@ -33,6 +35,11 @@
     return asked > 0 ? asked : undefined;
   }
 
+  keyOf(request: IncomingMessage): string | undefined {
+    return tokenOf(request);
+  }
+
+  /** The name of the team is sent to the guard in any case, which forwards it. */
   entryHeaders(): readonly string[] {
     return [];
   }
@@ -59,6 +66,10 @@
     return text === undefined ? Infinity : parseRate(text);
   }
 
+  slownessOf(): undefined {
+    return undefined;
+  }
+
   isLeaving(answer: IncomingMessage): boolean {
     return headerOf(answer, INSTANCE_LEAVING) === LEAVING_VALUE;
   }
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -36,8 +36,11 @@
   /** The caller's timeout in milliseconds; undefined if it sends none. */
   abstract callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined;
 
+  /** The key of the caller's team; undefined if it sends none, or no valid one. */
+  abstract keyOf(request: IncomingMessage): string | undefined;
+
   /** Headers that an entry adds for the upstream instance, as alternating names and values. */
-  abstract entryHeaders(): readonly string[];
+  abstract entryHeaders(team: string | undefined): readonly string[];
 
   /** Headers that a guard adds, in the same form; `endpoint` is the id that the instance announced. */
   abstract guardHeaders(remainingMs: number, endpoint: string | undefined): readonly string[];
@@ -56,6 +59,12 @@
    */
   abstract rateLimitOf(answer: IncomingMessage): number | undefined;
 
+  /**
+   * How long work takes on the machine of the instance at this moment, as a factor: 1 as usual, 2.5
+   * if it takes 2.5 times as long. Undefined if the answer does not tell.
+   */
+  abstract slownessOf(answer: IncomingMessage): number | undefined;
+
   /** Whether the instance states in the answer that it is leaving; that holds for its whole run. */
   abstract isLeaving(answer: IncomingMessage): boolean;
 
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -29,6 +29,7 @@
 import { parseLoad } from '../admission/load.js';
 import { Uplink } from '../admission/uplink.js';
 import { type Quarantine } from '../quarantine/quarantine.js';
+import { type Quota, UnlimitedQuota } from '../quota/quota.js';
 import { refuse } from './refusal.js';
 import { parseGuardRefusal } from './guard_refusal.js';
 import { headFingerprint } from '../quarantine/request_fingerprint.js';
@@ -67,6 +68,9 @@
   /** Set before the first request. */
   requestLog: RequestLog;
 
+  /** Set before the first request; without it, teams have no quota. */
+  quota: Quota = new UnlimitedQuota();
+
   readonly #connections: ConnectionPool;
 
   readonly #clientErrors: ClientErrors;
@@ -134,6 +138,7 @@
     let routed: RoutedRequest | undefined;
     try {
       routed = this.#route(request, response, trace);
+      await this.#takeQuota(routed);
       const body = hasBody(request) ? await this.#readBody(routed) : new EmptyBody(request.method);
       await this.#tryEndpoints(routed, body);
       trace.answered('entry-ended', response);
@@ -141,6 +146,7 @@
       const now = this.clock.now();
       const outcome = withRetryTime(asOutcome(error), now, this.random);
       const isCut = response.headersSent;
+      if (routed?.isCounted && outcome.verdict === 'not-run') this.quota.refund(routed.team!);
       if (routed?.caller) this.#returningCallers.recordRefusal(routed.caller, routed.firstAt);
       refuse(response, outcome, now, this.dialect);
       trace.failed('entry-ended', response, outcome, isCut);
@@ -178,6 +184,15 @@
     return routed;
   }
 
+  /** Throws `quota` if the team of the caller is at its limit. */
+  async #takeQuota(routed: RoutedRequest): Promise<void> {
+    const { team } = routed;
+    if (!team) return;
+    const answer = this.quota.take(team);
+    if (answer) await answer;
+    routed.isCounted = true;
+  }
+
   /** Checks the head only: requests quarantined by their body are refused by the guard. */
   #checkQuarantine({ request, upstream, target }: RoutedRequest): void {
     const { quarantine } = this;
--- a/src/requests/handover.ts
+++ b/src/requests/handover.ts
@@ -13,6 +13,7 @@
   RETRIED,
   ROUTE,
   TARGET,
+  TEAM,
   UPSTREAM,
 } from './headers.js';
 import { type RoutedRequest } from './routed_request.js';
@@ -24,13 +25,14 @@
   dialect: Dialect,
   clock: Clock,
 ): string[] {
-  const { request, route, upstream, deadline, targetAt, isRepeatable } = routed;
+  const { request, route, team, upstream, deadline, targetAt, isRepeatable } = routed;
   const now = clock.now();
   const remaining = Math.max(1, Math.floor(deadline - now));
-  const headers = requestHeaders(request, dialect.allowedFromCallers);
-  headers.push(...dialect.entryHeaders());
+  const headers = requestHeaders(request, dialect.allowedFromCallers, routed.hasTeams);
+  headers.push(...dialect.entryHeaders(team?.name));
+  if (team) headers.push(TEAM, team.name);
   headers.push(UPSTREAM, upstream, EXCHANGE_ID, id, REMAINING, String(remaining));
-  headers.push(PRIORITY, String(route.priority), ROUTE, route.name);
+  headers.push(PRIORITY, String(team?.priority ?? route.priority), ROUTE, route.name);
   headers.push(TARGET, String(Math.floor(targetAt - now)));
   if (!isRepeatable) headers.push(REPEATABLE, '0');
   if (isRetried(routed)) headers.push(RETRIED, '1');
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -14,12 +14,16 @@
 /** Name of the limit that the route sets. */
 export const LIMIT = 'barleyhaven-limit';
 export const PRIORITY = 'barleyhaven-priority';
+/** Name of the caller's team; absent on requests without one. */
+export const TEAM = 'barleyhaven-team';
 /** `0` on a request that must not run twice. */
 export const REPEATABLE = 'barleyhaven-repeatable';
 /** On responses between processes: the upstream instance refused the request for lack of capacity. */
 export const SHED = 'barleyhaven-shed';
 /** On responses between processes: the load of the guard, see `Load`. */
 export const LOAD = 'barleyhaven-load';
+/** On responses between processes: how slow the machine of the upstream instance is, see `Slowness`. */
+export const SLOWNESS = 'barleyhaven-slowness';
 /** On responses between processes: the rate limit of the upstream instance, see `Rate`. */
 export const RATE = 'barleyhaven-rate';
 /** On requests between processes: the rate limit of the endpoint as the entry knows it. */
@@ -85,6 +89,9 @@
 /** Request headers that each hop sets itself, from the body and the deadline. */
 const SET_PER_HOP: ReadonlySet<string> = new Set(['content-length', 'expect', CALLER_TIMEOUT]);
 
+/** The same, and the credentials of callers. */
+const SET_PER_HOP_OR_SECRET: ReadonlySet<string> = new Set([...SET_PER_HOP, 'authorization']);
+
 /** The parts of a message head that the filters read. */
 export interface MessageHead {
   /** Alternating names and values, as received. */
@@ -92,12 +99,16 @@
   readonly headers: { readonly connection?: string | undefined };
 }
 
-/** Request headers for the next hop; of the internal ones only those in `internal`. */
+/**
+ * Request headers for the next hop; of the internal ones only those in `internal`. Credentials are
+ * dropped if the caller has sent them to barleyhaven itself.
+ */
 export function requestHeaders(
   head: MessageHead,
   internal: ReadonlySet<string> = NO_HEADERS,
+  dropsCredentials = false,
 ): string[] {
-  return endToEndHeaders(head, internal, SET_PER_HOP);
+  return endToEndHeaders(head, internal, dropsCredentials ? SET_PER_HOP_OR_SECRET : SET_PER_HOP);
 }
 
 /** Response headers for the next hop; of the internal ones only those in `internal`. */
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -8,6 +8,8 @@
 /** Status by reason; for other reasons 503 if the request has certainly not run, otherwise 502. */
 const STATUS: Readonly<Record<string, number>> = {
   'no-route': 404,
+  unauthorized: 401,
+  quota: 429,
   'bad-request': 400,
   'expectation-failed': 417,
   'key-required': 428,
--- a/src/requests/retry_time.ts
+++ b/src/requests/retry_time.ts
@@ -9,6 +9,7 @@
 /** Reasons for which a retry is of no use, or which set their own time. */
 const FINAL: ReadonlySet<string> = new Set([
   'no-route',
+  'unauthorized',
   'bad-request',
   'expectation-failed',
   'key-required',
--- a/src/requests/routed_request.ts
+++ b/src/requests/routed_request.ts
@@ -1,7 +1,9 @@
 /** A caller's request with its routing decision. */
 import { type IncomingMessage, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
-import { notRun, type Route } from '../contracts.js';
+import { notRun, type Route, type Team } from '../contracts.js';
+import { authenticate } from '../teams/authentication.js';
+import { TeamIndex } from '../teams/team_index.js';
 import { type Dialect } from './dialect.js';
 import { IDEMPOTENCY_KEY, RETRIED } from './headers.js';
 import { type Trace } from '../logs/request_log.js';
@@ -17,6 +19,10 @@
   readonly response: ServerResponse;
   readonly target: RequestTarget;
   readonly route: Route;
+  /** The team whose key the caller sent; undefined for callers without one. */
+  readonly team: Team | undefined;
+  /** Whether callers are told apart by keys, which no other process may see. */
+  readonly hasTeams: boolean;
   /** Identity of the caller; undefined if it sends no timeout. */
   readonly caller: Caller | undefined;
   /** Time of the caller's first attempt, in milliseconds since the epoch. */
@@ -34,6 +40,8 @@
   /** Allowed retries, as a percentage of answered requests. */
   readonly retryPercent: number;
   readonly trace: Trace;
+  /** Whether it is counted in the quota of its team. */
+  isCounted: boolean;
   /** Whether another hop, above or below, has retried it. */
   isRetriedElsewhere: boolean;
 }
@@ -63,6 +71,7 @@
   if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
     throw notRun('key-required', `route ${route.name} requires an Idempotency-Key header`);
   }
+  const team = authenticate(configuration, route, request, dialect);
   const waitMs = dialect.callerTimeoutMs(request.headers);
   const deadline = now + Math.min(waitMs ?? route.timeoutMs, route.timeoutMs);
   const caller = waitMs === undefined ? undefined : callerOf(target, now + waitMs);
@@ -74,6 +83,8 @@
     response,
     target,
     route,
+    team,
+    hasTeams: TeamIndex.of(configuration).hasTeams,
     caller,
     firstAt,
     upstream: split.choose(route),
@@ -83,6 +94,7 @@
     isRepeatable: isRepeatable(route, target.method),
     retryPercent: limit?.retryPercent ?? retryPercent,
     trace,
+    isCounted: false,
     isRetriedElsewhere: request.headers[RETRIED] !== undefined,
   };
 }
--- a/src/test/platform/mesh_dialect_test.ts
+++ b/src/test/platform/mesh_dialect_test.ts
@@ -36,7 +36,16 @@
       'barleyhaven-target-instance',
       'i-1',
     ]);
-    expect(dialect.entryHeaders()).to.deep.equal(['barleyhaven-caller-service', 'listings']);
+    expect(dialect.entryHeaders(undefined)).to.deep.equal([
+      'barleyhaven-caller-service',
+      'listings',
+    ]);
+    expect(dialect.entryHeaders('savers')).to.deep.equal([
+      'barleyhaven-caller-service',
+      'listings',
+      'barleyhaven-tenant',
+      'savers',
+    ]);
     expect(dialect.callerTimeoutMs({ 'barleyhaven-timeout-ms': '2500' })).to.equal(2_500);
     expect(dialect.callerTimeoutMs({})).to.equal(undefined);
   });
