--- a/src/requests/guard_request.ts
+++ b/src/requests/guard_request.ts
@@ -72,6 +72,11 @@
   };
 }
 
+/** Tells a sender that waits for it before it sends its body that it may. */
+export function sendContinue(request: IncomingMessage, response: ServerResponse): void {
+  if (request.headers.expect !== undefined) response.writeContinue();
+}
+
 /** A number from 0 to `most`: larger ones are clamped, invalid and negative ones give `otherwise`. */
 function parseBounded(text: string | undefined, otherwise: number, most: number): number {
   const value = Number(text ?? otherwise);
