Give the operators' port and the metrics what they need instead of the instance

Cause: Instance handed itself to the operators' port, the metrics and the operators' methods, whose modules imported it back.

Change: OperatorsPort, Metrics and operatorMethods state the parts that they use in interfaces of their own (ServedParts, MeasuredParts, OperatedParts). The time since a version was applied is kept by the metrics, which alone use it. The tests of the operators' methods and of the status name the new interface; their expectations are unchanged.

--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,25 +1,60 @@
 /** Metrics of one process in the Prometheus text format. */
 import { Gauge, Registry } from 'prom-client';
+import { type Mesh } from '../distribution/mesh.js';
+import { type Replica } from '../distribution/replica.js';
 import { type Peer } from '../link/peer.js';
+import { type Log } from '../logs/log.js';
+import { type Ranking } from '../membership/ranking.js';
+import { type Roster } from '../membership/roster.js';
+import { type Platform } from '../platform/platform.js';
+import { type Entry } from '../requests/entry.js';
+import { type Guard } from '../requests/guard.js';
+import { type Safeguards } from '../requests/safeguards.js';
+import { type Clock } from '../runtime/clock.js';
 import { histogramText } from './ended_requests.js';
-import { type Instance } from './instance.js';
 import { type RequestMeter } from './request_meter.js';
+import { type RequestRecords } from './request_records.js';
 
 const PREFIX = 'barleyhaven_';
 const PERCENTILES = [50, 90, 99, 99.9] as const;
 const MS_PER_SECOND = 1_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
 
+/** Parts of a process whose state is exported. */
+export interface MeasuredParts {
+  readonly clock: Clock;
+  readonly replica: Replica;
+  readonly roster: Pick<Roster, 'counts' | 'refutations'>;
+  readonly ranking: Pick<Ranking, 'isReader'>;
+  readonly mesh: Pick<Mesh, 'peers'>;
+  readonly platform: Pick<Platform, 'meter'>;
+  readonly entry: Pick<Entry, 'budgets'>;
+  readonly guard: Pick<Guard, 'limit' | 'load'>;
+  readonly safeguards: Pick<Safeguards, 'claims' | 'quarantine' | 'sweep'>;
+  readonly entryMeter: RequestMeter;
+  readonly guardMeter: RequestMeter;
+  readonly records: RequestRecords;
+  readonly log: Pick<Log, 'dropped'>;
+  readonly isReady: () => boolean;
+}
+
 /** Values are read on each scrape; no copies are kept. */
 export class Metrics {
   readonly #registry = new Registry();
 
-  constructor(private readonly instance: Instance) {
+  #appliedAt: number;
+
+  constructor(private readonly parts: MeasuredParts) {
+    const { clock, replica } = parts;
+    this.#appliedAt = clock.now();
+    replica.onApplied(() => {
+      this.#appliedAt = clock.now();
+    });
     this.#configuration();
     this.#membership();
     this.#links();
-    this.#requests('entry', instance.entryMeter);
-    this.#requests('guard', instance.guardMeter);
+    this.#requests('entry', parts.entryMeter);
+    this.#requests('guard', parts.guardMeter);
     this.#limit();
     this.#safeguards();
     this.#platform();
@@ -31,7 +66,7 @@
   }
 
   async text(): Promise<string> {
-    const { endedAtEntry, endedAtGuard } = this.instance;
+    const { endedAtEntry, endedAtGuard } = this.parts.records;
     const histograms = [endedAtEntry, endedAtGuard].map((ended) =>
       histogramText(
         `${PREFIX}${ended.hop}_request_seconds`,
@@ -43,25 +78,27 @@
   }
 
   #configuration(): void {
-    const { instance } = this;
-    this.#gauge('version', 'Version in force', () => instance.replica.current.number);
-    this.#gauge('version_age_seconds', 'Time since the version was put in force', () =>
-      instance.versionAgeSeconds(),
+    const { clock, replica, ranking, isReady } = this.parts;
+    this.#gauge('version', 'Version in force', () => replica.current.number);
+    this.#gauge(
+      'version_age_seconds',
+      'Time since the version was put in force',
+      () => (clock.now() - this.#appliedAt) / MS_PER_SECOND,
     );
-    this.#gauge('resources', 'Resources held', () => instance.replica.current.size);
-    this.#gauge('ready', '1 once requests are taken', () => Number(instance.isReady));
+    this.#gauge('resources', 'Resources held', () => replica.current.size);
+    this.#gauge('ready', '1 once requests are taken', () => Number(isReady()));
     this.#gauge(
       'refused_version',
       'Number of the last refused version while none later is in force, or 0',
-      () => instance.replica.refusal?.number ?? 0,
+      () => replica.refusal?.number ?? 0,
     );
     this.#gauge('reader', '1 while this process watches the platform', () =>
-      Number(instance.control.ranking.isReader),
+      Number(ranking.isReader),
     );
   }
 
   #membership(): void {
-    const { roster } = this.instance;
+    const { roster } = this.parts;
     this.#labelled('members', 'Members known, by liveness', ['liveness'], (gauge) => {
       for (const [liveness, count] of Object.entries(roster.counts)) gauge.set({ liveness }, count);
     });
@@ -69,7 +106,7 @@
   }
 
   #links(): void {
-    const { mesh } = this.instance.control;
+    const { mesh } = this.parts;
     const sum = (bytes: (peer: Peer) => number) =>
       mesh.peers.reduce((total, peer) => total + bytes(peer), 0);
     this.#gauge('links', 'Links open', () => mesh.peers.length);
@@ -105,7 +142,7 @@
   }
 
   #limit(): void {
-    const { limit } = this.instance.guard;
+    const { limit } = this.parts.guard;
     this.#gauge('limit_in_flight', 'Requests at the upstream instance', () => limit.inFlight);
     this.#gauge('limit_slots', 'Requests that it may get at a time', () => limit.load.slots);
     this.#gauge(
@@ -117,20 +154,20 @@
       },
     );
     this.#labelled('retry_tokens', 'Retries that the budget allows', ['upstream'], (gauge) => {
-      for (const [upstream, { tokens }] of this.instance.entry.budgets) {
+      for (const [upstream, { tokens }] of this.parts.entry.budgets) {
         gauge.set({ upstream }, tokens);
       }
     });
     this.#gauge(
       'uplink_leaving_seconds',
       'Time until all heavy answers that are promised have left by the network link',
-      () => this.instance.guard.load.leavingMs / MS_PER_SECOND,
+      () => this.parts.guard.load.leavingMs / MS_PER_SECOND,
     );
     this.#gauge('limit_waiting', 'Requests that wait for a slot', () => limit.waiting);
   }
 
   #safeguards(): void {
-    const { claims, quarantine, sweep } = this.instance.safeguards;
+    const { claims, quarantine, sweep } = this.parts.safeguards;
     this.#gauge(
       'claims_outstanding',
       'Requests with a key that run, or whose end is not in the platform yet',
@@ -143,7 +180,7 @@
   }
 
   #platform(): void {
-    const { meter } = this.instance.dependencies.platform;
+    const { meter } = this.parts.platform;
     this.#gauge('platform_away', '1 while calls to the platform fail', () => Number(meter.isAway));
     this.#labelled(
       'platform_calls',
@@ -156,13 +193,15 @@
   }
 
   #logs(): void {
-    const { log, requestLogs } = this.instance;
+    const { log, records } = this.parts;
     this.#labelled('log_lines_dropped', 'Lines that found no room', ['kind'], (gauge) => {
       gauge.set({ kind: 'routine' }, log.dropped.routine);
       gauge.set({ kind: 'important' }, log.dropped.important);
     });
-    this.#gauge('log_requests_left_out', 'Requests of which no lines were written', () =>
-      requestLogs.reduce((sum, { leftOut }) => sum + leftOut, 0),
+    this.#gauge(
+      'log_requests_left_out',
+      'Requests of which no lines were written',
+      () => records.leftOut,
     );
   }
 
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -2,9 +2,13 @@
 import { JSONRPCErrorException, JSONRPCServer } from 'json-rpc-2.0';
 import * as z from 'zod';
 import { AuditCursor, OutcomeError } from '../contracts.js';
+import { type Replica } from '../distribution/replica.js';
+import { type Surveyor } from '../distribution/surveyor.js';
+import { type Roster } from '../membership/roster.js';
+import { type Orders } from '../rollout/orders.js';
+import { type Clock } from '../runtime/clock.js';
 import { checkNote, parseNote, type ParsedNote } from '../source/note_text.js';
-import { attemptOf } from '../source/source.js';
-import { type Instance } from './instance.js';
+import { attemptOf, type Source } from '../source/source.js';
 import { statusOf } from './status.js';
 
 const CALL_TIMEOUT_MS = 10_000;
@@ -18,18 +22,25 @@
 const StatusParams = z.strictObject({ note: z.string().optional() });
 const AuditParams = z.strictObject({ note: z.string().optional(), cursor: AuditCursor.optional() });
 
-/** Parts of an instance that the operator methods use. */
-export type OperatedInstance = Pick<
-  Instance,
-  'source' | 'acceptsNotes' | 'dependencies' | 'replica' | 'surveyor' | 'roster' | 'rollouts'
->;
+/** Parts of a process that the operator methods use. */
+export interface OperatedParts {
+  readonly clock: Clock;
+  readonly source: Source;
+  /** Whether this process accepts release notes: its configuration comes from their log. */
+  readonly acceptsNotes: boolean;
+  readonly replica: Replica;
+  readonly roster: Roster;
+  readonly surveyor: Surveyor;
+  /** Absent without a source of rollout orders. */
+  readonly orders: Orders | undefined;
+}
 
-export function operatorMethods(instance: OperatedInstance): JSONRPCServer {
-  const { source, dependencies, roster } = instance;
-  const deadline = () => dependencies.clock.now() + CALL_TIMEOUT_MS;
+export function operatorMethods(parts: OperatedParts): JSONRPCServer {
+  const { source, clock, roster } = parts;
+  const deadline = () => clock.now() + CALL_TIMEOUT_MS;
   const methods = new OperatorMethods();
   const requireAcceptsNotes = () => {
-    if (instance.acceptsNotes) return;
+    if (parts.acceptsNotes) return;
     const props = { verdict: 'not-run', reason: 'no-log' } as const;
     throw new OutcomeError(
       'this process accepts no release notes: its configuration comes from another source',
@@ -58,7 +69,7 @@
     const matching = entries.filter((entry) => note === undefined || entry.note === note);
     return { entries: matching, ...(next && { next }) };
   });
-  methods.on('status', StatusParams, ({ note }) => statusOf(instance, note));
+  methods.on('status', StatusParams, ({ note }) => statusOf(parts, note));
   methods.on('fleet', z.unknown(), async () => roster.all());
   return methods.server;
 }
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -1,23 +1,29 @@
 /** HTTP server for operators, their tool and the local upstream instance. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
-import { Announcement } from '../membership/announcement.js';
-import { type Instance } from './instance.js';
-import { Metrics } from './metrics.js';
-import { operatorMethods } from './operator_methods.js';
+import { type Replica } from '../distribution/replica.js';
+import { Announcement, type EndpointLease } from '../membership/announcement.js';
+import { type Roster } from '../membership/roster.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Metrics } from './metrics.js';
 
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 
+/** Parts of a process that the operators' port serves. */
+export interface ServedParts {
+  readonly clock: Clock;
+  readonly replica: Replica;
+  readonly roster: Pick<Roster, 'readyEndpointCount'>;
+  readonly endpointLease: Pick<EndpointLease, 'renew'>;
+  readonly isReady: () => boolean;
+  readonly metrics: Metrics;
+  readonly methods: JSONRPCServer;
+}
+
 export class OperatorsPort implements AsyncDisposable {
   readonly server: Server;
 
-  readonly #rpc: JSONRPCServer;
-
-  readonly #metrics: Metrics;
-
-  constructor(private readonly instance: Instance) {
-    this.#metrics = new Metrics(instance);
-    this.#rpc = operatorMethods(instance);
+  constructor(private readonly parts: ServedParts) {
     this.server = createServer((request, response) => void this.#serve(request, response));
   }
 
@@ -34,39 +40,40 @@
   }
 
   async #dispatch(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { replica, roster, endpointLease, metrics, methods } = this.parts;
     const url = new URL(request.url ?? '/', 'http://operators');
     switch (url.pathname) {
       case '/rpc': {
         const payload = JSON.parse(await readBody(request)) as JSONRPCRequest;
-        respond(response, 200, await this.#rpc.receive(payload));
+        respond(response, 200, await methods.receive(payload));
         return;
       }
       case '/announcement': {
         const announcement = Announcement.parse(JSON.parse(await readBody(request)));
-        this.instance.control.endpointLease.renew(announcement);
+        endpointLease.renew(announcement);
         respond(response, 200, {});
         return;
       }
       case '/ready': {
-        const { isReady } = this.instance;
+        const isReady = this.parts.isReady();
         respond(response, isReady ? 200 : 503, { ready: isReady });
         return;
       }
       case '/version': {
         await this.#waitForVersionAbove(url, response);
-        const { number, digest } = this.instance.replica.current;
+        const { number, digest } = replica.current;
         respond(response, 200, { number, digest });
         return;
       }
       case '/metrics':
-        response.writeHead(200, { 'content-type': this.#metrics.contentType });
-        response.end(await this.#metrics.text());
+        response.writeHead(200, { 'content-type': metrics.contentType });
+        response.end(await metrics.text());
         return;
       case '/endpoints':
-        respond(response, 200, { endpoints: this.instance.roster.readyEndpointCount });
+        respond(response, 200, { endpoints: roster.readyEndpointCount });
         return;
       case '/configuration':
-        respond(response, 200, this.instance.replica.snapshot());
+        respond(response, 200, replica.snapshot());
         return;
       default:
         respond(response, 404, { message: `not found: ${url.pathname}` });
@@ -78,12 +85,12 @@
    * milliseconds or when the client disconnects. Without parameters it resolves immediately.
    */
   async #waitForVersionAbove({ searchParams }: URL, response: ServerResponse): Promise<void> {
-    const { replica, dependencies } = this.instance;
+    const { replica, clock } = this.parts;
     const above = Number(searchParams.get('above') ?? -1);
-    const deadline = dependencies.clock.now() + Number(searchParams.get('wait') ?? 0);
+    const deadline = clock.now() + Number(searchParams.get('wait') ?? 0);
     const disconnected = new AbortController();
     response.once('close', () => disconnected.abort());
-    await replica.waitUntilAbove(above, deadline, dependencies.clock, disconnected.signal);
+    await replica.waitUntilAbove(above, deadline, clock, disconnected.signal);
   }
 }
 
--- a/src/daemon/status.ts
+++ b/src/daemon/status.ts
@@ -1,6 +1,6 @@
 /** Status report: versions from the log, combined with a survey of the fleet. */
 import { OutcomeError, type AcceptedVersion, type Status } from '../contracts.js';
-import { type OperatedInstance } from './operator_methods.js';
+import { type OperatedParts } from './operator_methods.js';
 
 /** Number of versions in a report. */
 const MAX_VERSIONS = 10;
@@ -10,25 +10,21 @@
  * Reports the latest versions, or those of one release note, and which versions the processes of
  * the fleet hold. If the log cannot be read, the versions are those that this process holds.
  */
-export async function statusOf(instance: OperatedInstance, note?: string): Promise<Status> {
-  const { dependencies, surveyor, replica } = instance;
-  const { clock } = dependencies;
+export async function statusOf(parts: OperatedParts, note?: string): Promise<Status> {
+  const { clock, surveyor, replica } = parts;
   const deadline = clock.now() + LOG_TIMEOUT_MS;
-  const [logged, survey] = await Promise.all([
-    readLog(instance, note, deadline),
-    surveyor.survey(),
-  ]);
-  const versions = logged ?? heldVersions(instance, note);
+  const [logged, survey] = await Promise.all([readLog(parts, note, deadline), surveyor.survey()]);
+  const versions = logged ?? heldVersions(parts, note);
   // Another process may hold a later version than both the log as read and this process.
   const highestHeld = Math.max(0, ...survey.holding.map(({ version }) => version));
   const latest = versions[0]?.number ?? 0;
   const head = Math.max(latest, highestHeld, replica.current.number);
-  const rollouts = instance.rollouts?.orders.all() ?? [];
+  const rollouts = parts.orders?.all() ?? [];
   return { asOf: clock.now(), head, isLogRead: logged !== undefined, versions, survey, rollouts };
 }
 
 async function readLog(
-  { source, replica }: OperatedInstance,
+  { source, replica }: OperatedParts,
   note: string | undefined,
   deadline: number,
 ): Promise<AcceptedVersion[] | undefined> {
@@ -50,7 +46,7 @@
   }
 }
 
-function heldVersions({ replica }: OperatedInstance, note: string | undefined): AcceptedVersion[] {
+function heldVersions({ replica }: OperatedParts, note: string | undefined): AcceptedVersion[] {
   const recent = replica.since(Math.max(0, replica.current.number - MAX_VERSIONS)) ?? [];
   return recent
     .filter((version) => note === undefined || version.note === note)
--- a/src/index.ts
+++ b/src/index.ts
@@ -1,6 +1,7 @@
 /** Public API: starts an instance in another program, with its own or custom external services. */
 export * from './contracts.js';
-export { Instance, type InstanceDependencies as Surroundings } from './daemon/instance.js';
+export { type InstanceDependencies as Surroundings } from './daemon/dependencies.js';
+export { Instance } from './daemon/instance.js';
 export { readSettings, Settings } from './daemon/settings.js';
 export { Platform } from './platform/platform.js';
 export { Clock, MachineClock } from './runtime/clock.js';
--- a/src/test/daemon/operator_methods_test.ts
+++ b/src/test/daemon/operator_methods_test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { type JSONRPCServer } from 'json-rpc-2.0';
-import { type OperatedInstance, operatorMethods } from '../../daemon/operator_methods.js';
+import { type OperatedParts, operatorMethods } from '../../daemon/operator_methods.js';
 import { Fixture } from '../source/fixture.js';
 
 const TEXT = `
@@ -15,8 +15,8 @@
   return operatorMethods({
     source: fixture.source(),
     acceptsNotes: true,
-    dependencies: { clock },
-  } as OperatedInstance);
+    clock,
+  } as OperatedParts);
 }
 
 async function call(methods: JSONRPCServer, method: string, params: unknown): Promise<unknown> {
--- a/src/test/daemon/status_test.ts
+++ b/src/test/daemon/status_test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { type Survey } from '../../contracts.js';
-import { type OperatedInstance } from '../../daemon/operator_methods.js';
+import { type OperatedParts } from '../../daemon/operator_methods.js';
 import { statusOf } from '../../daemon/status.js';
 import { Replica } from '../../distribution/replica.js';
 import { Fixture, note, OPENING, upstreams } from '../source/fixture.js';
@@ -14,7 +14,7 @@
 };
 
 /** A process that holds the first of three accepted versions. */
-async function laggingProcess(fixture: Fixture): Promise<OperatedInstance> {
+async function laggingProcess(fixture: Fixture): Promise<OperatedParts> {
   const source = fixture.source();
   await source.submit(OPENING, fixture.deadline);
   await source.submit(note('more', { add: upstreams('bookings') }), fixture.deadline);
@@ -27,8 +27,8 @@
     source,
     replica,
     surveyor,
-    dependencies: { clock: fixture.clock },
-  } as unknown as OperatedInstance;
+    clock: fixture.clock,
+  } as unknown as OperatedParts;
 }
 
 describe('statusOf', () => {
