Authenticate callers by the keys of teams, and drop keys from what is forwarded

Versions are refused if a key is in two teams, or twice in one. Release notes have teams, without a default, so the digests of other notes stay.

--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -1,6 +1,7 @@
 /** Checks that a configuration must pass: in the tool, at acceptance and at every proxy. */
 import {
   type Change,
+  type Kind,
   type Problem,
   type Resource,
   resourceKey,
@@ -8,6 +9,7 @@
   type Rule,
 } from '../contracts.js';
 import { type Configuration } from './configuration.js';
+import { teamProblems } from './team_problems.js';
 
 export type { Problem };
 
@@ -28,6 +30,9 @@
 /** Maximum number of resources in a change that is checked incrementally. */
 const MAX_INCREMENTAL_RESOURCES = 64;
 
+/** Kinds of resources that can be put without a problem for a route that the change does not put. */
+const LOCAL_KINDS: ReadonlySet<Kind> = new Set(['route', 'upstream', 'team']);
+
 /** Returns all problems of the configuration; it may only be applied if there are none. */
 export function validate(configuration: Configuration): Problem[] {
   const problems = oversizeProblems(configuration);
@@ -38,7 +43,7 @@
       ...ruleProblems(configuration, route, everywhere),
     );
   }
-  return problems;
+  return problems.concat(teamProblems(configuration));
 }
 
 /**
@@ -49,8 +54,8 @@
  */
 export function validateChange(configuration: Configuration, change: Change): Problem[] {
   const isLocal =
-    change.put.every(({ kind }) => kind === 'route' || kind === 'upstream') &&
-    change.remove.every((key) => key.startsWith('route/'));
+    change.put.every(({ kind }) => LOCAL_KINDS.has(kind)) &&
+    change.remove.every((key) => key.startsWith('route/') || key.startsWith('team/'));
   const isSmall = change.put.length <= MAX_INCREMENTAL_RESOURCES;
   if (!isLocal || !isSmall) return validate(configuration);
   const everywhere = [...configuration.all('rule')].filter((rule) => rule.everywhere);
@@ -58,6 +63,8 @@
   for (const resource of change.put) {
     problems.push(...resourceProblems(configuration, resource, everywhere));
   }
+  // The key of a team may have moved to it from any other.
+  if (change.put.some(({ kind }) => kind === 'team')) problems.push(...teamProblems(configuration));
   return problems;
 }
 
--- a/src/contracts/note.ts
+++ b/src/contracts/note.ts
@@ -1,6 +1,6 @@
 /** Release notes, as operators write them (YAML or JSON). */
 import * as z from 'zod';
-import { Limit, Name, Route, Rule, Upstream } from './resource.js';
+import { Limit, Name, Route, Rule, Team, Upstream } from './resource.js';
 
 /** Maximum size of the text of a release note, in bytes. */
 export const MAX_NOTE_BYTES = 4 * 1024 * 1024;
@@ -10,6 +10,8 @@
   routes: z.array(Route.omit({ kind: true })).default([]),
   limits: z.array(Limit.omit({ kind: true })).default([]),
   rules: z.array(Rule.omit({ kind: true })).default([]),
+  // Without a default: the digest of a note without teams is that of earlier releases.
+  teams: z.array(Team.omit({ kind: true })).optional(),
 });
 export type Section = z.infer<typeof Section>;
 
@@ -18,6 +20,7 @@
   routes: z.array(Name).default([]),
   limits: z.array(Name).default([]),
   rules: z.array(Name).default([]),
+  teams: z.array(Name).optional(),
 });
 
 /**
--- a/src/distribution/feed.ts
+++ b/src/distribution/feed.ts
@@ -1,4 +1,6 @@
 /** The source from which readers get accepted versions. */
+import { type Problem } from '../contracts.js';
+
 export abstract class Feed {
   /**
    * Brings the replica to a version that was the head at some time after this call. Resolves to
@@ -10,3 +12,11 @@
   /** Waits until `deadline` for later versions, and applies them; resolves like `catchUp`. */
   abstract follow(deadline: number, signal: AbortSignal): Promise<boolean>;
 }
+
+/** A version that does not parse; it is refused with these problems, and the one before stays. */
+export class UnreadableError extends Error {
+  constructor(readonly problems: readonly Problem[]) {
+    super(problems.map(({ path, message }) => `${path}: ${message}`).join('; '));
+    this.name = 'UnreadableError';
+  }
+}
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -4,7 +4,7 @@
 import { type Random } from '../runtime/random.js';
 import { type Pace, STEADY } from '../membership/pace.js';
 import { type Ranking } from '../membership/ranking.js';
-import { type Feed } from './feed.js';
+import { type Feed, UnreadableError } from './feed.js';
 import { type Replica } from './replica.js';
 
 /** Cap of the jittered wait after a failed call, in milliseconds. */
@@ -80,7 +80,8 @@
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
       return;
     }
-    this.replica.recordRefusal(this.replica.current.number + 1, 'unreadable');
+    const problems = error instanceof UnreadableError ? error.problems : [];
+    this.replica.recordRefusal(this.replica.current.number + 1, 'unreadable', problems);
     await this.#backOff(signal);
   }
 
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -166,8 +166,12 @@
   }
 
   /** Records that a version cannot be applied, so that operators see why. */
-  recordRefusal(number: number, reason: Refusal['reason']): void {
-    this.#refuse(number, reason, []);
+  recordRefusal(
+    number: number,
+    reason: Refusal['reason'],
+    problems: readonly Problem[] = [],
+  ): void {
+    this.#refuse(number, reason, problems);
   }
 
   /** Digest of the parent, from which the digest of the current configuration was computed. */
--- a/src/requests/body.ts
+++ b/src/requests/body.ts
@@ -61,6 +61,8 @@
   readonly maxBytes: number;
   /** Waits for `100 Continue` before sending, so that the body can be resent after a refusal. */
   readonly expectsContinue: boolean;
+  /** Whether credentials among its trailers are dropped. */
+  readonly dropsCredentials?: boolean;
 }
 
 /** A body streamed as it arrives, with back-pressure; it can be sent only once. */
@@ -88,7 +90,7 @@
   }
 
   #stream(request: ClientRequest): void {
-    const { prefix, maxBytes } = this.options;
+    const { prefix, maxBytes, dropsCredentials } = this.options;
     const { source } = this;
     this.#hasStarted = true;
     let size = 0;
@@ -104,7 +106,7 @@
       else request.destroy(bodyTooLarge(maxBytes, 'may-have-run'));
     });
     source.once('end', () => {
-      const trailers = trailersOf(source.trailers);
+      const trailers = trailersOf(source.trailers, dropsCredentials);
       if (trailers && request.chunkedEncoding) request.addTrailers(trailers);
       request.end();
     });
@@ -139,21 +141,27 @@
   return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0;
 }
 
+/** Limits of a body that is read, and what is dropped of it. */
+export interface ReadOptions {
+  readonly maxBytes: number;
+  readonly timeoutMs: number;
+  /** Whether credentials among its trailers are dropped. */
+  readonly dropsCredentials: boolean;
+}
+
 /**
  * Reads a body up to `MAX_BUFFERED_BYTES`; a longer one is streamed. Rejects with `not-run` when it
  * exceeds `maxBytes`, when the caller aborts, or when it has not arrived within `timeoutMs`.
  */
 export function readBody(
   request: IncomingMessage,
-  maxBytes: number,
-  timeoutMs: number,
+  { maxBytes, timeoutMs, dropsCredentials }: ReadOptions,
 ): Promise<Body> {
+  const options = { maxBytes, expectsContinue: true, dropsCredentials };
   const length = Number(request.headers['content-length'] ?? 0);
   if (length > maxBytes) return Promise.reject(bodyTooLarge(maxBytes, 'not-run'));
   if (length > MAX_BUFFERED_BYTES) {
-    return Promise.resolve(
-      new StreamedBody(request, { prefix: [], maxBytes, expectsContinue: true }),
-    );
+    return Promise.resolve(new StreamedBody(request, { ...options, prefix: [] }));
   }
   return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
@@ -163,7 +171,7 @@
       size += chunk.length;
       if (size > maxBytes) finish(() => reject(bodyTooLarge(maxBytes, 'not-run')));
       else if (size > MAX_BUFFERED_BYTES) {
-        const body = new StreamedBody(request, { prefix: chunks, maxBytes, expectsContinue: true });
+        const body = new StreamedBody(request, { ...options, prefix: chunks });
         finish(() => resolve(body));
       }
     };
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -201,11 +201,16 @@
     quarantine.check(headFingerprint(upstream, { method, url, headers: request.headers }));
   }
 
-  async #readBody({ request, response, route, deadline }: RoutedRequest): Promise<Body> {
+  async #readBody(routed: RoutedRequest): Promise<Body> {
+    const { request, response, route, deadline, hasTeams } = routed;
     const { maxBodyBytes } = route;
     const isTooLarge = Number(request.headers['content-length'] ?? 0) > maxBodyBytes;
     if (request.headers.expect !== undefined && !isTooLarge) response.writeContinue();
-    const body = await readBody(request, maxBodyBytes, deadline - this.clock.now());
+    const body = await readBody(request, {
+      maxBytes: maxBodyBytes,
+      timeoutMs: deadline - this.clock.now(),
+      dropsCredentials: hasTeams,
+    });
     this.#clientErrors.markHandedOver(request);
     return body;
   }
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -63,6 +63,8 @@
 /** From upstream instances: `1` from one that is leaving. */
 export const INSTANCE_LEAVING = 'instance-leaving';
 export const RETRY_AFTER = 'retry-after';
+export const WWW_AUTHENTICATE = 'www-authenticate';
+const AUTHORIZATION = 'authorization';
 
 /** Internal headers forwarded to callers on responses. */
 export const CALLER_VISIBLE_HEADERS: ReadonlySet<string> = new Set([
@@ -90,7 +92,7 @@
 const SET_PER_HOP: ReadonlySet<string> = new Set(['content-length', 'expect', CALLER_TIMEOUT]);
 
 /** The same, and the credentials of callers. */
-const SET_PER_HOP_OR_SECRET: ReadonlySet<string> = new Set([...SET_PER_HOP, 'authorization']);
+const SET_PER_HOP_OR_SECRET: ReadonlySet<string> = new Set([...SET_PER_HOP, AUTHORIZATION]);
 
 /** The parts of a message head that the filters read. */
 export interface MessageHead {
@@ -125,9 +127,17 @@
   return typeof value === 'string' ? value : value?.[0];
 }
 
-/** Trailers without the internal ones, which only barleyhaven may set. */
-export function trailersOf(trailers: NodeJS.Dict<string>): NodeJS.Dict<string> | undefined {
-  const kept = Object.entries(trailers).filter(([name]) => !name.startsWith(INTERNAL_PREFIX));
+/**
+ * Trailers without the internal ones, which only barleyhaven may set, and without credentials if the
+ * caller has sent them to barleyhaven itself.
+ */
+export function trailersOf(
+  trailers: NodeJS.Dict<string>,
+  dropsCredentials = false,
+): NodeJS.Dict<string> | undefined {
+  const kept = Object.entries(trailers).filter(
+    ([name]) => !name.startsWith(INTERNAL_PREFIX) && !(dropsCredentials && name === AUTHORIZATION),
+  );
   return kept.length > 0 ? Object.fromEntries(kept) : undefined;
 }
 
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -2,7 +2,7 @@
 import { type IncomingMessage, type ServerResponse, STATUS_CODES } from 'node:http';
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Dialect } from './dialect.js';
-import { REASON, RETRY_AFTER, VERDICT } from './headers.js';
+import { REASON, RETRY_AFTER, VERDICT, WWW_AUTHENTICATE } from './headers.js';
 import { DEFAULT_DIALECT } from './default_dialect.js';
 
 /** Status by reason; for other reasons 503 if the request has certainly not run, otherwise 502. */
@@ -30,6 +30,8 @@
   deadline: 504,
 };
 const BAD_GATEWAY = 502;
+/** The scheme under which callers send keys, see `tokenOf`. */
+const CREDENTIALS_SCHEME = 'Token';
 const SERVICE_UNAVAILABLE = 503;
 /** Statuses from which callers may conclude that the request was not run. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -122,5 +124,6 @@
   if (retryAt !== undefined) {
     headers[RETRY_AFTER] = dialect.retryAfter(retryAt - now);
   }
+  if (reason === 'unauthorized') headers[WWW_AUTHENTICATE] = CREDENTIALS_SCHEME;
   return headers;
 }
--- a/src/requests/routed_request.ts
+++ b/src/requests/routed_request.ts
@@ -68,10 +68,10 @@
   const target = parseTarget(request);
   const route = routeOf(configuration, target);
   if (!route) throw notRun('no-route', `no route for ${target.method} ${target.path}`);
+  const team = authenticate(configuration, route, request, dialect);
   if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
     throw notRun('key-required', `route ${route.name} requires an Idempotency-Key header`);
   }
-  const team = authenticate(configuration, route, request, dialect);
   const waitMs = dialect.callerTimeoutMs(request.headers);
   const deadline = now + Math.min(waitMs ?? route.timeoutMs, route.timeoutMs);
   const caller = waitMs === undefined ? undefined : callerOf(target, now + waitMs);
--- a/src/source/evaluate.ts
+++ b/src/source/evaluate.ts
@@ -102,6 +102,7 @@
     ...section.limits.map((limit) => ({ kind: 'limit' as const, ...limit })),
     ...section.rules.map((rule) => ({ kind: 'rule' as const, ...rule })),
     ...section.routes.map((route) => ({ kind: 'route' as const, ...route })),
+    ...(section.teams ?? []).map((team) => ({ kind: 'team' as const, ...team })),
   ];
 }
 
@@ -111,5 +112,6 @@
     ...withdraw.limits.map((name) => `limit/${name}`),
     ...withdraw.rules.map((name) => `rule/${name}`),
     ...withdraw.routes.map((name) => `route/${name}`),
+    ...(withdraw.teams ?? []).map((name) => `team/${name}`),
   ];
 }
--- a/src/test/requests/test_path.ts
+++ b/src/test/requests/test_path.ts
@@ -71,23 +71,26 @@
     readonly clock: Clock,
     private readonly uplinkKbps: number | undefined,
   ) {
-    const configuration = Configuration.empty.next({ put: [...RESOURCES], remove: [] });
+    this.configuration = Configuration.empty.next({ put: [...RESOURCES], remove: [] });
     this.roster = new Roster(memberOf('entry', 1));
     const random = new SeededRandom(7);
     const balancer = new Balancer(this.roster, clock, random);
     this.entry = this.#owned.use(
       new Entry(
-        () => configuration,
-        () => true,
+        () => this.configuration,
+        () => this.isReady,
         balancer,
         clock,
         random,
       ),
     );
-    this.configuration = configuration;
   }
 
-  readonly configuration: Configuration;
+  /** The configuration in force. */
+  configuration: Configuration;
+
+  /** Whether the process of the entry has a configuration. */
+  isReady = true;
 
   static async start(
     endpoints = 1,
