--- a/src/test/configuration/configuration_test.ts
+++ b/src/test/configuration/configuration_test.ts
@@ -9,6 +9,7 @@
   resourceKey,
   Route,
   Rule,
+  Team,
   Upstream,
 } from '../../contracts.js';
 
@@ -50,6 +51,11 @@
     .map(([of, requireLimit]) =>
       Rule.parse({ kind: 'rule', name: of, everywhere: true, requireLimit }),
     ),
+  fc
+    .tuple(name, fc.array(fc.constantFrom('0', '1', '2', '3'), { maxLength: 2 }))
+    .map(([of, digits]) =>
+      Team.parse({ kind: 'team', name: of, keyDigests: digits.map((digit) => digit.repeat(64)) }),
+    ),
   fc.tuple(name, name, fc.option(name)).map(([of, upstream, limit]) =>
     Route.parse({
       kind: 'route',
@@ -127,4 +133,34 @@
     const configuration = Configuration.empty.next({ put: [listings, menus, rule], remove: [] });
     expect(validate(configuration)).toMatchSnapshot();
   });
+
+  // Guards against a key that identifies whichever of two teams is read last.
+  it('refuses a key that is listed twice, and names the teams', () => {
+    const teams = [
+      { name: 'pulo780', digits: ['1', '2', '1'] },
+      { name: 'rana', digits: ['3', '2'] },
+      { name: 'without-keys', digits: [] },
+    ].map(({ name: of, digits }) =>
+      Team.parse({ kind: 'team', name: of, keyDigests: digits.map((digit) => digit.repeat(64)) }),
+    );
+    const change = { put: teams, remove: [] };
+    const configuration = Configuration.empty.next(change);
+    expect(validate(configuration)).toMatchSnapshot();
+    expect(validateChange(configuration, change)).to.deep.equal(validate(configuration));
+  });
+
+  // Guards against figures that no limit or order can be computed with.
+  it('refuses a team with keys, a priority or a quota out of range', () => {
+    const invalid: object[] = [
+      ...['A'.repeat(64), 'a'.repeat(63), 'a'.repeat(65), ''].map((d) => ({ keyDigests: [d] })),
+      { keyDigests: Array.from({ length: 65 }, (_, i) => String(i).padStart(64, '0')) },
+      ...[-1, 10, 0.5, NaN].map((priority) => ({ priority })),
+      ...[-1, 1_000_001, Infinity, NaN].flatMap((n) => [{ ratePerS: n }, { burst: n }]),
+    ];
+    const team = { kind: 'team', name: 'pulo780', keyDigests: [] };
+    const accepted = invalid.filter((fields) => Team.safeParse({ ...team, ...fields }).success);
+    expect(accepted).to.deep.equal([]);
+    const whole = { ...team, priority: 0, ratePerS: 1_000_000, burst: 0 };
+    expect(Team.parse(whole)).to.deep.equal(whole);
+  });
 });
--- a/src/test/source/note_text_test.ts
+++ b/src/test/source/note_text_test.ts
@@ -16,6 +16,30 @@
     expect('problems' in reading && reading.problems).toMatchSnapshot();
   });
 
+  // Guards against problems that operators cannot find among thousands of teams, and against a key
+  // that shows in a message after it was listed in place of its digest.
+  it('names teams with problems and shows nothing of what they list', () => {
+    const listed = ['maj3nr26', '"*maj3nr26"', '*maj3nr26', '|maj3nr26', `${'a'.repeat(65)}`];
+    const fields = [
+      ...listed.map((key) => `keyDigests: [${key}]`),
+      `keyDigests:\n      - |maj3nr26`,
+      `keyDigests: [${Array.from({ length: 65 }, () => 'a'.repeat(64)).join()}]`,
+      'priority: 10',
+      'ratePerS: .inf',
+      'ratePerS: .nan',
+      'burst: -1',
+      'burst: 1000001',
+    ];
+    const problems = fields.map((field) => {
+      const keys = field.startsWith('keyDigests') ? '' : '\n      keyDigests: []';
+      const team = `{ name: seats, keyDigests: [] }\n    - name: pulo780${keys}\n      ${field}`;
+      const reading = parseNote(`id: a\nauthor: b\nadd:\n  teams:\n    - ${team}\n`);
+      return 'problems' in reading && reading.problems.map(({ path, message }) => [path, message]);
+    });
+    expect(problems).toMatchSnapshot();
+    expect(JSON.stringify(problems)).not.to.match(/maj3nr26|aaaaaaaaa/);
+  });
+
   it('refuses invalid YAML, unlimited alias expansion and overlong text', () => {
     const bomb = `a: &a [x,x,x,x,x,x,x,x,x,x]
 b: &b [*a,*a,*a,*a,*a,*a,*a,*a,*a,*a]
