Let the stated slowness of a machine decide in admission and placement

Cause: a machine that is 2.5 times slower for a few hundred milliseconds gets as many requests as before, its guard admits jobs that cannot be done in time, and the durations measured then make the instance look slow afterwards. Change: the guard records the factor that answers state. Expected waits and durations in admission, and the cost of an endpoint in placement, are those for a factor that decays to 1 with a half-life of 106 ms. Durations are divided by the factors stated during them before they enter an average or adapt the slots. The guard reports the factor with its age to entries. Without a statement every duration stays as it is, to the last bit.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -6,6 +6,7 @@
 import { type Load } from './load.js';
 import { movingAverage, NamedLimit } from './named_limit.js';
 import { RateLimit } from './rate_limit.js';
+import { SlownessRecord } from './slowness_record.js';
 import { type WaitingJob, WaitingQueue, type WaitingOptions } from './waiting_queue.js';
 
 /** Retry delay told to a refused caller when no better estimate is known, in milliseconds. */
@@ -75,7 +76,7 @@
 
   readonly #namedLimits = new Map<string, NamedLimit>();
 
-  /** Average time that a job holds a slot, by kind, in milliseconds. */
+  /** Average time that a job holds a slot at the usual speed, by kind, in milliseconds. */
   readonly #heldByKind = new Map<string, number>();
 
   #heldMs = 0;
@@ -89,6 +90,8 @@
   constructor(
     private readonly clock: Clock,
     slots: number,
+    /** How slow the machine of the instance is; the instance states so in its answers. */
+    readonly slowness = new SlownessRecord(clock),
   ) {
     this.rateLimit = new RateLimit(clock);
     this.#slots = new AdaptiveSlots(clock, slots);
@@ -108,15 +111,17 @@
   get load(): Load {
     const { inFlight, waiting } = this;
     const heldMs = Math.round(this.#heldMs);
-    const load = { inFlight, slots: this.#slots.current, waiting, heldMs, leavingMs: 0 };
+    const slots = this.#slots.current;
+    const { latest: slowness } = this.slowness;
+    const load = { inFlight, slots, waiting, heldMs, leavingMs: 0, ...(slowness && { slowness }) };
     const perSecond = this.rateLimit.applied;
     if (perSecond === Infinity) return load;
     return { ...load, rate: { perSecond, waitMs: this.rateLimit.waitMs(waiting) } };
   }
 
-  /** Average time that a job of that kind holds a slot, in milliseconds; 0 if unknown. */
+  /** Expected time that a job of that kind holds a slot from now, in milliseconds; 0 if unknown. */
   heldMsOf(kind: string): number {
-    return this.#heldByKind.get(kind) ?? this.#heldMs;
+    return this.slowness.expectedMs(this.#usualHeldMs({ kind }));
   }
 
   /** Slots that the upstream instance has announced: the upper bound on jobs in flight. */
@@ -234,10 +239,12 @@
   #admit(job: Job, limit: NamedLimit): WaitingJob {
     const { priority, deadline, targetAt = deadline } = job;
     const now = this.clock.now();
-    const heldMs = this.#averageHeldMs(job);
-    const waiting: WaitingJob = { priority, targetAt, heldMs, isLate: false };
+    const usualMs = this.#usualHeldMs(job);
+    const waiting: WaitingJob = { priority, targetAt, heldMs: usualMs, isLate: false };
     const headroom = targetAt === deadline ? 1 : HEADROOM;
-    const inTimeMs = Math.max(limit.expectedWaitMs, this.#expectedWaitMs(waiting));
+    const limitWaitMs = this.slowness.expectedMs(limit.expectedWaitMs);
+    const inTimeMs = Math.max(limitWaitMs, this.#expectedWaitMs(waiting));
+    const heldMs = this.slowness.expectedMs(usualMs, inTimeMs);
     waiting.isLate = now + inTimeMs + heldMs * headroom > targetAt;
     const waitMs = waiting.isLate ? this.#expectedWaitMs(waiting) : inTimeMs;
     const exceedsDeadline = now + Math.max(waitMs, inTimeMs) + heldMs > deadline;
@@ -269,7 +276,8 @@
     if (this.isDraining) throw notRun('draining', 'the upstream instance is draining');
     const now = this.clock.now();
     if (now >= job.deadline) throw notRun('deadline', 'the deadline passed before a slot was free');
-    if (now + waiting.heldMs > job.deadline) throw this.#overloaded(job, waiting, 0);
+    const heldMs = this.slowness.expectedMs(waiting.heldMs);
+    if (now + heldMs > job.deadline) throw this.#overloaded(job, waiting, 0);
   }
 
   async #execute(job: Job, limit: NamedLimit, work: Work): Promise<void> {
@@ -281,14 +289,15 @@
     const isFull = pending >= concurrency * FULL_SHARE;
     try {
       const { headMs, isShed } = await work();
-      if (!isShed) this.#slots.recordAnswer(headMs, isSaturated);
+      const usualMs = this.slowness.usualMs(startedAt, startedAt + headMs);
+      if (!isShed) this.#slots.recordAnswer(usualMs, isSaturated);
       else if (isFull) this.#slots.recordRefusal(headMs);
     } catch (error) {
       // A refusal with slots free has other reasons than load, and fewer requests would not help.
       if (isFull && wasShed(error)) this.#slots.recordRefusal(this.clock.now() - startedAt);
       throw error;
     } finally {
-      this.#recordDuration(job, limit, this.clock.now() - startedAt);
+      this.#recordDuration(job, limit, this.slowness.usualMs(startedAt, this.clock.now()));
       this.#applySlots();
     }
   }
@@ -301,14 +310,15 @@
     this.#heldByKind.set(kind, movingAverage(this.#heldByKind.get(kind) ?? 0, tookMs));
   }
 
-  #averageHeldMs({ kind }: Job): number {
-    return kind === undefined ? this.#heldMs : this.heldMsOf(kind);
+  /** Average time that such a job holds a slot at the usual speed, in milliseconds. */
+  #usualHeldMs({ kind }: Pick<Job, 'kind'>): number {
+    return (kind === undefined ? undefined : this.#heldByKind.get(kind)) ?? this.#heldMs;
   }
 
   /** Estimated time until the job gets a slot, in milliseconds. */
   #expectedWaitMs(waiting: WaitingJob): number {
     const heldMs = this.#waitingQueue.heldMsAhead(waiting) + this.#heldMs;
-    const slotMs = heldMs / this.#queue.concurrency;
+    const slotMs = this.slowness.expectedMs(heldMs / this.#queue.concurrency);
     return Math.max(slotMs, this.rateLimit.waitMs(this.#waitingQueue.jobsAhead(waiting)));
   }
 
--- a/src/admission/load.ts
+++ b/src/admission/load.ts
@@ -21,7 +21,7 @@
   readonly inFlight: number;
   readonly slots: number;
   readonly waiting: number;
-  /** Average time that a job holds a slot, in milliseconds; 0 if unknown. */
+  /** Average time that a job holds a slot at the usual speed, in milliseconds; 0 if unknown. */
   readonly heldMs: number;
   /** Time until the uplink has sent all large answers with a reservation, in milliseconds. */
   readonly leavingMs: number;
@@ -37,7 +37,13 @@
 const RATE_PATTERN = /^([\d.]{1,30}),(\d{1,7})$/;
 /** Decimal places of a formatted rate. */
 const RATE_PLACES = 3;
-const MAX_WAIT_MS = 9_999_999;
+/** Largest time with as many digits as the patterns accept, in milliseconds. */
+const MAX_FORMATTED_MS = 9_999_999;
+/** The factor in percent and its age in milliseconds, integers. */
+const SLOWNESS_PATTERN = /^(\d{2,5}),(\d{1,7})$/;
+const MIN_PERCENT = 10;
+const MAX_PERCENT = 10_000;
+const PERCENT = 100;
 
 export function formatLoad({ inFlight, slots, waiting, heldMs, leavingMs }: Load): string {
   return `${inFlight},${slots},${waiting},${heldMs},${leavingMs}`;
@@ -45,17 +51,34 @@
 
 /** Formatted apart from the load: processes of earlier releases reject a load with more numbers. */
 export function formatRate({ perSecond, waitMs }: Rate): string {
-  return `${perSecond.toFixed(RATE_PLACES)},${Math.min(MAX_WAIT_MS, Math.ceil(waitMs))}`;
+  return `${perSecond.toFixed(RATE_PLACES)},${Math.min(MAX_FORMATTED_MS, Math.ceil(waitMs))}`;
 }
 
-/** Returns undefined if the text is not a valid load; an invalid rate is left out. */
-export function parseLoad(text: string | undefined, rateText?: string): Load | undefined {
+/** Formatted apart from the load, for the same reason; the factor as stated, not decayed. */
+export function formatSlowness({ factor, ageMs }: Slowness): string {
+  return `${Math.round(factor * PERCENT)},${Math.min(MAX_FORMATTED_MS, Math.round(ageMs))}`;
+}
+
+/** Returns undefined if the text is not a valid load; an invalid rate or slowness is left out. */
+export function parseLoad(
+  text: string | undefined,
+  rateText?: string,
+  slownessText?: string,
+): Load | undefined {
   const match = text === undefined ? null : LOAD_PATTERN.exec(text);
   if (!match) return undefined;
   const [, inFlight = 0, slots = 0, waiting = 0, heldMs = 0] = match.map(Number);
-  const rate = parseRateReport(rateText);
   const load = { inFlight, slots, waiting, heldMs, leavingMs: Number(match[5] ?? 0) };
-  return rate ? { ...load, rate } : load;
+  const rate = parseRateReport(rateText);
+  const slowness = parseSlowness(slownessText);
+  return { ...load, ...(rate && { rate }), ...(slowness && { slowness }) };
+}
+
+function parseSlowness(text: string | undefined): Slowness | undefined {
+  const [, percentText, ageMs] = SLOWNESS_PATTERN.exec(text ?? '') ?? [];
+  const percent = Number(percentText);
+  if (!(percent >= MIN_PERCENT && percent <= MAX_PERCENT)) return undefined;
+  return { factor: percent / PERCENT, ageMs: Number(ageMs) };
 }
 
 function parseRateReport(text: string | undefined): Rate | undefined {
--- a/src/placement/balancer.ts
+++ b/src/placement/balancer.ts
@@ -5,6 +5,7 @@
 import { type Random } from '../runtime/random.js';
 import { EndpointStats, type EndpointSnapshot } from './endpoint_stats.js';
 import { type Load } from '../admission/load.js';
+import { expectedFactor, usualMs } from '../admission/slowness.js';
 import { type VersionRoles, AllStable } from './version_roles.js';
 import { INITIAL_LATENCY_MS, type EndpointGroup, EndpointGroups } from './endpoint_groups.js';
 import { chooseOnTrial, TrialScheduler } from './trial_endpoints.js';
@@ -143,7 +144,9 @@
     }
     chosen.recordAnswer(tookMs, load, now);
     const group = this.#groups.of(chosen.member.endpoint?.upstream ?? '');
-    if (group) group.typicalMs += (tookMs - group.typicalMs) * NEWEST_WEIGHT;
+    if (!group) return;
+    const usuallyMs = usualMs(tookMs, expectedFactor(load?.slowness));
+    group.typicalMs += (usuallyMs - group.typicalMs) * NEWEST_WEIGHT;
   }
 
   /** Records a refusal, or that the endpoint could not be reached, so that it is avoided for a while. */
--- a/src/placement/endpoint_stats.ts
+++ b/src/placement/endpoint_stats.ts
@@ -1,6 +1,7 @@
 /** Statistics of this process on one endpoint, and the expected cost of a request to it. */
 import { type Member } from '../contracts.js';
 import { type Load } from '../admission/load.js';
+import { expectedFactor, slowedMs, usualMs } from '../admission/slowness.js';
 
 /** Half-life of an observed latency without new answers, in milliseconds. */
 const LATENCY_HALF_LIFE_MS = 10_000;
@@ -42,6 +43,8 @@
   readonly rateWaitMs?: number;
   /** Age of the reported load, in milliseconds; absent before the first report. */
   readonly loadAgeMs?: number;
+  /** How slow its machine is expected to be now; absent if it does not state that. */
+  readonly slowness?: number;
 }
 
 export class EndpointStats {
@@ -78,7 +81,8 @@
   /** Records an answer that took `answeredMs` to begin, with the load that it reported. */
   recordAnswer(answeredMs: number, load: Load | undefined, now: number): void {
     // The duration that a guard reports does not include the time for which requests wait there.
-    const tookMs = load && load.heldMs > 0 ? load.heldMs : answeredMs;
+    const usualAnsweredMs = usualMs(answeredMs, expectedFactor(load?.slowness));
+    const tookMs = load && load.heldMs > 0 ? load.heldMs : usualAnsweredMs;
     const before = this.#latencyMs;
     // The newest answer replaces the part of the average that has decayed.
     const newestShare = 1 - decay(now - this.#latencyAt, LATENCY_HALF_LIFE_MS);
@@ -144,26 +148,29 @@
   /** Whether one more request could be answered by `targetAt`, or at least start at once. */
   canServe(targetAt: number, now: number, isLarge = false): boolean {
     if (!this.#load) return true;
-    const { slots, heldMs } = this.#load;
+    const { slots } = this.#load;
+    const factor = this.#slowness(now);
+    const heldMs = slowedMs(this.#load.heldMs, factor);
     const rateWaitMs = this.#rateWaitMs(now);
     if (rateWaitMs > 0 && now + rateWaitMs + heldMs > targetAt) return false;
     if (now - this.#loadAt > LOAD_VALID_MS) return true;
     if (isLarge && now + Math.max(heldMs, this.#uplinkBacklogMs(now)) > targetAt) return false;
     const waiting = this.#estimatedInFlight(now) + 1 - slots;
-    return waiting <= 0 || now + heldMs * (1 + waiting / slots) <= targetAt;
+    if (waiting <= 0) return true;
+    return now + slowedMs(this.#load.heldMs * (1 + waiting / slots), factor) <= targetAt;
   }
 
   /**
    * Expected time of one more request, in milliseconds: its wait and its own duration, the wait for
    * the rate limit, and for a large answer also the time until the uplink is free. An old latency
    * decays to the one that is typical of the upstream, so that an endpoint that was slow once is tried
-   * again.
+   * again. Latencies are those at the usual speed of its machine, to which the slowness is applied.
    */
   cost(typicalMs: number, now: number, isLarge = false): number {
     const assumed = typicalMs * OPTIMISM;
     const latency = assumed + this.#latencyGap(assumed, now);
     const workMs = this.#occupancyFactor(now) * latency * this.#warmUpFactor(now);
-    const costMs = workMs + this.#rateWaitMs(now);
+    const costMs = slowedMs(workMs, this.#slowness(now)) + this.#rateWaitMs(now);
     return isLarge ? costMs + this.#uplinkBacklogMs(now) : costMs;
   }
 
@@ -177,6 +184,7 @@
       waiting: this.#load?.waiting ?? 0,
       ...(rateWaitMs > 0 && { rateWaitMs }),
       ...(this.#load && { loadAgeMs: Math.round(now - this.#loadAt) }),
+      ...(this.#load?.slowness && { slowness: rounded(this.#slowness(now)) }),
     };
   }
 
@@ -191,6 +199,11 @@
     return Math.max(0, reportedMs - (now - this.#loadAt));
   }
 
+  /** Factor by which work is expected to take longer than usual on its machine. */
+  #slowness(now: number): number {
+    return expectedFactor(this.#load?.slowness, now - this.#loadAt);
+  }
+
   /** Remaining part of the uplink backlog of the last report, in milliseconds. */
   #uplinkBacklogMs(now: number): number {
     return this.#load ? Math.max(0, this.#load.leavingMs - (now - this.#loadAt)) : 0;
@@ -222,6 +235,11 @@
   }
 }
 
+/** Rounded to two decimal places. */
+function rounded(factor: number): number {
+  return Math.round(factor * 100) / 100;
+}
+
 function decay(age: number, halfLife: number): number {
   return 2 ** (-age / halfLife);
 }
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -21,6 +21,7 @@
   RATE,
   RETRIED,
   SHED,
+  SLOWNESS,
   CALLER_VISIBLE_HEADERS,
 } from './headers.js';
 import { handoverHeaders } from './handover.js';
@@ -265,7 +266,11 @@
     const answer = await exchange.send();
     if (answer.headers[EXCHANGE_ID] !== id) throw exchange.abortMismatched();
     const now = this.clock.now();
-    const load = parseLoad(headerOf(answer, LOAD), headerOf(answer, RATE));
+    const load = parseLoad(
+      headerOf(answer, LOAD),
+      headerOf(answer, RATE),
+      headerOf(answer, SLOWNESS),
+    );
     this.#knownStatements.record(endpoint.member.instance, answer, load);
     if (headerOf(answer, LEAVING) !== undefined) this.balancer.recordLeaving(endpoint);
     const refusal = parseGuardRefusal(answer, now);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -251,7 +251,7 @@
   /** Load and statements of the upstream instance, as alternating names and values of headers. */
   #stateHeaders(): string[] {
     const { load } = this;
-    return [LOAD, formatLoad(load), ...this.#statements.headersWith(load.rate)];
+    return [LOAD, formatLoad(load), ...this.#statements.headersWith(load)];
   }
 }
 
--- a/src/requests/instance_statements.ts
+++ b/src/requests/instance_statements.ts
@@ -1,12 +1,12 @@
 /** What the upstream instance beside a guard has stated about itself in its answers. */
 import { type IncomingMessage } from 'node:http';
 import { type ConcurrencyLimiter } from '../admission/concurrency_limiter.js';
-import { formatRate, type Rate } from '../admission/load.js';
+import { formatRate, formatSlowness, type Load } from '../admission/load.js';
 import { parseRate } from '../admission/rate_limit.js';
 import { formatRun, type InstanceRun, isSameRun, parseRun } from '../membership/instance_run.js';
 import { type Dialect } from './dialect.js';
 import { type AnnouncedEndpoint } from './guard_request.js';
-import { headerOf, KNOWN_LEAVING, KNOWN_RATE, LEAVING, RATE, RUN } from './headers.js';
+import { headerOf, KNOWN_LEAVING, KNOWN_RATE, LEAVING, RATE, RUN, SLOWNESS } from './headers.js';
 
 /** A statement binds the run of the instance that has made it, and processes that start beside it later. */
 export class InstanceStatements {
@@ -43,6 +43,8 @@
       this.#leave(born === undefined ? { id } : { id, born });
     const perSecond = this.dialect.rateLimitOf(answer);
     if (perSecond !== undefined) this.limit.recordRateLimit(perSecond, sentAt);
+    const slowness = this.dialect.slownessOf(answer);
+    if (slowness !== undefined) this.limit.slowness.record(slowness);
   }
 
   /** Adopts what the instance has stated to the entry, maybe before this process started. */
@@ -54,13 +56,15 @@
     if (run && headerOf(request, KNOWN_LEAVING) !== undefined) this.#leave(run);
   }
 
-  /** Headers for entries, as alternating names and values; `rate` is that of the reported load. */
-  headersWith(rate: Rate | undefined): string[] {
+  /** Headers for entries, as alternating names and values; `load` is the reported load. */
+  headersWith({ rate, slowness }: Load): string[] {
     const headers: string[] = [];
     if (rate) headers.push(RATE, formatRate(rate));
     if (this.isLeaving) headers.push(LEAVING, '1');
     const { id, born } = this.#announced ?? {};
     if (headers.length > 0 && id !== undefined) headers.push(RUN, formatRun({ id, born }));
+    // Of the machine, not of the run: valid for seconds only, and not sent back on requests.
+    if (slowness) headers.push(SLOWNESS, formatSlowness(slowness));
     return headers;
   }
 
--- a/src/requests/upstream_forwarder.ts
+++ b/src/requests/upstream_forwarder.ts
@@ -87,7 +87,7 @@
     else await this.#relay(guardRequest, answer, exchange);
     // An endpoint that is still warming up is slow whatever its version, so its time does not count.
     const isCold = (announced.coldMs ?? 0) > 0;
-    const tookMs = isCold ? undefined : answeredAt - startedAt;
+    const tookMs = isCold ? undefined : this.host.limit.slowness.usualMs(startedAt, answeredAt);
     return { headMs: answeredAt - startedAt, isShed, isFailure: status >= SERVER_ERROR, tookMs };
   }
 
--- a/src/test/admission/concurrency_limiter_test.ts
+++ b/src/test/admission/concurrency_limiter_test.ts
@@ -5,6 +5,7 @@
 import { TimerClock } from '../../runtime/clock.js';
 
 const ANSWERED: JobResult = { headMs: 10, isShed: false };
+const answeredIn = (headMs: number): JobResult => ({ headMs, isShed: false });
 const SHED: JobResult = { headMs: 1, isShed: true };
 
 describe('ConcurrencyLimiter', () => {
@@ -30,7 +31,7 @@
     readonly priority?: number;
     readonly withinMs?: number;
     readonly targetMs?: number;
-    readonly outcome?: JobResult;
+    readonly outcome?: JobResult | (() => JobResult);
     readonly resource?: LimitResource;
     readonly onGone?: (callback: () => void) => void;
   }
@@ -49,7 +50,7 @@
       started.push(name);
       maxInFlight = Math.max(maxInFlight, limit.inFlight);
       await clock.sleepUntil(clock.now() + takesMs);
-      return outcome;
+      return typeof outcome === 'function' ? outcome() : outcome;
     };
     return limit.run(limiterJob, work).then(
       () => 'done',
@@ -287,6 +288,50 @@
     expect(await countOutcomes([...held, fresh, ...others, again])).to.deep.equal({ done: 18 });
   });
 
+  // Guards against callers that wait for a job that a slow machine cannot do in time, and against
+  // refusals after the slow phase by averages that were measured in it.
+  it('refuses sooner while the machine is slow, and as before afterwards', async () => {
+    limit.restart(true);
+    await countOutcomes(batch(20, { takesMs: 100 }));
+    /** Refusals of jobs that wait for others, which take `takesMs` while that factor is stated. */
+    const refusedOf = async (takesMs: number, factor: number) => {
+      limit.slowness.record(factor);
+      const running = batch(20, { takesMs });
+      const waiting = batch(20, { takesMs, withinMs: 240 });
+      for (let ms = 0; ms < 2 * takesMs; ms += 50) {
+        await timers.tickAsync(50);
+        limit.slowness.record(factor);
+      }
+      return (await countOutcomes([...running, ...waiting]))['not-run overloaded'] ?? 0;
+    };
+    const refused = [await refusedOf(100, 1), await refusedOf(250, 2.5), await refusedOf(100, 1)];
+    expect(refused[0]).to.equal(0);
+    expect(refused[1]).to.be.greaterThan(0);
+    expect(refused[2]).to.equal(0);
+  });
+
+  // Guards against slots lost to a slow phase, in which the instance does not queue what it gets.
+  it('keeps its slots in a slow phase that answers are normalized by', async () => {
+    /** The fewest slots in a slow phase. */
+    const fewestSlots = async (states: boolean) => {
+      limit = new ConcurrencyLimiter(clock, 20);
+      limit.restart(true);
+      for (let round = 0; round < 10; round++)
+        await countOutcomes(batch(40, { takesMs: 50, outcome: answeredIn(50) }));
+      const slots: number[] = [];
+      const outcome = () => {
+        if (states) limit.slowness.record(5);
+        slots.push(limit.load.slots);
+        return answeredIn(250);
+      };
+      for (let round = 0; round < 3; round++)
+        await countOutcomes(batch(40, { takesMs: 250, outcome }));
+      return Math.min(...slots);
+    };
+    expect(await fewestSlots(false)).to.be.lessThan(20);
+    expect(await fewestSlots(true)).to.equal(20);
+  });
+
   // Guards against jobs started at an instance that drains; the refusal lets the callers go elsewhere.
   it('starts no waiting job once the instance drains', async () => {
     const runs = batch(10);
--- a/src/test/admission/load_test.ts
+++ b/src/test/admission/load_test.ts
@@ -21,6 +21,12 @@
     }
   });
 
+  it('leaves out an invalid slowness', () => {
+    for (const text of ['', '250', '9,0', '10001,0', '250,-1', '250,1,1', '2.5,10']) {
+      expect(parseLoad(formatLoad(load), undefined, text), text).to.deep.equal(load);
+    }
+  });
+
   it('rejects any other text', () => {
     const texts = [undefined, '', '3,13', '3,13,2,340,', '3,13,2,340,1,1', 'a,13,2,340'];
     expect(texts.map((text) => parseLoad(text))).to.deep.equal(texts.map(() => undefined));
--- a/src/test/placement/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -1,6 +1,7 @@
 import * as fc from 'fast-check';
 import { expect } from 'chai';
 import { type EndpointState, type Liveness, OutcomeError } from '../../contracts.js';
+import { expectedFactor, slowedMs } from '../../admission/slowness.js';
 import { Roster } from '../../membership/roster.js';
 import { Balancer } from '../../placement/balancer.js';
 import { VersionRoles, type Role, type TrialShare } from '../../placement/version_roles.js';
@@ -112,6 +113,26 @@
     expect({ slow, later }).toMatchSnapshot();
   });
 
+  // Guards against requests to an endpoint whose machine is known to be slow now, and against one
+  // that is avoided after its slow phase by the durations that were measured in it.
+  it('expects a request to take longer on a slow machine, for as long as the statement counts', () => {
+    const { balancer, clock, choose } = setUp([{ name: 'a' }]);
+    const load = { inFlight: 0, slots: 20, waiting: 0, heldMs: 0, leavingMs: 0 };
+    const costMs = () => balancer.snapshotOf(choose()!).costMs;
+    for (let answer = 0; answer < 40; answer++) balancer.recordAnswer(choose()!, 50, load, false);
+    const before = costMs();
+    const slowness = { factor: 2.5, ageMs: 20 };
+    const slow = { ...load, slowness };
+    const tookMs = slowedMs(50, expectedFactor(slowness));
+    for (let answer = 0; answer < 40; answer++)
+      balancer.recordAnswer(choose()!, tookMs, slow, false);
+    const after = [0, 100, 900, 1_980].map((ageMs) => {
+      clock.instant += ageMs;
+      return costMs();
+    });
+    expect({ before, after }).toMatchSnapshot();
+  });
+
   // Guards against requests that fail while another data centre has capacity, and against staying
   // there after the local refusals have expired.
   it('uses another data centre while all local endpoints are avoided', () => {
