Keep the digest of routes that are not public

Cause: the operators' object names `public` on each route; a route decoded with `public: false` has another digest than the process of the release before computes for the same version. Change: only true is kept. Measured: the tests of the decoder, teams, admission, placement and the entry pass (122).

--- a/src/platform/operator_object.ts
+++ b/src/platform/operator_object.ts
@@ -104,7 +104,7 @@
     priority: priorityFrom(priority),
     maxAttempts,
     repeatable: route.kind !== 'unsafe',
-    ...(route.public !== undefined && { public: route.public }),
+    ...(route.public && { public: true }),
     ...(maxBodyBytes !== undefined && { maxBodyBytes }),
   });
 }
