--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -66,7 +66,11 @@
    * any, nobody can call as this team.
    */
   keyDigests: z
-    .array(z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest of 64 lower-case hexadecimal digits'))
+    .array(
+      z
+        .string()
+        .regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest of 64 lower-case hexadecimal digits'),
+    )
     .max(MAX_KEYS_PER_TEAM),
   /** Replaces the priority of the route for its requests; higher goes first. */
   priority: z.number().int().min(0).max(9).optional(),
--- a/src/test/configuration/configuration_test.ts
+++ b/src/test/configuration/configuration_test.ts
@@ -143,10 +143,10 @@
     ].map(({ name: of, digits }) =>
       Team.parse({ kind: 'team', name: of, keyDigests: digits.map((digit) => digit.repeat(64)) }),
     );
-    const change = { put: teams, remove: [] };
-    const configuration = Configuration.empty.next(change);
+    const sharing = { put: teams, remove: [] };
+    const configuration = Configuration.empty.next(sharing);
     expect(validate(configuration)).toMatchSnapshot();
-    expect(validateChange(configuration, change)).to.deep.equal(validate(configuration));
+    expect(validateChange(configuration, sharing)).to.deep.equal(validate(configuration));
   });
 
   // Guards against figures that no limit or order can be computed with.
--- a/src/test/source/note_text_test.ts
+++ b/src/test/source/note_text_test.ts
@@ -19,7 +19,7 @@
   // Guards against problems that operators cannot find among thousands of teams, and against a key
   // that shows in a message after it was listed in place of its digest.
   it('names teams with problems and shows nothing of what they list', () => {
-    const listed = ['maj3nr26', '"*maj3nr26"', '*maj3nr26', '|maj3nr26', `${'a'.repeat(65)}`];
+    const listed = ['maj3nr26', '"*maj3nr26"', '*maj3nr26', '|maj3nr26', 'a'.repeat(65)];
     const fields = [
       ...listed.map((key) => `keyDigests: [${key}]`),
       `keyDigests:\n      - |maj3nr26`,
