Log the team of a request, and export requests and quotas by team

Cause: operators could not see which team a request belonged to, who was refused, or what a process holds of a quota. A fault while metrics were read would have ended the process: the head of the response was sent first, and the error answer after it left an unhandled rejection.

Change: routed and entry-ended have the optional field team, the name only; entry-ended too, because in a burst of refusals only the ends are logged. The metrics are read before the head of their response is sent.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -83,7 +83,7 @@
     this.#quota = new UnlimitedQuota();
     this.entry.quota = this.#quota;
     this.safeguards = this.#createSafeguards();
-    this.#records = new RequestRecords(log, clock);
+    this.#records = new RequestRecords(log, clock, this.replica);
     this.entry.requestLog = this.#records.entryLog;
     this.guard.requestLog = this.#records.guardLog;
     this.#operators = this.#createOperatorsPort();
@@ -217,6 +217,7 @@
       guardMeter: new RequestMeter(guard.server, clock),
       records: this.#records,
       log: this.#log,
+      quota: this.#quota,
       orders: this.#rollouts?.orders,
       acceptsNotes: feed === undefined,
       isReady: () => this.isReady,
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,5 +1,4 @@
 /** Metrics of one process in the Prometheus text format. */
-import { Gauge, Registry } from 'prom-client';
 import { type Mesh } from '../distribution/mesh.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Peer } from '../link/peer.js';
@@ -7,15 +6,17 @@
 import { type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
+import { type Quota } from '../quota/quota.js';
 import { type Entry } from '../requests/entry.js';
 import { type Guard } from '../requests/guard.js';
 import { type Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
 import { histogramText } from './ended_requests.js';
+import { Gauges, PREFIX } from './gauges.js';
 import { type RequestMeter } from './request_meter.js';
 import { type RequestRecords } from './request_records.js';
+import { TeamMetrics } from './team_metrics.js';
 
-const PREFIX = 'barleyhaven_';
 const PERCENTILES = [50, 90, 99, 99.9] as const;
 const MS_PER_SECOND = 1_000;
 const MICROSECONDS_PER_SECOND = 1_000_000;
@@ -34,22 +35,26 @@
   readonly entryMeter: RequestMeter;
   readonly guardMeter: RequestMeter;
   readonly records: RequestRecords;
+  readonly quota: Pick<Quota, 'usage'>;
   readonly log: Pick<Log, 'dropped'>;
   readonly isReady: () => boolean;
 }
 
 /** Values are read on each scrape; no copies are kept. */
 export class Metrics {
-  readonly #registry = new Registry();
+  readonly #gauges = new Gauges();
+
+  readonly #teams: TeamMetrics;
 
   #appliedAt: number;
 
   constructor(private readonly parts: MeasuredParts) {
-    const { clock, replica } = parts;
+    const { clock, replica, records, quota } = parts;
     this.#appliedAt = clock.now();
     replica.onApplied(() => {
       this.#appliedAt = clock.now();
     });
+    this.#teams = new TeamMetrics(replica, records.byTeam, quota);
     this.#configuration();
     this.#membership();
     this.#links();
@@ -62,7 +67,7 @@
   }
 
   get contentType(): string {
-    return this.#registry.contentType;
+    return this.#gauges.contentType;
   }
 
   async text(): Promise<string> {
@@ -74,53 +79,53 @@
         ended,
       ),
     );
-    return (await this.#registry.metrics()) + histograms.join('');
+    return (await this.#gauges.text()) + histograms.join('') + (await this.#teams.text());
   }
 
   #configuration(): void {
     const { clock, replica, ranking, isReady } = this.parts;
-    this.#gauge('version', 'Version in force', () => replica.current.number);
-    this.#gauge(
+    this.#gauges.add('version', 'Version in force', () => replica.current.number);
+    this.#gauges.add(
       'version_age_seconds',
       'Time since the version was put in force',
       () => (clock.now() - this.#appliedAt) / MS_PER_SECOND,
     );
-    this.#gauge('resources', 'Resources held', () => replica.current.size);
-    this.#gauge('ready', '1 once requests are taken', () => Number(isReady()));
-    this.#gauge(
+    this.#gauges.add('resources', 'Resources held', () => replica.current.size);
+    this.#gauges.add('ready', '1 once requests are taken', () => Number(isReady()));
+    this.#gauges.add(
       'refused_version',
       'Number of the last refused version while none later is in force, or 0',
       () => replica.refusal?.number ?? 0,
     );
-    this.#gauge('reader', '1 while this process watches the platform', () =>
+    this.#gauges.add('reader', '1 while this process watches the platform', () =>
       Number(ranking.isReader),
     );
   }
 
   #membership(): void {
     const { roster } = this.parts;
-    this.#labelled('members', 'Members known, by liveness', ['liveness'], (gauge) => {
+    this.#gauges.addLabelled('members', 'Members known, by liveness', ['liveness'], (gauge) => {
       for (const [liveness, count] of Object.entries(roster.counts)) gauge.set({ liveness }, count);
     });
-    this.#gauge('refutations', 'Statements about itself refuted', () => roster.refutations);
+    this.#gauges.add('refutations', 'Statements about itself refuted', () => roster.refutations);
   }
 
   #links(): void {
     const { mesh } = this.parts;
     const sum = (bytes: (peer: Peer) => number) =>
       mesh.peers.reduce((total, peer) => total + bytes(peer), 0);
-    this.#gauge('links', 'Links open', () => mesh.peers.length);
-    this.#gauge('link_bytes_sent', 'Bytes sent on the open links', () =>
+    this.#gauges.add('links', 'Links open', () => mesh.peers.length);
+    this.#gauges.add('link_bytes_sent', 'Bytes sent on the open links', () =>
       sum(({ link }) => link.bytesSent),
     );
-    this.#gauge('link_bytes_received', 'Bytes received on the open links', () =>
+    this.#gauges.add('link_bytes_received', 'Bytes received on the open links', () =>
       sum(({ link }) => link.bytesReceived),
     );
   }
 
   #requests(role: string, meter: RequestMeter): void {
-    this.#gauge(`${role}_requests_in_flight`, 'Requests in flight', () => meter.inFlight);
-    this.#labelled(
+    this.#gauges.add(`${role}_requests_in_flight`, 'Requests in flight', () => meter.inFlight);
+    this.#gauges.addLabelled(
       `${role}_requests_ended`,
       'Requests ended since the start, by verdict and reason',
       ['verdict', 'reason'],
@@ -128,7 +133,7 @@
         for (const { ending, count } of meter.endings) gauge.set({ ...ending }, count);
       },
     );
-    this.#labelled(
+    this.#gauges.addLabelled(
       `${role}_answer_seconds`,
       'Time from request to the end of the answer, by percentile',
       ['percentile'],
@@ -143,9 +148,9 @@
 
   #limit(): void {
     const { limit } = this.parts.guard;
-    this.#gauge('limit_in_flight', 'Requests at the upstream instance', () => limit.inFlight);
-    this.#gauge('limit_slots', 'Requests that it may get at a time', () => limit.load.slots);
-    this.#gauge(
+    this.#gauges.add('limit_in_flight', 'Requests at the upstream instance', () => limit.inFlight);
+    this.#gauges.add('limit_slots', 'Requests that it may get at a time', () => limit.load.slots);
+    this.#gauges.add(
       'rate_limit',
       'Requests per second that the upstream instance takes; 0 without a limit',
       () => {
@@ -153,36 +158,43 @@
         return Number.isFinite(perSecond) ? perSecond : 0;
       },
     );
-    this.#labelled('retry_tokens', 'Retries that the budget allows', ['upstream'], (gauge) => {
-      for (const [upstream, { tokens }] of this.parts.entry.budgets) {
-        gauge.set({ upstream }, tokens);
-      }
-    });
-    this.#gauge(
+    this.#gauges.addLabelled(
+      'retry_tokens',
+      'Retries that the budget allows',
+      ['upstream'],
+      (gauge) => {
+        for (const [upstream, { tokens }] of this.parts.entry.budgets) {
+          gauge.set({ upstream }, tokens);
+        }
+      },
+    );
+    this.#gauges.add(
       'uplink_leaving_seconds',
       'Time until all heavy answers that are promised have left by the network link',
       () => this.parts.guard.load.leavingMs / MS_PER_SECOND,
     );
-    this.#gauge('limit_waiting', 'Requests that wait for a slot', () => limit.waiting);
+    this.#gauges.add('limit_waiting', 'Requests that wait for a slot', () => limit.waiting);
   }
 
   #safeguards(): void {
     const { claims, quarantine, sweep } = this.parts.safeguards;
-    this.#gauge(
+    this.#gauges.add(
       'claims_outstanding',
       'Requests with a key that run, or whose end is not in the platform yet',
       () => claims.outstanding,
     );
-    this.#gauge('claims_replayed', 'Repeats that were told an outcome', () => claims.replayed);
-    this.#gauge('claims_swept', 'Expired claims removed', () => sweep.removed);
-    this.#gauge('quarantined', 'Requests kept out, by fingerprint', () => quarantine.size);
-    this.#gauge('deaths', 'Deaths of upstream instances remembered', () => quarantine.deaths);
+    this.#gauges.add('claims_replayed', 'Repeats that were told an outcome', () => claims.replayed);
+    this.#gauges.add('claims_swept', 'Expired claims removed', () => sweep.removed);
+    this.#gauges.add('quarantined', 'Requests kept out, by fingerprint', () => quarantine.size);
+    this.#gauges.add('deaths', 'Deaths of upstream instances remembered', () => quarantine.deaths);
   }
 
   #platform(): void {
     const { meter } = this.parts.platform;
-    this.#gauge('platform_away', '1 while calls to the platform fail', () => Number(meter.isAway));
-    this.#labelled(
+    this.#gauges.add('platform_away', '1 while calls to the platform fail', () =>
+      Number(meter.isAway),
+    );
+    this.#gauges.addLabelled(
       'platform_calls',
       'Calls to the platform since the start, by method and outcome',
       ['method', 'outcome'],
@@ -194,33 +206,14 @@
 
   #logs(): void {
     const { log, records } = this.parts;
-    this.#labelled('log_lines_dropped', 'Lines that found no room', ['kind'], (gauge) => {
+    this.#gauges.addLabelled('log_lines_dropped', 'Lines that found no room', ['kind'], (gauge) => {
       gauge.set({ kind: 'routine' }, log.dropped.routine);
       gauge.set({ kind: 'important' }, log.dropped.important);
     });
-    this.#gauge(
+    this.#gauges.add(
       'log_requests_left_out',
       'Requests of which no lines were written',
       () => records.leftOut,
     );
   }
-
-  #gauge(name: string, help: string, value: () => number): void {
-    this.#labelled(name, help, [], (gauge) => gauge.set(value()));
-  }
-
-  #labelled(
-    name: string,
-    help: string,
-    labelNames: string[],
-    collect: (gauge: Gauge) => void,
-  ): void {
-    const gauge: Gauge = new Gauge({
-      name: PREFIX + name,
-      help,
-      labelNames,
-      registers: [this.#registry],
-      collect: () => collect(gauge),
-    });
-  }
 }
--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -16,7 +16,7 @@
   readonly roster: Pick<Roster, 'readyEndpointCount'>;
   readonly endpointLease: Pick<EndpointLease, 'renew'>;
   readonly isReady: () => boolean;
-  readonly metrics: Metrics;
+  readonly metrics: Pick<Metrics, 'text' | 'contentType'>;
   readonly methods: JSONRPCServer;
 }
 
@@ -66,8 +66,7 @@
         return;
       }
       case '/metrics':
-        response.writeHead(200, { 'content-type': metrics.contentType });
-        response.end(await metrics.text());
+        await respondWithMetrics(response, metrics);
         return;
       case '/endpoints':
         respond(response, 200, { endpoints: roster.readyEndpointCount });
@@ -94,6 +93,16 @@
   }
 }
 
+/** Reads all values before the head is sent, so that a fault in one is answered with an error. */
+async function respondWithMetrics(
+  response: ServerResponse,
+  metrics: ServedParts['metrics'],
+): Promise<void> {
+  const text = await metrics.text();
+  response.writeHead(200, { 'content-type': metrics.contentType });
+  response.end(text);
+}
+
 function respond(response: ServerResponse, status: number, body: unknown): void {
   const text = JSON.stringify(body);
   response.writeHead(status, {
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -16,6 +16,8 @@
 const EndFields = {
   route: z.string().optional(),
   upstream: z.string().optional(),
+  /** Name of the caller's team, at the entry. */
+  team: z.string().optional(),
   verdict: z.union([Verdict, z.literal('cut')]),
   reason: z.string(),
   message: z.string().optional(),
@@ -40,6 +42,8 @@
     path: z.string(),
     route: z.string(),
     upstream: z.string(),
+    /** Name of the caller's team; absent without a known key. */
+    team: z.string().optional(),
     /** Version of the configuration that is used for this request throughout. */
     version: z.number(),
     /** Time until the caller's deadline. */
--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -28,6 +28,7 @@
   | 'tookMs'
   | 'route'
   | 'upstream'
+  | 'team'
   | 'isLate'
   | 'isReturn'
   | 'bytes'
@@ -118,6 +119,8 @@
 
   #isReturn = false;
 
+  #team: string | undefined;
+
   #relayed: Relayed | undefined;
 
   constructor(
@@ -140,6 +143,7 @@
     this.destination = { route: routed.route, upstream: routed.upstream };
     this.#targetAt = this.startedAt + routed.targetMs;
     this.#isReturn = routed.waitedMs !== undefined;
+    this.#team = routed.team;
     this.add(routed);
   }
 
@@ -190,6 +194,7 @@
     const ended = {
       ...part,
       ...this.destination,
+      ...(this.#team !== undefined && { team: this.#team }),
       ...this.#relayed,
       tookMs,
       ...(now > this.#targetAt && { isLate: true }),
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -174,6 +174,7 @@
       path: target.path,
       route: route.name,
       upstream,
+      ...(routed.team && { team: routed.team.name }),
       version: configuration.number,
       leftMs: Math.round(deadline - now),
       targetMs: Math.round(targetAt - now),
--- /dev/null
+++ b/src/test/daemon/operators_port_test.ts
@@ -0,0 +1,21 @@
+import { expect } from 'chai';
+import { OperatorsPort, type ServedParts } from '../../daemon/operators_port.js';
+import { closeServer, listen } from '../../standins/listen.js';
+import { ask } from '../requests/test_path.js';
+
+describe('OperatorsPort', () => {
+  // Guards against a fault in one metric that ends the process: an error after the head of the
+  // response was sent left an unhandled rejection.
+  it('answers with an error if the metrics cannot be read, and goes on', async () => {
+    const metrics = {
+      contentType: 'text/plain',
+      text: () => Promise.reject(new Error('no value')),
+    };
+    const parts = { metrics, isReady: () => true } as unknown as ServedParts;
+    const { server } = new OperatorsPort(parts);
+    const port = await listen(server);
+    const answers = [await ask(port, { path: '/metrics' }), await ask(port, { path: '/ready' })];
+    expect(answers.map(({ status }) => status)).to.deep.equal([400, 200]);
+    await closeServer(server);
+  });
+});
--- a/src/test/logs/request_log_test.ts
+++ b/src/test/logs/request_log_test.ts
@@ -1,11 +1,22 @@
 import { expect } from 'chai';
-import { OutcomeError } from '../../contracts.js';
+import { notRun, OutcomeError } from '../../contracts.js';
 import { type Log } from '../../logs/log.js';
 import { type RequestEnd, RequestLog } from '../../logs/request_log.js';
 import { FakeTime } from '../fake_time.js';
 import { MemoryLog } from './memory_log.js';
 
 const RESENT = { event: 'resent', endpoint: 'arima-2', isFailover: true, startMs: 0 } as const;
+const ROUTED = {
+  event: 'routed',
+  method: 'GET',
+  path: '/menus',
+  route: 'menus',
+  upstream: 'listings',
+  version: 1,
+  leftMs: 900,
+  targetMs: 600,
+  isRepeatable: true,
+} as const;
 const OVERLOADED = new OutcomeError('no room', { verdict: 'not-run', reason: 'overloaded' });
 
 describe('RequestLog', () => {
@@ -35,6 +46,20 @@
     expect(log.lines.map((line) => ({ ...line, at: line.at - startedAt }))).toMatchSnapshot();
   });
 
+  // Guards against refusals by quota whose team is not known: in a burst only the ends are logged.
+  it('names the team of the caller when a request is routed and when it ends', () => {
+    const log = new MemoryLog('debug');
+    const trace = logOf(log).begin('r-1');
+    trace.routed({ ...ROUTED, team: 'acme' });
+    const refusal = notRun('quota', 'team acme is at its quota');
+    trace.failed('entry-ended', { statusCode: 429 }, refusal, false);
+    expect(log.events.map((event) => 'team' in event && event.team)).to.deep.equal([
+      'acme',
+      'acme',
+    ]);
+    expect(ended).to.containSubset([{ team: 'acme', reason: 'quota' }]);
+  });
+
   // Guards against losing the lines of a failed request among thousands of served ones per second:
   // it must be logged completely, with the decisions made before it failed.
   it('limits the lines of served requests without dropping those of a failed one', () => {
