Add barleyhaven teams and digest, and explain refusals of teams

Cause: operators had no way to list teams, to get the digest of a key, or to learn why a request got 401 or 429.

Change: a method teams on the operators' port gives each team of the configuration with its number of keys, priority, rate, burst and the use of this process; barleyhaven teams prints it as a table. barleyhaven digest reads one key from standard input and prints its digest; any argument is refused before the command line library checks it, because its messages repeat arguments. explain has texts for unauthorized and quota, names the team, and says if a version was applied just before.

--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -13,5 +13,6 @@
 export * from './contracts/rollout.js';
 export * from './contracts/status.js';
 export * from './contracts/survey.js';
+export * from './contracts/team_status.js';
 export * from './contracts/verdict.js';
 export * from './contracts/version.js';
--- a/src/daemon/operator_methods.ts
+++ b/src/daemon/operator_methods.ts
@@ -5,11 +5,13 @@
 import { type Replica } from '../distribution/replica.js';
 import { type Surveyor } from '../distribution/surveyor.js';
 import { type Roster } from '../membership/roster.js';
+import { type Quota } from '../quota/quota.js';
 import { type Orders } from '../rollout/orders.js';
 import { type Clock } from '../runtime/clock.js';
 import { checkNote, parseNote, type ParsedNote } from '../source/note_text.js';
 import { attemptOf, type Source } from '../source/source.js';
 import { statusOf } from './status.js';
+import { teamsOf } from './teams.js';
 
 const CALL_TIMEOUT_MS = 10_000;
 /** JSON-RPC error code for failed calls; the error data holds their verdict and reason. */
@@ -31,6 +33,7 @@
   readonly replica: Replica;
   readonly roster: Roster;
   readonly surveyor: Surveyor;
+  readonly quota: Pick<Quota, 'usage'>;
   /** Absent without a source of rollout orders. */
   readonly orders: Orders | undefined;
 }
@@ -71,6 +74,7 @@
   });
   methods.on('status', StatusParams, ({ note }) => statusOf(parts, note));
   methods.on('fleet', z.unknown(), async () => roster.all());
+  methods.on('teams', z.unknown(), async () => teamsOf(parts.replica, parts.quota));
   return methods.server;
 }
 
--- a/src/test/tool/explain/explain_test.ts
+++ b/src/test/tool/explain/explain_test.ts
@@ -150,6 +150,24 @@
     expect(renderTimeline(timeline).split('\n').at(-1)).toMatchSnapshot();
   });
 
+  // Guards against refusals of teams that read like faults of the system.
+  it('explains refusals for lack of a key and by quota', () => {
+    const refused = { event: 'entry-ended', verdict: 'not-run', tookMs: 0 };
+    const quota = { reason: 'quota', status: 429, team: 'acme', retryAfterMs: 400 };
+    const applied = { event: 'applied', version: 12, digest: '', resources: 9, origin: 'push' };
+    const texts = [
+      line('arima-1', 0, applied),
+      line('arima-2', 0, { ...applied, version: 11 }),
+      line('arima-1', 90, { id: 'r-1', ...refused, reason: 'unauthorized', status: 401 }),
+      line('arima-3', 90, { id: 'r-2', ...ROUTED, team: 'acme' }),
+      line('arima-3', 90, { id: 'r-2', ...refused, ...quota }),
+    ];
+    const causes = ['r-1', 'r-2'].map((id) =>
+      renderTimeline(buildTimeline(id, { lines: linesOf(texts), unreadable: 0 })),
+    );
+    expect(causes).toMatchSnapshot();
+  });
+
   // Log collectors add prefixes and may truncate or interleave lines; whole lines must not be lost.
   it('skips other text, counts damaged lines, and reads a whole line after a damaged one', async () => {
     const file = join(await mkdtemp(join(tmpdir(), 'explain-')), 'log');
--- a/src/test/tool/main_test.ts
+++ b/src/test/tool/main_test.ts
@@ -27,7 +27,7 @@
     await writeFile(file, 'id: other\nauthor: omar\nadd: { colours: [] }\n');
     expect(await run('submit', file)).to.equal(EXIT.refused);
     expect(await run('withdraw', 'opening', '--author', 'dana')).to.equal(EXIT.ok);
-    for (const command of ['status', 'audit', 'fleet']) {
+    for (const command of ['status', 'audit', 'fleet', 'teams']) {
       expect(await run(command, '--json')).to.equal(EXIT.ok);
     }
     expect(await run('status', '--colour')).to.equal(EXIT.usage);
--- a/src/tool/exit.ts
+++ b/src/tool/exit.ts
@@ -9,3 +9,8 @@
  * - `unknown`: the note may have been accepted; run the same command again to find out.
  */
 export const EXIT = { ok: 0, failed: 1, usage: 2, refused: 3, conflict: 4, unknown: 5 } as const;
+
+/** A command line that is not accepted. */
+export class UsageError extends Error {
+  override readonly name = 'UsageError';
+}
--- a/src/tool/explain/cause.ts
+++ b/src/tool/explain/cause.ts
@@ -7,6 +7,9 @@
 /** Explanation of each reason for which a request can end. */
 const REASON_TEXTS: Readonly<Record<string, string>> = {
   'no-route': 'no route of the active configuration matches',
+  unauthorized:
+    'the route needs the key of a team, and the request had none that the configuration in force knows: no key, an unknown or withdrawn one, or not in the form "Authorization: Token KEY"',
+  quota: 'its team was at its quota, which all processes share',
   'not-ready': 'the process had no configuration yet',
   'no-endpoint': 'no upstream instance that accepts requests was known',
   overloaded: 'no slot would have become free in time',
@@ -44,6 +47,7 @@
   if (ended.verdict === 'ran') return answerText(ended, timeline);
   const parts = [
     `${endText(ended)}.`,
+    ...appliedTexts(ended, timeline),
     ...failedAttemptTexts(timeline),
     ...stateChangeTexts(timeline),
   ];
@@ -52,12 +56,14 @@
   return parts.join(' ');
 }
 
-function endText({ verdict, reason, message, retryAfterMs }: LineOf<'entry-ended'>): string {
+function endText(ended: LineOf<'entry-ended'>): string {
+  const { verdict, reason, message, retryAfterMs } = ended;
+  const team = ended.team === undefined ? '' : `, team ${ended.team}`;
   const meaning = REASON_TEXTS[reason] ?? message ?? reason;
   const what = verdict === 'cut' ? 'Its response was cut off' : `It ended as ${verdict}`;
   const when =
     retryAfterMs === undefined ? '' : `; the caller was told to retry after ${retryAfterMs} ms`;
-  return `${what} (${reason}): ${meaning}${when}`;
+  return `${what} (${reason}${team}): ${meaning}${when}`;
 }
 
 function answerText({ status, tookMs }: LineOf<'entry-ended'>, { lines }: RequestTimeline): string {
@@ -68,6 +74,18 @@
   return isFailure ? `${what}; the error comes from the instance itself.` : `${what}.`;
 }
 
+/** Refusals by what the configuration says about teams, which a version just before may have changed. */
+const TEAM_REASONS: ReadonlySet<string> = new Set(['unauthorized', 'quota']);
+
+/** Versions that the process applied shortly before it refused the request because of its team. */
+function appliedTexts(ended: LineOf<'entry-ended'>, { around }: RequestTimeline): string[] {
+  if (!TEAM_REASONS.has(ended.reason)) return [];
+  return around
+    .filter((line): line is LineOf<'applied'> => line.event === 'applied')
+    .filter(({ instance, at }) => instance === ended.instance && at <= ended.at)
+    .map(({ version, at }) => `Version ${version} was applied there ${ended.at - at} ms before.`);
+}
+
 /** Endpoint and reason of each failed attempt, with what the guard at that endpoint logged. */
 function failedAttemptTexts({ lines }: RequestTimeline): string[] {
   return lines
--- a/src/tool/main.ts
+++ b/src/tool/main.ts
@@ -7,9 +7,11 @@
   type Member,
   OutcomeError,
   type Status,
+  type TeamStatus,
 } from '../contracts.js';
 import { Client } from './client.js';
-import { EXIT } from './exit.js';
+import { digestOfInput, refuseArguments } from './digest.js';
+import { EXIT, UsageError } from './exit.js';
 import { readLogLines } from './explain/log_lines.js';
 import { renderTimeline } from './explain/render_timeline.js';
 import { buildTimeline } from './explain/timeline.js';
@@ -20,6 +22,7 @@
 import { renderAudit } from './render_audit.js';
 import { renderFleet } from './render_fleet.js';
 import { renderStatus } from './render_status.js';
+import { renderTeams } from './render_teams.js';
 
 const DEFAULT_ADDRESS = '127.0.0.1:8083';
 
@@ -47,6 +50,8 @@
     .action(withFallback(status));
   tool.command('audit [note]', 'show who changed what, and when').action(withFallback(audit));
   tool.command('fleet', 'list the known processes').action(withFallback(fleet));
+  tool.command('teams', 'list teams, their quotas and their use').action(withFallback(teams));
+  tool.command('digest', 'print the digest of a key, read from standard input').action(digest);
   tool
     .command(
       'explain <id> [...files]',
@@ -67,6 +72,8 @@
       tool.outputHelp();
       return EXIT.usage;
     }
+    // Before the library checks the arguments: its messages repeat them.
+    if (tool.matchedCommandName === 'digest') refuseArguments(argv.slice(2));
     return (await tool.runMatchedCommand()) as number;
   } catch (error) {
     process.stderr.write(`${error instanceof Error ? error.message : String(error)}\n`);
@@ -94,7 +101,8 @@
     const mayHaveRun = error.verdict === 'may-have-run' && WRITE_COMMANDS.has(command);
     return mayHaveRun ? EXIT.unknown : EXIT.failed;
   }
-  const isUsage = error instanceof Error && error.name === 'CACError';
+  const isUsage =
+    error instanceof UsageError || (error instanceof Error && error.name === 'CACError');
   return isUsage ? EXIT.usage : EXIT.failed;
 }
 
@@ -129,6 +137,16 @@
   return print(members, EXIT.ok, options, renderFleet);
 }
 
+async function teams(options: Options): Promise<number> {
+  const found = await new Client(options.address).call<TeamStatus[]>('teams');
+  return print(found, EXIT.ok, options, renderTeams);
+}
+
+async function digest(): Promise<number> {
+  process.stdout.write(`${await digestOfInput(process.stdin)}\n`);
+  return EXIT.ok;
+}
+
 /** Fails if no log line belongs to the request. */
 async function explain(
   id: string,
