Share the slots of an upstream instance between teams by slot time

Cause: the line at a guard knew lateness, priority and target only, so a team got slots in proportion to what it asked for. A job that lacks room displaces a waiting one of the team most above its share. The wait of a job and the order of ranks are modules of their own. Load patterns may have teams, and a replay reports Jain's index of their slot time relative to max-min shares.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -3,10 +3,13 @@
 import { type Limit as LimitResource, notRun, OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { AdaptiveSlots } from './adaptive_slots.js';
+import { FairShare } from './fair_share.js';
 import { type Load } from './load.js';
 import { movingAverage, NamedLimit } from './named_limit.js';
 import { RateLimit } from './rate_limit.js';
-import { type WaitingJob, WaitingQueue, type WaitingOptions } from './waiting_queue.js';
+import { Wait } from './wait.js';
+import { type WaitingJob } from './waiting_order.js';
+import { queueClassOf, WaitingQueue, type WaitingOptions } from './waiting_queue.js';
 
 /** Retry delay told to a refused caller when no better estimate is known, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 1_000;
@@ -58,6 +61,12 @@
   readonly isShed: boolean;
 }
 
+interface Admission {
+  readonly waiting: WaitingJob;
+  /** The waiting job to refuse in its place. */
+  readonly displaced: WaitingJob | undefined;
+}
+
 type Work = () => Promise<JobResult>;
 
 export class ConcurrencyLimiter {
@@ -69,10 +78,13 @@
 
   readonly #slots: AdaptiveSlots;
 
-  readonly #waitingQueue = new WaitingQueue();
+  readonly #waitingQueue: WaitingQueue;
 
   readonly #queue: PQueue<WaitingQueue, WaitingOptions>;
 
+  /** The jobs that wait for a slot of the instance or of their named limit. */
+  readonly #waits = new Map<WaitingJob, { job: Job; limit: NamedLimit; wait: Wait }>();
+
   readonly #namedLimits = new Map<string, NamedLimit>();
 
   /** Average time that a job holds a slot, by kind, in milliseconds. */
@@ -89,9 +101,11 @@
   constructor(
     private readonly clock: Clock,
     slots: number,
+    private readonly shares = new FairShare(clock),
   ) {
     this.rateLimit = new RateLimit(clock);
     this.#slots = new AdaptiveSlots(clock, slots);
+    this.#waitingQueue = new WaitingQueue(shares);
     const queueClass = queueClassOf(this.#waitingQueue);
     this.#queue = new PQueue({ concurrency: this.#slots.current, queueClass });
   }
@@ -143,11 +157,16 @@
    * time runs out before it starts.
    */
   async run(job: Job, work: Work): Promise<void> {
-    const limit = this.#namedLimit(job.limit);
-    if (!this.#isFree || !limit.hasFreeSlot) await this.#enqueue(job, limit, work);
-    else {
-      const start = () => this.#execute(job, limit, work);
-      await limit.run(() => this.#queue.add(start), job.priority);
+    const account = this.shares.join(job.team);
+    try {
+      const limit = this.#namedLimit(job.limit);
+      if (!this.#isFree || !limit.hasFreeSlot) await this.#enqueue(job, limit, work);
+      else {
+        const start = () => this.#execute(job, limit, work);
+        await limit.run(() => this.#queue.add(start), job.priority);
+      }
+    } finally {
+      this.shares.leave(account);
     }
   }
 
@@ -188,61 +207,68 @@
   }
 
   async #enqueue(job: Job, limit: NamedLimit, work: Work): Promise<void> {
-    const waiting = this.#admit(job, limit);
+    const { waiting, displaced } = this.#admit(job, limit);
+    if (displaced) this.#displace(displaced);
     const { priority } = job;
-    const controller = new AbortController();
-    let isWaiting = true;
-    let timer: NodeJS.Timeout | undefined;
-    const stopWaiting = () => {
-      if (!isWaiting) return;
-      isWaiting = false;
+    const wait = new Wait(this.clock, () => {
       limit.waiting -= 1;
-      clearTimeout(timer);
-    };
-    const cancel = (error: OutcomeError) => {
-      // Aborting a running job would free its slot while the upstream instance still works on it.
-      if (isWaiting) controller.abort(error);
-    };
-    const startTimer = () => {
-      const left = this.#waitsUntil(job, waiting) - this.clock.now();
-      timer = setTimeout(() => {
-        if (waiting.isLate || !this.#hasRoomForLate) cancel(this.#overloaded(job, waiting, 0));
-        else {
-          this.#waitingQueue.demote(waiting);
-          startTimer();
-        }
-      }, left);
-    };
-    job.onGone(() => cancel(notRun('cancelled', 'the caller disconnected while waiting')));
+      this.#waits.delete(waiting);
+    });
+    limit.waiting += 1;
+    this.#waits.set(waiting, { job, limit, wait });
+    job.onGone(() => wait.cancel(notRun('cancelled', 'the caller disconnected while waiting')));
     const begin = () => {
-      stopWaiting();
+      wait.end();
       this.#checkBeforeStart(job, waiting);
       return this.#execute(job, limit, work);
     };
-    limit.waiting += 1;
-    startTimer();
-    const { signal } = controller;
+    this.#expireInTime(job, waiting, wait);
+    const { signal } = wait;
     const options = { priority, signal, waiting };
     try {
       await limit.run(() => this.#queue.add(begin, options), priority, signal);
     } finally {
-      stopWaiting();
+      wait.end();
     }
   }
 
-  /** Decides whether a job may wait, and whether as a late one; throws the refusal if it may not. */
-  #admit(job: Job, limit: NamedLimit): WaitingJob {
+  /** Ends the wait, or continues it as a late one, once the job cannot meet its target any more. */
+  #expireInTime(job: Job, waiting: WaitingJob, wait: Wait): void {
+    wait.callAt(this.#waitsUntil(job, waiting), () => {
+      if (waiting.isLate || !this.#hasRoomForLate) wait.cancel(this.#overloaded(job, waiting, 0));
+      else {
+        this.#waitingQueue.demote(waiting);
+        this.#expireInTime(job, waiting, wait);
+      }
+    });
+  }
+
+  /** Refuses a waiting job so that one of a team below its share can wait. */
+  #displace(displaced: WaitingJob): void {
+    const { job, wait } = this.#waits.get(displaced)!;
+    wait.cancel(this.#overloaded(job, displaced, this.#expectedWaitMs(displaced)));
+  }
+
+  /**
+   * Decides whether a job may wait, whether as a late one, and in whose place; throws the refusal if
+   * it may not.
+   */
+  #admit(job: Job, limit: NamedLimit): Admission {
     const { priority, deadline, targetAt = deadline } = job;
     const now = this.clock.now();
     const heldMs = this.#averageHeldMs(job);
-    const waiting: WaitingJob = { priority, targetAt, heldMs, isLate: false };
+    const account = this.shares.accountOf(job.team);
+    const waiting: WaitingJob = { priority, targetAt, heldMs, account, isLate: false };
     const headroom = targetAt === deadline ? 1 : HEADROOM;
     const inTimeMs = Math.max(limit.expectedWaitMs, this.#expectedWaitMs(waiting));
     waiting.isLate = now + inTimeMs + heldMs * headroom > targetAt;
     const waitMs = waiting.isLate ? this.#expectedWaitMs(waiting) : inTimeMs;
     const exceedsDeadline = now + Math.max(waitMs, inTimeMs) + heldMs > deadline;
-    const lacksRoom = waiting.isLate && !this.#hasRoomForLate;
-    if (exceedsDeadline || lacksRoom || limit.waiting >= limit.maxWaiting) {
+    const lacksRoom =
+      (waiting.isLate && !this.#hasRoomForLate) || limit.waiting >= limit.maxWaiting;
+    const displaced =
+      lacksRoom && !exceedsDeadline ? this.#displaceable(waiting, limit) : undefined;
+    if (exceedsDeadline || (lacksRoom && !displaced)) {
       throw this.#overloaded(job, waiting, inTimeMs);
     }
     const { pending, concurrency, isPaused } = this.#queue;
@@ -250,11 +276,27 @@
     if (isFull && !waiting.isLate && targetAt < deadline) {
       this.#contendedUntil = now + CONTENTION_MS;
     }
-    return waiting;
+    return { waiting, displaced };
+  }
+
+  /** The job whose refusal makes the room that `waiting` lacks; see `WaitingQueue.displaceable`. */
+  #displaceable(waiting: WaitingJob, limit: NamedLimit): WaitingJob | undefined {
+    const isFull = limit.waiting >= limit.maxWaiting;
+    const lacksLate = waiting.isLate && !this.#hasRoomForLate;
+    if (lacksLate && this.#isContended) return undefined;
+    return this.#waitingQueue.displaceable(
+      waiting,
+      (other) =>
+        (other.isLate || !lacksLate) && (!isFull || this.#waits.get(other)?.limit === limit),
+    );
+  }
+
+  get #isContended(): boolean {
+    return this.clock.now() < this.#contendedUntil;
   }
 
   get #hasRoomForLate(): boolean {
-    if (this.clock.now() < this.#contendedUntil) return false;
+    if (this.#isContended) return false;
     return this.#waitingQueue.late < this.#queue.concurrency * MAX_LATE_SHARE;
   }
 
@@ -274,6 +316,8 @@
 
   async #execute(job: Job, limit: NamedLimit, work: Work): Promise<void> {
     const startedAt = this.clock.now();
+    const account = this.shares.accountOf(job.team);
+    const cost = this.shares.charge(account, this.#averageHeldMs(job));
     this.rateLimit.take();
     this.#applyRateLimit();
     const { pending, concurrency } = this.#queue;
@@ -288,7 +332,9 @@
       if (isFull && wasShed(error)) this.#slots.recordRefusal(this.clock.now() - startedAt);
       throw error;
     } finally {
-      this.#recordDuration(job, limit, this.clock.now() - startedAt);
+      const tookMs = this.clock.now() - startedAt;
+      this.shares.correct(account, cost, tookMs);
+      this.#recordDuration(job, limit, tookMs);
       this.#applySlots();
     }
   }
@@ -340,16 +386,6 @@
   }
 }
 
-/** `PQueue` creates the queue itself from a class; this one returns the queue that is shared with it. */
-function queueClassOf(queue: WaitingQueue): new () => WaitingQueue {
-  return class {
-    constructor() {
-      // eslint-disable-next-line no-constructor-return -- `PQueue` has to use this queue
-      return queue;
-    }
-  } as new () => WaitingQueue;
-}
-
 /** Whether the instance refused the job for lack of capacity. */
 function wasShed(error: unknown): boolean {
   return error instanceof OutcomeError && error.reason === 'shed';
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -1,20 +1,10 @@
-/** The order in which jobs that wait for a slot are started. */
+/** The jobs that wait for a slot, in the order in which they are started. */
 import { type Queue } from 'p-queue';
+import { type FairShare, newAccount } from './fair_share.js';
+import { TargetOrder, type WaitingJob, type WaitingOrder } from './waiting_order.js';
 
 type Run = () => Promise<unknown>;
 
-/** A job that waits. */
-export interface WaitingJob {
-  /** 0 to 9; higher values start first. */
-  readonly priority: number;
-  /** Instant by which the answer should arrive, in milliseconds since the epoch. */
-  readonly targetAt: number;
-  /** Expected time for which it will hold a slot, in milliseconds. */
-  readonly heldMs: number;
-  /** Whether it can no longer be answered by its target. */
-  isLate: boolean;
-}
-
 /** Options with which `PQueue` adds a job. */
 export interface WaitingOptions {
   readonly id?: string;
@@ -29,16 +19,20 @@
 }
 
 /**
- * Jobs that can still meet their target start before late ones, regardless of arrival. Under
- * overload a FIFO queue serves every job just too late; this one serves as many in time as there are
- * slots for. Among jobs in time, and among late ones, the higher priority starts first, then the
- * earlier target, which belongs to callers that were refused before and have retried.
+ * Starts jobs in a `WaitingOrder`. While teams are known, jobs of equal rank start in the order of
+ * what their teams have used, least first. Use changes while jobs wait, so the items are kept in the
+ * `WaitingOrder`, and the team is chosen when a slot is free.
  */
 export class WaitingQueue implements Queue<Run, WaitingOptions> {
   readonly #items: QueueItem[] = [];
 
   #late = 0;
 
+  constructor(
+    private readonly shares: FairShare,
+    private readonly order: WaitingOrder = new TargetOrder(),
+  ) {}
+
   get size(): number {
     return this.#items.length;
   }
@@ -51,17 +45,37 @@
   /** Total time for which the jobs ahead of `waiting` will hold slots, in milliseconds. */
   heldMsAhead(waiting: WaitingJob): number {
     let sum = 0;
-    for (const item of this.#items) {
-      if (comesBefore(waiting, item.waiting)) break;
-      sum += item.waiting.heldMs;
-    }
+    for (const { heldMs } of this.#ahead(waiting)) sum += heldMs;
     return sum;
   }
 
   /** Number of jobs that will start before `waiting`. */
   jobsAhead(waiting: WaitingJob): number {
-    const index = this.#items.findIndex((item) => comesBefore(waiting, item.waiting));
-    return index < 0 ? this.#items.length : index;
+    return this.#ahead(waiting).length;
+  }
+
+  /**
+   * The waiting job to refuse in place of `waiting`, among the `eligible` ones of the same or a lower
+   * priority: of the team that is most above its share, a late one first. Undefined if no team has
+   * used more than that of `waiting`, both counted with their waiting jobs.
+   */
+  displaceable(
+    waiting: WaitingJob,
+    eligible: (other: WaitingJob) => boolean,
+  ): WaitingJob | undefined {
+    if (!this.shares.isActive) return undefined;
+    const ownMs = this.#startMs(waiting);
+    let chosen: WaitingJob | undefined;
+    let chosenMs = ownMs;
+    this.#project((other, startMs) => {
+      if (other.account === waiting.account || other.priority > waiting.priority) return;
+      if (!this.shares.isBelow(ownMs, startMs) || !eligible(other)) return;
+      const isBetter = chosen && chosen.isLate !== other.isLate ? other.isLate : startMs > chosenMs;
+      if (!isBetter) return;
+      chosen = other;
+      chosenMs = startMs;
+    });
+    return chosen;
   }
 
   /**
@@ -83,9 +97,8 @@
   }
 
   dequeue(): Run | undefined {
-    const item = this.#items.shift();
-    if (item?.waiting.isLate) this.#late -= 1;
-    return item?.run;
+    const index = this.shares.isActive ? this.#nextByUse() : 0;
+    return this.#removeAt(index)?.run;
   }
 
   filter({ priority }: Readonly<WaitingOptions>): Run[] {
@@ -96,9 +109,7 @@
   /** Called by `PQueue` when a job is aborted while it waits. */
   remove(idOrRun: string | Run): void {
     const index = this.#items.findIndex(({ id, run }) => id === idOrRun || run === idOrRun);
-    if (index < 0) return;
-    const [item] = this.#items.splice(index, 1);
-    if (item!.waiting.isLate) this.#late -= 1;
+    if (index >= 0) this.#removeAt(index);
   }
 
   setPriority(): void {
@@ -108,16 +119,93 @@
   }
 
   #insert(item: QueueItem): void {
-    const index = this.#items.findIndex(({ waiting }) => comesBefore(item.waiting, waiting));
+    const index = this.#items.findIndex((other) =>
+      this.order.comesBefore(item.waiting, other.waiting),
+    );
     if (index < 0) this.#items.push(item);
     else this.#items.splice(index, 0, item);
   }
-}
 
-const DEFAULT_WAITING: WaitingJob = { priority: 0, targetAt: Infinity, heldMs: 0, isLate: false };
+  #removeAt(index: number): QueueItem | undefined {
+    const [item] = this.#items.splice(index, 1);
+    if (item?.waiting.isLate) this.#late -= 1;
+    return item;
+  }
 
-function comesBefore(one: WaitingJob, other: WaitingJob): boolean {
-  if (one.isLate !== other.isLate) return other.isLate;
-  if (one.priority !== other.priority) return one.priority > other.priority;
-  return one.targetAt < other.targetAt;
+  /** Index of the job to start next: of the highest rank, that of the team with the least use. */
+  #nextByUse(): number {
+    const [first] = this.#items;
+    if (!first) return 0;
+    let next = 0;
+    let leastMs = Infinity;
+    this.#items.forEach(({ waiting }, index) => {
+      const { usedMs } = waiting.account;
+      leastMs = Math.min(leastMs, usedMs);
+      if (this.order.outranks(first.waiting, waiting)) return;
+      if (usedMs < this.#items[next]!.waiting.account.usedMs) next = index;
+    });
+    this.shares.advance(leastMs);
+    return next;
+  }
+
+  #ahead(waiting: WaitingJob): WaitingJob[] {
+    if (!this.shares.isActive) {
+      const index = this.#items.findIndex((item) => this.order.comesBefore(waiting, item.waiting));
+      return this.#items.slice(0, index < 0 ? undefined : index).map((item) => item.waiting);
+    }
+    const ownMs = this.#startMs(waiting);
+    const ahead: WaitingJob[] = [];
+    this.#project((other, startMs) => {
+      if (this.#startsBefore(other, startMs, waiting, ownMs)) ahead.push(other);
+    });
+    return ahead;
+  }
+
+  /** Whether `one` starts before `other`, given what their teams will have used by then. */
+  #startsBefore(one: WaitingJob, oneMs: number, other: WaitingJob, otherMs: number): boolean {
+    if (this.order.outranks(one, other)) return true;
+    if (this.order.outranks(other, one)) return false;
+    return oneMs === otherMs ? !this.order.comesBefore(other, one) : oneMs < otherMs;
+  }
+
+  /** What the team of `waiting` will have used when it starts, were it to wait here. */
+  #startMs(waiting: WaitingJob): number {
+    const { account } = waiting;
+    let startMs = account.usedMs;
+    for (const item of this.#items) {
+      if (item.waiting.account !== account) continue;
+      if (this.order.comesBefore(waiting, item.waiting)) break;
+      startMs += this.shares.costOf(item.waiting.heldMs);
+    }
+    return startMs;
+  }
+
+  /** Calls `visit` for each waiting job with what its team will have used when it starts. */
+  #project(visit: (waiting: WaitingJob, startMs: number) => void): void {
+    for (const { waiting } of this.#items) waiting.account.projectedMs = waiting.account.usedMs;
+    for (const { waiting } of this.#items) {
+      const { account, heldMs } = waiting;
+      visit(waiting, account.projectedMs);
+      account.projectedMs += this.shares.costOf(heldMs);
+    }
+  }
+}
+
+/** Used for jobs that start at once. */
+const DEFAULT_WAITING: WaitingJob = {
+  priority: 0,
+  targetAt: Infinity,
+  heldMs: 0,
+  account: newAccount(0, 0),
+  isLate: false,
+};
+
+/** `PQueue` creates the queue itself from a class; this one returns the queue that is shared with it. */
+export function queueClassOf(queue: WaitingQueue): new () => WaitingQueue {
+  return class {
+    constructor() {
+      // eslint-disable-next-line no-constructor-return -- `PQueue` has to use this queue
+      return queue;
+    }
+  } as new () => WaitingQueue;
 }
--- a/src/bench/replay/command.ts
+++ b/src/bench/replay/command.ts
@@ -2,6 +2,7 @@
 import { table } from '../../tool/table.js';
 import { readPattern } from './pattern.js';
 import { POLICIES, replay, type ReplayResult } from './replay.js';
+import { TEAM_POLICIES } from './team_policies.js';
 
 const SEEDS: readonly number[] = [1, 2, 3];
 const EXIT_OK = 0;
@@ -12,8 +13,9 @@
   try {
     for (const file of files) {
       const pattern = await readPattern(file);
+      const policies = pattern.teams.length > 0 ? TEAM_POLICIES : POLICIES;
       for (const seed of SEEDS) {
-        for (const policy of POLICIES) results.push(await replay(pattern, policy, seed));
+        for (const policy of policies) results.push(await replay(pattern, policy, seed));
       }
     }
   } catch (error) {
--- a/src/bench/replay/pattern.ts
+++ b/src/bench/replay/pattern.ts
@@ -39,6 +39,16 @@
 });
 export type RequestKind = z.infer<typeof RequestKind>;
 
+/** A team of callers, which has a key and requests within its quota. */
+const PatternTeam = z.object({
+  name: z.string(),
+  /** Share of the requests of each of its kinds, relative to the other teams. */
+  weight: z.number().positive().default(1),
+  /** The kinds that it requests; all when absent. */
+  kinds: z.array(z.string()).optional(),
+});
+export type PatternTeam = z.infer<typeof PatternTeam>;
+
 /**
  * A change that begins at second `at`.
  * - `burst`: `factor` times the usual requests, in `dataCentre` or everywhere.
@@ -69,15 +79,23 @@
     seconds: z.number().positive().max(600),
     upstreams: z.array(PatternUpstream).min(1),
     kinds: z.array(RequestKind).min(1),
+    /** External requests of a kind that no team has come from callers without a team. */
+    teams: z.array(PatternTeam).default([]),
     changes: z.array(PatternChange).default([]),
   })
-  .superRefine(({ kinds, upstreams }, context) => {
+  .superRefine(({ kinds, upstreams, teams }, context) => {
     const served = new Set(upstreams.map(({ name }) => name));
     const named = new Set(kinds.map(({ name }) => name));
+    const message = (name: string, what: string) =>
+      context.addIssue(`${name}: ${what} is not in the pattern`);
     for (const { name, upstream, call } of kinds) {
-      const message = (what: string) => context.addIssue(`${name}: ${what} is not in the pattern`);
-      if (!served.has(upstream)) message(`upstream ${upstream}`);
-      if (call && !named.has(call.kind)) message(`kind ${call.kind}`);
+      if (!served.has(upstream)) message(name, `upstream ${upstream}`);
+      if (call && !named.has(call.kind)) message(name, `kind ${call.kind}`);
+    }
+    for (const team of teams) {
+      for (const kind of team.kinds ?? []) {
+        if (!named.has(kind)) message(team.name, `kind ${kind}`);
+      }
     }
   });
 export type Pattern = z.infer<typeof Pattern>;
--- a/src/bench/replay/replay_stats.ts
+++ b/src/bench/replay/replay_stats.ts
@@ -2,6 +2,7 @@
 import { type Verdict } from '../../contracts.js';
 import { rounded } from '../experiment.js';
 import { type RequestKind } from './pattern.js';
+import { TeamStats, type TeamSummary } from './team_stats.js';
 
 /** Worth of a late answer as a share of one in time. */
 const LATE_SHARE = 0.5;
@@ -15,7 +16,7 @@
 }
 
 /** Shares are of all callers; `worst` values are the lowest share of owed worth that was earned. */
-export interface Summary {
+export interface Summary extends TeamSummary {
   readonly asked: number;
   readonly worth: number;
   readonly inTarget: number;
@@ -38,6 +39,8 @@
   /** Bytes of answers sent between data centres. */
   crossedBytes = 0;
 
+  readonly teams = new TeamStats();
+
   readonly #counts = { asked: 0, inTarget: 0, late: 0, refused: 0, refusedAgain: 0, failed: 0 };
 
   readonly #sums = {
@@ -86,6 +89,7 @@
       worthByKind: byKey(this.#sums.kind, ({ owed, earned }) => rounded(earned / owed, 3)),
       owedByKind: byKey(this.#sums.kind, ({ owed }) => owed),
       crossedMb: rounded(this.crossedBytes / BYTES_PER_MB, 1),
+      ...this.teams.summary,
     };
   }
 
--- a/src/bench/replay/simulated_node.ts
+++ b/src/bench/replay/simulated_node.ts
@@ -1,5 +1,5 @@
 /** A process of the simulated fleet: entry, guard and the upstream instance. */
-import { asOutcome, type Member, notRun, OutcomeError, Route } from '../../contracts.js';
+import { asOutcome, type Member, notRun, OutcomeError, Route, Team } from '../../contracts.js';
 import { type Load } from '../../admission/load.js';
 import { type Reservation, type Uplink, PIECE_BYTES } from '../../admission/uplink.js';
 import { type JobResult, type Job } from '../../admission/concurrency_limiter.js';
@@ -33,6 +33,7 @@
   readonly asks: string;
   /** Instant until which the caller waits, in milliseconds since the epoch. */
   readonly givesUpAt: number;
+  readonly team?: string | undefined;
 }
 
 export class SimulatedNode {
@@ -78,7 +79,10 @@
   }
 
   /** Handles a request as the entry does; rejects with the refusal. */
-  async handleAsEntry(kind: RequestKind, { asks, givesUpAt }: SimulatedCaller): Promise<void> {
+  async handleAsEntry(
+    kind: RequestKind,
+    { asks, givesUpAt, team }: SimulatedCaller,
+  ): Promise<void> {
     const now = this.clock.now();
     this.#resetAfterRestart(this.simulation.schedule.restartCount(now));
     const caller = { asks, givesUpAt };
@@ -86,7 +90,7 @@
     const deadline = Math.min(givesUpAt, now + kind.timeoutMs);
     const targetAt = Math.min(firstAt + kind.targetMs, deadline);
     try {
-      await this.#callWithRetries(kind, this.#routedRequest(kind, deadline, targetAt));
+      await this.#callWithRetries(kind, this.#routedRequest(kind, deadline, targetAt, team));
     } catch (error) {
       this.#returningCallers.recordRefusal(caller, firstAt);
       throw withRetryTime(asOutcome(error), this.clock.now(), this.random);
@@ -171,7 +175,7 @@
 
   async #attempt(
     kind: RequestKind,
-    { deadline, targetAt, upstream }: RoutedRequest,
+    { deadline, targetAt, upstream, team }: RoutedRequest,
     endpoint: EndpointStats,
   ): Promise<OutcomeError | undefined> {
     const startedAt = this.clock.now();
@@ -182,7 +186,15 @@
       await this.#connectTo(node);
       const { priority, name } = kind;
       const onGone = () => {};
-      const ticket = { priority, kind: name, targetAt, deadline, limit: undefined, onGone };
+      const ticket = {
+        priority,
+        kind: name,
+        team: team?.name,
+        targetAt,
+        deadline,
+        limit: undefined,
+        onGone,
+      };
       const isSuccess = await node.handleAsGuard(kind, ticket);
       const tookMs = this.clock.now() - startedAt;
       this.#balancer.recordAnswer(endpoint, tookMs, node.load, !isSuccess);
@@ -252,7 +264,12 @@
   }
 
   /** A routed request with only the fields that the decisions read. */
-  #routedRequest(kind: RequestKind, deadline: number, targetAt: number): RoutedRequest {
+  #routedRequest(
+    kind: RequestKind,
+    deadline: number,
+    targetAt: number,
+    team: string | undefined,
+  ): RoutedRequest {
     const { name, upstream, isRepeatable } = kind;
     const response = {
       headersSent: false,
@@ -272,6 +289,8 @@
       retryPercent: RETRY_PERCENT,
       trace: { add: () => {} } satisfies Pick<Trace, 'add'>,
       isRetriedElsewhere: false,
+      team:
+        team === undefined ? undefined : Team.parse({ kind: 'team', name: team, keyDigests: [] }),
     } as unknown as RoutedRequest;
   }
 }
--- a/src/bench/replay/simulation.ts
+++ b/src/bench/replay/simulation.ts
@@ -7,6 +7,7 @@
 import { type Policy } from './policy.js';
 import { type SimulatedCaller, SimulatedNode } from './simulated_node.js';
 import { dataCentresOf, ChangeSchedule } from './change_schedule.js';
+import { TeamMix } from './team_mix.js';
 
 const MS_PER_SECOND = 1_000;
 /** One-way latency between callers and their data centre, in milliseconds. */
@@ -29,6 +30,8 @@
 
   readonly #startAt: number;
 
+  readonly #teamMix: TeamMix;
+
   /** Callers without a final result. */
   readonly #pendingCallers = new Set<Promise<void>>();
 
@@ -41,6 +44,7 @@
     this.#startAt = clock.now();
     this.schedule = new ChangeSchedule(pattern, this.#startAt);
     this.stats = new ReplayStats(this.#startAt);
+    this.#teamMix = new TeamMix(pattern.teams, random);
     const places = pattern.upstreams.flatMap(({ name, instances }) =>
       instances.map((instance, index) => ({ name, index, ...instance })),
     );
@@ -100,7 +104,8 @@
   async #runCaller(kind: RequestKind, dataCentre: string): Promise<void> {
     const firstAt = this.clock.now();
     const givesUpAt = firstAt + kind.waitMs * (1 - WAIT_VARIATION * this.random.next());
-    const caller: SimulatedCaller = { asks: this.random.nonce(), givesUpAt };
+    const team = this.#teamMix.draw(kind.name);
+    const caller: SimulatedCaller = { asks: this.random.nonce(), givesUpAt, team };
     const nodes = this.#nodes.filter((node) => node.dataCentre === dataCentre);
     const node = nodes[this.random.below(nodes.length)]!;
     let refusals = 0;
@@ -109,6 +114,7 @@
       const now = this.clock.now();
       if (!failure) {
         this.stats.recordServed(kind, dataCentre, firstAt, now);
+        this.stats.teams.record(team, kind, true);
         return;
       }
       if (failure.verdict === 'not-run') refusals += 1;
@@ -120,6 +126,7 @@
       );
       if (!mayRetry || attempt >= kind.retries || left <= CALLER_LATENCY_MS) {
         this.stats.recordLost(kind, dataCentre, firstAt, failure.verdict, refusals);
+        this.stats.teams.record(team, kind, false);
         return;
       }
       await this.clock.sleepUntil(now + pauseMs);
--- a/src/test/admission/concurrency_limiter_test.ts
+++ b/src/test/admission/concurrency_limiter_test.ts
@@ -28,6 +28,7 @@
     readonly name: string;
     readonly takesMs?: number;
     readonly priority?: number;
+    readonly team?: string;
     readonly withinMs?: number;
     readonly targetMs?: number;
     readonly outcome?: JobResult;
@@ -40,6 +41,7 @@
     const { name, takesMs = 10, outcome = ANSWERED, withinMs = 1_000, onGone = () => {} } = job;
     const limiterJob = {
       priority: job.priority ?? 5,
+      team: job.team,
       deadline: clock.now() + withinMs,
       ...(job.targetMs !== undefined && { targetAt: clock.now() + job.targetMs }),
       limit: job.resource,
@@ -288,6 +290,27 @@
   });
 
   // Guards against jobs started at an instance that drains; the refusal lets the callers go elsewhere.
+  // Guards against a team that fills the queue first and thereby keeps all others out.
+  it('refuses a waiting job of the team that has most in place of one that has less', async () => {
+    const heavy = batch(4 + 100, { team: 'heavy', takesMs: 1 });
+    const light = [...batch(3, { team: 'light', takesMs: 1 })];
+    const more = run({ name: 'more', team: 'heavy', takesMs: 1 });
+    expect(await countOutcomes(light)).to.deep.equal({ done: 3 });
+    expect(await countOutcomes(heavy)).to.deep.equal({ done: 101, 'not-run overloaded': 3 });
+    expect(await more).to.equal('not-run overloaded');
+  });
+
+  // Guards against a team that waits behind all the jobs another one has sent before.
+  it('starts the jobs of two teams in turn, however many each has sent', async () => {
+    const heavy = ['1', '2', '3', '4', '5', '6', '7', '8'].map((name) => `heavy ${name}`);
+    const runs = heavy.map((name) => run({ name, team: 'heavy' }));
+    runs.push(run({ name: 'light 1', team: 'light', withinMs: 2_000 }));
+    runs.push(run({ name: 'light 2', team: 'light', withinMs: 2_000 }));
+    runs.push(run({ name: 'without a team', withinMs: 2_000 }));
+    expect(await countOutcomes(runs)).to.deep.equal({ done: 11 });
+    expect(started).toMatchSnapshot();
+  });
+
   it('starts no waiting job once the instance drains', async () => {
     const runs = batch(10);
     limit.isDraining = true;
--- a/src/test/admission/waiting_queue_test.ts
+++ b/src/test/admission/waiting_queue_test.ts
@@ -1,18 +1,24 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { type WaitingJob, WaitingQueue } from '../../admission/waiting_queue.js';
+import { FairShare, newAccount } from '../../admission/fair_share.js';
+import { type WaitingJob } from '../../admission/waiting_order.js';
+import { WaitingQueue } from '../../admission/waiting_queue.js';
+import { TimerClock } from '../../runtime/clock.js';
 
 function waiting(change: Partial<WaitingJob> = {}): WaitingJob {
-  return { priority: 5, targetAt: 1_000, heldMs: 100, isLate: false, ...change };
+  const account = newAccount(0, 0);
+  return { priority: 5, targetAt: 1_000, heldMs: 100, account, isLate: false, ...change };
 }
 
 describe('WaitingQueue', () => {
   let started: string[];
+  let shares: FairShare;
   let queue: WaitingQueue;
 
   beforeEach(() => {
     started = [];
-    queue = new WaitingQueue();
+    shares = new FairShare(new TimerClock());
+    queue = new WaitingQueue(shares);
   });
 
   function add(name: string, change: Partial<WaitingJob> = {}): WaitingJob {
@@ -57,6 +63,49 @@
     expect(queue.jobsAhead(waiting({ isLate: true }))).to.equal(2);
   });
 
+  /** Starts all waiting jobs; each is charged to its team when it starts. */
+  function drainCharging(entries: Record<string, WaitingJob>): string[] {
+    for (let run = queue.dequeue(); run; run = queue.dequeue()) {
+      void run();
+      const { account, heldMs } = entries[started.at(-1)!]!;
+      shares.charge(account, heldMs);
+    }
+    return started;
+  }
+
+  // Guards against a team that gets more slots because it asks for more, or for longer ones.
+  it('starts jobs of equal rank by what their teams have used, then by target', () => {
+    const one = { account: shares.join('one') };
+    const two = { account: shares.join('two') };
+    const entries = {
+      'one late': add('one late', { ...one, isLate: true }),
+      'one urgent': add('one urgent', { ...one, priority: 9, targetAt: 2_000, heldMs: 50 }),
+      'one second': add('one second', { ...one, targetAt: 500 }),
+      'one first': add('one first', { ...one, targetAt: 400 }),
+      'two long': add('two long', { ...two, targetAt: 600, heldMs: 300 }),
+      'two short': add('two short', { ...two, targetAt: 700 }),
+    };
+    const third = waiting({ ...two, targetAt: 800, heldMs: 10 });
+    expect([queue.heldMsAhead(third), queue.jobsAhead(third)]).to.deep.equal([650, 5]);
+    expect(drainCharging(entries)).toMatchSnapshot();
+  });
+
+  // Guards against a refusal that hits a team because its job comes last, although others have more.
+  it('names a job to refuse of the team most above its share, none of a higher priority', () => {
+    const [one, two, own] = ['one', 'two', 'own'].map((team) => shares.join(team));
+    add('urgent', { account: one!, priority: 9, heldMs: 1_000 });
+    add('one first', { account: one! });
+    const last = add('one last', { account: one!, targetAt: 2_000 });
+    const late = add('two late', { account: two!, isLate: true });
+    add('two first', { account: two! });
+    const arriving = waiting({ account: own! });
+    const any = () => true;
+    expect(queue.displaceable(arriving, any)).to.equal(late);
+    expect(queue.displaceable(arriving, ({ isLate }) => !isLate)).to.equal(last);
+    expect(queue.displaceable(waiting({ account: own!, priority: 4 }), any)).to.equal(undefined);
+    expect(queue.displaceable(waiting({ account: one! }), any)).to.equal(undefined);
+  });
+
   it('keeps its order and its counts as jobs come and go (property)', () => {
     const entry = fc.record({
       priority: fc.nat(9),
@@ -69,12 +118,12 @@
       fc.record({ kind: fc.constantFrom('begin' as const, 'leave' as const, 'demote' as const) }),
     );
     const property = fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
-      const queueUnderTest = new WaitingQueue();
+      const queueUnderTest = new WaitingQueue(new FairShare(new TimerClock()));
       const held: { id: string; waiting: WaitingJob }[] = [];
       for (const [index, each] of steps.entries()) {
         const first = held[0];
         if (each.kind === 'add') {
-          const added = { id: String(index), waiting: { ...each.entry } };
+          const added = { id: String(index), waiting: waiting(each.entry) };
           held.push(added);
           queueUnderTest.enqueue(async () => added.id, added);
         } else if (first && each.kind === 'leave') {
--- a/src/test/bench/replay_test.ts
+++ b/src/test/bench/replay_test.ts
@@ -1,7 +1,9 @@
 import { expect } from 'chai';
 import { type Pattern, readPattern } from '../../bench/replay/pattern.js';
 import { FormerPolicy, CurrentPolicy, SimplePolicy } from '../../bench/replay/policy.js';
-import { replay } from '../../bench/replay/replay.js';
+import { replay, type ReplayResult } from '../../bench/replay/replay.js';
+import { NO_TEAMS } from '../../bench/replay/team_policies.js';
+import { jainIndex, maxMinShares } from '../../bench/replay/team_stats.js';
 
 /** Largest loss of worth accepted by the users where another policy does better. */
 const MAX_WORTH_LOSS = 0.03;
@@ -10,6 +12,10 @@
 const MAX_LATE_SHARE = 0.01;
 /** Smallest share of the links' capacity that has to be delivered in time; answers vary in size. */
 const MIN_DELIVERED_SHARE = 0.9;
+/** Smallest index of fairness between teams at twice the capacity. */
+const MIN_JAIN = 0.95;
+/** Smallest part of the requests served today that has to be served where slots are shared fairly. */
+const MIN_SERVED_PART = 0.99;
 const patternOf = (name: string) => readPattern(`bench/patterns/${name}.json`);
 
 describe('replay', function replays() {
@@ -81,6 +87,38 @@
     expect(current.worstWindow).to.be.greaterThan(simple.worstWindow);
   });
 
+  // Guards against a team that gets as much more as it asks for more, and against slots that stay
+  // free or serve late requests because of the order between teams.
+  it('shares slots between teams at twice the capacity, and serves as many requests', async () => {
+    const pattern = await patternOf('teams_flood');
+    const fair: ReplayResult[] = [];
+    const unfair: ReplayResult[] = [];
+    for (const seed of SEEDS) {
+      fair.push(await replay(pattern, new CurrentPolicy(), seed));
+      unfair.push(await replay(pattern, NO_TEAMS, seed));
+    }
+    const inTarget = (results: ReplayResult[]) => sum(results.map((result) => result.inTarget));
+    const served = (results: ReplayResult[]) => inTarget(results) + sum(results.map(lateOf));
+    for (const { jain, seed } of fair) expect(jain, `seed ${seed}`).to.be.at.least(MIN_JAIN);
+    for (const { jain, seed } of unfair) expect(jain, `seed ${seed}`).to.be.lessThan(MIN_JAIN);
+    expect(inTarget(fair)).to.be.at.least(inTarget(unfair) * MIN_SERVED_PART);
+    expect(served(fair)).to.be.at.least(served(unfair) * MIN_SERVED_PART);
+  });
+
+  // Guards against a deployment without teams that is served in another order than before.
+  it('decides without teams as if there were no shares', async () => {
+    const { policy, ...result } = await replay(await patternOf('burst'), new CurrentPolicy(), 1);
+    const expected = await replay(await patternOf('burst'), NO_TEAMS, 1);
+    expect({ ...result, policy: NO_TEAMS.name }, policy).to.deep.equal(expected);
+  });
+
+  it('computes max-min fair shares and their index', () => {
+    expect(maxMinShares([1, 10, 4, 10], 15)).to.deep.equal([1, 5, 4, 5]);
+    expect([jainIndex([2, 2, 2]), jainIndex([1, 0, 0, 0]), jainIndex([])]).to.deep.equal([
+      1, 0.25, 1,
+    ]);
+  });
+
   it('gives the same result for the same seed', async () => {
     const pattern = await patternOf('cut');
     const first = await replay(pattern, new CurrentPolicy(), 5);
@@ -93,6 +131,8 @@
   });
 });
 
+const lateOf = ({ late }: ReplayResult) => late;
+
 type Instance = Pattern['upstreams'][number]['instances'][number];
 
 function linkBytesPerMs({ linkKbps = 0 }: Instance): number {
