Order teams by a moving average of their slot time

Cause: virtual time that follows the least use among waiting jobs jumps to that of the heavy team whenever only its jobs wait, which forgives what it has had. Change: use loses half of its weight every 5 s; there is no virtual time.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -317,7 +317,8 @@
   async #execute(job: Job, limit: NamedLimit, work: Work): Promise<void> {
     const startedAt = this.clock.now();
     const account = this.shares.accountOf(job.team);
-    const cost = this.shares.charge(account, this.#averageHeldMs(job));
+    const heldMs = this.#averageHeldMs(job);
+    this.shares.charge(account, heldMs);
     this.rateLimit.take();
     this.#applyRateLimit();
     const { pending, concurrency } = this.#queue;
@@ -333,7 +334,7 @@
       throw error;
     } finally {
       const tookMs = this.clock.now() - startedAt;
-      this.shares.correct(account, cost, tookMs);
+      this.shares.correct(account, heldMs, tookMs);
       this.#recordDuration(job, limit, tookMs);
       this.#applySlots();
     }
--- a/src/admission/fair_share.ts
+++ b/src/admission/fair_share.ts
@@ -1,25 +1,26 @@
 /**
- * The slot time that each team has used, which decides whose waiting job starts next: start-time
- * fair queueing with equal weights over the teams of one upstream instance.
+ * The slot time that each team has used lately at one upstream instance, which decides whose waiting
+ * job starts next. A moving average, in which use loses half of its weight in each half-life.
  */
 import { type Clock } from '../runtime/clock.js';
 
 /** A team without a job for this long is forgotten, in milliseconds. */
 const FORGET_MS = 10_000;
-/** Maximum number of teams without a job that are remembered; the longest idle ones are forgotten first. */
+/** Maximum number of teams that are remembered without a job; the longest idle ones are forgotten first. */
 const MAX_TEAMS = 2_000;
-/**
- * Slot time by which a team can be ahead of the others at most, in milliseconds. It bounds how long
- * a team is held back for slots that it got by its priority or while nobody else asked.
- */
-const MAX_LEAD_MS = 10_000;
-
+const HALF_LIFE_MS = 5_000;
+/** Weight at which all sums are scaled down, so that they do not overflow. */
+const MAX_WEIGHT = 2 ** 64;
 /** Cost of a job whose duration is unknown or very short, in milliseconds of slot time. */
 const MIN_COST_MS = 1;
 
 /** What a team has used. Jobs without a team share one account. */
 export interface TeamAccount {
-  /** Slot time of its jobs since it is known, on the scale of virtual time, in milliseconds. */
+  readonly team: string | undefined;
+  /**
+   * Slot time in milliseconds, each weighted by when it was used: the weight of the present grows
+   * instead of that of the past shrinking. Comparable between teams only.
+   */
   usedMs: number;
   /** What it will have used after some of its waiting jobs; see `WaitingQueue`. */
   projectedMs: number;
@@ -32,15 +33,14 @@
 export class FairShare {
   readonly #accounts = new Map<string, TeamAccount>();
 
-  readonly #withoutTeam = newAccount(0, 0);
+  readonly #withoutTeam = newAccount();
 
-  /**
-   * Virtual time: what the team that waits with the least use has used. A team that asks for the first
-   * time, or again after a pause, counts as having used that much, so that pauses earn no credit.
-   */
-  #virtualMs = 0;
+  /** Instant at which slot time had a weight of 1, in milliseconds since the epoch. */
+  #scaledAt: number;
 
-  constructor(protected readonly clock: Clock) {}
+  constructor(protected readonly clock: Clock) {
+    this.#scaledAt = clock.now();
+  }
 
   /** Whether any team is remembered; the order of waiting jobs depends on teams only then. */
   get isActive(): boolean {
@@ -53,55 +53,50 @@
 
   /** The account of a team, without recording a job. */
   accountOf(team: string | undefined): TeamAccount {
-    this.#forgetIdle();
-    const known = team === undefined ? this.#withoutTeam : this.#accounts.get(team);
-    if (!known) return newAccount(this.#virtualMs, this.clock.now());
-    if (known === this.#withoutTeam && isForgotten(known, this.clock.now())) {
-      known.usedMs = this.#virtualMs;
-    }
-    // A team that pauses falls behind virtual time, which must not become credit.
-    known.usedMs = Math.max(known.usedMs, this.#virtualMs);
-    return known;
+    const now = this.clock.now();
+    this.#forgetIdle(now);
+    if (team !== undefined) return this.#accounts.get(team) ?? newAccount(team);
+    if (isForgotten(this.#withoutTeam, now)) this.#withoutTeam.usedMs = 0;
+    return this.#withoutTeam;
   }
 
   /** Records that a job of the team waits or runs, until `leave`. */
   join(team: string | undefined): TeamAccount {
     const account = this.accountOf(team);
-    account.lastAt = this.clock.now();
     account.jobs += 1;
-    if (team === undefined) return account;
-    // The table is in the order of last use, so that idle teams are at its front.
-    this.#accounts.delete(team);
-    this.#accounts.set(team, account);
+    this.#touch(account);
     if (this.#accounts.size > MAX_TEAMS) this.#boundTable();
     return account;
   }
 
   leave(account: TeamAccount): void {
     account.jobs -= 1;
-    account.lastAt = this.clock.now();
+    this.#touch(account);
   }
 
-  /** Adds the expected slot time of a job that starts; returns the cost, for `correct`. */
-  charge(account: TeamAccount, heldMs: number): number {
-    const cost = this.costOf(heldMs);
-    this.add(account, cost);
-    return cost;
+  /** Adds the expected slot time of a job that starts; `correct` follows when it ends. */
+  charge(account: TeamAccount, heldMs: number): void {
+    this.add(account, this.costOf(heldMs));
   }
 
-  /** Replaces the cost with which a job was charged by the slot time that it took. */
-  correct(account: TeamAccount, cost: number, tookMs: number): void {
-    this.add(account, this.costOf(tookMs) - cost);
+  /** Replaces the expected slot time of a job by the time that it took. */
+  correct(account: TeamAccount, heldMs: number, tookMs: number): void {
+    this.add(account, this.costOf(tookMs) - this.costOf(heldMs));
   }
 
-  /** What slot time used now adds to an account. While durations are unknown, jobs are counted. */
-  costOf(slotMs: number): number {
-    return Math.max(MIN_COST_MS, slotMs);
+  /** What slot time adds to an account. While durations are unknown, jobs are counted. */
+  costOf(slotMs: number, weight = this.weight): number {
+    return Math.max(MIN_COST_MS, slotMs) * weight;
   }
 
-  protected add(account: TeamAccount, cost: number): void {
-    if (!this.isActive) return;
-    account.usedMs = Math.min(account.usedMs + cost, this.#virtualMs + MAX_LEAD_MS);
+  /** Weight of slot time that is used now. */
+  get weight(): number {
+    const now = this.clock.now();
+    const weight = 2 ** ((now - this.#scaledAt) / HALF_LIFE_MS);
+    if (weight <= MAX_WEIGHT) return weight;
+    this.#scaledAt = now;
+    for (const account of [this.#withoutTeam, ...this.#accounts.values()]) account.usedMs /= weight;
+    return 1;
   }
 
   /** Whether a team with `usedMs` is below its share compared with one that has `otherMs`. */
@@ -109,16 +104,23 @@
     return usedMs < otherMs;
   }
 
-  /** Moves virtual time forward to what the team that waits with the least use has used. */
-  advance(leastUsedMs: number): void {
-    this.#virtualMs = Math.max(this.#virtualMs, leastUsedMs);
+  protected add(account: TeamAccount, cost: number): void {
+    if (this.isActive) account.usedMs += cost;
   }
 
-  #forgetIdle(): void {
-    const now = this.clock.now();
+  /** Keeps the table in the order of last use, so that idle teams are at its front. */
+  #touch(account: TeamAccount): void {
+    const { team } = account;
+    account.lastAt = this.clock.now();
+    if (team === undefined) return;
+    this.#accounts.delete(team);
+    this.#accounts.set(team, account);
+  }
+
+  #forgetIdle(now: number): void {
     for (const [team, account] of this.#accounts) {
       if (isForgotten(account, now)) this.#accounts.delete(team);
-      else if (account.jobs === 0) break;
+      else if (account.jobs === 0) return;
     }
   }
 
@@ -130,11 +132,11 @@
   }
 }
 
-function isForgotten({ jobs, lastAt }: TeamAccount, now: number): boolean {
-  return jobs === 0 && now - lastAt >= FORGET_MS;
+/** The account of a team that has used nothing. */
+export function newAccount(team?: string): TeamAccount {
+  return { team, usedMs: 0, projectedMs: 0, jobs: 0, lastAt: 0 };
 }
 
-/** An account of a team that has used `usedMs` so far. */
-export function newAccount(usedMs: number, lastAt: number): TeamAccount {
-  return { usedMs, projectedMs: usedMs, jobs: 0, lastAt };
+function isForgotten({ jobs, lastAt }: TeamAccount, now: number): boolean {
+  return jobs === 0 && now - lastAt >= FORGET_MS;
 }
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -137,14 +137,10 @@
     const [first] = this.#items;
     if (!first) return 0;
     let next = 0;
-    let leastMs = Infinity;
-    this.#items.forEach(({ waiting }, index) => {
-      const { usedMs } = waiting.account;
-      leastMs = Math.min(leastMs, usedMs);
-      if (this.order.outranks(first.waiting, waiting)) return;
-      if (usedMs < this.#items[next]!.waiting.account.usedMs) next = index;
-    });
-    this.shares.advance(leastMs);
+    for (const [index, { waiting }] of this.#items.entries()) {
+      if (this.order.outranks(first.waiting, waiting)) break;
+      if (waiting.account.usedMs < this.#items[next]!.waiting.account.usedMs) next = index;
+    }
     return next;
   }
 
@@ -171,22 +167,24 @@
   /** What the team of `waiting` will have used when it starts, were it to wait here. */
   #startMs(waiting: WaitingJob): number {
     const { account } = waiting;
+    const { weight } = this.shares;
     let startMs = account.usedMs;
     for (const item of this.#items) {
       if (item.waiting.account !== account) continue;
       if (this.order.comesBefore(waiting, item.waiting)) break;
-      startMs += this.shares.costOf(item.waiting.heldMs);
+      startMs += this.shares.costOf(item.waiting.heldMs, weight);
     }
     return startMs;
   }
 
   /** Calls `visit` for each waiting job with what its team will have used when it starts. */
   #project(visit: (waiting: WaitingJob, startMs: number) => void): void {
+    const { weight } = this.shares;
     for (const { waiting } of this.#items) waiting.account.projectedMs = waiting.account.usedMs;
     for (const { waiting } of this.#items) {
       const { account, heldMs } = waiting;
       visit(waiting, account.projectedMs);
-      account.projectedMs += this.shares.costOf(heldMs);
+      account.projectedMs += this.shares.costOf(heldMs, weight);
     }
   }
 }
@@ -196,7 +194,7 @@
   priority: 0,
   targetAt: Infinity,
   heldMs: 0,
-  account: newAccount(0, 0),
+  account: newAccount(),
   isLate: false,
 };
 
--- a/src/bench/replay/team_stats.ts
+++ b/src/bench/replay/team_stats.ts
@@ -15,6 +15,8 @@
   readonly jain: number;
   /** Jain's index of the shares of their requests that were served, over all teams but the one that asks most. */
   readonly jainOthers: number;
+  /** Work of the requests of teams that were served, as a share of the work that they asked for. */
+  readonly servedWork: number;
   /** Share of its requests that were served, by team. */
   readonly servedByTeam: Readonly<Record<string, number>>;
 }
@@ -39,6 +41,7 @@
   get summary(): TeamSummary {
     const sums = [...this.#sums.values()];
     const capacityMs = sums.reduce((total, { servedMs }) => total + servedMs, 0);
+    const demandMs = sums.reduce((total, { askedMs }) => total + askedMs, 0);
     const fairMs = maxMinShares(
       sums.map(({ askedMs }) => askedMs),
       capacityMs,
@@ -52,6 +55,7 @@
         PLACES,
       ),
       jainOthers: rounded(jainIndex(others.map(({ served, asked }) => served / asked)), PLACES),
+      servedWork: rounded(capacityMs / Math.max(1, demandMs), PLACES),
       servedByTeam: Object.fromEntries(
         named.map(([team, { served, asked }]) => [team, rounded(served / asked, PLACES)]),
       ),
