Share named limits between teams, and bound them fairly

Cause: jobs of a named limit with fewer slots than the instance wait in the limit's own line, in the order of arrival, so one team could occupy the line and keep the others out. Change: that line is ordered by the use of teams as well, and a job of a team below its share displaces one in it. Jobs, named limits and the wait of a job are apart from the limiter. A cancelled job stops counting at once.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -4,8 +4,9 @@
 import { type Clock } from '../runtime/clock.js';
 import { AdaptiveSlots } from './adaptive_slots.js';
 import { FairShare } from './fair_share.js';
+import { type Job, type JobResult } from './job.js';
 import { type Load } from './load.js';
-import { movingAverage, NamedLimit } from './named_limit.js';
+import { movingAverage, type NamedLimit, NamedLimits } from './named_limit.js';
 import { RateLimit } from './rate_limit.js';
 import { Wait } from './wait.js';
 import { type WaitingJob } from './waiting_order.js';
@@ -35,31 +36,7 @@
 /** Maximum number of kinds whose duration is remembered; when exceeded, all are forgotten. */
 const MAX_KINDS = 1_000;
 
-/** A request, described before it runs. */
-export interface Job {
-  /** 0 to 9; higher values start first. */
-  readonly priority: number;
-  /** Jobs of one kind take about the same time. */
-  readonly kind?: string;
-  /** The team of its caller; absent for callers without one. */
-  readonly team?: string | undefined;
-  /** Instant by which the answer should arrive, in milliseconds since the epoch; defaults to the deadline. */
-  readonly targetAt?: number;
-  /** In milliseconds since the epoch. */
-  readonly deadline: number;
-  /** The named limit of its route, as the current configuration defines it. */
-  readonly limit: LimitResource | undefined;
-  /** Calls `callback` once the caller no longer waits for the answer. */
-  onGone(callback: () => void): void;
-}
-
-/** How a job ended at the upstream instance. */
-export interface JobResult {
-  /** Time until the head of the answer arrived, in milliseconds. */
-  readonly headMs: number;
-  /** Whether the instance refused it for lack of capacity. */
-  readonly isShed: boolean;
-}
+export type { Job, JobResult } from './job.js';
 
 interface Admission {
   readonly waiting: WaitingJob;
@@ -85,7 +62,7 @@
   /** The jobs that wait for a slot of the instance or of their named limit. */
   readonly #waits = new Map<WaitingJob, { job: Job; limit: NamedLimit; wait: Wait }>();
 
-  readonly #namedLimits = new Map<string, NamedLimit>();
+  readonly #namedLimits: NamedLimits;
 
   /** Average time that a job holds a slot, by kind, in milliseconds. */
   readonly #heldByKind = new Map<string, number>();
@@ -105,6 +82,7 @@
   ) {
     this.rateLimit = new RateLimit(clock);
     this.#slots = new AdaptiveSlots(clock, slots);
+    this.#namedLimits = new NamedLimits(shares);
     this.#waitingQueue = new WaitingQueue(shares);
     const queueClass = queueClassOf(this.#waitingQueue);
     this.#queue = new PQueue({ concurrency: this.#slots.current, queueClass });
@@ -163,7 +141,7 @@
       if (!this.#isFree || !limit.hasFreeSlot) await this.#enqueue(job, limit, work);
       else {
         const start = () => this.#execute(job, limit, work);
-        await limit.run(() => this.#queue.add(start), job.priority);
+        await limit.run(() => this.#queue.add(start));
       }
     } finally {
       this.shares.leave(account);
@@ -226,7 +204,7 @@
     const { signal } = wait;
     const options = { priority, signal, waiting };
     try {
-      await limit.run(() => this.#queue.add(begin, options), priority, signal);
+      await limit.run(() => this.#queue.add(begin, options), options);
     } finally {
       wait.end();
     }
@@ -260,7 +238,7 @@
     const account = this.shares.accountOf(job.team);
     const waiting: WaitingJob = { priority, targetAt, heldMs, account, isLate: false };
     const headroom = targetAt === deadline ? 1 : HEADROOM;
-    const inTimeMs = Math.max(limit.expectedWaitMs, this.#expectedWaitMs(waiting));
+    const inTimeMs = Math.max(limit.expectedWaitMs(waiting), this.#expectedWaitMs(waiting));
     waiting.isLate = now + inTimeMs + heldMs * headroom > targetAt;
     const waitMs = waiting.isLate ? this.#expectedWaitMs(waiting) : inTimeMs;
     const exceedsDeadline = now + Math.max(waitMs, inTimeMs) + heldMs > deadline;
@@ -281,14 +259,13 @@
 
   /** The job whose refusal makes the room that `waiting` lacks; see `WaitingQueue.displaceable`. */
   #displaceable(waiting: WaitingJob, limit: NamedLimit): WaitingJob | undefined {
-    const isFull = limit.waiting >= limit.maxWaiting;
     const lacksLate = waiting.isLate && !this.#hasRoomForLate;
     if (lacksLate && this.#isContended) return undefined;
-    return this.#waitingQueue.displaceable(
-      waiting,
-      (other) =>
-        (other.isLate || !lacksLate) && (!isFull || this.#waits.get(other)?.limit === limit),
-    );
+    const isFull = limit.waiting >= limit.maxWaiting;
+    const makesRoom = (other: WaitingJob) =>
+      (other.isLate || !lacksLate) && (!isFull || this.#waits.get(other)?.limit === limit);
+    const displaced = lacksLate ? undefined : limit.displaceable(waiting);
+    return displaced ?? this.#waitingQueue.displaceable(waiting, makesRoom);
   }
 
   get #isContended(): boolean {
@@ -359,15 +336,8 @@
     return Math.max(slotMs, this.rateLimit.waitMs(this.#waitingQueue.jobsAhead(waiting)));
   }
 
-  #namedLimit(limit: LimitResource | undefined): NamedLimit {
-    const name = limit?.name ?? '';
-    let namedLimit = this.#namedLimits.get(name);
-    if (!namedLimit) {
-      namedLimit = new NamedLimit();
-      this.#namedLimits.set(name, namedLimit);
-    }
-    if (limit) namedLimit.configure(limit, this.#slots.ceiling);
-    return namedLimit;
+  #namedLimit(resource: LimitResource | undefined): NamedLimit {
+    return this.#namedLimits.of(resource, this.#slots.ceiling);
   }
 
   #applySlots(): void {
--- a/src/admission/wait.ts
+++ b/src/admission/wait.ts
@@ -36,6 +36,8 @@
 
   /** Has no effect on a job that has started: it would free a slot that the instance still uses. */
   cancel(error: OutcomeError): void {
-    if (!this.#isOver) this.#controller.abort(error);
+    if (this.#isOver) return;
+    this.end();
+    this.#controller.abort(error);
   }
 }
--- a/src/admission/waiting_order.ts
+++ b/src/admission/waiting_order.ts
@@ -1,4 +1,4 @@
-/** The orders in which waiting jobs are started while no team is known, and their ranks. */
+/** The ranks of waiting jobs, and the order of those of equal rank while no team is known. */
 import { type TeamAccount } from './fair_share.js';
 
 /** A job that waits. */
@@ -40,3 +40,14 @@
     return !this.outranks(other, one) && one.targetAt < other.targetAt;
   }
 }
+
+/** The higher priority starts first, then the one that came first. */
+export class ArrivalOrder extends WaitingOrder {
+  outranks(one: WaitingJob, other: WaitingJob): boolean {
+    return one.priority > other.priority;
+  }
+
+  comesBefore(one: WaitingJob, other: WaitingJob): boolean {
+    return this.outranks(one, other);
+  }
+}
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -26,8 +26,6 @@
 export class WaitingQueue implements Queue<Run, WaitingOptions> {
   readonly #items: QueueItem[] = [];
 
-  #late = 0;
-
   constructor(
     private readonly shares: FairShare,
     private readonly order: WaitingOrder = new TargetOrder(),
@@ -39,7 +37,7 @@
 
   /** Number of waiting jobs that are late. */
   get late(): number {
-    return this.#late;
+    return this.#items.filter(({ waiting }) => waiting.isLate).length;
   }
 
   /** Total time for which the jobs ahead of `waiting` will hold slots, in milliseconds. */
@@ -88,17 +86,15 @@
     if (index < 0) return;
     const [item] = this.#items.splice(index, 1);
     this.#insert(item!);
-    this.#late += 1;
   }
 
   enqueue(run: Run, { id, waiting = DEFAULT_WAITING }: WaitingOptions = {}): void {
     this.#insert({ run, id, waiting });
-    if (waiting.isLate) this.#late += 1;
   }
 
   dequeue(): Run | undefined {
     const index = this.shares.isActive ? this.#nextByUse() : 0;
-    return this.#removeAt(index)?.run;
+    return this.#items.splice(index, 1)[0]?.run;
   }
 
   filter({ priority }: Readonly<WaitingOptions>): Run[] {
@@ -109,7 +105,7 @@
   /** Called by `PQueue` when a job is aborted while it waits. */
   remove(idOrRun: string | Run): void {
     const index = this.#items.findIndex(({ id, run }) => id === idOrRun || run === idOrRun);
-    if (index >= 0) this.#removeAt(index);
+    if (index >= 0) this.#items.splice(index, 1);
   }
 
   setPriority(): void {
@@ -126,12 +122,6 @@
     else this.#items.splice(index, 0, item);
   }
 
-  #removeAt(index: number): QueueItem | undefined {
-    const [item] = this.#items.splice(index, 1);
-    if (item?.waiting.isLate) this.#late -= 1;
-    return item;
-  }
-
   /** Index of the job to start next: of the highest rank, that of the team with the least use. */
   #nextByUse(): number {
     const [first] = this.#items;
--- a/src/test/admission/concurrency_limiter_test.ts
+++ b/src/test/admission/concurrency_limiter_test.ts
@@ -311,6 +311,18 @@
     expect(started).toMatchSnapshot();
   });
 
+  // Guards against a team that occupies a named limit, whose line would be in the order of arrival.
+  it('shares a named limit between teams, too', async () => {
+    const resource = LimitResource.parse({ kind: 'limit', name: 'few', slots: 1, queue: 5 });
+    const heavy = Array.from({ length: 6 }, (_, index) =>
+      run({ name: `heavy ${index}`, team: 'heavy', resource }),
+    );
+    const light = run({ name: 'light', team: 'light', resource });
+    expect(await countOutcomes([light])).to.deep.equal({ done: 1 });
+    expect(started.slice(0, 2)).to.deep.equal(['heavy 0', 'light']);
+    expect(await countOutcomes(heavy)).to.deep.equal({ done: 5, 'not-run overloaded': 1 });
+  });
+
   it('starts no waiting job once the instance drains', async () => {
     const runs = batch(10);
     limit.isDraining = true;
