--- a/src/tool/digest.ts
+++ b/src/tool/digest.ts
@@ -1,5 +1,5 @@
 /** The command `digest`: the digest of a key, for a release note. */
-import { keyDigest } from '../teams/team_index.js';
+import { keyDigest } from '../teams/key_digest.js';
 import { UsageError } from './exit.js';
 
 const KEY = /^[\x21-\x7e]{1,256}$/;
