Test the metrics of a process that has just started

Cause: no test read GET /metrics of a real process, so a metric that fails without a configuration, or new series without teams, would have gone unnoticed.

Change: a test starts a process and reads its metrics.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -69,7 +69,7 @@
 
   private constructor(
     readonly settings: Settings,
-    private readonly dependencies: InstanceDependencies,
+    readonly dependencies: InstanceDependencies,
     ports: OpenPorts,
   ) {
     const { platform, clock, random, log = new SilentLog() } = dependencies;
--- a/src/test/daemon/operators_port_test.ts
+++ b/src/test/daemon/operators_port_test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
+import { Fleet } from '../../bench/fleet.js';
 import { OperatorsPort, type ServedParts } from '../../daemon/operators_port.js';
+import { MachineClock } from '../../runtime/clock.js';
 import { closeServer, listen } from '../../standins/listen.js';
 import { ask } from '../requests/test_path.js';
 
@@ -18,4 +20,17 @@
     expect(answers.map(({ status }) => status)).to.deep.equal([400, 200]);
     await closeServer(server);
   });
+
+  // Guards against metrics that fail before the first configuration, and against new series in
+  // deployments without teams.
+  it('serves the metrics of a process that has just started, without any of teams', async () => {
+    const options = { dataCentres: ['arima'], upstreams: ['listings'] };
+    await using fleet = await Fleet.start(new MachineClock(), options);
+    const { operatorsPort } = fleet.nodes[0]!.instance;
+    const { status, body } = await ask(operatorsPort, { path: '/metrics' });
+    expect(status).to.equal(200);
+    expect(body)
+      .to.include('barleyhaven_version 0')
+      .and.not.to.match(/team|quota/);
+  });
 });
