Share the quotas of teams over a tree of token pools

Cause: teams have limits, and nothing enforced them. Change: each process owns an equal share of every quota and delegates it to its parent while they are in contact; parents lease shares and lend tokens to children by demand (src/quota/). Reports go over links by the new method quota. The entry takes tokens once the configuration has a team with a limit; nothing is sent otherwise.

--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -8,6 +8,7 @@
 export * from './contracts/member.js';
 export * from './contracts/message.js';
 export * from './contracts/note.js';
+export * from './contracts/quota.js';
 export * from './contracts/reconciliation.js';
 export * from './contracts/resource.js';
 export * from './contracts/rollout.js';
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -11,6 +11,7 @@
 import { type Pace } from '../membership/pace.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
+import { SharedQuota } from '../quota/shared_quota.js';
 import { type Dialect } from '../requests/dialect.js';
 import { Uplink } from '../admission/uplink.js';
 import { Balancer } from '../placement/balancer.js';
@@ -155,6 +156,7 @@
     const safeguardParts = { platform, clock, random, mesh, methods, ranking, takesKeys };
     this.safeguards = new Safeguards(self.instance, safeguardParts);
     this.safeguards.install(this.entry, this.guard);
+    this.entry.quota = SharedQuota.of(this.control, clock, random, this.#stopping.signal);
     this.entryMeter = new RequestMeter(this.entry.server, clock);
     this.guardMeter = new RequestMeter(this.guard.server, clock);
     this.#operators = new OperatorsPort(this);
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -15,6 +15,8 @@
   Pull,
   Pulled,
   Push,
+  QuotaAnswer,
+  QuotaReport,
   Recall,
   Recalled,
   RolloutUpdate,
@@ -82,3 +84,9 @@
   params: RolloutUpdate,
   result: Nothing,
 };
+/** Reports the use of quotas to the parent, which assigns shares and tokens. */
+export const QUOTA: Method<QuotaReport, QuotaAnswer> = {
+  name: 'quota',
+  params: QuotaReport,
+  result: QuotaAnswer,
+};
--- /dev/null
+++ b/src/test/quota/shared_quota_test.ts
@@ -0,0 +1,87 @@
+/** Quotas over 60 processes: how much of them is used, and how they follow demand and versions. */
+import { expect } from 'chai';
+import { QuotaFleet, teamOf, upperBound } from './quota_fleet.js';
+
+const SEED = 1;
+const MIN_USED = 0.98;
+
+describe('the quota of a team over 60 processes', () => {
+  for (const ratePerS of [3, 16, 100, 441]) {
+    for (const burst of [0, ratePerS]) {
+      it(`is used in full at ${ratePerS} requests a second, burst ${burst}`, async () => {
+        const team = teamOf('clinic', ratePerS, burst);
+        const fleet = new QuotaFleet({ seed: SEED, teams: [team] });
+        fleet.loads = [{ team: 'clinic', perS: 2 * ratePerS }];
+        const seconds = ratePerS < 10 ? 100 : 15;
+        await fleet.advance(3_000 + seconds * 1_000);
+        fleet.stop();
+        // Single requests are a large part of the quota of a small team.
+        const used = fleet.rate('clinic', 3_000, fleet.elapsed) + 1 / seconds;
+        expect(used / ratePerS).to.be.at.least(MIN_USED);
+        expect(fleet.peak('clinic')).to.be.at.most(upperBound(team));
+      });
+    }
+  }
+
+  it('is not refused below the quota, for a team that each process sees rarely', async () => {
+    const fleet = new QuotaFleet({ seed: SEED, teams: [teamOf('clinic', 6, 6)] });
+    fleet.loads = [{ team: 'clinic', perS: 3 }];
+    await fleet.advance(63_000);
+    fleet.stop();
+    const refused = fleet.refusedBetween('clinic', 3_000, 63_000);
+    expect(refused / 180).to.be.at.most(0.03);
+  });
+
+  it('follows the demand from one data centre to another', async () => {
+    const team = teamOf('clinic', 100, 100);
+    const fleet = new QuotaFleet({ seed: SEED, teams: [team] });
+    const inDataCentre = (name: string) =>
+      fleet.names.filter((process) => process.startsWith(name));
+    fleet.loads = [{ team: 'clinic', perS: 200, at: inDataCentre('couva') }];
+    await fleet.advance(10_000);
+    expect(fleet.rate('clinic', 5_000, 10_000)).to.be.at.least(95);
+    fleet.loads = [{ team: 'clinic', perS: 200, at: inDataCentre('tobago') }];
+    await fleet.advance(10_000);
+    fleet.stop();
+    expect(fleet.rate('clinic', 13_000, 20_000)).to.be.at.least(95);
+    expect(fleet.peak('clinic')).to.be.at.most(upperBound(team));
+  });
+
+  it('is lower one window after a version lowers it', async () => {
+    const lower = teamOf('clinic', 40, 10);
+    const fleet = new QuotaFleet({ seed: SEED, teams: [teamOf('clinic', 200, 200)] });
+    fleet.loads = [{ team: 'clinic', perS: 400 }];
+    await fleet.advance(10_000);
+    fleet.apply([lower]);
+    await fleet.advance(15_000);
+    fleet.stop();
+    expect(fleet.peak('clinic', 10_000)).to.be.at.most(upperBound(lower));
+    expect(fleet.rate('clinic', 15_000, 25_000)).to.be.at.least(40 * MIN_USED);
+  });
+
+  it('admits most requests soon after all processes have restarted together', async () => {
+    const team = teamOf('clinic', 100, 100);
+    const fleet = new QuotaFleet({ seed: SEED, teams: [team] });
+    fleet.loads = [{ team: 'clinic', perS: 60 }];
+    await fleet.advance(10_000);
+    for (const name of fleet.names) fleet.kill(name);
+    await fleet.advance(500);
+    for (const name of fleet.names) fleet.restart(name);
+    await fleet.advance(4_000);
+    fleet.stop();
+    expect(fleet.rate('clinic', 11_000, 14_500)).to.be.at.least(0.8 * 60);
+    expect(fleet.peak('clinic')).to.be.at.most(upperBound(team));
+  });
+
+  it('is shared on in a data centre that is cut off', async () => {
+    const team = teamOf('clinic', 100, 100);
+    const fleet = new QuotaFleet({ seed: SEED, teams: [team] });
+    fleet.loads = [{ team: 'clinic', perS: 200 }];
+    await fleet.advance(5_000);
+    for (const other of ['arima', 'couva', 'moruga']) fleet.cut('tobago', other);
+    await fleet.advance(10_000);
+    fleet.stop();
+    expect(fleet.rate('clinic', 10_000, 15_000)).to.be.at.least(95);
+    expect(fleet.peak('clinic')).to.be.at.most(upperBound(team));
+  });
+});
