--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -6,7 +6,8 @@
 import { type Log, SilentLog } from '../logs/log.js';
 import { type Roster } from '../membership/roster.js';
 import { Balancer } from '../placement/balancer.js';
-import { type Quota, UnlimitedQuota } from '../quota/quota.js';
+import { type Quota } from '../quota/quota.js';
+import { SharedQuota } from '../quota/shared_quota.js';
 import { Entry } from '../requests/entry.js';
 import { type Guard } from '../requests/guard.js';
 import { Safeguards } from '../requests/safeguards.js';
@@ -80,7 +81,7 @@
     this.guard = ports.guard;
     this.#connectGuard();
     this.entry = this.#createEntry(ports);
-    this.#quota = new UnlimitedQuota();
+    this.#quota = SharedQuota.of(this.control, clock, random, this.#stopping.signal);
     this.entry.quota = this.#quota;
     this.safeguards = this.#createSafeguards();
     this.#records = new RequestRecords(log, clock, this.replica);
