Replay endpoints whose speed changes, and compare the uses of the stated slowness

Cause: no pattern has machines that are slow for part of the time, so that no use of the figure could be compared. Change: an instance of a pattern may share its machine: usual and slow phases of exponential lengths in turn, the same for all policies of a seed; work goes on at the speed of each phase. Kinds may have a tail. Results have the 99th percentile of the time to an answer.

--- a/src/bench/replay/command.ts
+++ b/src/bench/replay/command.ts
@@ -1,7 +1,7 @@
 /** `replay PATTERN...`: compares policies on load patterns, with several seeds each. */
 import { table } from '../../tool/table.js';
 import { readPattern } from './pattern.js';
-import { POLICIES, replay, type ReplayResult } from './replay.js';
+import { policiesFor, replay, type ReplayResult } from './replay.js';
 
 const SEEDS: readonly number[] = [1, 2, 3];
 const EXIT_OK = 0;
@@ -13,7 +13,8 @@
     for (const file of files) {
       const pattern = await readPattern(file);
       for (const seed of SEEDS) {
-        for (const policy of POLICIES) results.push(await replay(pattern, policy, seed));
+        for (const policy of policiesFor(pattern))
+          results.push(await replay(pattern, policy, seed));
       }
     }
   } catch (error) {
--- a/src/bench/replay/pattern.ts
+++ b/src/bench/replay/pattern.ts
@@ -2,6 +2,16 @@
 import { readFile } from 'node:fs/promises';
 import * as z from 'zod';
 
+/** Other work on the machine, which slows an instance down for part of the time. */
+const MachineSharing = z.object({
+  /** Share of the time in which work takes `factor` times as long. */
+  slowShare: z.number().gt(0).lt(1),
+  factor: z.number().positive(),
+  /** Mean time between two changes, in milliseconds. */
+  changeMs: z.number().positive(),
+});
+export type MachineSharing = z.infer<typeof MachineSharing>;
+
 const Instances = z.object({
   dataCentre: z.string(),
   slots: z.number().int().positive(),
@@ -9,6 +19,8 @@
   speed: z.number().positive().default(1),
   /** Bandwidth of the link that carries answers, in kilobits per second; unlimited when absent. */
   linkKbps: z.number().positive().optional(),
+  /** The instance states its slowness in each answer; its speed is constant when absent. */
+  sharing: MachineSharing.optional(),
 });
 
 const PatternUpstream = z.object({ name: z.string(), instances: z.array(Instances).min(1) });
@@ -22,6 +34,9 @@
   workMs: z.number().positive(),
   /** Largest deviation of the work, up and down, as a share of `workMs`. */
   spread: z.number().min(0).max(1).default(0.5),
+  /** Share of the requests whose work takes `tailFactor` times as long. */
+  tailShare: z.number().min(0).max(1).default(0),
+  tailFactor: z.number().positive().default(1),
   targetMs: z.number().positive(),
   /** Longest time that callers wait; each waits up to 15% less. */
   waitMs: z.number().positive(),
--- a/src/bench/replay/policy.ts
+++ b/src/bench/replay/policy.ts
@@ -7,6 +7,7 @@
   type JobResult,
   type Job,
 } from '../../admission/concurrency_limiter.js';
+import { SlownessRecord } from '../../admission/slowness_record.js';
 import { notRun, type OutcomeError } from '../../contracts.js';
 import { type Roster } from '../../membership/roster.js';
 import { Balancer } from '../../placement/balancer.js';
@@ -19,6 +20,8 @@
 /** Limits the concurrent work of one instance. */
 export interface Limiter {
   readonly load: Load;
+  /** What the instance states about its machine. */
+  readonly slowness: Pick<SlownessRecord, 'record'>;
   heldMsOf(kind: string): number;
   /** Records the rate limit that an answer states; its request was sent at `sentAt`. */
   recordRateLimit(perSecond: number, sentAt: number): void;
@@ -168,6 +171,8 @@
 }
 
 class FifoLimiter implements Limiter {
+  readonly slowness = { record: () => {} };
+
   readonly #queue: PQueue;
 
   constructor(
--- a/src/bench/replay/replay.ts
+++ b/src/bench/replay/replay.ts
@@ -6,6 +6,7 @@
 import { FormerPolicy, CurrentPolicy, type Policy, SimplePolicy } from './policy.js';
 import { inVirtualTime } from './virtual_time.js';
 import { Simulation } from './simulation.js';
+import { SLOWNESS_POLICIES } from './slowness_policies.js';
 
 export const POLICIES: readonly Policy[] = [
   new CurrentPolicy(),
@@ -13,6 +14,12 @@
   new SimplePolicy(),
 ];
 
+/** The policies to compare on a pattern: where machines are shared, those that differ by slowness. */
+export function policiesFor({ upstreams }: Pattern): readonly Policy[] {
+  const areShared = upstreams.some(({ instances }) => instances.some(({ sharing }) => sharing));
+  return areShared ? SLOWNESS_POLICIES : POLICIES;
+}
+
 /** The result of one run; deterministic for a pattern, a policy and a seed. */
 export interface ReplayResult extends Summary {
   readonly pattern: string;
--- a/src/bench/replay/replay_stats.ts
+++ b/src/bench/replay/replay_stats.ts
@@ -1,4 +1,5 @@
 /** Counts how callers were served and how much worth was earned. */
+import { build } from 'hdr-histogram-js';
 import { type Verdict } from '../../contracts.js';
 import { rounded } from '../experiment.js';
 import { type RequestKind } from './pattern.js';
@@ -30,6 +31,8 @@
   readonly owedByKind: Readonly<Record<string, number>>;
   /** Answers sent between data centres, in megabytes. */
   readonly crossedMb: number;
+  /** 99th percentile of the time until answered callers had their answer, in milliseconds. */
+  readonly p99Ms: number;
 }
 
 const BYTES_PER_MB = 1_000_000;
@@ -38,6 +41,8 @@
   /** Bytes of answers sent between data centres. */
   crossedBytes = 0;
 
+  readonly #answerTimes = build({ numberOfSignificantValueDigits: 3 });
+
   readonly #counts = { asked: 0, inTarget: 0, late: 0, refused: 0, refusedAgain: 0, failed: 0 };
 
   readonly #sums = {
@@ -51,6 +56,7 @@
 
   recordServed(kind: RequestKind, dataCentre: string, firstAt: number, now: number): void {
     const isLate = now > firstAt + kind.targetMs;
+    this.#answerTimes.recordValue(Math.round(now - firstAt));
     this.#counts.asked += 1;
     this.#counts[isLate ? 'late' : 'inTarget'] += 1;
     this.#add(kind, dataCentre, firstAt, isLate ? LATE_SHARE : 1);
@@ -86,6 +92,7 @@
       worthByKind: byKey(this.#sums.kind, ({ owed, earned }) => rounded(earned / owed, 3)),
       owedByKind: byKey(this.#sums.kind, ({ owed }) => owed),
       crossedMb: rounded(this.crossedBytes / BYTES_PER_MB, 1),
+      p99Ms: this.#answerTimes.getValueAtPercentile(99),
     };
   }
 
--- a/src/bench/replay/simulated_node.ts
+++ b/src/bench/replay/simulated_node.ts
@@ -18,6 +18,7 @@
 import { type Random } from '../../runtime/random.js';
 import { type RequestKind } from './pattern.js';
 import { type Limiter, type Policy } from './policy.js';
+import { type MachinePhases } from './machine_phases.js';
 import { NetworkLink } from './network_link.js';
 import { type Simulation } from './simulation.js';
 
@@ -60,6 +61,8 @@
     readonly index: number,
     private readonly speed: number,
     private readonly linkKbps: number | undefined,
+    /** Absent if the speed is constant. */
+    private readonly phases: MachinePhases | undefined,
     private readonly policy: Policy,
     private readonly simulation: Simulation,
     private readonly clock: Clock,
@@ -106,6 +109,7 @@
       const startedAt = this.clock.now();
       isSuccess = await this.#execute(kind, ticket.deadline);
       this.#readRateLimit(startedAt);
+      this.#readSlowness();
       return { headMs: this.clock.now() - startedAt, isShed: false };
     });
     const answerBytes = this.#drawAnswerBytes(kind);
@@ -226,6 +230,10 @@
     this.#limiter.recordRateLimit(perSecond, sentAt);
   }
 
+  #readSlowness(): void {
+    if (this.phases) this.#limiter.slowness.record(this.phases.factorAt(this.clock.now()));
+  }
+
   /** Runs a request at the upstream instance; resolves to whether it succeeded. */
   async #execute(kind: RequestKind, deadline: number): Promise<boolean> {
     const { schedule } = this.simulation;
@@ -234,8 +242,8 @@
       throw notRun('shed', 'the upstream instance refused: no free slot');
     }
     const workTimeFactor = schedule.workTimeFactor(this.upstream, this.index, now) / this.speed;
-    const varied = 1 + kind.spread * (2 * this.random.next() - 1);
-    const endAt = now + kind.workMs * varied * workTimeFactor;
+    const workMs = this.#drawWorkMs(kind) * workTimeFactor;
+    const endAt = this.phases ? this.phases.endOf(now, workMs) : now + workMs;
     await this.clock.sleepUntil(Math.min(endAt, deadline));
     if (endAt > deadline) throw deadlineExceeded();
     const { call } = kind;
@@ -243,6 +251,12 @@
     return this.#callNested(this.simulation.kindOf(call.kind), deadline);
   }
 
+  #drawWorkMs({ workMs, spread, tailShare, tailFactor }: RequestKind): number {
+    const varied = workMs * (1 + spread * (2 * this.random.next() - 1));
+    const isTail = tailShare > 0 && this.random.next() < tailShare;
+    return isTail ? varied * tailFactor : varied;
+  }
+
   async #callNested(kind: RequestKind, deadline: number): Promise<boolean> {
     const givesUpAt = Math.min(deadline, this.clock.now() + kind.waitMs);
     return this.handleAsEntry(kind, { asks: this.random.nonce(), givesUpAt }).then(
--- a/src/bench/replay/simulation.ts
+++ b/src/bench/replay/simulation.ts
@@ -1,14 +1,16 @@
 /** Simulates a deployment and its callers under a load pattern. */
 import { asOutcome, type Member } from '../../contracts.js';
 import { type Clock } from '../../runtime/clock.js';
-import { type Random } from '../../runtime/random.js';
+import { type Random, SeededRandom } from '../../runtime/random.js';
 import { ReplayStats } from './replay_stats.js';
-import { type RequestKind, type Pattern } from './pattern.js';
+import { MachinePhases } from './machine_phases.js';
+import { type MachineSharing, type RequestKind, type Pattern } from './pattern.js';
 import { type Policy } from './policy.js';
 import { type SimulatedCaller, SimulatedNode } from './simulated_node.js';
 import { dataCentresOf, ChangeSchedule } from './change_schedule.js';
 
 const MS_PER_SECOND = 1_000;
+const MAX_SEED = 2 ** 32;
 /** One-way latency between callers and their data centre, in milliseconds. */
 const CALLER_LATENCY_MS = 8;
 /** Longest wait before a retry, as a share of the time that the caller has left. */
@@ -47,10 +49,11 @@
     this.members = places.map(({ name, index, dataCentre, slots }) =>
       memberOf(`${name}-${index}`, dataCentre, { upstream: name, state: 'ready', slots }),
     );
-    places.forEach(({ index, speed, linkKbps }, place) => {
+    places.forEach(({ index, speed, linkKbps, sharing }, place) => {
       const member = this.members[place]!;
+      const phases = sharing && this.#phasesOf(sharing);
       this.#nodes.push(
-        new SimulatedNode(member, index, speed, linkKbps, policy, this, clock, random),
+        new SimulatedNode(member, index, speed, linkKbps, phases, policy, this, clock, random),
       );
     });
   }
@@ -80,6 +83,12 @@
     return this.stats;
   }
 
+  /** The same phases for all policies, as no decision draws from their random numbers. */
+  #phasesOf(sharing: MachineSharing): MachinePhases {
+    const seed = this.random.below(MAX_SEED);
+    return new MachinePhases(sharing, this.#startAt, new SeededRandom(seed));
+  }
+
   /** Starts callers of a kind in a data centre as a Poisson process, until the pattern ends. */
   async #generateLoad(kind: RequestKind, dataCentre: string, dataCentres: number): Promise<void> {
     const endAt = this.#startAt + this.pattern.seconds * MS_PER_SECOND;
