Let a stated slowness decay to the long-run one in expected durations

Cause: averages of usual speed with a factor that decays to 1 leave out slow phases that begin while a job waits, and the wait timer did not apply the factor at all. Busy instances started jobs too late for their target. Change: while statements are valid, the expected factor decays to the mean over the last ten seconds, and the time until which a job may wait is that for its expected duration. Without a statement nothing differs.

--- a/src/admission/concurrency_limiter.ts
+++ b/src/admission/concurrency_limiter.ts
@@ -267,8 +267,10 @@
 
   /** Until when the job may wait in its present state, in milliseconds since the epoch. */
   #waitsUntil({ deadline }: Job, { isLate, targetAt, heldMs }: WaitingJob): number {
-    if (!isLate) return Math.min(targetAt, deadline) - heldMs;
-    return Math.min(this.clock.now() + MAX_LATE_WAIT_MS, deadline - heldMs);
+    const now = this.clock.now();
+    const endAt = isLate ? deadline : Math.min(targetAt, deadline);
+    const startAt = endAt - this.slowness.expectedMs(heldMs, endAt - now);
+    return isLate ? Math.min(now + MAX_LATE_WAIT_MS, startAt) : startAt;
   }
 
   /** Throws if the job must not start any more after its wait; none of it has run yet. */
--- a/src/admission/slowness_record.ts
+++ b/src/admission/slowness_record.ts
@@ -13,6 +13,9 @@
  */
 const REACH_MS = 180;
 
+/** Half-life of the statements in the mean speed, in milliseconds. */
+const MEAN_HALF_LIFE_MS = 10_000;
+
 interface Statement {
   /** 1 as usual, above for a slow machine. */
   readonly factor: number;
@@ -24,12 +27,17 @@
   /** In order of time. */
   readonly #statements: Statement[] = [];
 
+  /** Mean over time, 1 for the usual speed. */
+  #meanSpeed = 1;
+
   constructor(private readonly clock: Clock) {}
 
   /** Records a factor that the instance states now. */
   record(factor: number): void {
     const at = this.clock.now();
     const statements = this.#statements;
+    const last = statements.at(-1);
+    if (last) this.#meanOver(at - last.at, factor);
     const before = statements.at(-2);
     if (before && at - before.at < MIN_INTERVAL_MS) statements.pop();
     statements.push({ factor, at });
@@ -44,9 +52,16 @@
     return ageMs < SLOWNESS_VALID_MS ? { factor: last.factor, ageMs } : undefined;
   }
 
-  /** Expected duration of work that begins after `waitMs` and usually takes `usualMs`. */
+  /**
+   * Expected duration of work that begins after `waitMs` and usually takes `usualMs`. While
+   * statements are valid, a factor decays to the long-run one instead of 1: slow phases that begin
+   * later also count, and without them the waits of a busy instance are expected too short.
+   */
   expectedMs(usualMs: number, waitMs = 0): number {
-    return slowedMs(usualMs, expectedFactor(this.latest, waitMs));
+    const { latest } = this;
+    if (!latest) return usualMs;
+    const factor = latest.factor * this.#meanSpeed;
+    return slowedMs(usualMs / this.#meanSpeed, expectedFactor({ ...latest, factor }, waitMs));
   }
 
   /**
@@ -67,4 +82,10 @@
     }
     return to - from - savedMs;
   }
+
+  /** Includes in the mean speed the time since the last statement, as far as one counts for it. */
+  #meanOver(sinceMs: number, factor: number): void {
+    const weight = 1 - 2 ** (-Math.min(sinceMs, REACH_MS) / MEAN_HALF_LIFE_MS);
+    this.#meanSpeed += (1 / factor - this.#meanSpeed) * weight;
+  }
 }
