--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -6,7 +6,8 @@
 import { type Log, SilentLog } from '../logs/log.js';
 import { type Roster } from '../membership/roster.js';
 import { Balancer } from '../placement/balancer.js';
-import { type Quota, UnlimitedQuota } from '../quota/quota.js';
+import { type Quota } from '../quota/quota.js';
+import { SharedQuota } from '../quota/shared_quota.js';
 import { Entry } from '../requests/entry.js';
 import { type Guard } from '../requests/guard.js';
 import { Safeguards } from '../requests/safeguards.js';
@@ -69,7 +70,7 @@
 
   private constructor(
     readonly settings: Settings,
-    private readonly dependencies: InstanceDependencies,
+    readonly dependencies: InstanceDependencies,
     ports: OpenPorts,
   ) {
     const { platform, clock, random, log = new SilentLog() } = dependencies;
@@ -80,10 +81,10 @@
     this.guard = ports.guard;
     this.#connectGuard();
     this.entry = this.#createEntry(ports);
-    this.#quota = new UnlimitedQuota();
+    this.#quota = SharedQuota.of(this.control, clock, random, this.#stopping.signal);
     this.entry.quota = this.#quota;
     this.safeguards = this.#createSafeguards();
-    this.#records = new RequestRecords(log, clock);
+    this.#records = new RequestRecords(log, clock, this.replica);
     this.entry.requestLog = this.#records.entryLog;
     this.guard.requestLog = this.#records.guardLog;
     this.#operators = this.#createOperatorsPort();
@@ -217,6 +218,7 @@
       guardMeter: new RequestMeter(guard.server, clock),
       records: this.#records,
       log: this.#log,
+      quota: this.#quota,
       orders: this.#rollouts?.orders,
       acceptsNotes: feed === undefined,
       isReady: () => this.isReady,
