--- a/src/test/bench/replay_test.ts
+++ b/src/test/bench/replay_test.ts
@@ -2,6 +2,7 @@
 import { type Pattern, readPattern } from '../../bench/replay/pattern.js';
 import { FormerPolicy, CurrentPolicy, SimplePolicy } from '../../bench/replay/policy.js';
 import { replay } from '../../bench/replay/replay.js';
+import { SLOWNESS_POLICIES } from '../../bench/replay/slowness_policies.js';
 
 /** Largest loss of worth accepted by the users where another policy does better. */
 const MAX_WORTH_LOSS = 0.03;
@@ -66,6 +67,17 @@
     }
   });
 
+  // Guards against a use of the stated slowness that serves callers worse than to ignore it.
+  it('answers more requests in time on machines with slow phases than without their figure', async () => {
+    const pattern = await patternOf('slow_phases_low');
+    const ignoring = SLOWNESS_POLICIES.find(({ name }) => name === 'ignored')!;
+    for (const seed of SEEDS) {
+      const current = await replay(pattern, new CurrentPolicy(), seed);
+      const ignored = await replay(pattern, ignoring, seed);
+      expect(current.inTarget, `seed ${seed}`).to.be.greaterThan(ignored.inTarget);
+    }
+  });
+
   // Guards against a replay in which requests that were refused end by an error of the replay itself.
   it('counts as failed only what an instance has failed', async () => {
     const { refused, failed } = await replay(await patternOf('cut'), new CurrentPolicy(), 1);
