Move shares by demand over the last second, and pass tokens to requests that wait

Cause: shares followed single requests at low rates and lagged behind at high ones; tokens lent for requests that wait counted as held for a report, and filled the capacity of small teams.

--- a/src/quota/demand.ts
+++ b/src/quota/demand.ts
@@ -1,14 +1,16 @@
 /** Estimate of the requests per second that callers ask for. */
 
 const MS_PER_SECOND = 1_000;
-/** Time constants of the two averages, in milliseconds. */
-const FAST_MS = 1_000;
-const SLOW_MS = 10_000;
+/** Slots of the fast average, in milliseconds and number; the last one is not complete. */
+const SLOT_MS = 200;
+const SLOTS = 6;
+/** Time constant of the slow average, in milliseconds. */
+const SLOW_MS = 20_000;
 /**
  * Rate from which on only the fast average counts. At low rates it is mostly chance: shares would
  * follow single requests from one process to the next, and be lost on the way.
  */
-const FAST_FROM_PER_S = 20;
+const FAST_FROM_PER_S = 60;
 
 /** Messages state rates in hundredths of an event per second. */
 export const RATE_UNITS = 100;
@@ -24,63 +26,85 @@
   return slow + Math.min(1, Math.max(fast, slow) / FAST_FROM_PER_S) * (fast - slow);
 }
 
+/** Number of events in the last second. Unlike a decaying average, it is soon 0 when they end. */
+class FastAverage {
+  readonly #counts = new Float64Array(SLOTS);
+
+  #slot = 0;
+
+  add(now: number): void {
+    this.#moveTo(now);
+    this.#counts[this.#slot % SLOTS]! += 1;
+  }
+
+  perS(now: number): number {
+    this.#moveTo(now);
+    const coveredMs = (SLOTS - 1) * SLOT_MS + (now - this.#slot * SLOT_MS);
+    return (this.#counts.reduce((sum, count) => sum + count, 0) * MS_PER_SECOND) / coveredMs;
+  }
+
+  #moveTo(now: number): void {
+    const slot = Math.floor(now / SLOT_MS);
+    const passed = Math.min(SLOTS, slot - this.#slot);
+    for (let step = 1; step <= passed; step++) this.#counts[(slot - passed + step) % SLOTS] = 0;
+    this.#slot = Math.max(this.#slot, slot);
+  }
+}
+
 /** An exponentially decaying average of the rate of events. */
-class Average {
+class SlowAverage {
   #sum = 0;
 
   /** Part of the weight of an endless past that the time since the start has. */
-  #weight = 0;
+  #weight: number;
+
+  #at: number;
 
-  constructor(private readonly timeMs: number) {}
+  constructor(now: number) {
+    // Some time without events before the start keeps the first event from counting as a high rate.
+    this.#weight = 1 - Math.exp(-MS_PER_SECOND / SLOW_MS);
+    this.#at = now;
+  }
 
-  get perS(): number {
-    return this.#weight > 0 ? this.#sum / this.#weight : 0;
+  add(now: number): void {
+    this.#moveTo(now);
+    this.#sum += MS_PER_SECOND / SLOW_MS;
   }
 
-  add(): void {
-    this.#sum += MS_PER_SECOND / this.timeMs;
+  perS(now: number): number {
+    this.#moveTo(now);
+    return this.#sum / this.#weight;
   }
 
-  pass(elapsedMs: number): void {
-    const factor = Math.exp(-elapsedMs / this.timeMs);
+  #moveTo(now: number): void {
+    if (now <= this.#at) return;
+    const factor = Math.exp((this.#at - now) / SLOW_MS);
     this.#sum *= factor;
     this.#weight = 1 - (1 - this.#weight) * factor;
+    this.#at = now;
   }
 }
 
 /** Averages of the rate of events. */
 export class Demand {
-  readonly #fast = new Average(FAST_MS);
-
-  readonly #slow = new Average(SLOW_MS);
+  readonly #fast = new FastAverage();
 
-  #at: number;
+  readonly #slow: SlowAverage;
 
   constructor(now: number) {
-    // A second without events before the start keeps the first event from counting as a high rate.
-    this.#at = now - MS_PER_SECOND;
+    this.#slow = new SlowAverage(now);
   }
 
   add(now: number): void {
-    this.#pass(now);
-    this.#fast.add();
-    this.#slow.add();
+    this.#fast.add(now);
+    this.#slow.add(now);
   }
 
   rates(now: number): Rates {
-    this.#pass(now);
-    return { fast: this.#fast.perS, slow: this.#slow.perS };
+    return { fast: this.#fast.perS(now), slow: this.#slow.perS(now) };
   }
 
   perS(now: number): number {
     return rateOf(this.rates(now));
   }
-
-  #pass(now: number): void {
-    const elapsedMs = now - this.#at;
-    if (elapsedMs <= 0) return;
-    this.#fast.pass(elapsedMs);
-    this.#slow.pass(elapsedMs);
-    this.#at = now;
-  }
 }
--- a/src/quota/quota_node.ts
+++ b/src/quota/quota_node.ts
@@ -46,7 +46,7 @@
 const RESERVE_PART = 0.25;
 const MAX_RESERVE = 10;
 /** Part of its capacity that a pool lends to children with little demand: what is lent is not minted again. */
-const MAX_LENT_PART = 0.5;
+const MAX_LENT_PART = 0.35;
 
 /** A lease must be worth this many tokens; it is kept down to a smaller number. */
 const MIN_LEASED_TOKENS = 5;
@@ -221,6 +221,8 @@
   #retryAtChild(pool: TeamPool, now: number): number {
     const { share } = this.#holding(pool, now, false);
     const perS = Math.max(pool.mintedPerS, MIN_POOL_PART * share * pool.limit.ratePerS);
+    if (perS === 0)
+      return Math.max(now + MS_PER_SECOND, Math.min(pool.retryAt, now + MAX_RETRY_MS));
     const expected = now + ((1 - pool.level) / perS) * MS_PER_SECOND;
     return Math.max(now + MIN_RETRY_MS, Math.min(expected, now + MAX_RETRY_MS));
   }
@@ -279,7 +281,7 @@
     const teams: TeamReport[] = [];
     const delegated: number[] = [];
     for (const pool of this.pools.values()) {
-      const waits = waiting.get(pool) ?? 0;
+      const waits = Math.max(0, (waiting.get(pool) ?? 0) - pool.validPasses(now));
       if (waits > 0 || this.#isListed(pool, now)) {
         const share = delegates && session.isRemote ? this.#freshBase(now, pool.limit.id) : 0;
         teams.push(this.#teamReport(pool, waits, share, now));
@@ -315,7 +317,9 @@
     if (!this.#session?.isInContact(now)) return false;
     return teams.some(([id, , , , , , waits]) => {
       const pool = this.#byId.get(id);
-      return pool && waits > pool.available(now) && now >= pool.exhaustedUntil;
+      return (
+        pool && waits > pool.available(now) + pool.validPasses(now) && now >= pool.exhaustedUntil
+      );
     });
   }
 
@@ -470,7 +474,7 @@
     const { fast, slow } = this.rates(pool, now);
     const demandPerS = rateOf({ fast, slow });
     const target = this.#target(pool, demandPerS, now);
-    pool.handBackPasses();
+    pool.handBackExpiredPasses(now);
     const held = pool.available(now);
     if (pool.isScarce && demandPerS < FREQUENT_PER_S && waits === 0) pool.handBack(pool.borrowed);
     else if (pool.borrowed > 2 * target + 1) pool.handBack(pool.borrowed - target);
@@ -580,6 +584,7 @@
     pool.mint(now);
     pool.lease = { share: fromUnits(share), until };
     pool.receive(granted, until);
+    pool.handBackExpiredPasses(now);
     pool.passes += passes;
     pool.passesUntil = Math.min(now + PASS_MS, until);
     pool.confirmTotals();
--- a/src/quota/shared_quota.ts
+++ b/src/quota/shared_quota.ts
@@ -57,6 +57,9 @@
   /** Requests that wait at children, while this process asks its parent for them. */
   readonly #waitingAtChildren = new Map<TeamPool, number>();
 
+  /** Whether no report has asked for some of them yet. */
+  #hasUnsentOfChildren = false;
+
   #exchange: Promise<void> | undefined;
 
   #isRunning = false;
@@ -170,7 +173,7 @@
         return;
       }
       this.#serveWaiting();
-    } while (this.#waiting.hasUnsent && !this.signal.aborted);
+    } while ((this.#waiting.hasUnsent || this.#hasUnsentOfChildren) && !this.signal.aborted);
   }
 
   /** Notes the place of this process in the tree; returns the link to its parent if it is open. */
@@ -191,6 +194,7 @@
 
   #waitingCounts(): Map<TeamPool, number> {
     const counts = this.#waiting.send();
+    this.#hasUnsentOfChildren = false;
     for (const [pool, count] of this.#waitingAtChildren) {
       counts.set(pool, (counts.get(pool) ?? 0) + count);
     }
@@ -238,6 +242,7 @@
       }
     };
     add(1);
+    this.#hasUnsentOfChildren = true;
     await Promise.race([this.#report(), clock.sleepUntil(clock.now() + MAX_CHILD_WAIT_MS)]);
     add(-1);
   }
--- a/src/quota/team_pool.ts
+++ b/src/quota/team_pool.ts
@@ -176,8 +176,14 @@
     else this.returned += count;
   }
 
-  /** Hands back passes that no request has used. */
-  handBackPasses(): void {
+  /** Passes that may still be used. */
+  validPasses(now: number): number {
+    return now < this.passesUntil ? this.passes : 0;
+  }
+
+  /** Hands back passes that no request has used in time. */
+  handBackExpiredPasses(now: number): void {
+    if (now < this.passesUntil) return;
     this.returned += this.passes;
     this.passes = 0;
   }
