--- a/src/quota/parent_session.ts
+++ b/src/quota/parent_session.ts
@@ -3,7 +3,7 @@
 /** How long a delegated share binds this process after an answer, in milliseconds. */
 const LOCAL_PROMISE_MS = 3_000;
 /** To the leader it is shorter, so that a data centre that is cut off soon serves on its own. */
-const REMOTE_PROMISE_MS = 2_000;
+const REMOTE_PROMISE_MS = 1_200;
 /** A session without an answer for this long ends, in milliseconds. */
 const SILENCE_MS = 5_000;
 /** An answer is not confirmed if its promise would end sooner than this, in milliseconds. */
