Mend what a reader of the change stumbled on

Cause: pages that contradict the code or each other (the order in which keys are handed out would have shown them to endpoints), comments above the wrong constants, constants without a unit; the projected use of jobs without a team grew although they are not charged, so that their wait was expected too long and they could be displaced. Change: pages, comments and one name (TeamLimit); the projection charges such jobs nothing.

--- a/src/admission/fair_share.ts
+++ b/src/admission/fair_share.ts
@@ -8,6 +8,7 @@
 const FORGET_MS = 10_000;
 /** Maximum number of teams that are remembered without a job; the longest idle ones are forgotten first. */
 const MAX_TEAMS = 2_000;
+/** Time in which slot time loses half of its weight, in milliseconds. */
 const HALF_LIFE_MS = 5_000;
 /** Weight at which all sums are scaled down, so that they do not overflow. */
 const MAX_WEIGHT = 2 ** 64;
@@ -73,6 +74,11 @@
     this.#touch(account);
   }
 
+  /** What a job adds to its account; nothing without a team. */
+  chargeOf(account: TeamAccount, slotMs: number, weight = this.weight): number {
+    return account === this.#withoutTeam ? 0 : this.costOf(slotMs, weight);
+  }
+
   /** Adds the expected slot time of a job that starts; `correct` follows when it ends. */
   charge(account: TeamAccount, heldMs: number): void {
     this.add(account, this.costOf(heldMs));
@@ -98,7 +104,10 @@
     return 1;
   }
 
-  /** Whether a team with `usedMs` is below its share compared with one that has `otherMs`. */
+  /**
+   * Whether a team with `usedMs` is below its share compared with one that has `otherMs`. Replays
+   * override it.
+   */
   isBelow(usedMs: number, otherMs: number): boolean {
     return usedMs < otherMs;
   }
--- a/src/admission/waiting_queue.ts
+++ b/src/admission/waiting_queue.ts
@@ -162,7 +162,7 @@
     for (const item of this.#items) {
       if (item.waiting.account !== account) continue;
       if (this.order.comesBefore(waiting, item.waiting)) break;
-      startMs += this.shares.costOf(item.waiting.heldMs, weight);
+      startMs += this.shares.chargeOf(account, item.waiting.heldMs, weight);
     }
     return startMs;
   }
@@ -174,7 +174,7 @@
     for (const { waiting } of this.#items) {
       const { account, heldMs } = waiting;
       visit(waiting, account.projectedMs);
-      account.projectedMs += this.shares.costOf(heldMs, weight);
+      account.projectedMs += this.shares.chargeOf(account, heldMs, weight);
     }
   }
 }
--- a/src/contracts/quota.ts
+++ b/src/contracts/quota.ts
@@ -6,7 +6,7 @@
  * totals of the session, so a message that is lost or repeated does no harm.
  */
 export const TeamReport = z.tuple([
-  /** `teamId` of its name. */
+  /** Number of the team, a hash of its name; see `teamLimitsOf`. */
   z.number().int(),
   /**
    * Requests asked for, in hundredths of a request per second, refused ones included: a fast and a
@@ -26,7 +26,7 @@
   z.number().int().min(0),
   /** Share of its data centre that it delegates for this team. */
   z.number().int().min(0),
-  /** Tokens that were reported as used up, or used up for it, by requests that were not run. */
+  /** Tokens given back that the parent counts as used up: their requests were not run, or came too late. */
   z.number().int().min(0),
 ]);
 export type TeamReport = z.infer<typeof TeamReport>;
@@ -51,6 +51,7 @@
 
 /** What the parent assigns for one team. */
 export const TeamGrant = z.tuple([
+  /** Number of the team, as in the report. */
   z.number().int(),
   /** Leased share of the quota, in millionths. */
   z.number().int().min(0),
--- a/src/quota/child_session.ts
+++ b/src/quota/child_session.ts
@@ -134,7 +134,10 @@
     return now < until ? Math.min(until, earlier) : earlier;
   }
 
-  /** Share that the child delegates of every team, if it is recent enough to be passed on. */
+  /**
+   * Share that the child delegates of every team, and with an id also of that team alone; 0 if it is
+   * not recent enough to be passed on.
+   */
   freshDelegated(now: number, id?: number): number {
     const { every, byTeam } = this.#delegation;
     if (!this.isFresh(now)) return 0;
@@ -214,7 +217,10 @@
     return now - this.reportedAt > SESSION_MS;
   }
 
-  /** Forgets all delegations and leases of the past, whose end this process's clock has missed. */
+  /**
+   * Forgets what the child has delegated, whose end this process's clock has missed. Leases stay
+   * committed, because the child may still use them.
+   */
   discardDelegation(): void {
     this.#delegation = NOTHING;
     this.#pending = undefined;
--- a/src/quota/pause_detector.ts
+++ b/src/quota/pause_detector.ts
@@ -27,7 +27,7 @@
     this.#expectedAt = at;
   }
 
-  /** Whether there was a pause since the last call. */
+  /** Whether there was a pause since the last call, which then counts as seen. */
   wasPaused(now: number): boolean {
     const aheadMs = this.wallClock() - now;
     const isLate = now - this.#expectedAt > MAX_DELAY_MS;
--- a/src/quota/quota_node.ts
+++ b/src/quota/quota_node.ts
@@ -11,7 +11,7 @@
 import { type Random } from '../runtime/random.js';
 import { ChildSession } from './child_session.js';
 import { rateOf, type Rates, RATE_UNITS } from './demand.js';
-import { type Limit } from './limit.js';
+import { type TeamLimit } from './team_limit.js';
 import { ParentSession } from './parent_session.js';
 import { fromUnits, SHARE_MS, toUnits, toUnitsInUse } from './share.js';
 import { TeamPool } from './team_pool.js';
@@ -21,6 +21,7 @@
 const ASSUMED_PROCESSES = 64;
 /** The roster counts as complete when it has not grown for this long, in milliseconds. */
 const SETTLED_MS = 700;
+/** The roster may count as growing for this long after the start at most, in milliseconds. */
 const START_MS = 5_000;
 /** A process that knows no other member for this long after its start is alone, in milliseconds. */
 const ALONE_MS = 2_000;
@@ -29,9 +30,12 @@
  * previous run may still use it.
  */
 const OWN_SHARE_AFTER_MS = 4_000;
-/** Without a parent there was most likely none before, either. */
+/** The same for a process without a parent, whose previous run most likely had none; in milliseconds. */
 const OWN_SHARE_AFTER_AS_LEADER_MS = 1_000;
-/** When a process without a parent uses the start credit itself, after its start. */
+/**
+ * How long after its start a process without a parent in its data centre turns start credit into
+ * tokens, in milliseconds.
+ */
 const CREDIT_AFTER_MS = 300;
 
 /** A process wants tokens for this part of a second of demand. */
@@ -42,17 +46,20 @@
 const FREQUENT_PER_S = 5;
 /** Number of reports of a session that are sent at short intervals. */
 const JOIN_REPORTS = 4;
-/** Part of its capacity, and number of tokens, that a pool keeps for requests that wait. */
+/** Part of its capacity that a pool keeps for requests that wait. */
 const RESERVE_PART = 0.25;
+/** Maximum number of tokens that it keeps for them. */
 const MAX_RESERVE = 10;
 /** Part of its capacity that a pool lends to children with little demand: what is lent is not minted again. */
 const MAX_LENT_PART = 0.35;
 
-/** A lease must be worth this many tokens; it is kept down to a smaller number. */
+/** A lease must be worth this many tokens. */
 const MIN_LEASED_TOKENS = 5;
+/** An existing lease is kept down to this many. */
 const MIN_KEPT_TOKENS = 4;
-/** A lease needs this demand, in requests per second; it is kept down to a smaller one. */
+/** A lease needs this demand, in requests per second. */
 const MIN_LEASED_PER_S = 5;
+/** An existing lease is kept down to this demand, in requests per second. */
 const MIN_KEPT_PER_S = 3;
 /**
  * A lease does not change by a smaller part, unless what it gains is idle: what is taken from one
@@ -67,10 +74,11 @@
 const PRIOR_PER_S = 0.5;
 /** Requests per second from which on a team counts as active. */
 const ACTIVE_PER_S = 0.02;
+/** A team that the parent lists counts as active elsewhere for this long, in milliseconds. */
 const ACTIVE_ELSEWHERE_MS = 3_000;
-/** A process with much demand does not ask for this long after an answer without tokens, in milliseconds. */
 /** How long tokens for requests that wait may be used, in milliseconds. */
 const PASS_MS = 50;
+/** A process with much demand does not ask for this long after an answer without tokens, in milliseconds. */
 const SCARCE_MS = 450;
 /** A process with little demand does not ask for this long at most, in milliseconds. */
 const MAX_BLOCK_MS = 1_000;
@@ -135,7 +143,7 @@
   }
 
   /** Puts the limits of a configuration in force. */
-  configure(limits: readonly Limit[], now: number): void {
+  configure(limits: readonly TeamLimit[], now: number): void {
     const names = new Set(limits.map(({ name }) => name));
     for (const name of this.pools.keys()) if (!names.has(name)) this.pools.delete(name);
     this.#byId.clear();
--- a/src/quota/share.ts
+++ b/src/quota/share.ts
@@ -3,7 +3,7 @@
 /** Shares in messages are whole millionths. */
 const UNITS = 1_000_000;
 
-/** How long a share that was passed on binds the giver after the last answer, in milliseconds. */
+/** Maximum time for which leases and lent tokens of an answer are valid, in milliseconds. */
 export const SHARE_MS = 4_000;
 
 /** A share for the message, rounded down so that rounding never adds up to more than the quota. */
--- a/src/quota/shared_quota.ts
+++ b/src/quota/shared_quota.ts
@@ -9,7 +9,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
-import { limitsOf } from './limit.js';
+import { teamLimitsOf } from './team_limit.js';
 import { PauseDetector } from './pause_detector.js';
 import { quotaParent } from './parent.js';
 import { Quota, type TeamUsage } from './quota.js';
@@ -83,7 +83,13 @@
 
   /** The quotas of a process with these parts; a signal ends their reports. */
   static of(
-    { replica, roster, ranking, mesh, methods }: Omit<QuotaDependencies, 'clock' | 'random'>,
+    {
+      replica,
+      roster,
+      ranking,
+      mesh,
+      methods,
+    }: Omit<QuotaDependencies, 'clock' | 'random' | 'wallClock'>,
     clock: Clock,
     random: Random,
     signal: AbortSignal,
@@ -122,7 +128,7 @@
 
   #configure(): void {
     const { replica, clock } = this.dependencies;
-    this.#node.configure(limitsOf(replica.current.all('team')), clock.now());
+    this.#node.configure(teamLimitsOf(replica.current.all('team')), clock.now());
     if (this.#node.pools.size > 0 && !this.#isRunning) void this.#run();
   }
 
--- a/src/quota/limit.ts
+++ b/src/quota/team_limit.ts
@@ -11,7 +11,7 @@
 const CAPACITY_PART = 0.8;
 
 /** Rate, capacity and start credit of a team over all processes. */
-export class Limit {
+export class TeamLimit {
   /** Maximum number of unspent tokens over all processes. */
   readonly capacity: number;
 
@@ -35,7 +35,7 @@
  * The limits of the teams that have one. Their numbers are hashes of the names; of two names with the
  * same hash, the later one in the order of names gets the next free number.
  */
-export function limitsOf(teams: Iterable<Team>): Limit[] {
+export function teamLimitsOf(teams: Iterable<Team>): TeamLimit[] {
   const limited = [...teams].filter(({ ratePerS = 0 }) => ratePerS > 0);
   limited.sort((a, b) => (a.name < b.name ? -1 : 1));
   const taken = new Set<number>();
@@ -43,6 +43,6 @@
     let id = fnv1a(name) >>> 0;
     while (taken.has(id)) id += 1;
     taken.add(id);
-    return new Limit(name, id, ratePerS, burst);
+    return new TeamLimit(name, id, ratePerS, burst);
   });
 }
--- a/src/quota/team_pool.ts
+++ b/src/quota/team_pool.ts
@@ -1,6 +1,6 @@
 /** The tokens of one team in one process. */
 import { Demand } from './demand.js';
-import { type Limit } from './limit.js';
+import { type TeamLimit } from './team_limit.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -90,7 +90,7 @@
   #confirmedTotals = 0;
 
   constructor(
-    public limit: Limit,
+    public limit: TeamLimit,
     now: number,
   ) {
     this.demand = new Demand(now);
@@ -232,9 +232,9 @@
   }
 
   /**
-   * Starts a new session. Tokens of the earlier one are discarded: the new parent does not count them.
-   * The lease is kept, because what it consists of stays promised to the earlier parent until then;
-   * without it nothing would pass until the shares can be delegated to the new one.
+   * Starts a new session. Tokens of the earlier one are discarded, because the new parent does not
+   * count them. The lease stays valid until its end: the earlier parent keeps it committed until then,
+   * and nothing else could pass before shares are delegated to the new parent.
    */
   resetSession(): void {
     if (this.lease.until > this.earlierLease.until) this.earlierLease = this.lease;
@@ -263,7 +263,7 @@
   }
 
   /** Puts another limit in force. A lower one scales down what is held. */
-  setLimit(limit: Limit, now: number): void {
+  setLimit(limit: TeamLimit, now: number): void {
     this.mint(now);
     const ratio = Math.min(
       1,
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -91,7 +91,7 @@
 /** Request headers that each hop sets itself, from the body and the deadline. */
 const SET_PER_HOP: ReadonlySet<string> = new Set(['content-length', 'expect', CALLER_TIMEOUT]);
 
-/** The same, and the credentials of callers. */
+/** As `SET_PER_HOP`, and the credentials, which only the entry may see. */
 const SET_PER_HOP_OR_SECRET: ReadonlySet<string> = new Set([...SET_PER_HOP, AUTHORIZATION]);
 
 /** The parts of a message head that the filters read. */
@@ -103,7 +103,8 @@
 
 /**
  * Request headers for the next hop; of the internal ones only those in `internal`. Credentials are
- * dropped if the caller has sent them to barleyhaven itself.
+ * dropped with `dropsCredentials`: while the configuration has teams they are keys of teams, which no
+ * other process may see.
  */
 export function requestHeaders(
   head: MessageHead,
@@ -128,8 +129,8 @@
 }
 
 /**
- * Trailers without the internal ones, which only barleyhaven may set, and without credentials if the
- * caller has sent them to barleyhaven itself.
+ * Trailers without the internal ones, which only barleyhaven may set, and with `dropsCredentials` without
+ * credentials, as for headers.
  */
 export function trailersOf(
   trailers: NodeJS.Dict<string>,
--- a/src/tool/render_teams.ts
+++ b/src/tool/render_teams.ts
@@ -24,7 +24,7 @@
   ];
 }
 
-/** The share of the quota that is assigned to the process while it is out of contact. */
+/** The part of the quota that the process may use while it is out of contact, in percent. */
 function shareText(offlinePerS: number | undefined, ratePerS: number | undefined): string {
   if (offlinePerS === undefined || !ratePerS) return NONE;
   return `${numberText((offlinePerS / ratePerS) * PERCENT)}%`;
