--- a/src/quota/quota_node.ts
+++ b/src/quota/quota_node.ts
@@ -77,7 +77,7 @@
 /** A team that the parent lists counts as active elsewhere for this long, in milliseconds. */
 const ACTIVE_ELSEWHERE_MS = 3_000;
 /** How long tokens for requests that wait may be used, in milliseconds. */
-const PASS_MS = 50;
+const PASS_MS = 150;
 /** A process with much demand does not ask for this long after an answer without tokens, in milliseconds. */
 const SCARCE_MS = 450;
 /** A process with little demand does not ask for this long at most, in milliseconds. */
--- a/src/quota/shared_quota.ts
+++ b/src/quota/shared_quota.ts
@@ -38,9 +38,9 @@
 /** How long a report waits for its answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 400;
 /** How long a request waits for a token at most, in milliseconds. */
-const MAX_WAIT_MS = 50;
+const MAX_WAIT_MS = 150;
 /** How long a child's report waits for tokens of this process's parent, in milliseconds. */
-const MAX_CHILD_WAIT_MS = 35;
+const MAX_CHILD_WAIT_MS = 120;
 /** Reports a second that requests without a token may cause, and how many at once. */
 const ASKS_PER_S = 20;
 const ASK_BURST = 20;
