--- a/src/admission/load.ts
+++ b/src/admission/load.ts
@@ -76,9 +76,14 @@
 
 function parseSlowness(text: string | undefined): Slowness | undefined {
   const [, percentText, ageMs] = SLOWNESS_PATTERN.exec(text ?? '') ?? [];
+  const factor = parseFactor(percentText);
+  return factor === undefined ? undefined : { factor, ageMs: Number(ageMs) };
+}
+
+/** The factor of a slowness from its text in percent; undefined if absent or out of range. */
+export function parseFactor(percentText: string | undefined): number | undefined {
   const percent = Number(percentText);
-  if (!(percent >= MIN_PERCENT && percent <= MAX_PERCENT)) return undefined;
-  return { factor: percent / PERCENT, ageMs: Number(ageMs) };
+  return percent >= MIN_PERCENT && percent <= MAX_PERCENT ? percent / PERCENT : undefined;
 }
 
 function parseRateReport(text: string | undefined): Rate | undefined {
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -2,7 +2,6 @@
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type Identity, type ResponseKind } from '../requests/dialect.js';
 import { headerOf } from '../requests/headers.js';
-import { tokenOf } from '../teams/credentials.js';
 import { parseRate } from '../admission/rate_limit.js';
 import {
   CALLER_HEADER,
@@ -61,10 +60,6 @@
     return timeoutMs > 0 ? timeoutMs : undefined;
   }
 
-  keyOf(request: IncomingMessage): string | undefined {
-    return tokenOf(request);
-  }
-
   entryHeaders(team: string | undefined): readonly string[] {
     const headers = [CALLER_HEADER, this.service()];
     if (team !== undefined) headers.push(TEAM_HEADER, team);
--- a/src/platform/wire.ts
+++ b/src/platform/wire.ts
@@ -1,5 +1,6 @@
 /** Header names and value formats of the platform, each decoded here and nowhere else. */
 import * as z from 'zod';
+import { parseFactor } from '../admission/load.js';
 
 /** Time that the caller will still wait, in milliseconds. */
 export const TIMEOUT_HEADER = 'barleyhaven-timeout-ms';
@@ -31,14 +32,10 @@
 const DURATION = /^(\d+(?:\.\d+)?)(ms|s)$/;
 
 const SLOWNESS = /^\d{1,6},\d{1,6},\d{1,6},(\d{2,5})$/;
-const MIN_PERCENT = 10;
-const MAX_PERCENT = 10_000;
-const PERCENT = 100;
 
 /** The fourth figure of a load header as a factor, 1 as usual; undefined if absent or invalid. */
 export function parseSlowness(load: string | undefined): number | undefined {
-  const percent = Number(SLOWNESS.exec(load ?? '')?.[1]);
-  return percent >= MIN_PERCENT && percent <= MAX_PERCENT ? percent / PERCENT : undefined;
+  return parseFactor(SLOWNESS.exec(load ?? '')?.[1]);
 }
 
 /** A duration such as `1500ms` or `2.5s`, decoded to milliseconds. */
--- a/src/quota/shared_quota.ts
+++ b/src/quota/shared_quota.ts
@@ -185,7 +185,7 @@
   #findParent(): Peer | undefined {
     const { roster, ranking, mesh, clock } = this.dependencies;
     const now = clock.now();
-    this.#node.setMembers(roster.all().filter(({ liveness }) => liveness !== 'left').length, now);
+    this.#node.setMembers(roster.size - roster.counts.left, now);
     const parent = quotaParent(ranking);
     const peer = parent && mesh.peer(parent.instance);
     if (parent && peer) {
--- a/src/requests/default_dialect.ts
+++ b/src/requests/default_dialect.ts
@@ -11,7 +11,6 @@
   RETRIED,
   TEAM,
 } from './headers.js';
-import { tokenOf } from '../teams/credentials.js';
 import { parseRate } from '../admission/rate_limit.js';
 
 const MS_PER_SECOND = 1000;
@@ -35,10 +34,6 @@
     return asked > 0 ? asked : undefined;
   }
 
-  keyOf(request: IncomingMessage): string | undefined {
-    return tokenOf(request);
-  }
-
   /** The name of the team is sent to the guard in any case, which forwards it. */
   entryHeaders(): readonly string[] {
     return [];
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -36,9 +36,6 @@
   /** The caller's timeout in milliseconds; undefined if it sends none. */
   abstract callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined;
 
-  /** The key of the caller's team; undefined if it sends none, or no valid one. */
-  abstract keyOf(request: IncomingMessage): string | undefined;
-
   /** Headers that an entry adds for the upstream instance, as alternating names and values. */
   abstract entryHeaders(team: string | undefined): readonly string[];
 
--- a/src/requests/guard_forwarder.ts
+++ b/src/requests/guard_forwarder.ts
@@ -42,7 +42,7 @@
 const SERVER_ERROR = 500;
 
 /** What a `GuardForwarder` shares with the entry that it belongs to. */
-export interface ForwarderContext {
+export interface GuardForwarderContext {
   readonly balancer: Balancer;
   readonly budgets: RetryBudgets;
   readonly answerSizes: AnswerSizes;
@@ -74,7 +74,7 @@
   /** Internal headers forwarded to callers on responses. */
   readonly #callerVisibleHeaders: ReadonlySet<string>;
 
-  constructor(private readonly context: ForwarderContext) {
+  constructor(private readonly context: GuardForwarderContext) {
     const { clock, dialect } = context;
     this.#connections = new ConnectionPool(clock, MAX_SOCKETS_PER_GUARD);
     this.#callerVisibleHeaders = new Set([
--- a/src/requests/routed_request.ts
+++ b/src/requests/routed_request.ts
@@ -68,7 +68,8 @@
   const target = parseTarget(request);
   const route = routeOf(configuration, target);
   if (!route) throw notRun('no-route', `no route for ${target.method} ${target.path}`);
-  const team = authenticate(configuration, route, request, dialect);
+  const teams = TeamIndex.of(configuration);
+  const team = authenticate(teams, route, request);
   if (route.requireKey && request.headers[IDEMPOTENCY_KEY] === undefined) {
     throw notRun('key-required', `route ${route.name} requires an Idempotency-Key header`);
   }
@@ -84,7 +85,7 @@
     target,
     route,
     team,
-    hasTeams: TeamIndex.of(configuration).hasTeams,
+    hasTeams: teams.hasTeams,
     caller,
     firstAt,
     upstream: split.choose(route),
--- a/src/requests/upstream_forwarder.ts
+++ b/src/requests/upstream_forwarder.ts
@@ -34,7 +34,7 @@
 const SERVER_ERROR = 500;
 
 /** What the guard tells the forwarder, and learns from it. */
-export interface ForwarderHost {
+export interface UpstreamForwarderContext {
   readonly limit: ConcurrencyLimiter;
   readonly statements: InstanceStatements;
   /** Headers of the guard's state, as alternating names and values. */
@@ -49,7 +49,7 @@
   readonly #answerSizes = new AnswerSizes();
 
   constructor(
-    private readonly host: ForwarderHost,
+    private readonly context: UpstreamForwarderContext,
     private readonly clock: Clock,
     private readonly dialect: Dialect,
     private readonly uplink: Uplink,
@@ -61,7 +61,7 @@
   reserveUplink({ kind, targetAt, deadline }: GuardRequest): Reservation | undefined {
     const bytes = this.#answerSizes.largeAnswerBytes(kind);
     if (bytes === 0) return undefined;
-    const heldMs = this.host.limit.heldMsOf(kind);
+    const heldMs = this.context.limit.heldMsOf(kind);
     return this.uplink.admit({ bytes, heldMs, targetAt, deadline });
   }
 
@@ -87,7 +87,7 @@
     else await this.#relay(guardRequest, answer, exchange);
     // An endpoint that is still warming up is slow whatever its version, so its time does not count.
     const isCold = (announced.coldMs ?? 0) > 0;
-    const tookMs = isCold ? undefined : this.host.limit.slowness.usualMs(startedAt, answeredAt);
+    const tookMs = isCold ? undefined : this.context.limit.slowness.usualMs(startedAt, answeredAt);
     return { headMs: answeredAt - startedAt, isShed, isFailure: status >= SERVER_ERROR, tookMs };
   }
 
@@ -96,7 +96,7 @@
   }
 
   #noteAdmitted({ request, trace }: GuardRequest): void {
-    const { inFlight, slots, waiting } = this.host.limit.load;
+    const { inFlight, slots, waiting } = this.context.limit.load;
     trace.add({
       event: 'admitted',
       exchange: headerOf(request, EXCHANGE_ID) ?? '',
@@ -141,12 +141,12 @@
   ): void {
     const kind = this.dialect.classifyResponse(request, answer);
     if (kind === 'answer' || kind === 'shed')
-      this.host.statements.record(announced, answer, sentAt);
+      this.context.statements.record(announced, answer, sentAt);
     if (kind === 'answer') return;
     if (kind === 'crossed') throw exchange.abortMismatched();
     exchange.discard(answer);
     if (kind === 'shed') throw notRun('shed', 'upstream instance had no capacity');
-    this.host.onInstanceGone();
+    this.context.onInstanceGone();
     throw notRun('no-endpoint', 'another instance has the announced address');
   }
 
@@ -154,7 +154,7 @@
     // Internal headers set by the upstream instance are dropped: only barleyhaven may set them.
     const headers = responseHeaders(answer, this.dialect.allowedFromUpstreams);
     headers.push(VERDICT, 'ran', EXCHANGE_ID, headerOf(request, EXCHANGE_ID) ?? '');
-    headers.push(...this.host.stateHeaders());
+    headers.push(...this.context.stateHeaders());
     if (isShed) headers.push(SHED, '1');
     return headers;
   }
--- a/src/test/admission/slowness_record_test.ts
+++ b/src/test/admission/slowness_record_test.ts
@@ -2,19 +2,7 @@
 import * as fc from 'fast-check';
 import { slowedMs, usualMs } from '../../admission/slowness.js';
 import { SlownessRecord } from '../../admission/slowness_record.js';
-import { Clock } from '../../runtime/clock.js';
-
-class ManualClock extends Clock {
-  instant = 1_000_000;
-
-  now(): number {
-    return this.instant;
-  }
-
-  async sleepUntil(deadline: number): Promise<void> {
-    this.instant = deadline;
-  }
-}
+import { ManualClock } from '../manual_clock.js';
 
 describe('SlownessRecord', () => {
   const start = 1_000_000;
--- a/src/test/placement/balancer_test.ts
+++ b/src/test/placement/balancer_test.ts
@@ -6,7 +6,7 @@
 import { Balancer } from '../../placement/balancer.js';
 import { VersionRoles, type Role, type TrialShare } from '../../placement/version_roles.js';
 import { type EndpointStats } from '../../placement/endpoint_stats.js';
-import { Clock } from '../../runtime/clock.js';
+import { ManualClock } from '../manual_clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { memberOf } from '../requests/test_path.js';
 
@@ -15,18 +15,6 @@
 const STEP_MS = 50;
 const NONE: ReadonlySet<EndpointStats> = new Set();
 
-class ManualClock extends Clock {
-  instant = 1_000_000;
-
-  now(): number {
-    return this.instant;
-  }
-
-  async sleepUntil(deadline: number): Promise<void> {
-    this.instant = deadline;
-  }
-}
-
 interface Endpoint {
   readonly name: string;
   readonly dataCentre?: string;
--- a/src/test/requests/test_path.ts
+++ b/src/test/requests/test_path.ts
@@ -1,6 +1,6 @@
 /** One entry and several guards with upstream instances, over real HTTP on loopback. */
 import { Agent, type IncomingMessage, type OutgoingHttpHeaders, request } from 'node:http';
-import { type AddressInfo, connect } from 'node:net';
+import { type AddressInfo } from 'node:net';
 import { Configuration } from '../../configuration/configuration.js';
 import { type Endpoint, type Member, Resource } from '../../contracts.js';
 import { Roster } from '../../membership/roster.js';
@@ -13,6 +13,7 @@
 import { ResourceStack } from '../../runtime/resource_stack.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { closeServer, listen, LOOPBACK } from '../../standins/listen.js';
+import { sendRaw } from './send_raw.js';
 import { UpstreamServer } from '../../standins/upstream_server.js';
 
 const RESOURCES: readonly Resource[] = [
@@ -119,17 +120,7 @@
 
   /** Writes raw bytes and resolves to everything received until the connection closes. */
   raw(text: string): Promise<string> {
-    return new Promise((resolve) => {
-      const socket = connect(this.#port, LOOPBACK);
-      let received = '';
-      socket.setEncoding('latin1');
-      socket.on('data', (chunk: string) => {
-        received += chunk;
-      });
-      socket.on('error', () => {});
-      socket.on('close', () => resolve(received));
-      socket.write(text);
-    });
+    return sendRaw(this.#port, text);
   }
 
   /**
--- a/src/test/teams/security_test.ts
+++ b/src/test/teams/security_test.ts
@@ -1,8 +1,7 @@
-import { connect } from 'node:net';
 import * as fc from 'fast-check';
 import { expect } from 'chai';
 import { RequestLog } from '../../logs/request_log.js';
-import { LOOPBACK } from '../../standins/listen.js';
+import { sendRaw } from '../requests/send_raw.js';
 import { MemoryLog } from '../logs/memory_log.js';
 import { type Received, startWithTeams, teamOf, valueOf } from './team_path.js';
 
@@ -132,21 +131,6 @@
   return `${lines.join('\r\n')}\r\n\r\n${sent}${neighbour}`;
 }
 
-/** Sends bytes over a connection of their own; resolves to everything received until it closes. */
-function exchange(port: number, text: string): Promise<string> {
-  return new Promise((resolve) => {
-    const socket = connect(port, LOOPBACK);
-    let received = '';
-    socket.setEncoding('latin1');
-    socket.on('data', (chunk: string) => {
-      received += chunk;
-    });
-    socket.on('error', () => {});
-    socket.on('close', () => resolve(received));
-    socket.write(text, 'latin1');
-  });
-}
-
 /** Whether the only credentials are those of the team, read character by character. */
 function isOfTeam({ credentials: sent }: GeneratedRequest): boolean {
   const [only] = sent;
@@ -198,7 +182,7 @@
       id += 1;
       received.length = 0;
       const [answer, apart] = await Promise.all([
-        exchange(owned.port, textOf(id, request)),
+        sendRaw(owned.port, textOf(id, request), 'latin1'),
         owned.ask({ path: '/menus/3', headers: { authorization: `Token ${NEIGHBOUR_KEY}` } }),
       ]);
       const statuses = [...answer.matchAll(/HTTP\/1\.1 (\d{3}) /g)].map(([, status]) => status!);
