Name the rate of a team in the product's own words

Cause: the field of a team had the name that the operators' platform gives it; those names stand in src/platform/ only.

--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -75,7 +75,7 @@
   /** Replaces the priority of the route for its requests; higher goes first. */
   priority: z.number().int().min(0).max(9).optional(),
   /** Requests per second allowed over all processes; no limit when absent or 0. */
-  ratePerS: z.number().min(0).max(MAX_QUOTA).optional(),
+  requestsPerSecond: z.number().min(0).max(MAX_QUOTA).optional(),
   /** Requests allowed at once beyond the rate, after a time with fewer. */
   burst: z.number().min(0).max(MAX_QUOTA).optional(),
 });
--- a/src/contracts/team_status.ts
+++ b/src/contracts/team_status.ts
@@ -8,7 +8,7 @@
   /** Absent if the priority of the route applies. */
   priority: z.number().optional(),
   /** Requests per second over all processes; absent without a limit. */
-  ratePerS: z.number().optional(),
+  requestsPerSecond: z.number().optional(),
   burst: z.number().optional(),
   /** Use through the answering process; absent if the process has not seen the team. */
   usage: z
--- a/src/daemon/teams.ts
+++ b/src/daemon/teams.ts
@@ -15,14 +15,14 @@
 }
 
 function statusOf(
-  { name, keyDigests, priority, ratePerS, burst }: Team,
+  { name, keyDigests, priority, requestsPerSecond, burst }: Team,
   usage: TeamUsage | undefined,
 ): TeamStatus {
   return {
     name,
     keys: keyDigests.length,
     ...(priority !== undefined && { priority }),
-    ...(ratePerS && { ratePerS, burst: burst ?? 0 }),
+    ...(requestsPerSecond && { requestsPerSecond, burst: burst ?? 0 }),
     ...(usage && { usage: usageOf(usage) }),
   };
 }
--- a/src/platform/operator_object.ts
+++ b/src/platform/operator_object.ts
@@ -112,13 +112,14 @@
 /** The keys themselves are dropped here: the team holds their digests. */
 function teamFrom(name: string, from: unknown): Team {
   const path = `team/${name}`;
-  const { apiKeys, priority, ...quota } = parsed(path, ObjectTeam, from);
+  const { apiKeys, priority, ratePerS, burst } = parsed(path, ObjectTeam, from);
   return parsed(path, Team, {
     kind: 'team',
     name,
     keyDigests: apiKeys.map(keyDigest),
     ...(priority !== undefined && { priority: priorityFrom(priority) }),
-    ...quota,
+    ...(ratePerS !== undefined && { requestsPerSecond: ratePerS }),
+    ...(burst !== undefined && { burst }),
   });
 }
 
--- a/src/quota/quota_node.ts
+++ b/src/quota/quota_node.ts
@@ -231,7 +231,7 @@
   /** When a child may expect a token: leases to other children may end until then. */
   #retryAtChild(pool: TeamPool, now: number): number {
     const { share } = this.#holding(pool, now, false);
-    const perS = Math.max(pool.mintedPerS, MIN_POOL_PART * share * pool.limit.ratePerS);
+    const perS = Math.max(pool.mintedPerS, MIN_POOL_PART * share * pool.limit.requestsPerSecond);
     if (perS === 0)
       return Math.max(now + MS_PER_SECOND, Math.min(pool.retryAt, now + MAX_RETRY_MS));
     const expected = now + ((1 - pool.level) / perS) * MS_PER_SECOND;
@@ -252,7 +252,7 @@
   offlinePerS(pool: TeamPool, now: number): number {
     let share = this.#ownShare(now);
     for (const child of this.#latestChildren()) share += child.delegated(pool.limit.id, now);
-    return Math.min(1, share) * pool.limit.ratePerS;
+    return Math.min(1, share) * pool.limit.requestsPerSecond;
   }
 
   /** Requests per second that this process and its children report, or those of its data centre. */
@@ -546,14 +546,14 @@
    * the rest can serve a herd at another one. What is not free yet is leased later.
    */
   #leaseFor(child: ChildSession, pool: TeamPool, isRemote: boolean, now: number): number {
-    const { id, capacity, ratePerS } = pool.limit;
+    const { id, capacity, requestsPerSecond } = pool.limit;
     const { share: held } = this.#holding(pool, now, true);
     const total = this.demandPerS(pool, now);
     const demand = rateOf(child.rates(id, now));
     const committed = child.committed(id, now);
     let wanted = this.#proportion(demand, total, isRemote, now) * held;
-    if (!isRemote && total < SATURATED_PART * held * ratePerS) {
-      wanted = Math.min(wanted, (LEASE_HEADROOM * demand) / ratePerS);
+    if (!isRemote && total < SATURATED_PART * held * requestsPerSecond) {
+      wanted = Math.min(wanted, (LEASE_HEADROOM * demand) / requestsPerSecond);
     }
     if (isRemote && wanted * capacity < 1) return 0;
     if (!isRemote && demand < (committed > 0 ? MIN_KEPT_PER_S : MIN_LEASED_PER_S)) return 0;
--- a/src/quota/team_limit.ts
+++ b/src/quota/team_limit.ts
@@ -22,10 +22,10 @@
     readonly name: string,
     /** Number by which messages name the team, which is shorter. */
     readonly id: number,
-    readonly ratePerS: number,
+    readonly requestsPerSecond: number,
     burst: number,
   ) {
-    const tolerance = TOLERANCE * (WINDOW_S * ratePerS + burst) + TOLERANCE_REQUESTS;
+    const tolerance = TOLERANCE * (WINDOW_S * requestsPerSecond + burst) + TOLERANCE_REQUESTS;
     this.capacity = burst + CAPACITY_PART * tolerance;
     this.startCredit = (1 - CAPACITY_PART) * tolerance;
   }
@@ -36,13 +36,13 @@
  * same hash, the later one in the order of names gets the next free number.
  */
 export function teamLimitsOf(teams: Iterable<Team>): TeamLimit[] {
-  const limited = [...teams].filter(({ ratePerS = 0 }) => ratePerS > 0);
+  const limited = [...teams].filter(({ requestsPerSecond = 0 }) => requestsPerSecond > 0);
   limited.sort((a, b) => (a.name < b.name ? -1 : 1));
   const taken = new Set<number>();
-  return limited.map(({ name, ratePerS = 0, burst = 0 }) => {
+  return limited.map(({ name, requestsPerSecond = 0, burst = 0 }) => {
     let id = fnv1a(name) >>> 0;
     while (taken.has(id)) id += 1;
     taken.add(id);
-    return new TeamLimit(name, id, ratePerS, burst);
+    return new TeamLimit(name, id, requestsPerSecond, burst);
   });
 }
--- a/src/quota/team_pool.ts
+++ b/src/quota/team_pool.ts
@@ -103,7 +103,7 @@
   }
 
   get mintedPerS(): number {
-    return this.share * this.limit.ratePerS;
+    return this.share * this.limit.requestsPerSecond;
   }
 
   /** Whole tokens that can be spent now. */
@@ -268,7 +268,7 @@
     const ratio = Math.min(
       1,
       limit.capacity / this.limit.capacity,
-      limit.ratePerS / this.limit.ratePerS,
+      limit.requestsPerSecond / this.limit.requestsPerSecond,
     );
     this.limit = limit;
     this.level = Math.min(this.level * ratio, this.cap);
--- a/src/test/configuration/configuration_test.ts
+++ b/src/test/configuration/configuration_test.ts
@@ -155,12 +155,12 @@
       ...['A'.repeat(64), 'a'.repeat(63), 'a'.repeat(65), ''].map((d) => ({ keyDigests: [d] })),
       { keyDigests: Array.from({ length: 65 }, (_, i) => String(i).padStart(64, '0')) },
       ...[-1, 10, 0.5, NaN].map((priority) => ({ priority })),
-      ...[-1, 1_000_001, Infinity, NaN].flatMap((n) => [{ ratePerS: n }, { burst: n }]),
+      ...[-1, 1_000_001, Infinity, NaN].flatMap((n) => [{ requestsPerSecond: n }, { burst: n }]),
     ];
     const team = { kind: 'team', name: 'pulo780', keyDigests: [] };
     const accepted = invalid.filter((fields) => Team.safeParse({ ...team, ...fields }).success);
     expect(accepted).to.deep.equal([]);
-    const whole = { ...team, priority: 0, ratePerS: 1_000_000, burst: 0 };
+    const whole = { ...team, priority: 0, requestsPerSecond: 1_000_000, burst: 0 };
     expect(Team.parse(whole)).to.deep.equal(whole);
   });
 });
--- a/src/test/quota/faults_test.ts
+++ b/src/test/quota/faults_test.ts
@@ -60,9 +60,9 @@
       for (let fault = 0; fault < FAULTS; fault++) {
         const factor = 2 * HERDS[random.below(HERDS.length)]!;
         const at = random.below(2) === 0 ? fleet.names : fleet.names.slice(0, 20);
-        fleet.loads = TEAMS.map(({ name, ratePerS }) => ({
+        fleet.loads = TEAMS.map(({ name, requestsPerSecond }) => ({
           team: name,
-          perS: ratePerS! * factor,
+          perS: requestsPerSecond! * factor,
           at,
         }));
         await fleet.advance(300 + random.below(700));
--- a/src/test/quota/figures.ts
+++ b/src/test/quota/figures.ts
@@ -30,9 +30,9 @@
 async function measure(load: number): Promise<void> {
   const fleet = new QuotaFleet({ seed: 1, teams: teams() });
   let bytes = 0;
-  fleet.loads = teams().map(({ name, ratePerS }) => ({
+  fleet.loads = teams().map(({ name, requestsPerSecond }) => ({
     team: name,
-    perS: ratePerS! * load,
+    perS: requestsPerSecond! * load,
     skew: 1,
   }));
   await fleet.advance(SETTLE_MS);
@@ -44,7 +44,7 @@
   fleet.stop();
   const perProcess = (value: number) =>
     (value / fleet.names.length / (MEASURED_MS / 1_000)).toFixed(1);
-  const quota = teams().reduce((sum, { ratePerS }) => sum + ratePerS!, 0);
+  const quota = teams().reduce((sum, { requestsPerSecond }) => sum + requestsPerSecond!, 0);
   const passed = teams().reduce(
     (sum, { name }) => sum + fleet.rate(name, SETTLE_MS, SETTLE_MS + MEASURED_MS),
     0,
--- a/src/test/quota/quota_fleet.ts
+++ b/src/test/quota/quota_fleet.ts
@@ -342,12 +342,12 @@
 }
 
 /** The limit of requests in a window of 5 s. */
-export function upperBound({ ratePerS = 0, burst = 0 }: Team): number {
-  return (ratePerS * 5 + burst) * 1.1 + 20;
+export function upperBound({ requestsPerSecond = 0, burst = 0 }: Team): number {
+  return (requestsPerSecond * 5 + burst) * 1.1 + 20;
 }
 
-export function teamOf(name: string, ratePerS: number, burst = 0): Team {
-  return { kind: 'team', name, keyDigests: [], ratePerS, burst };
+export function teamOf(name: string, requestsPerSecond: number, burst = 0): Team {
+  return { kind: 'team', name, keyDigests: [], requestsPerSecond, burst };
 }
 
 function isLater(member: Member, known: Roster): boolean {
--- a/src/test/quota/shared_quota_test.ts
+++ b/src/test/quota/shared_quota_test.ts
@@ -8,19 +8,19 @@
 const MIN_USED = 0.98;
 
 describe('the quota of a team over 60 processes', () => {
-  for (const ratePerS of [3, 16, 100, 441]) {
-    for (const burst of [0, ratePerS]) {
-      it(`is used in full at ${ratePerS} requests a second, burst ${burst}`, async () => {
-        const team = teamOf('clinic', ratePerS, burst);
+  for (const requestsPerSecond of [3, 16, 100, 441]) {
+    for (const burst of [0, requestsPerSecond]) {
+      it(`is used in full at ${requestsPerSecond} requests a second, burst ${burst}`, async () => {
+        const team = teamOf('clinic', requestsPerSecond, burst);
         const fleet = new QuotaFleet({ seed: SEED, teams: [team] });
-        fleet.loads = [{ team: 'clinic', perS: 2 * ratePerS }];
+        fleet.loads = [{ team: 'clinic', perS: 2 * requestsPerSecond }];
         // Tokens in stock, up to the capacity, are used later: that is much of a short time.
-        const seconds = ratePerS < 20 ? 100 : 20;
+        const seconds = requestsPerSecond < 20 ? 100 : 20;
         await fleet.advance(3_000 + seconds * 1_000);
         fleet.stop();
         // Single requests are a large part of the quota of a small team.
         const used = fleet.rate('clinic', 3_000, fleet.elapsed) + 1 / seconds;
-        expect(used / ratePerS).to.be.at.least(MIN_USED);
+        expect(used / requestsPerSecond).to.be.at.least(MIN_USED);
         expect(fleet.peak('clinic')).to.be.at.most(upperBound(team));
       });
     }
@@ -35,7 +35,10 @@
       expect(isReport || QuotaAnswer.safeParse(message).success).to.equal(true);
       checked += 1;
     };
-    fleet.loads = teams.map(({ name, ratePerS }) => ({ team: name, perS: 2 * ratePerS! }));
+    fleet.loads = teams.map(({ name, requestsPerSecond }) => ({
+      team: name,
+      perS: 2 * requestsPerSecond!,
+    }));
     await fleet.advance(2_000);
     fleet.stop();
     expect(checked).to.be.at.least(fleet.names.length);
--- a/src/test/source/note_text_test.ts
+++ b/src/test/source/note_text_test.ts
@@ -25,8 +25,8 @@
       `keyDigests:\n      - |maj3nr26`,
       `keyDigests: [${Array.from({ length: 65 }, () => 'a'.repeat(64)).join()}]`,
       'priority: 10',
-      'ratePerS: .inf',
-      'ratePerS: .nan',
+      'requestsPerSecond: .inf',
+      'requestsPerSecond: .nan',
       'burst: -1',
       'burst: 1000001',
     ];
--- a/src/test/tool/render_teams_test.ts
+++ b/src/test/tool/render_teams_test.ts
@@ -7,9 +7,9 @@
 const KEY_DIGESTS = ['ab'.repeat(32), 'cd'.repeat(32)];
 const USE = { admitted: 900, refused: 12, demandPerS: 41.25, tokens: 9, offlinePerS: 7.35 };
 const TEAMS = [
-  { name: 'globex', keyDigests: [], ratePerS: 3 },
-  { name: 'acme', keyDigests: KEY_DIGESTS, priority: 8, ratePerS: 441, burst: 441 },
-  { name: 'initech', keyDigests: KEY_DIGESTS, ratePerS: 0, burst: 5 },
+  { name: 'globex', keyDigests: [], requestsPerSecond: 3 },
+  { name: 'acme', keyDigests: KEY_DIGESTS, priority: 8, requestsPerSecond: 441, burst: 441 },
+  { name: 'initech', keyDigests: KEY_DIGESTS, requestsPerSecond: 0, burst: 5 },
 ].map((team) => Resource.parse({ kind: 'team', ...team }));
 
 describe('renderTeams', () => {
--- a/src/tool/render_teams.ts
+++ b/src/tool/render_teams.ts
@@ -14,20 +14,20 @@
   return table([HEADINGS, ...teams.map(rowOf)]).join('\n');
 }
 
-function rowOf({ name, keys, priority, ratePerS, burst, usage }: TeamStatus): string[] {
+function rowOf({ name, keys, priority, requestsPerSecond, burst, usage }: TeamStatus): string[] {
   return [
     name,
-    ...[keys, priority, ratePerS, burst, usage?.admitted, usage?.refused].map(numberText),
+    ...[keys, priority, requestsPerSecond, burst, usage?.admitted, usage?.refused].map(numberText),
     ...[usage?.demandPerS, usage?.tokens, usage?.offlinePerS].map(numberText),
-    shareText(usage?.offlinePerS, ratePerS),
+    shareText(usage?.offlinePerS, requestsPerSecond),
     usage ? contactText(usage.isInContact) : NONE,
   ];
 }
 
 /** The part of the quota that the process may use while it is out of contact, in percent. */
-function shareText(offlinePerS: number | undefined, ratePerS: number | undefined): string {
-  if (offlinePerS === undefined || !ratePerS) return NONE;
-  return `${numberText((offlinePerS / ratePerS) * PERCENT)}%`;
+function shareText(offlinePerS: number | undefined, requestsPerSecond: number | undefined): string {
+  if (offlinePerS === undefined || !requestsPerSecond) return NONE;
+  return `${numberText((offlinePerS / requestsPerSecond) * PERCENT)}%`;
 }
 
 function contactText(isInContact: boolean): string {
