Log which requests a stop cuts, and what is open when the port closes

An incident: a request ended without an answer as its process stopped, and no line of any process named it. `stopped` counted such requests only.

- `unfinished`: one line for each request that the end of the process cuts, after the decisions about it, with the status if the answer had begun.
- `port-closed`: requests in flight, open connections, and how many of them have brought no request yet.
- `explain` names such a stop as the cause.

No decision changes.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -129,6 +129,7 @@
     this.control.endpointLease.startDraining();
     await clock.sleepUntil(closeAt);
     this.entry.tracker.stopAccepting();
+    this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
     await this.entry.tracker.waitUntilIdle(deadline);
     await this.guard.tracker.waitUntilIdle(deadline);
     await this.#logStopped();
@@ -227,12 +228,13 @@
     return new OperatorsPort({ ...parts, metrics, methods: operatorMethods(parts) });
   }
 
-  /** Logs how many requests the stop cuts, for whoever traces one of them, and drains the log. */
+  /** Logs which requests the stop cuts, and drains the log. */
   async #logStopped(): Promise<void> {
     const { clock } = this.dependencies;
     const inFlight = this.entry.tracker.inFlight + this.guard.tracker.inFlight;
-    this.#records.flush();
-    this.#log.record('info', { event: 'stopped', inFlight });
+    const { connections } = this.entry.tracker.counts;
+    this.#records.logEnd();
+    this.#log.record('info', { event: 'stopped', inFlight, connections });
     await this.#log.drain(clock.now() + LOG_DRAIN_TIMEOUT_MS);
   }
 
--- a/src/daemon/request_records.ts
+++ b/src/daemon/request_records.ts
@@ -36,8 +36,10 @@
     return this.entryLog.leftOut + this.guardLog.leftOut;
   }
 
-  /** Logs the counts that are not logged yet. */
-  flush(): void {
+  /** Logs, as the process ends, the counts that are not logged yet and each request that is cut. */
+  logEnd(): void {
     this.#tally.flush();
+    this.entryLog.writeUnfinished('entry');
+    this.guardLog.writeUnfinished('guard');
   }
 }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -107,6 +107,16 @@
     leavingMs: z.number().optional(),
     ...EndFields,
   }),
+  z.object({
+    /** The process ended before the request did; the decisions before it say where it stood. */
+    event: z.literal('unfinished'),
+    hop: z.enum(['entry', 'guard']),
+    route: z.string().optional(),
+    upstream: z.string().optional(),
+    /** Status of the response if its head had been sent. */
+    status: z.number().optional(),
+    tookMs: z.number(),
+  }),
 ]);
 export type RequestEvent = z.infer<typeof RequestEvent>;
 
@@ -124,7 +134,21 @@
     reason: z.string(),
   }),
   z.object({ event: z.literal('stopping') }),
-  z.object({ event: z.literal('stopped'), inFlight: z.number() }),
+  z.object({
+    /** A stopping process has closed the port for callers; connections that are open may be used. */
+    event: z.literal('port-closed'),
+    inFlight: z.number(),
+    connections: z.number(),
+    /** How many of these have brought no request yet. */
+    unused: z.number(),
+  }),
+  z.object({
+    event: z.literal('stopped'),
+    /** Requests that the stop cuts; each has a line `unfinished`. */
+    inFlight: z.number(),
+    /** Open connections of callers. */
+    connections: z.number().optional(),
+  }),
   z.object({
     /** Ended by an uncaught exception; always the last line. */
     event: z.literal('ended'),
--- a/src/logs/request_log.ts
+++ b/src/logs/request_log.ts
@@ -19,6 +19,7 @@
 const REFUSED_ENDS_PER_SECOND = 200;
 
 type EndEvent = Extract<RequestEvent, { readonly event: 'entry-ended' | 'guard-ended' }>;
+type UnfinishedEvent = Extract<RequestEvent, { readonly event: 'unfinished' }>;
 /** How a request ended at one hop. */
 export type RequestEnd = Pick<
   EndEvent,
@@ -38,6 +39,8 @@
 type Routed = Extract<RequestEvent, { readonly event: 'routed' }>;
 /** Response that was sent to the caller. */
 type SentResponse = Pick<ServerResponse, 'statusCode'>;
+/** Response that may not have been sent yet. */
+type PendingResponse = Pick<ServerResponse, 'statusCode' | 'headersSent'>;
 
 /** State that only the guard knows. */
 export interface GuardState {
@@ -68,6 +71,9 @@
   /** Requests since the start that were not logged because of sampling or the rate limits. */
   leftOut = 0;
 
+  /** Traces of the requests that have not ended. */
+  readonly #unfinished = new Set<Trace>();
+
   constructor(
     private readonly log: Log,
     private readonly clock: Clock,
@@ -80,12 +86,29 @@
   }
 
   /** Begins the trace of a request; `id` is the one that its caller set. */
-  begin(id: string): Trace {
-    return new Trace(id, this.clock, this.log.isEnabled('warn') ? this : undefined, this.onEnded);
+  begin(id: string, response?: PendingResponse): Trace {
+    if (!this.log.isEnabled('warn')) return new Trace(id, this.clock, undefined, this.onEnded);
+    const trace = new Trace(id, this.clock, this, this.onEnded, response);
+    this.#unfinished.add(trace);
+    return trace;
+  }
+
+  /**
+   * Writes the decisions about each request that has not ended, within the rate limits of failures.
+   * Called as the process ends: these requests are cut, and would leave no line.
+   */
+  writeUnfinished(hop: 'entry' | 'guard'): void {
+    for (const trace of this.#unfinished) trace.writeUnfinished(hop);
+    this.#unfinished.clear();
+  }
+
+  /** Forgets a trace that has ended. */
+  forget(trace: Trace): void {
+    this.#unfinished.delete(trace);
   }
 
   /** Writes the decisions about a request that has ended, within the sampling and rate limits. */
-  write(id: string, decisions: readonly Decision[], ended: EndEvent): void {
+  write(id: string, decisions: readonly Decision[], ended: EndEvent | UnfinishedEvent): void {
     const level = levelOf(ended);
     if (!this.log.isEnabled(level)) return;
     const isRoutine = level === 'debug';
@@ -128,6 +151,7 @@
     private readonly clock: Clock,
     private readonly log: RequestLog | undefined,
     private readonly onEnded: (ended: RequestEnd) => void,
+    private readonly response?: PendingResponse,
   ) {
     this.startedAt = clock.now();
   }
@@ -188,6 +212,19 @@
     });
   }
 
+  /** Writes the decisions about a request that the end of the process cuts. */
+  writeUnfinished(hop: UnfinishedEvent['hop']): void {
+    const unfinished: UnfinishedEvent = {
+      event: 'unfinished',
+      hop,
+      ...this.destination,
+      ...(this.response?.headersSent && { status: this.response.statusCode }),
+      tookMs: Math.round(this.clock.now() - this.startedAt),
+    };
+    this.add(unfinished);
+    this.log?.write(this.id, this.#decisions, unfinished);
+  }
+
   #end(part: Omit<EndEvent, 'tookMs'>): void {
     const now = this.clock.now();
     const tookMs = Math.round(now - this.startedAt);
@@ -202,6 +239,7 @@
     } as EndEvent;
     this.add(ended);
     this.log?.write(this.id, this.#decisions, ended);
+    this.log?.forget(this);
     this.onEnded(ended);
   }
 }
@@ -220,8 +258,8 @@
   return new RequestLog(new SilentLog(), clock);
 }
 
-function levelOf(ended: EndEvent): Level {
-  return isServed(ended) ? 'debug' : 'warn';
+function levelOf(ended: EndEvent | UnfinishedEvent): Level {
+  return ended.event !== 'unfinished' && isServed(ended) ? 'debug' : 'warn';
 }
 
 /** Whether the caller got a complete response that is not a 5xx of the upstream instance. */
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -109,7 +109,7 @@
     if (!this.tracker.track(response)) return;
     this.#clientErrors.track(request, response);
     const id = this.dialect.requestIdOf(request.headers) ?? this.#nextId();
-    const trace = this.requestLog.begin(id);
+    const trace = this.requestLog.begin(id, response);
     let routed: RoutedRequest | undefined;
     try {
       routed = this.#route(request, response, trace);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -142,7 +142,8 @@
     if (!this.tracker.track(response)) return;
     response.writeProcessing();
     const exchange = headerOf(request, EXCHANGE_ID) ?? '';
-    const trace = this.requestLog.begin(this.dialect.requestIdOf(request.headers) ?? exchange);
+    const id = this.dialect.requestIdOf(request.headers) ?? exchange;
+    const trace = this.requestLog.begin(id, response);
     try {
       const guardRequest = this.#admit({ request, response, trace, at: this.clock.now() });
       // Checked before it takes a slot, which would be idle during the check.
--- a/src/test/logs/request_log_test.ts
+++ b/src/test/logs/request_log_test.ts
@@ -126,4 +126,17 @@
     trace.failed('entry-ended', { statusCode: 200 }, OVERLOADED, true);
     expect(log.lines[0]?.event).to.deep.include({ verdict: 'cut', status: 200 });
   });
+
+  // Guards against requests that a stop cuts without a trace: nobody could say which ones, and where they stood.
+  it('writes the decisions about the requests that have not ended', () => {
+    const log = new MemoryLog('warn');
+    const requests = logOf(log);
+    requests.begin('done', { statusCode: 200, headersSent: true }).answered('entry-ended', {
+      statusCode: 200,
+    });
+    requests.begin('sent', { statusCode: 200, headersSent: false }).add(RESENT);
+    requests.begin('begun', { statusCode: 206, headersSent: true });
+    requests.writeUnfinished('entry');
+    expect(log.events).toMatchSnapshot();
+  });
 });
--- a/src/test/tool/explain/explain_test.ts
+++ b/src/test/tool/explain/explain_test.ts
@@ -123,6 +123,21 @@
     expect(renderTimeline(buildTimeline('r-9', { lines, unreadable: 3 }))).toMatchSnapshot();
   });
 
+  // Guards against a request that a stop has cut and of which nobody can say where it stood.
+  it('says where a request stood that a stop has cut', () => {
+    const cut = { id: 'r-1', event: 'unfinished', hop: 'entry', tookMs: 41 };
+    const texts = [
+      line('arima-1', 0, { id: 'r-1', ...ROUTED }),
+      line('arima-1', 1, { id: 'r-1', ...SENT }),
+      line('arima-1', 41, cut),
+      line('arima-1', 41, { ...cut, id: 'r-2', status: 200 }),
+    ];
+    const causes = ['r-1', 'r-2'].map((id) =>
+      renderTimeline(buildTimeline(id, { lines: linesOf(texts), unreadable: 0 })),
+    );
+    expect(causes).toMatchSnapshot();
+  });
+
   // Guards against a timeline that does not say why a non-repeatable request was not retried.
   it('explains why a request that may have run was not retried', () => {
     const texts = [
--- a/src/tool/explain/cause.ts
+++ b/src/tool/explain/cause.ts
@@ -43,7 +43,7 @@
 /** States explicitly what the lines do not show, such as a missing end of the request. */
 export function causeOf(timeline: RequestTimeline): string {
   const ended = findLastLine(timeline, 'entry-ended');
-  if (!ended) return missingEndText(timeline);
+  if (!ended) return unfinishedText(timeline) ?? missingEndText(timeline);
   if (ended.verdict === 'ran') return answerText(ended, timeline);
   const parts = [
     `${endText(ended)}.`,
@@ -120,6 +120,21 @@
   return [...new Set(found)];
 }
 
+/** What is known of a request that was cut by the stop of the process that its caller had sent it to. */
+function unfinishedText({ lines }: RequestTimeline): string | undefined {
+  const cut = lines.findLast(
+    (line): line is LineOf<'unfinished'> => line.event === 'unfinished' && line.hop === 'entry',
+  );
+  if (!cut) return undefined;
+  const { instance, status, tookMs } = cut;
+  const sent = lines.findLast((line): line is LineOf<'sent'> => line.event === 'sent');
+  const sentText = sent
+    ? `it had been sent to ${sent.endpoint}`
+    : 'no line says that it had been sent on';
+  const where = status === undefined ? sentText : `response ${status} had begun`;
+  return `${instance} stopped ${tookMs} ms after it had accepted the request: ${where}.`;
+}
+
 function missingEndText({ lines, dropped }: RequestTimeline): string {
   const droppedText =
     dropped > 0 ? `${dropped} log lines were dropped` : 'no dropped log lines were reported';
