--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -25,7 +25,7 @@
 /** A Node program running as a child process. */
 export class Program implements AsyncDisposable {
   private constructor(
-    private readonly child: ChildProcess,
+    readonly child: ChildProcess,
     readonly ports: Ports,
   ) {}
 
--- a/src/test/daemon/stop_test.ts
+++ b/src/test/daemon/stop_test.ts
@@ -1,39 +1,13 @@
 import { once } from 'node:events';
 import { Agent } from 'node:http';
 import { expect } from 'chai';
-import { Fleet, type FleetNode } from '../../bench/fleet.js';
-import { ReleaseNote } from '../../contracts.js';
+import { type FleetNode } from '../../bench/fleet.js';
 import { MachineClock } from '../../runtime/clock.js';
-import { Client } from '../../tool/client.js';
 import { ask } from '../requests/test_path.js';
+import { startBookingFleet } from './booking_fleet.js';
 
 const clock = new MachineClock();
 const LONG_MS = 10_000;
-const NOTE = ReleaseNote.parse({
-  id: 'opening',
-  author: 'dana',
-  add: {
-    upstreams: [{ name: 'bookings' }],
-    routes: [{ name: 'seats', pathPrefix: '/seats', upstream: 'bookings', repeatable: false }],
-  },
-});
-
-async function startFleet(): Promise<Fleet> {
-  const upstreams = ['bookings', 'bookings'];
-  const fleet = await Fleet.start(clock, { dataCentres: ['arima'], upstreams });
-  const [first] = fleet.nodes;
-  const knowsBothEndpoints = ({ instance }: FleetNode) =>
-    instance.isReady &&
-    instance.roster.live().filter((member) => member.endpoint?.state === 'ready').length === 2;
-  const deadline = clock.now() + LONG_MS;
-  await fleet.waitUntil(() => fleet.nodes.every(knowsBothEndpoints), deadline);
-  await new Client(`127.0.0.1:${first!.instance.operatorsPort}`).call('submit', NOTE);
-  await fleet.waitUntil(
-    () => fleet.nodes.every(({ instance }) => instance.replica.current.number === 1),
-    deadline,
-  );
-  return fleet;
-}
 
 const book = (port: number, id: string, agent?: Agent) =>
   ask(port, { path: '/seats', method: 'POST', headers: { 'x-request': id }, body: 'x', agent });
@@ -42,7 +16,7 @@
   // Guards against a stop that cuts or refuses requests: callers keep sending through both processes
   // while one with bookings in flight stops. Its upstream instance must start no later booking.
   it('finishes requests in flight and starts no new ones upstream', async () => {
-    await using fleet = await startFleet();
+    await using fleet = await startBookingFleet(clock);
     const [leaving, staying] = fleet.nodes as [FleetNode, FleetNode];
     const { callerPort } = leaving.instance;
     const agent = new Agent({ keepAlive: true });
@@ -71,7 +45,7 @@
   // Guards against a stop that waits forever for an upstream that does not respond; the caller must
   // see a closed connection, never a partial response that looks complete.
   it('waits no longer than its deadline', async () => {
-    await using fleet = await startFleet();
+    await using fleet = await startBookingFleet(clock);
     const [leaving] = fleet.nodes as [FleetNode];
     for (const { upstream } of fleet.nodes) upstream.delayMs = LONG_MS * 6;
     const cut = book(leaving.instance.callerPort, 'stuck').then(
