Wait at a stop for what open connections may still bring

Cause: a stop waited until nothing was in flight at one instant after the port had closed, and then exited within 200 ms, while connections that had been accepted before could still bring a request: new ones, whose first request comes a round trip later, and those whose response was not complete as the port closed. Responses to requests from before the stop did not say `connection: close` either, so callers went on using such connections. Ruled out for this case: a second signal (it would cut all in flight) and the stop's deadline (3 s later).

Now the end of a connection is announced in each response whose head is not sent yet. Once the port is closed, each connection is closed as it becomes idle, one without any request after 500 ms, and the process ends when none is open: after that nothing can arrive.

Tests of this failed before: no answer; no `connection: close`.

--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -1,10 +1,14 @@
 /** Counts the requests of a server that are in flight, and shuts it down without cutting them off. */
 import { type Server, type ServerResponse } from 'node:http';
-import { type Duplex } from 'node:stream';
+import { Server as NetServer, type Socket } from 'node:net';
 import { type Clock } from '../runtime/clock.js';
-import { GONE } from './disconnect_check.js';
 import { TrackedConnection } from './tracked_connection.js';
 
+/** How often requests and connections are checked during a shutdown, in milliseconds. */
+const POLL_INTERVAL_MS = 10;
+/** Time for the first request of a connection that was accepted before the port closed, in ms. */
+const FIRST_REQUEST_MS = 500;
+
 /** What is open at a server. */
 export interface TrackerCounts {
   readonly inFlight: number;
@@ -13,22 +17,25 @@
   readonly unused: number;
 }
 
-/** How often the count is checked during a shutdown, in milliseconds. */
-const POLL_INTERVAL_MS = 10;
-
 export class RequestTracker {
   #inFlight = 0;
 
   /** The open connections. */
-  readonly #connections = new Map<Duplex, TrackedConnection>();
+  readonly #connections = new Map<Socket, TrackedConnection>();
 
   #isShuttingDown = false;
 
+  /**
+   * Until when connections without any request stay open, in milliseconds since the epoch; undefined
+   * while the port is open.
+   */
+  #unusedUntil: number | undefined;
+
   constructor(
     private readonly server: Server,
     private readonly clock: Clock,
   ) {
-    server.on('connection', (socket: Duplex) => this.#open(socket));
+    server.on('connection', (socket: Socket) => this.#open(socket));
   }
 
   /** Number of requests whose response is not completely written yet. */
@@ -40,7 +47,6 @@
     return this.#isShuttingDown;
   }
 
-  /** Requests in flight, open connections, and how many of these have brought no request yet. */
   get counts(): TrackerCounts {
     const connections = [...this.#connections.values()];
     return {
@@ -52,52 +58,48 @@
 
   /**
    * Counts a request until its response is completely written or its connection has closed. Returns
-   * false if an earlier response ends the connection: the request would never get a response, so it
-   * must not run.
+   * false if the connection ends before its response: the request must not run.
    */
   track(response: ServerResponse): boolean {
-    this.#inFlight += 1;
     const { socket } = response.req;
     const connection = this.#connections.get(socket) ?? this.#open(socket);
+    if (connection.isClosing) return false;
     const before = connection.latest;
     const isOpen = before !== undefined && !before.writableFinished && !before.destroyed;
-    if (isOpen && before.headersSent && endsConnection(before)) {
-      this.#inFlight -= 1;
-      return false;
-    }
+    if (isOpen && before.headersSent && endsConnection(before)) return false;
     // Only the response to the latest request on a connection may end it.
     if (isOpen && !before.headersSent) before.removeHeader('connection');
-    if (!before) notifyUnfinished(connection);
-    connection.latest = response;
-    connection.unfinished.add(response);
+    this.#inFlight += 1;
+    connection.add(response);
     response.once('close', () => {
       this.#inFlight -= 1;
-      connection.unfinished.delete(response);
     });
-    if (this.#isShuttingDown) response.setHeader('connection', 'close');
+    if (this.#isShuttingDown) connection.announceEnd();
     return true;
   }
 
-  #open(socket: Duplex): TrackedConnection {
-    const connection = new TrackedConnection(socket);
-    this.#connections.set(socket, connection);
-    socket.once('close', () => this.#connections.delete(socket));
-    return connection;
-  }
-
-  /** From now on, each response asks the other end to close its connection. */
+  /** From now on, each response whose head is not sent yet announces the end of its connection. */
   beginShutdown(): void {
     this.#isShuttingDown = true;
+    for (const connection of this.#connections.values()) connection.announceEnd();
   }
 
-  /** Accepts no new connections and closes idle ones. */
+  /**
+   * Accepts no new connections. From now on, `waitUntilIdle` also closes the open ones: each as soon
+   * as it has no request in flight, so that none can bring a request that nobody waits for.
+   */
   stopAccepting(): void {
-    this.server.close();
+    this.#unusedUntil = this.clock.now() + FIRST_REQUEST_MS;
+    // The method of HTTP servers would also destroy idle connections, on which a request may be arriving.
+    NetServer.prototype.close.call(this.server);
   }
 
-  /** Resolves when no request is in flight, or at the deadline; true if none was left. */
+  /**
+   * Resolves when no request is in flight, or at the deadline; true if none was left. With the port
+   * closed, all connections have ended by then as well, so that no further request can arrive.
+   */
   async waitUntilIdle(deadline: number): Promise<boolean> {
-    while (this.#inFlight > 0) {
+    while (!this.#isIdle()) {
       const now = this.clock.now();
       if (now >= deadline) return false;
       await this.clock.sleepUntil(Math.min(deadline, now + POLL_INTERVAL_MS));
@@ -110,27 +112,21 @@
     this.server.close();
     this.server.closeAllConnections();
   }
-}
 
-/**
- * On the end of a connection, Node notifies only the response being written. Pipelined ones behind
- * it would count for ever: their requests would run on for nobody, and a shutdown would always last
- * until its deadline. Called at the first request, so that Node notifies its response first.
- */
-function notifyUnfinished({ socket, unfinished }: TrackedConnection): void {
-  // The server sends no further responses on a connection that its caller has ended.
-  socket.once('end', () => {
-    for (const response of [...unfinished]) if (!response.writableEnded) response.emit(GONE);
-  });
-  socket.once('close', () => {
-    for (const response of [...unfinished]) if (response.socket === null) closeUnsent(response);
-  });
-}
+  #open(socket: Socket): TrackedConnection {
+    const connection = new TrackedConnection(socket);
+    this.#connections.set(socket, connection);
+    socket.once('close', () => this.#connections.delete(socket));
+    return connection;
+  }
 
-/** Closes a response that was still queued; Node only marks it as destroyed and emits no `close`. */
-function closeUnsent(response: ServerResponse): void {
-  response.destroy();
-  response.emit('close');
+  #isIdle(): boolean {
+    if (this.#unusedUntil === undefined) return this.#inFlight === 0;
+    const now = this.clock.now();
+    for (const connection of this.#connections.values())
+      connection.closeIfIdle(now, this.#unusedUntil);
+    return this.#connections.size === 0;
+  }
 }
 
 /** Whether the connection ends after that response. */
