Do not let the end of a connection discard the response before it

A caller that reads slowly and sends a request behind the last response of its connection lost the end of that response: with the connection closed, the system answers the request with a reset, which discards what is not read yet.

During a shutdown only this side is closed, so the caller sees the end of the connection behind the whole response; what it still sends is read and dropped for 300 ms.

--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -81,7 +81,10 @@
   /** From now on, each response whose head is not sent yet announces the end of its connection. */
   beginShutdown(): void {
     this.#isShuttingDown = true;
-    for (const connection of this.#connections.values()) connection.announceEnd();
+    for (const [socket, connection] of this.#connections) {
+      connection.announceEnd();
+      this.#closeGracefully(socket, connection);
+    }
   }
 
   /**
@@ -117,9 +120,16 @@
     const connection = new TrackedConnection(socket);
     this.#connections.set(socket, connection);
     socket.once('close', () => this.#connections.delete(socket));
+    if (this.#isShuttingDown) this.#closeGracefully(socket, connection);
     return connection;
   }
 
+  /** Node calls `destroySoon` after a response that announces the end of its connection. */
+  #closeGracefully(socket: Socket, connection: TrackedConnection): void {
+    // eslint-disable-next-line no-param-reassign -- the only way to change how Node's server closes
+    socket.destroySoon = () => connection.close(this.clock.now());
+  }
+
   #isIdle(): boolean {
     if (this.#unusedUntil === undefined) return this.#inFlight === 0;
     const now = this.clock.now();
--- a/src/test/daemon/stop_connections_test.ts
+++ b/src/test/daemon/stop_connections_test.ts
@@ -10,6 +10,9 @@
 /** More than the buffers between a process and a caller that does not read hold. */
 const LARGE_BYTES = 32 * 1024 * 1024;
 
+/** Held by the buffers between a process and a caller that does not read, but not by the caller's alone. */
+const BUFFERED_BYTES = 2 * 1024 * 1024;
+
 describe('Instance.stop, callers with open connections', () => {
   let fleet: Fleet;
   let leaving: FleetNode;
@@ -120,4 +123,22 @@
     expect(caller.statuses).to.deep.equal([200]);
     expect(received.length).to.be.greaterThan(LARGE_BYTES);
   });
+
+  // Guards against a reset that discards what a caller has not read, because it sends a request behind it.
+  it('does not cut a response by a request behind it that it does not take', async () => {
+    using caller = await connect();
+    const { tracker } = leaving.instance.entry;
+    const ended = end();
+    await until(() => tracker.isShuttingDown);
+    caller.send({ path: '/menus', id: 'large', headers: { 'x-bytes': String(BUFFERED_BYTES) } });
+    await until(() => caller.received.length > 0);
+    caller.pause();
+    await until(() => tracker.inFlight === 0);
+    caller.send({ path: '/menus', id: 'behind' });
+    await until(isPortClosed);
+    caller.resume();
+    await ended;
+    expect((await caller.closed).length).to.be.greaterThan(BUFFERED_BYTES);
+    expect([caller.statuses, runs('behind')]).to.deep.equal([[200], 0]);
+  });
 });
