Refuse late in a stop what may not end before the process does

A caller on a connection that was in use since before the stop sent a request after the port had closed; it was run, and cut as the process ended (3.0 to 3.9 s after SIGTERM in the trials beside the issue).

Cause: only the route and the caller bounded the time of a request, not the end of the process. Once the port is closed, a request whose deadline lies beyond that end is refused at once with 503 and reason `stopping`, which is true: it was not sent anywhere. Those that end in time are still served: refusing all of them was weighed and would turn away most, as few have a deadline that late.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -128,7 +128,7 @@
     this.guard.beginShutdown();
     this.control.endpointLease.startDraining();
     await clock.sleepUntil(closeAt);
-    this.entry.tracker.stopAccepting();
+    this.entry.tracker.stopAccepting(deadline);
     this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
     await this.entry.tracker.waitUntilIdle(deadline);
     await this.guard.tracker.waitUntilIdle(deadline);
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -156,10 +156,18 @@
       ...(firstAt < now && { waitedMs: Math.round(now - firstAt) }),
       isRepeatable,
     });
+    this.#checkShutdown(routed);
     this.#checkQuarantine(routed);
     return routed;
   }
 
+  /** Throws `stopping` for a request that the end of this process might cut while it runs. */
+  #checkShutdown({ deadline }: RoutedRequest): void {
+    if (this.tracker.canFinish(deadline)) return;
+    const now = this.clock.now();
+    throw notRun('stopping', 'this process stops before the request has to end', now);
+  }
+
   /** Throws `quota` if the team of the caller is at its limit. */
   async #takeQuota(routed: RoutedRequest): Promise<void> {
     const { team } = routed;
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -25,6 +25,7 @@
   overloaded: 503,
   shed: 503,
   draining: 503,
+  stopping: 503,
   quarantined: 503,
   'store-unavailable': 503,
   deadline: 504,
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -6,6 +6,8 @@
 
 /** How often requests and connections are checked during a shutdown, in milliseconds. */
 const POLL_INTERVAL_MS = 10;
+/** Time after the deadline of a request until its response is written, in milliseconds. */
+const RESPONSE_MARGIN_MS = 100;
 /** Time for the first request of a connection that was accepted before the port closed, in ms. */
 const FIRST_REQUEST_MS = 500;
 
@@ -31,6 +33,9 @@
    */
   #unusedUntil: number | undefined;
 
+  /** When the process ends, in milliseconds since the epoch; unlimited while the port is open. */
+  #endsAt = Infinity;
+
   constructor(
     private readonly server: Server,
     private readonly clock: Clock,
@@ -89,14 +94,24 @@
 
   /**
    * Accepts no new connections. From now on, `waitUntilIdle` also closes the open ones: each as soon
-   * as it has no request in flight, so that none can bring a request that nobody waits for.
+   * as it has no request in flight, so that none can bring a request that nobody waits for. The
+   * process ends at `endsAt` at the latest, in milliseconds since the epoch.
    */
-  stopAccepting(): void {
+  stopAccepting(endsAt: number): void {
+    this.#endsAt = endsAt;
     this.#unusedUntil = this.clock.now() + FIRST_REQUEST_MS;
     // The method of HTTP servers would also destroy idle connections, on which a request may be arriving.
     NetServer.prototype.close.call(this.server);
   }
 
+  /**
+   * Whether a request that arrives now and ends by `deadline` ends before the process does. With the
+   * port open it is taken in any case: its caller could only send it to the same port again.
+   */
+  canFinish(deadline: number): boolean {
+    return deadline + RESPONSE_MARGIN_MS <= this.#endsAt;
+  }
+
   /**
    * Resolves when no request is in flight, or at the deadline; true if none was left. With the port
    * closed, all connections have ended by then as well, so that no further request can arrive.
--- a/src/tool/explain/cause.ts
+++ b/src/tool/explain/cause.ts
@@ -15,6 +15,7 @@
   overloaded: 'no slot would have become free in time',
   shed: 'the upstream instance itself was at capacity',
   draining: 'the upstream instance or its guard was shutting down',
+  stopping: 'the process that its caller had sent it to was about to end',
   deadline: 'no response arrived within the timeout of the caller or the route',
   cancelled: 'the caller disconnected first',
   unreachable: 'no connection to the guard of the upstream instance could be made',
