Keep a process alive that is told to stop twice, or before it has started

Callers of a process of the platform with two requests in flight lost both when it got SIGTERM, and SIGTERM again 200 ms later: stops overlap, as a machine is restarted while it is being removed.

Cause: the handler was registered with `once`, after the ports were open, so the second signal, and one during the start, had the default effect. Now the signal is taken over first of all and for good; repeats write a line. The time that a stop may take counts from the signal, not from the moment at which the process gets to it.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -12,6 +12,7 @@
 import { EXIT_OK, EXIT_SETTINGS } from './exit.js';
 import { exitOnUncaughtException } from './uncaught_exception.js';
 import { Instance } from './instance.js';
+import { StopSignal } from './stop_signal.js';
 import { FLAG_HELP, flagName, readSettings, type Settings, SettingsError } from './settings.js';
 
 /** Resolves to the exit code: 0 after a requested stop or `--help`, 2 for invalid settings. */
@@ -34,20 +35,23 @@
 }
 
 async function serve(settings: Settings): Promise<void> {
-  exitOnUncaughtException(settings.instance);
   const clock = new MachineClock();
+  const stopSignal = new StopSignal(clock);
+  exitOnUncaughtException(settings.instance);
   await using platform = new HttpPlatform(new URL(settings.platform), clock);
   const codec = codecFor(settings);
   const random = new MachineRandom();
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  stopSignal.onRepeat = () => log.record('info', { event: 'stop-repeated' });
   const dependencies = { platform, clock, random, codec, log };
   await using instance = await Instance.start(settings, dependencies);
   const { callerPort, operatorsPort } = instance;
   const { linkPort, guardPort } = instance.roster.self;
   const ports = { callerPort, guardPort, linkPort, operatorsPort };
   process.stdout.write(`${JSON.stringify({ event: 'listening', ...ports })}\n`);
-  await Promise.race([once(process, 'SIGTERM'), once(process, 'SIGINT')]);
-  await instance.stop(clock.now() + settings.stopMs);
+  const interrupted = once(process, 'SIGINT').then(() => clock.now());
+  const stoppedAt = await Promise.race([stopSignal.received, interrupted]);
+  await instance.stop(stoppedAt + settings.stopMs);
 }
 
 function codecFor({ codec, profile }: Settings): Codec {
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -134,6 +134,10 @@
     reason: z.string(),
   }),
   z.object({ event: z.literal('stopping') }),
+  z.object({
+    /** A stopping process was told to stop once more, which changes nothing. */
+    event: z.literal('stop-repeated'),
+  }),
   z.object({
     /** A stopping process has closed the port for callers; connections that are open may be used. */
     event: z.literal('port-closed'),
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,9 +1,9 @@
 /** Runs one process of the system on the operators' platform. */
-import { once } from 'node:events';
 import { watchFile } from 'node:fs';
 import { bind } from '../daemon/bind.js';
 import { exitOnUncaughtException } from '../daemon/uncaught_exception.js';
 import { Instance } from '../daemon/instance.js';
+import { StopSignal } from '../daemon/stop_signal.js';
 import { LineLog } from '../logs/log.js';
 import { standardOutput } from '../logs/sink.js';
 import { MsgpackCodec } from '../link/codec.js';
@@ -33,13 +33,15 @@
   environment: NodeJS.ProcessEnv,
   cacheMissReason?: string,
 ): Promise<void> {
+  const clock = new MachineClock();
+  const stopSignal = new StopSignal(clock);
   const path = environment[SETTINGS_VARIABLE] ?? '';
   let file = await readHostFile(path);
   const settings = settingsOf(file);
   exitOnUncaughtException(settings.instance);
-  const clock = new MachineClock();
   const platform = new HttpPlatform(new URL(settings.platform), clock);
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  stopSignal.onRepeat = () => log.record('info', { event: 'stop-repeated' });
   if (cacheMissReason !== undefined)
     log.record('warn', { event: 'uncompiled', reason: cacheMissReason });
   const instance = await Instance.start(settings, {
@@ -66,8 +68,8 @@
   };
   process.on('SIGHUP', onChange);
   watchFile(path, { interval: SETTINGS_POLL_MS, persistent: false }, onChange);
-  await once(process, 'SIGTERM');
-  await instance.stop(clock.now() + settings.stopMs);
+  const stoppedAt = await stopSignal.received;
+  await instance.stop(stoppedAt + settings.stopMs);
   // Open connections end with the process; only the neighbours have to be notified.
   const leaving = instance.control.leave();
   await Promise.race([leaving, clock.sleepUntil(clock.now() + LEAVE_TIMEOUT_MS)]);
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -141,7 +141,7 @@
 
   /** Node calls `destroySoon` after a response that announces the end of its connection. */
   #closeGracefully(socket: Socket, connection: TrackedConnection): void {
-    // eslint-disable-next-line no-param-reassign -- the only way to change how Node's server closes
+    // The only way to change how Node's server closes a connection.
     socket.destroySoon = () => connection.close(this.clock.now());
   }
 
