Add an experiment that stops processes while callers use open connections

`npm run bench -- stops`: processes of the platform's build get SIGTERM in series, two at a time, some of them twice, some with SIGHUP before or paused meanwhile; callers use their connections until the process is gone, some with work of 2.4 to 3.8 s. It counts requests that ran and have no whole response, and judges them by the time at which they were sent.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -12,6 +12,7 @@
 import { Overload } from './experiments/overload.js';
 import { RolloutSimulations } from './experiments/rollout.js';
 import { Slopes } from './experiments/slopes.js';
+import { Stops } from './experiments/stops.js';
 import { replayCommand } from './replay/command.js';
 import { StealTime } from './steal_time.js';
 
@@ -29,6 +30,7 @@
   new Overload(clock),
   new Slopes(clock),
   new Cold(clock),
+  new Stops(clock),
   new RolloutSimulations(clock),
 ];
 
--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -4,6 +4,7 @@
  */
 import { spawn } from 'node:child_process';
 import { once } from 'node:events';
+import { type Agent } from 'node:http';
 import { mkdtemp, readFile, rm } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -19,7 +20,7 @@
   applyConfiguration,
   writeSettings,
 } from '../standins/mesh_machine.js';
-import { MeshUpstream, type MeshUpstreamOptions } from '../standins/mesh_upstream.js';
+import { MeshUpstream, type MeshUpstreamOptions, WORK_HEADER } from '../standins/mesh_upstream.js';
 import { PlatformServer } from '../standins/platform_server.js';
 import { sendRequest } from './http_client.js';
 import { Program } from './processes.js';
@@ -31,6 +32,13 @@
   readonly routes: number;
 }
 
+export interface SendOptions {
+  /** A new connection for each request when absent. */
+  readonly agent?: Agent;
+  /** Time that the upstream instance works on it, in milliseconds; that of all requests when absent. */
+  readonly workMs?: number;
+}
+
 const STORE_CALL_TIMEOUT_MS = 5_000;
 const READY_TIMEOUT_MS = 90_000;
 const POLL_MS = 100;
@@ -103,15 +111,37 @@
 
   /** Sends one request to the entry of machine `index`; resolves to whether it got status 200. */
   async call(index: number, route: number): Promise<boolean> {
-    const { services } = this.options;
     this.#requestCount += 1;
+    return (await this.send(index, route, `call-${this.#requestCount}`)) === OK;
+  }
+
+  /** Sends a request with that id; resolves to the status, and rejects without a whole response. */
+  async send(index: number, route: number, id: string, how: SendOptions = {}): Promise<number> {
+    const { services } = this.options;
+    const { agent, workMs } = how;
+    const work = workMs === undefined ? {} : { [WORK_HEADER]: workMs };
     const { status } = await sendRequest({
       host: this.machines[index]!.host,
       port: PORTS.outbound,
-      path: `/${services[route % services.length]}/${route}/${this.#requestCount}`,
-      headers: callHeaders(`call-${this.#requestCount}`),
+      path: `/${services[route % services.length]}/${route}/${id}`,
+      headers: { ...callHeaders(id), ...work },
+      ...(agent && { agent }),
     });
-    return status === OK;
+    return status;
+  }
+
+  /** Whether an upstream instance has begun to work on the request with that id. */
+  hasRun(id: string): boolean {
+    return this.upstreams.some(({ workEndsAt }) => workEndsAt.has(id));
+  }
+
+  /** Until when upstream instances work on that request, in milliseconds since the epoch. */
+  workEndsAt(id: string): number {
+    return Math.max(...this.upstreams.map(({ workEndsAt }) => workEndsAt.get(id) ?? 0));
+  }
+
+  get routeCount(): number {
+    return this.options.routes;
   }
 
   /** Kills the process of machine `index` and starts it again; its upstream instance keeps running. */
--- a/src/standins/mesh_upstream.ts
+++ b/src/standins/mesh_upstream.ts
@@ -14,6 +14,8 @@
 
 const REPORT_EVERY_MS = 1_500;
 const SLOTS = 13;
+/** Header in which a test or experiment tells how long a request takes, in milliseconds. */
+export const WORK_HEADER = 'x-work-ms';
 
 export interface MeshUpstreamOptions {
   /** Delay before each response, in milliseconds. */
@@ -29,6 +31,9 @@
   /** Instants at which requests arrived, health checks aside, in milliseconds since the epoch. */
   readonly arrivals: number[] = [];
 
+  /** Instants until which it works on requests, by their ids, in milliseconds since the epoch. */
+  readonly workEndsAt = new Map<string, number>();
+
   readonly #server: Server;
 
   readonly #stopping = new AbortController();
@@ -67,8 +72,11 @@
 
   async #answer(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
     incoming.resume();
-    if (incoming.url !== HEALTH_PATH) this.arrivals.push(this.clock.now());
-    await this.clock.sleepUntil(this.clock.now() + this.options.delayMs);
+    const now = this.clock.now();
+    const endsAt = now + Number(incoming.headers[WORK_HEADER] ?? this.options.delayMs);
+    if (incoming.url !== HEALTH_PATH) this.arrivals.push(now);
+    this.workEndsAt.set(String(incoming.headers['barleyhaven-request-id']), endsAt);
+    await this.clock.sleepUntil(endsAt);
     response.writeHead(200, {
       'content-length': this.#body.length,
       'barleyhaven-request-id': incoming.headers['barleyhaven-request-id'] ?? '',
