Keep the port for callers open while the instance beside a stopping process works

Found while looking for the cause of the lost request elsewhere. An instance that works on a request may make calls through the process beside it. The port of that process closed 2.5 s after SIGTERM whatever the instance did, so calls after that were refused a connection, and their request failed. A stop waits for the instance anyway; now it does so before it closes the port, not after, up to the last second of its time. Requests that may not end in time are refused from the end of the notice on, as before.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -30,6 +30,8 @@
 import { recordStateChanges } from './state_changes.js';
 import { TcpDialer } from './tcp_dialer.js';
 
+/** Part of a stop that is left for closing the connections of callers, in milliseconds. */
+const CLOSING_MS = 1_000;
 /** How long a stop waits until the buffered log lines are written, in milliseconds. */
 const LOG_DRAIN_TIMEOUT_MS = 100;
 
@@ -116,7 +118,9 @@
    * since the epoch); disposal follows. The ports stay open until other processes and callers know
    * of the stop: a request that arrives while its port closes is lost, and it is unknown whether it
    * ran. Callers learn of it later than other processes do, so the upstream instance keeps working
-   * until the last `drainMs` of the notice.
+   * until the last `drainMs` of the notice. Until then requests are taken in any case: their callers
+   * could only send them to the same port again. The port is still open while the instance works: it
+   * may make calls through it, and its request would fail with them.
    */
   async stop(deadline: number): Promise<void> {
     const { clock } = this.dependencies;
@@ -128,7 +132,9 @@
     this.guard.beginShutdown();
     this.control.endpointLease.startDraining();
     await clock.sleepUntil(closeAt);
-    this.entry.tracker.stopAccepting(deadline);
+    this.entry.tracker.limitTo(deadline);
+    await this.guard.tracker.waitUntilIdle(deadline - CLOSING_MS);
+    this.entry.tracker.stopAccepting();
     this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
     await this.entry.tracker.waitUntilIdle(deadline);
     await this.guard.tracker.waitUntilIdle(deadline);
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -33,7 +33,7 @@
    */
   #unusedUntil: number | undefined;
 
-  /** When the process ends, in milliseconds since the epoch; unlimited while the port is open. */
+  /** When the process ends, in milliseconds since the epoch; unlimited before `limitTo`. */
   #endsAt = Infinity;
 
   constructor(
@@ -92,22 +92,22 @@
     }
   }
 
+  /** From now on, requests are taken only if they end before the process does, at `endsAt`. */
+  limitTo(endsAt: number): void {
+    this.#endsAt = endsAt;
+  }
+
   /**
    * Accepts no new connections. From now on, `waitUntilIdle` also closes the open ones: each as soon
-   * as it has no request in flight, so that none can bring a request that nobody waits for. The
-   * process ends at `endsAt` at the latest, in milliseconds since the epoch.
+   * as it has no request in flight, so that none can bring a request that nobody waits for.
    */
-  stopAccepting(endsAt: number): void {
-    this.#endsAt = endsAt;
+  stopAccepting(): void {
     this.#unusedUntil = this.clock.now() + FIRST_REQUEST_MS;
     // The method of HTTP servers would also destroy idle connections, on which a request may be arriving.
     NetServer.prototype.close.call(this.server);
   }
 
-  /**
-   * Whether a request that arrives now and ends by `deadline` ends before the process does. With the
-   * port open it is taken in any case: its caller could only send it to the same port again.
-   */
+  /** Whether a request that arrives now and ends by `deadline` ends before the process does. */
   canFinish(deadline: number): boolean {
     return deadline + RESPONSE_MARGIN_MS <= this.#endsAt;
   }
