Hand over, before a stop ends, the responses that wait for the uplink

Cause: nothing tells the uplink that the process ends. In the last second of a stop all pieces that wait are now handed to the system, which sends them on after the process has exited. Pacing only keeps small responses from waiting behind large ones, and few are left by then.

A response larger than what the system buffers may still be cut.

--- a/src/admission/uplink.ts
+++ b/src/admission/uplink.ts
@@ -58,7 +58,7 @@
  */
 export class Uplink {
   /** Bytes per millisecond; unknown, and therefore not limited, if undefined. */
-  readonly #rate: number | undefined;
+  #rate: number | undefined;
 
   /** When the link has sent everything handed to it so far, in milliseconds since the epoch. */
   #freeAt = 0;
@@ -139,6 +139,16 @@
     if (this.#rate !== undefined) this.#occupy(bytes);
   }
 
+  /**
+   * Starts all pieces that wait, and paces nothing from now on. Called shortly before the process ends:
+   * what it has handed to the system by then is still sent, and the rest is lost.
+   */
+  release(): void {
+    this.#rate = undefined;
+    clearTimeout(this.#timer);
+    for (const piece of this.#waiting.splice(0)) piece.start();
+  }
+
   /** @internal */
   reserveBytes(bytes: number): void {
     this.#reservedBytes += bytes;
--- a/src/bench/fleet.ts
+++ b/src/bench/fleet.ts
@@ -16,6 +16,8 @@
   readonly delayMs?: number;
   /** Whether the upstream instances announce ids. */
   readonly hasIds?: boolean;
+  /** Rate of the network link of each process, in kilobits per second; unknown when absent. */
+  readonly uplinkKbps?: number;
 }
 
 /** An instance of the daemon with the upstream instance that it serves. */
@@ -64,7 +66,7 @@
     dataCentre: string,
     name: string,
     upstreamName: string,
-    { delayMs = 0, hasIds = false }: FleetOptions,
+    { delayMs = 0, hasIds = false, uplinkKbps }: FleetOptions,
   ): Promise<void> {
     const { clock } = this;
     const [first] = this.nodes;
@@ -79,6 +81,7 @@
         guardPort: 0,
         linkPort: 0,
         operatorsPort: 0,
+        uplinkKbps,
       },
       {},
     );
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -1,5 +1,6 @@
 /** One instance: control plane, entry, guard and operators' port of a process. */
 import { type Server } from 'node:net';
+import { type Uplink } from '../admission/uplink.js';
 import { BytesProfile, ConvergenceProfile } from '../distribution/profile.js';
 import { type Replica } from '../distribution/replica.js';
 import { TcpLink } from '../link/tcp_link.js';
@@ -30,7 +31,7 @@
 import { recordStateChanges } from './state_changes.js';
 import { TcpDialer } from './tcp_dialer.js';
 
-/** Part of a stop that is left for closing the connections of callers, in milliseconds. */
+/** Last part of a stop, for large responses and for closing the connections of callers, in ms. */
 const CLOSING_MS = 1_000;
 /** How long a stop waits until the buffered log lines are written, in milliseconds. */
 const LOG_DRAIN_TIMEOUT_MS = 100;
@@ -66,6 +67,8 @@
 
   readonly #linkServer: Server;
 
+  readonly #uplink: Uplink;
+
   #isStopping = false;
 
   readonly #stopping = new AbortController();
@@ -91,6 +94,7 @@
     this.guard.requestLog = this.#records.guardLog;
     this.#operators = this.#createOperatorsPort();
     this.#linkServer = ports.link;
+    this.#uplink = ports.uplink;
     ports.disconnectCheck.onLongWait = (waitedMs, waiting) => {
       log.record('warn', { event: 'caller-check-late', waitedMs: Math.round(waitedMs), waiting });
     };
@@ -128,6 +132,7 @@
     this.#isStopping = true;
     this.entry.tracker.beginShutdown();
     this.#log.record('info', { event: 'stopping' });
+    void this.#releaseUplink(deadline - CLOSING_MS);
     await clock.sleepUntil(closeAt - this.settings.drainMs);
     this.guard.beginShutdown();
     this.control.endpointLease.startDraining();
@@ -234,6 +239,11 @@
     return new OperatorsPort({ ...parts, metrics, methods: operatorMethods(parts) });
   }
 
+  async #releaseUplink(at: number): Promise<void> {
+    await this.dependencies.clock.sleepUntil(at, this.#stopping.signal);
+    this.#uplink.release();
+  }
+
   /** Logs which requests the stop cuts, and drains the log. */
   async #logStopped(): Promise<void> {
     const { clock } = this.dependencies;
--- a/src/test/admission/uplink_test.ts
+++ b/src/test/admission/uplink_test.ts
@@ -103,4 +103,16 @@
     expect(uplink.backlogMs).to.be.closeTo((2 * BYTES * 8) / KBPS / 0.93, 1);
     expect(uplink.schedule(BYTES)).not.to.equal(undefined);
   });
+
+  // Guards against responses that a process which ends holds back.
+  it('starts all that waits once it is released, and paces nothing after that', async () => {
+    const order: string[] = [];
+    const sent = [sendAnswer(BYTES, order, 'first'), sendAnswer(BYTES, order, 'second')];
+    await time.advance(1);
+    expect(order).to.deep.equal([]);
+    uplink.release();
+    await Promise.all(sent);
+    await sendAnswer(BYTES, order, 'third');
+    expect([order, uplink.backlogMs]).to.deep.equal([['first', 'second', 'third'], 0]);
+  });
 });
--- a/src/test/daemon/booking_fleet.ts
+++ b/src/test/daemon/booking_fleet.ts
@@ -18,9 +18,13 @@
 });
 
 /** Resolves once both processes have the configuration and know both upstream instances. */
-export async function startBookingFleet(clock: Clock): Promise<Fleet> {
+export async function startBookingFleet(clock: Clock, uplinkKbps?: number): Promise<Fleet> {
   const upstreams = ['bookings', 'bookings'];
-  const fleet = await Fleet.start(clock, { dataCentres: ['arima'], upstreams });
+  const fleet = await Fleet.start(clock, {
+    dataCentres: ['arima'],
+    upstreams,
+    ...(uplinkKbps !== undefined && { uplinkKbps }),
+  });
   const [first] = fleet.nodes;
   const knowsBothEndpoints = ({ instance }: FleetNode) =>
     instance.isReady &&
--- a/src/test/daemon/stop_test.ts
+++ b/src/test/daemon/stop_test.ts
@@ -8,6 +8,9 @@
 
 const clock = new MachineClock();
 const LONG_MS = 10_000;
+/** A large response takes a second. */
+const LARGE_BYTES = 400_000;
+const SLOW_LINK_KBPS = 3_200;
 
 const book = (port: number, id: string, agent?: Agent) =>
   ask(port, { path: '/seats', method: 'POST', headers: { 'x-request': id }, body: 'x', agent });
@@ -57,4 +60,23 @@
     await leaving.instance.entry[Symbol.asyncDispose]();
     expect(await cut).to.equal('ECONNRESET');
   });
+
+  // Guards against responses that are cut although they are complete, as they wait for the link of the process.
+  it('hands over, before it ends, the responses that still wait for the link', async () => {
+    await using fleet = await startBookingFleet(clock, SLOW_LINK_KBPS);
+    const [leaving, other] = fleet.nodes as [FleetNode, FleetNode];
+    const { callerPort, settings, entry, roster } = leaving.instance;
+    other.upstream.state = 'draining';
+    const isOtherOut = () =>
+      roster.get(other.instance.settings.instance)?.endpoint?.state === 'draining';
+    await fleet.waitUntil(isOtherOut, clock.now() + LONG_MS);
+    const headers = { 'x-bytes': String(LARGE_BYTES) };
+    const download = () => ask(callerPort, { path: '/menus', headers });
+    const downloads = Array.from({ length: 4 }, () => download().then(({ body }) => body.length));
+    const haveAllRun = () => leaving.upstream.runs.get('unnamed') === downloads.length;
+    await fleet.waitUntil(haveAllRun, clock.now() + LONG_MS);
+    await leaving.instance.stop(clock.now() + settings.noticeMs + 1_000);
+    await entry[Symbol.asyncDispose]();
+    expect(await Promise.all(downloads)).to.deep.equal(downloads.map(() => LARGE_BYTES));
+  });
 });
