--- a/src/bench/stops/stop_series.ts
+++ b/src/bench/stops/stop_series.ts
@@ -6,9 +6,12 @@
 
 /** Time after `SIGTERM` at which the platform kills a process, in milliseconds. */
 export const GRACE_MS = 6_000;
+/** Longest time between two stops of a worker. */
 const MAX_GAP_MS = 2_500;
+/** Longest time from the first signal to the second, or to a pause. */
 const MAX_REPEAT_MS = 3_000;
 const MAX_PAUSE_MS = 1_500;
+/** Shares of the stops with a second signal, with a reload before, and with a pause. */
 const REPEAT_SHARE = 0.4;
 const RELOAD_SHARE = 0.3;
 const PAUSE_SHARE = 0.2;
@@ -28,6 +31,9 @@
 export class StopSeries {
   readonly stops: Stop[] = [];
 
+  /** Machines whose process is stopping or starting. */
+  readonly #busy = new Set<number>();
+
   constructor(
     private readonly fleet: MeshFleet,
     private readonly clock: Clock,
@@ -42,8 +48,6 @@
     await Promise.all([worker(), worker()]);
   }
 
-  readonly #busy = new Set<number>();
-
   async #stopOne(): Promise<void> {
     const { random, fleet } = this;
     await this.#sleep(random.jitter(MAX_GAP_MS));
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -148,7 +148,7 @@
   }),
   z.object({
     event: z.literal('stopped'),
-    /** Requests that the stop cuts; each has a line `unfinished`. */
+    /** Requests that the stop cuts; each that has no complete response yet has a line `unfinished`. */
     inFlight: z.number(),
     /** Open connections of callers. */
     connections: z.number().optional(),
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -9,7 +9,7 @@
 /** Time after the deadline of a request until its response is written, in milliseconds. */
 const RESPONSE_MARGIN_MS = 100;
 /** Time for the first request of a connection that was accepted before the port closed, in ms. */
-const FIRST_REQUEST_MS = 500;
+const FIRST_REQUEST_TIMEOUT_MS = 500;
 
 /** What is open at a server. */
 export interface TrackerCounts {
@@ -102,7 +102,7 @@
    * as it has no request in flight, so that none can bring a request that nobody waits for.
    */
   stopAccepting(): void {
-    this.#unusedUntil = this.clock.now() + FIRST_REQUEST_MS;
+    this.#unusedUntil = this.clock.now() + FIRST_REQUEST_TIMEOUT_MS;
     // The method of HTTP servers would also destroy idle connections, on which a request may be arriving.
     NetServer.prototype.close.call(this.server);
   }
@@ -139,9 +139,11 @@
     return connection;
   }
 
-  /** Node calls `destroySoon` after a response that announces the end of its connection. */
+  /**
+   * Replaces the method with which Node's server closes a connection after the response that announces
+   * its end; see `TrackedConnection.close`.
+   */
   #closeGracefully(socket: Socket, connection: TrackedConnection): void {
-    // The only way to change how Node's server closes a connection.
     socket.destroySoon = () => connection.close(this.clock.now());
   }
 
--- a/src/requests/tracked_connection.ts
+++ b/src/requests/tracked_connection.ts
@@ -22,7 +22,7 @@
     return this.#latest;
   }
 
-  /** Whether no response is announced or sent on it any more, so that a request must not run. */
+  /** Whether this side is closed: a request that still arrives gets no response, so it must not run. */
   get isClosing(): boolean {
     return this.#lingerUntil !== undefined;
   }
@@ -42,7 +42,7 @@
   }
 
   /**
-   * Closes a connection without a request in flight. One without any request yet is given until
+   * Closes the connection if it has no request in flight. One without any request yet is given until
    * `unusedUntil`: its caller sends the first one a round trip after it was accepted.
    */
   closeIfIdle(now: number, unusedUntil: number): void {
