--- a/src/bench/experiments/stops.ts
+++ b/src/bench/experiments/stops.ts
@@ -72,12 +72,12 @@
   }
   return {
     stops: stops.length,
-    killed: stops.filter(({ exitCode }) => exitCode !== 0).length,
+    killed: stops.filter(({ exitCode }) => exitCode !== 0).map(describeStop),
     longestStopMs: Math.max(...stops.map(({ signalledAt, exitedAt }) => exitedAt - signalledAt)),
     calls: calls.length,
     counts,
     cut: cut.length,
-    lost: lost.map((call) => describe(call, stopOf(call, stops))),
+    lost: lost.map((call) => describeCall(call, stopOf(call, stops))),
   };
 }
 
@@ -95,7 +95,12 @@
   return isEarly && fleet.workEndsAt(call.id) > stop.signalledAt + EXCUSED_WORK_MS;
 }
 
-function describe(call: CallRecord, stop: Stop | undefined): string {
+function describeStop({ machine, signalledAt, exitedAt, isPaused }: Stop): string {
+  const tookMs = Math.round(exitedAt - signalledAt);
+  return `machine ${machine} ended ${tookMs} ms after the signal${isPaused ? ', paused meanwhile' : ''}`;
+}
+
+function describeCall(call: CallRecord, stop: Stop | undefined): string {
   if (!stop) return `${call.id}: cut without a stop`;
   const sentMs = Math.round(call.sentAt - stop.signalledAt);
   const cutMs = Math.round(call.endedAt - stop.signalledAt);
--- a/src/bench/stops/caller.ts
+++ b/src/bench/stops/caller.ts
@@ -4,8 +4,9 @@
 import { type Clock } from '../../runtime/clock.js';
 import { type Random } from '../../runtime/random.js';
 
-/** Pause after a request that got no whole response, in milliseconds. */
+/** Pause after a request that was not served, in milliseconds. */
 const RETRY_MS = 50;
+const OK = 200;
 
 /** How a caller behaves. */
 export interface CallerOptions {
@@ -48,7 +49,7 @@
       const sentAt = this.clock.now();
       const status = await this.#send(id, agent);
       this.calls.push({ id, machine, sentAt, endedAt: this.clock.now(), status });
-      if (status === undefined) await this.clock.sleepUntil(this.clock.now() + RETRY_MS);
+      if (status !== OK) await this.clock.sleepUntil(this.clock.now() + RETRY_MS);
     }
     agent.destroy();
   }
