Say plainly what the experiment of stops excuses

The condition that excuses a request is two lines instead of one that had to be read twice; a pause gets its program instead of looking it up again; the comment of a field says what it holds. Behaviour is as before.

--- a/src/bench/experiments/stops.ts
+++ b/src/bench/experiments/stops.ts
@@ -88,9 +88,10 @@
   );
 }
 
-/** Whether the promise of a stop does not cover that request. */
+/** Whether the promise of a stop does not cover that request: it was long, or the process was paused. */
 function isExcused(fleet: MeshFleet, call: CallRecord, stop: Stop | undefined): boolean {
-  if (!stop || stop.isPaused) return stop !== undefined;
+  if (!stop) return false;
+  if (stop.isPaused) return true;
   const isEarly = call.sentAt < stop.signalledAt + EXCUSED_SENT_MS;
   return isEarly && fleet.workEndsAt(call.id) > stop.signalledAt + EXCUSED_WORK_MS;
 }
--- a/src/bench/stops/stop_series.ts
+++ b/src/bench/stops/stop_series.ts
@@ -1,6 +1,7 @@
 /** Stops and restarts processes in a random order, by signals that also come twice or overlap. */
 import { once } from 'node:events';
 import { type MeshFleet } from '../mesh_fleet.js';
+import { type Program } from '../processes.js';
 import { type Clock } from '../../runtime/clock.js';
 import { type Random } from '../../runtime/random.js';
 
@@ -64,7 +65,7 @@
     if (random.next() < REPEAT_SHARE) {
       setTimeout(() => program.signal('SIGTERM'), random.jitter(MAX_REPEAT_MS));
     }
-    if (isPaused) void this.#pause(machine);
+    if (isPaused) void this.#pause(program);
     const [exitCode] = await exited;
     clearTimeout(killTimer);
     const exitedAt = this.clock.now();
@@ -74,8 +75,7 @@
     this.#busy.delete(machine);
   }
 
-  async #pause(machine: number): Promise<void> {
-    const program = this.fleet.programs[machine]!;
+  async #pause(program: Program): Promise<void> {
     await this.#sleep(this.random.jitter(MAX_REPEAT_MS));
     program.signal('SIGSTOP');
     await this.#sleep(this.random.jitter(MAX_PAUSE_MS));
--- a/src/requests/tracked_connection.ts
+++ b/src/requests/tracked_connection.ts
@@ -13,7 +13,10 @@
   /** Its responses that are not completely written. */
   readonly #unfinished = new Set<ServerResponse>();
 
-  /** When this side was closed, and until when the other side may close; in ms since the epoch. */
+  /**
+   * Until when the other side may close, in milliseconds since the epoch; undefined while this side is
+   * open.
+   */
   #lingerUntil: number | undefined;
 
   constructor(private readonly socket: Socket) {}
