Apply every version that the store has accepted, whatever its sizes

Callers saw, ten seconds after the ack of a version with a 65th key of one tenant: a revoked key still admitted, a new key refused with 401, a moved route run by the old service.

Cause: one set of schemas served release notes, storage, messages and the operator's object, and proxies checked sizes again. So a limit meant for acceptance refused whole versions that the store had acknowledged. Not the limit of 64 keys alone: 32,000 bytes for a resource, names, timeouts, attempts, doubled keys and the length of frames did the same.

Change: schemas of resources check what the code relies on; limits of notes are in accepted.ts and size_problems.ts and hold at acceptance only. The decoder bounds figures that a process cannot use and gives a shared key to the first team by name. Names travel in headers as UTF-8. A key may have any length that a head has room for. Frames may have 16 MiB, as one team may need it.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -83,10 +83,6 @@
     return [...byKey].filter(([, { bytes }]) => bytes > maxBytes).map(([key]) => key);
   }
 
-  isOversized(key: ResourceKey, maxBytes: number): boolean {
-    return (this.resourceSet.byKey.get(key)?.bytes ?? 0) > maxBytes;
-  }
-
   get(key: ResourceKey): Resource | undefined {
     return this.resourceSet.byKey.get(key)?.resource;
   }
--- a/src/configuration/validate.ts
+++ b/src/configuration/validate.ts
@@ -1,4 +1,8 @@
-/** Checks that a configuration must pass: in the tool, at acceptance and at every proxy. */
+/**
+ * Checks that a configuration must pass at every proxy. They cover what serving requests relies on,
+ * and no sizes: those are for acceptance to limit, as a proxy that refuses a version for its size
+ * keeps an older one in force, although the version was accepted.
+ */
 import {
   type Change,
   type Kind,
@@ -13,20 +17,6 @@
 
 export type { Problem };
 
-/** Maximum number of resources that proxies are sized for. */
-export const MAX_RESOURCES = 20_000;
-
-/**
- * Maximum size of a resource, in bytes of canonical JSON; far below the limit of a stored value.
- */
-export const MAX_RESOURCE_BYTES = 32_000;
-
-/**
- * Maximum size of a configuration, in bytes of canonical JSON, that fits into the memory of
- * proxies.
- */
-export const MAX_CONFIGURATION_BYTES = 8_000_000;
-
 /** Maximum number of resources in a change that is checked incrementally. */
 const MAX_INCREMENTAL_RESOURCES = 64;
 
@@ -35,7 +25,7 @@
 
 /** Returns all problems of the configuration; it may only be applied if there are none. */
 export function validate(configuration: Configuration): Problem[] {
-  const problems = oversizeProblems(configuration);
+  const problems: Problem[] = [];
   const everywhere = [...configuration.all('rule')].filter((rule) => rule.everywhere);
   for (const route of configuration.all('route')) {
     problems.push(
@@ -59,7 +49,7 @@
   const isSmall = change.put.length <= MAX_INCREMENTAL_RESOURCES;
   if (!isLocal || !isSmall) return validate(configuration);
   const everywhere = [...configuration.all('rule')].filter((rule) => rule.everywhere);
-  const problems = limitProblems(configuration);
+  const problems: Problem[] = [];
   for (const resource of change.put) {
     problems.push(...resourceProblems(configuration, resource, everywhere));
   }
@@ -73,37 +63,13 @@
   resource: Resource,
   everywhere: readonly Rule[],
 ): Problem[] {
-  const problems: Problem[] = [];
-  const path = resourceKey(resource);
   // If a change puts two resources of the same name, the later one is kept.
-  if (configuration.get(path) !== resource) return problems;
-  if (configuration.isOversized(path, MAX_RESOURCE_BYTES)) problems.push(oversizeProblem(path));
-  if (resource.kind !== 'route') return problems;
-  return problems.concat(
-    danglingReferences(configuration, resource),
-    ruleProblems(configuration, resource, everywhere),
-  );
-}
-
-function oversizeProblems(configuration: Configuration): Problem[] {
-  const oversized = configuration.oversized(MAX_RESOURCE_BYTES).map(oversizeProblem);
-  return [...oversized, ...limitProblems(configuration)];
-}
-
-function oversizeProblem(path: string): Problem {
-  return { path, message: `is longer than the ${MAX_RESOURCE_BYTES} bytes allowed` };
-}
-
-function limitProblems({ size, bytes }: Configuration): Problem[] {
-  const problems: Problem[] = [];
-  const check = (amount: number, unit: string, limit: number) => {
-    if (amount <= limit) return;
-    const message = `holds ${amount} ${unit}, at most ${limit} are allowed`;
-    problems.push({ path: 'configuration', message });
-  };
-  check(size, 'resources', MAX_RESOURCES);
-  check(bytes, 'bytes', MAX_CONFIGURATION_BYTES);
-  return problems;
+  if (configuration.get(resourceKey(resource)) !== resource) return [];
+  if (resource.kind !== 'route') return [];
+  return [
+    ...danglingReferences(configuration, resource),
+    ...ruleProblems(configuration, resource, everywhere),
+  ];
 }
 
 function danglingReferences(configuration: Configuration, route: Route): Problem[] {
--- a/src/contracts.ts
+++ b/src/contracts.ts
@@ -2,6 +2,7 @@
  * Schemas and types of the messages, stored records and settings that processes, operators and the
  * platform exchange.
  */
+export * from './contracts/accepted.js';
 export * from './contracts/audit.js';
 export * from './contracts/claim.js';
 export * from './contracts/death.js';
--- a/src/contracts/note.ts
+++ b/src/contracts/note.ts
@@ -1,26 +1,33 @@
 /** Release notes, as operators write them (YAML or JSON). */
 import * as z from 'zod';
-import { Limit, Name, Route, Rule, Team, Upstream } from './resource.js';
+import {
+  AcceptedLimit,
+  AcceptedName,
+  AcceptedRoute,
+  AcceptedRule,
+  AcceptedTeam,
+  AcceptedUpstream,
+} from './accepted.js';
 
 /** Maximum size of the text of a release note, in bytes. */
 export const MAX_NOTE_BYTES = 4 * 1024 * 1024;
 
 const Section = z.strictObject({
-  upstreams: z.array(Upstream.omit({ kind: true })).default([]),
-  routes: z.array(Route.omit({ kind: true })).default([]),
-  limits: z.array(Limit.omit({ kind: true })).default([]),
-  rules: z.array(Rule.omit({ kind: true })).default([]),
+  upstreams: z.array(AcceptedUpstream).default([]),
+  routes: z.array(AcceptedRoute).default([]),
+  limits: z.array(AcceptedLimit).default([]),
+  rules: z.array(AcceptedRule).default([]),
   // Without a default: the digest of a note without teams is that of earlier releases.
-  teams: z.array(Team.omit({ kind: true })).optional(),
+  teams: z.array(AcceptedTeam).optional(),
 });
 export type Section = z.infer<typeof Section>;
 
 const Withdrawal = z.strictObject({
-  upstreams: z.array(Name).default([]),
-  routes: z.array(Name).default([]),
-  limits: z.array(Name).default([]),
-  rules: z.array(Name).default([]),
-  teams: z.array(Name).optional(),
+  upstreams: z.array(AcceptedName).default([]),
+  routes: z.array(AcceptedName).default([]),
+  limits: z.array(AcceptedName).default([]),
+  rules: z.array(AcceptedName).default([]),
+  teams: z.array(AcceptedName).optional(),
 });
 
 /**
@@ -37,7 +44,7 @@
  */
 export const ReleaseNote = z.strictObject({
   /** Chosen by the operator; submitting the same note again has no effect. */
-  id: Name,
+  id: AcceptedName,
   author: z.string().min(1).max(200),
   title: z.string().max(500).optional(),
   /**
--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -1,23 +1,26 @@
-/** The resources of a configuration: upstreams, routes, limits, teams and the insurer's rules. */
+/**
+ * The resources of a configuration: upstreams, routes, limits, teams and the insurer's rules.
+ *
+ * These schemas check only what the code relies on, as processes also read configurations that were
+ * accepted elsewhere. If one of them limited sizes, a single resource beyond it would keep the whole
+ * version, and all later ones, from being applied. What acceptance refuses stands in `accepted.ts`.
+ */
 import * as z from 'zod';
 
-export const MAX_NAME_LENGTH = 63;
-/** Maximum timeout that a route may allow, in milliseconds. */
-export const MAX_TIMEOUT_MS = 300_000;
+/** Longest timeout that requests are given, in milliseconds; timers can hold it with any margin. */
+export const MAX_TIMEOUT_MS = 86_400_000;
 
-export const Name = z
-  .string()
-  .max(MAX_NAME_LENGTH)
-  .regex(/^[a-z0-9][a-z0-9.-]*$/, 'lower-case letters, digits, dots and dashes only');
+/** Without control characters and unpaired surrogates, which no message carries unchanged. */
+export const Name = z.string().regex(/^[^\p{Cc}\p{Cs}]+$/u, 'printable characters only');
 
 /** A named back end. Its endpoints announce themselves and are not part of the configuration. */
 export const Upstream = z.strictObject({
   kind: z.literal('upstream'),
   name: Name,
   /** Description. */
-  about: z.string().max(2000).optional(),
+  about: z.string().optional(),
   /** Path at which its instances report whether they accept work. */
-  healthPath: z.string().startsWith('/').max(1024).optional(),
+  healthPath: z.string().startsWith('/').optional(),
 });
 export type Upstream = z.infer<typeof Upstream>;
 
@@ -26,9 +29,9 @@
   kind: z.literal('limit'),
   name: Name,
   /** Maximum number of requests in flight at one endpoint. */
-  slots: z.number().int().min(1).max(1000),
+  slots: z.number().int().min(1),
   /** Maximum number of requests that wait at one endpoint. */
-  queue: z.number().int().min(0).max(10_000).default(100),
+  queue: z.number().int().min(0).default(100),
   /** Allowed retries, as a percentage of first attempts. */
   retryPercent: z.number().min(0).max(100).default(10),
 });
@@ -38,7 +41,7 @@
 export const Rule = z.strictObject({
   kind: z.literal('rule'),
   name: Name,
-  about: z.string().max(2000).optional(),
+  about: z.string().optional(),
   /** Whether it applies to all routes, including those that do not list it. */
   everywhere: z.boolean().default(false),
   /** The route must name a limit. */
@@ -52,10 +55,10 @@
 });
 export type Rule = z.infer<typeof Rule>;
 
-/** Maximum number of keys of one team. */
-export const MAX_KEYS_PER_TEAM = 64;
 /** Maximum of the figures of a team's quota, in requests per second and in requests. */
 export const MAX_QUOTA = 1_000_000;
+/** Highest priority of a route or a team. */
+export const MAX_PRIORITY = 9;
 
 /** A group of callers that share keys, a priority and a quota. */
 export const Team = z.strictObject({
@@ -65,15 +68,13 @@
    * SHA-256 digests of its keys, in hexadecimal digits. The keys themselves are not kept. Without
    * any, nobody can call as this team.
    */
-  keyDigests: z
-    .array(
-      z
-        .string()
-        .regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest of 64 lower-case hexadecimal digits'),
-    )
-    .max(MAX_KEYS_PER_TEAM),
+  keyDigests: z.array(
+    z
+      .string()
+      .regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest of 64 lower-case hexadecimal digits'),
+  ),
   /** Replaces the priority of the route for its requests; higher goes first. */
-  priority: z.number().int().min(0).max(9).optional(),
+  priority: z.number().int().min(0).max(MAX_PRIORITY).optional(),
   /** Requests per second allowed over all processes; no limit when absent or 0. */
   requestsPerSecond: z.number().min(0).max(MAX_QUOTA).optional(),
   /** Requests allowed at once beyond the rate, after a time with fewer. */
@@ -86,8 +87,8 @@
   kind: z.literal('route'),
   name: Name,
   /** Exact host, without port; matches any host when absent. */
-  host: z.string().max(253).optional(),
-  pathPrefix: z.string().startsWith('/').max(1024),
+  host: z.string().optional(),
+  pathPrefix: z.string().startsWith('/'),
   /** Matches any method when absent. */
   methods: z.array(z.string().regex(/^[A-Z]+$/)).optional(),
   /** Header values that must match exactly, by lower-case header name. */
@@ -98,13 +99,12 @@
   split: z
     .array(z.strictObject({ upstream: Name, weight: z.number().min(0) }))
     .min(1)
-    .refine((parts) => parts.some(({ weight }) => weight > 0), 'all weights are zero')
     .optional(),
   limit: Name.optional(),
   rules: z.array(Name).default([]),
   timeoutMs: z.number().int().min(1).max(MAX_TIMEOUT_MS).default(10_000),
   /** Maximum number of endpoints that one request is sent to, one after the other. */
-  maxAttempts: z.number().int().min(1).max(10).optional(),
+  maxAttempts: z.number().int().min(1).optional(),
   /**
    * Time within which an answer is fully useful to callers, in milliseconds; `timeoutMs` when
    * absent.
@@ -117,12 +117,11 @@
   /** Whether callers need no team key. Without teams in the configuration, none does. */
   public: z.boolean().optional(),
   /** Priority among waiting requests; higher goes first. */
-  priority: z.number().int().min(0).max(9).default(5),
+  priority: z.number().int().min(0).max(MAX_PRIORITY).default(5),
   maxBodyBytes: z
     .number()
     .int()
     .min(0)
-    .max(1 << 30)
     .default(16 * 1024 * 1024),
 });
 export type Route = z.infer<typeof Route>;
@@ -134,7 +133,7 @@
 /** Identity of a resource: `kind/name`, such as `route/menus`. */
 export const ResourceKey = z
   .string()
-  .regex(/^(upstream|limit|rule|route|team)\/[a-z0-9][a-z0-9.-]*$/);
+  .regex(/^(upstream|limit|rule|route|team)\/[^\p{Cc}\p{Cs}]+$/u);
 export type ResourceKey = z.infer<typeof ResourceKey>;
 
 export function resourceKey(resource: Pick<Resource, 'kind' | 'name'>): ResourceKey {
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -1,12 +1,7 @@
 /** The current configuration of a process. */
 import { Configuration } from '../configuration/configuration.js';
 import { GENESIS } from '../configuration/digest.js';
-import {
-  MAX_RESOURCES,
-  type Problem,
-  validate,
-  validateChange,
-} from '../configuration/validate.js';
+import { type Problem, validate, validateChange } from '../configuration/validate.js';
 import { type Difference, type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 
@@ -18,7 +13,7 @@
    * - `chain`: another version with the same number is current.
    * - `parent`: its parent is not the current version.
    * - `digest`: its content does not match its digest.
-   * - `too-large`: it has more resources than proxies are sized for.
+   * - `too-large`: it does not fit into the memory of a process.
    * - `invalid`: it has dangling references or breaks rules.
    */
   readonly reason: 'unreadable' | 'chain' | 'parent' | 'digest' | 'too-large' | 'invalid';
@@ -28,6 +23,11 @@
 /** How a version reached this process: from the source, or from a peer in one of four ways. */
 export type VersionOrigin = 'source' | 'push' | 'pull' | 'difference' | 'pages';
 
+/**
+ * Maximum size of a configuration, in bytes of canonical JSON. The largest object that the platform
+ * stores, 1 MiB, stays below it even if it holds nothing but short keys, whose digests are longer.
+ */
+const MAX_HELD_BYTES = 16_000_000;
 /** Number of recent versions kept, so that neighbours slightly behind need no snapshot. */
 const MAX_RECENT_VERSIONS = 256;
 
@@ -124,10 +124,8 @@
       this.onServedOlder(snapshot.number);
       return true;
     }
-    if (snapshot.resources.length > MAX_RESOURCES) {
-      return this.#refuse(snapshot.number, 'too-large', []);
-    }
     const candidate = Configuration.of(snapshot.number, snapshot.digest, snapshot.resources);
+    if (candidate.bytes > MAX_HELD_BYTES) return this.#refuse(snapshot.number, 'too-large', []);
     if (!candidate.matchesDigest(snapshot.parent))
       return this.#refuse(snapshot.number, 'digest', []);
     const problems = validate(candidate);
@@ -217,11 +215,11 @@
   #applyOne(version: Version): boolean {
     const { number, parent, digest, change } = version;
     if (parent !== this.#current.digest) return this.#refuse(number, 'parent', []);
-    if (change.put.length > MAX_RESOURCES) return this.#refuse(number, 'too-large', []);
     const { standsAlone } = version;
     const candidate = standsAlone
       ? this.#current.standalone(change, number)
       : this.#current.next(change);
+    if (candidate.bytes > MAX_HELD_BYTES) return this.#refuse(number, 'too-large', []);
     if (candidate.digest !== digest) return this.#refuse(number, 'digest', []);
     const problems = validateChange(candidate, change);
     if (problems.length > 0) return this.#refuse(number, 'invalid', problems);
--- a/src/link/tcp_link.ts
+++ b/src/link/tcp_link.ts
@@ -6,10 +6,11 @@
 
 const HEADER_BYTES = 4;
 /**
- * Maximum length of an encoded message, in bytes: several times a page of a snapshot or the roster
- * of a large fleet. A longer one means that the far end does not speak this protocol.
+ * Maximum length of an encoded message, in bytes: more than a page with the largest resource, which
+ * is as large as a configuration may be, or the roster of a large fleet. A longer one means that the
+ * far end does not speak this protocol.
  */
-export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
+export const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 
 export class TcpLink extends Link {
   readonly #closing = new AbortController();
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -1,7 +1,7 @@
 /** Headers and status codes that callers and upstream instances use on the operators' platform. */
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type Identity, type ResponseKind } from '../requests/dialect.js';
-import { headerOf } from '../requests/headers.js';
+import { headerOf, nameHeader } from '../requests/headers.js';
 import { parseRate } from '../admission/rate_limit.js';
 import {
   CALLER_HEADER,
@@ -61,8 +61,8 @@
   }
 
   entryHeaders(team: string | undefined): readonly string[] {
-    const headers = [CALLER_HEADER, this.service()];
-    if (team !== undefined) headers.push(TEAM_HEADER, team);
+    const headers = [CALLER_HEADER, nameHeader(this.service())];
+    if (team !== undefined) headers.push(TEAM_HEADER, nameHeader(team));
     return headers;
   }
 
--- a/src/platform/operator_object.ts
+++ b/src/platform/operator_object.ts
@@ -1,14 +1,21 @@
 /** Decodes the operator's configuration object into resources. */
 import * as z from 'zod';
 import { sha256 } from '../configuration/digest.js';
-import { type Resource, Route, Team, Upstream } from '../contracts.js';
+import {
+  MAX_PRIORITY,
+  MAX_QUOTA,
+  MAX_ROUTE_ATTEMPTS,
+  MAX_TIMEOUT_MS,
+  type Resource,
+  Route,
+  Team,
+  Upstream,
+} from '../contracts.js';
 import { UnreadableError } from '../distribution/feed.js';
 import { keyDigest } from '../teams/key_digest.js';
+import { withoutSharedKeys } from './shared_keys.js';
 import { Duration, VersionTag } from './wire.js';
 
-/** The highest priority of a route or a team; on the platform 0 is the highest priority. */
-const HIGHEST_PRIORITY = 9;
-
 const ObjectRoute = z.object({
   host: z.string(),
   pathPrefix: z.string(),
@@ -37,15 +44,7 @@
   services: z.record(z.string(), z.object({ healthPath: z.string().optional() })),
   /** Teams by name. */
   tenants: z.record(z.string(), z.unknown()).optional(),
-  limits: z
-    .object({
-      maxHeaderBytes: z.number().int(),
-      maxBodyBytes: z.number().int(),
-      headerTimeout: Duration,
-      /** Longest idle time of callers' connections. */
-      idleTimeout: Duration,
-    })
-    .optional(),
+  limits: z.object({ maxBodyBytes: z.number().int().optional() }).optional(),
 });
 
 /** A complete configuration and its version number. */
@@ -55,21 +54,37 @@
 }
 
 /**
+ * The store has acknowledged the object before any process sees it, so each version of it has to be
+ * applied. A figure beyond what a process can use is replaced by the nearest one that it can.
+ *
  * Caches resources by the text they were decoded from: a new version decodes only changes. Teams are
  * cached by the digest of their text, which holds keys.
  */
 export class OperatorObjectDecoder {
   #cache = new Map<string, Resource>();
 
+  /** Teams as decoded, and the same without keys that an earlier one lists too. */
+  #teams: { readonly decoded: readonly Team[]; readonly distinct: readonly Team[] } = {
+    decoded: [],
+    distinct: [],
+  };
+
   /** Throws an `UnreadableError` if any part of the object is invalid or unknown. */
   decode(value: string): DecodedConfiguration {
     const object = parsed('config', OperatorObject, jsonOf(value));
     const { version, routes, services, tenants: teams = {}, limits } = object;
     const maxBodyBytes = limits?.maxBodyBytes;
     const decoded = new Map<string, Resource>();
-    const add = (kind: string, name: string, from: unknown, decode: () => Resource) => {
+    const add = <R extends Resource>(
+      kind: string,
+      name: string,
+      from: unknown,
+      decode: () => R,
+    ) => {
       const text = `${kind} ${name} ${JSON.stringify(from)} ${maxBodyBytes}`;
-      decoded.set(text, this.#cache.get(text) ?? decode());
+      const resource = (this.#cache.get(text) as R | undefined) ?? decode();
+      decoded.set(text, resource);
+      return resource;
     };
     for (const [name, { healthPath }] of Object.entries(services)) {
       add('service', name, healthPath, () =>
@@ -79,11 +94,21 @@
     for (const [name, route] of Object.entries(routes)) {
       add('route', name, route, () => routeFrom(name, route, maxBodyBytes));
     }
-    for (const [name, team] of Object.entries(teams)) {
-      add('team', name, sha256(JSON.stringify(team)), () => teamFrom(name, team));
-    }
+    const decodedTeams = Object.entries(teams).map(([name, team]) =>
+      add('team', name, sha256(JSON.stringify(team)), () => teamFrom(name, team)),
+    );
     this.#cache = decoded;
-    return { number: version, resources: [...decoded.values()] };
+    const others = [...decoded.values()].filter(({ kind }) => kind !== 'team');
+    return { number: version, resources: [...others, ...this.#distinctTeams(decodedTeams)] };
+  }
+
+  /** Compares the keys of all teams only if a team has changed. */
+  #distinctTeams(decoded: readonly Team[]): readonly Team[] {
+    const { decoded: before } = this.#teams;
+    const isSame =
+      decoded.length === before.length && decoded.every((team, index) => team === before[index]);
+    if (!isSame) this.#teams = { decoded, distinct: withoutSharedKeys(decoded) };
+    return this.#teams.distinct;
   }
 }
 
@@ -99,10 +124,10 @@
     pathPrefix: route.pathPrefix,
     upstream: service ?? split?.[0]?.upstream,
     ...(split && split.length > 0 && { split }),
-    timeoutMs: Math.round(timeout),
-    targetMs: Math.max(1, Math.round(targetLatency)),
+    timeoutMs: timeoutFrom(timeout),
+    targetMs: timeoutFrom(targetLatency),
     priority: priorityFrom(priority),
-    maxAttempts,
+    maxAttempts: Math.min(maxAttempts, MAX_ROUTE_ATTEMPTS),
     repeatable: route.kind !== 'unsafe',
     ...(route.public && { public: true }),
     ...(maxBodyBytes !== undefined && { maxBodyBytes }),
@@ -116,15 +141,21 @@
   return parsed(path, Team, {
     kind: 'team',
     name,
-    keyDigests: apiKeys.map(keyDigest),
+    keyDigests: [...new Set(apiKeys.map(keyDigest))],
     ...(priority !== undefined && { priority: priorityFrom(priority) }),
-    ...(ratePerS !== undefined && { requestsPerSecond: ratePerS }),
-    ...(burst !== undefined && { burst }),
+    ...(ratePerS !== undefined && { requestsPerSecond: Math.min(ratePerS, MAX_QUOTA) }),
+    ...(burst !== undefined && { burst: Math.min(burst, MAX_QUOTA) }),
   });
 }
 
+/** Whole milliseconds that a timer can wait. */
+function timeoutFrom(ms: number): number {
+  return Math.min(MAX_TIMEOUT_MS, Math.max(1, Math.round(ms)));
+}
+
+/** On the platform 0 is the highest priority. */
 function priorityFrom(priority: number): number {
-  return Math.max(0, HIGHEST_PRIORITY - priority);
+  return Math.max(0, MAX_PRIORITY - priority);
 }
 
 /** The error of the parser quotes the text, which holds keys, so it is not passed on. */
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -7,7 +7,16 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Claims } from '../claims/claims.js';
 import { type Dialect } from './dialect.js';
-import { CLAIM, headerOf, IDEMPOTENCY_KEY, LOAD, EXCHANGE_ID, ROUTE, UPSTREAM } from './headers.js';
+import {
+  CLAIM,
+  headerOf,
+  IDEMPOTENCY_KEY,
+  LOAD,
+  EXCHANGE_ID,
+  nameOf,
+  ROUTE,
+  UPSTREAM,
+} from './headers.js';
 import {
   type GuardRequest,
   guardRequestOf,
@@ -176,7 +185,7 @@
     const { request, response, announced } = guardRequest;
     // The instance may have begun to drain during the check.
     this.#requireEndpoint(announced.upstream);
-    const route = headerOf(request, CLAIM);
+    const route = nameOf(request, CLAIM);
     const peeked = await this.crashDetector?.admit(announced.upstream, request, response);
     if (route === undefined) await this.#run(guardRequest, peeked?.body ?? request);
     else await this.#runOnce(guardRequest, route);
@@ -216,8 +225,8 @@
 
   #parseRequest(arrival: Arrival): GuardRequest {
     const { request, trace } = arrival;
-    const upstream = headerOf(request, UPSTREAM) ?? 'nothing';
-    trace.destination = { route: headerOf(request, ROUTE) ?? '', upstream };
+    const upstream = nameOf(request, UPSTREAM) ?? 'nothing';
+    trace.destination = { route: nameOf(request, ROUTE) ?? '', upstream };
     this.#statements.adopt(request);
     const announced = this.#requireEndpoint(upstream);
     return guardRequestOf(arrival, announced, this.configuration());
--- a/src/requests/guard_request.ts
+++ b/src/requests/guard_request.ts
@@ -5,7 +5,7 @@
 import { type Configuration } from '../configuration/configuration.js';
 import { type Endpoint, MAX_TIMEOUT_MS } from '../contracts.js';
 import { type Trace } from '../logs/request_log.js';
-import { headerOf, LIMIT, PRIORITY, REMAINING, ROUTE, TARGET, TEAM } from './headers.js';
+import { headerOf, LIMIT, nameOf, PRIORITY, REMAINING, ROUTE, TARGET, TEAM } from './headers.js';
 import { whenGone } from './disconnect_check.js';
 
 const DEFAULT_REMAINING_MS = 10_000;
@@ -56,15 +56,15 @@
     MAX_TIMEOUT_MS,
   );
   const priority = parseBounded(headerOf(request, PRIORITY), DEFAULT_PRIORITY, MAX_PRIORITY);
-  const named = headerOf(request, LIMIT);
+  const named = nameOf(request, LIMIT);
   return {
     request,
     response,
     trace,
     announced,
     priority: Math.floor(priority),
-    kind: headerOf(request, ROUTE) ?? '',
-    team: headerOf(request, TEAM),
+    kind: nameOf(request, ROUTE) ?? '',
+    team: nameOf(request, TEAM),
     targetAt: at + Number(headerOf(request, TARGET) ?? remaining),
     deadline: at + remaining,
     limit: named === undefined ? undefined : configuration.find('limit', named),
--- a/src/requests/handover.ts
+++ b/src/requests/handover.ts
@@ -6,6 +6,7 @@
   EXCHANGE_ID,
   IDEMPOTENCY_KEY,
   LIMIT,
+  nameHeader,
   PRIORITY,
   REMAINING,
   REPEATABLE,
@@ -28,17 +29,18 @@
   const { request, route, team, upstream, deadline, targetAt, isRepeatable } = routed;
   const now = clock.now();
   const remaining = Math.max(1, Math.floor(deadline - now));
+  const routeName = nameHeader(route.name);
   const headers = requestHeaders(request, dialect.allowedFromCallers, routed.hasTeams);
   headers.push(...dialect.entryHeaders(team?.name));
-  if (team) headers.push(TEAM, team.name);
-  headers.push(UPSTREAM, upstream, EXCHANGE_ID, id, REMAINING, String(remaining));
-  headers.push(PRIORITY, String(team?.priority ?? route.priority), ROUTE, route.name);
+  if (team) headers.push(TEAM, nameHeader(team.name));
+  headers.push(UPSTREAM, nameHeader(upstream), EXCHANGE_ID, id, REMAINING, String(remaining));
+  headers.push(PRIORITY, String(team?.priority ?? route.priority), ROUTE, routeName);
   headers.push(TARGET, String(Math.floor(targetAt - now)));
   if (!isRepeatable) headers.push(REPEATABLE, '0');
   if (isRetried(routed)) headers.push(RETRIED, '1');
   const hasKey = dialect.takesKeys && request.headers[IDEMPOTENCY_KEY] !== undefined;
-  if (!isRepeatable && hasKey) headers.push(CLAIM, route.name);
-  if (route.limit !== undefined) headers.push(LIMIT, route.limit);
+  if (!isRepeatable && hasKey) headers.push(CLAIM, routeName);
+  if (route.limit !== undefined) headers.push(LIMIT, nameHeader(route.limit));
   return headers;
 }
 
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -128,6 +128,20 @@
   return typeof value === 'string' ? value : value?.[0];
 }
 
+/** A name as a header value: in UTF-8, byte by byte, as header values may hold no other characters. */
+export function nameHeader(name: string): string {
+  return Buffer.from(name).toString('latin1');
+}
+
+/** The name in a header that `nameHeader` has formatted. */
+export function nameOf(
+  head: { headers: NodeJS.Dict<string | string[]> },
+  header: string,
+): string | undefined {
+  const value = headerOf(head, header);
+  return value === undefined ? undefined : Buffer.from(value, 'latin1').toString();
+}
+
 /**
  * Trailers without the internal ones, which only barleyhaven may set, and with `dropsCredentials` without
  * credentials, as for headers.
--- a/src/source/note_text.ts
+++ b/src/source/note_text.ts
@@ -1,6 +1,6 @@
 /** Parses release notes from YAML, and so from JSON, which is a subset of YAML. */
 import { parseDocument } from 'yaml';
-import { MAX_NOTE_BYTES, Name, type Problem, ReleaseNote } from '../contracts.js';
+import { AcceptedName, MAX_NOTE_BYTES, type Problem, ReleaseNote } from '../contracts.js';
 
 /** A release note, or all problems of the text; `data` is what could be parsed of it. */
 export type ParsedNote =
@@ -55,7 +55,9 @@
   const [section, kind, index, ...rest] = path;
   if (kind !== 'teams' || index === undefined) return path.join('.');
   const teams = (data as Record<PropertyKey, { teams?: unknown[] }>)[section!]?.teams;
-  const name = Name.safeParse((teams?.[Number(index)] as { name?: unknown } | undefined)?.name);
+  const name = AcceptedName.safeParse(
+    (teams?.[Number(index)] as { name?: unknown } | undefined)?.name,
+  );
   if (!name.success) return path.join('.');
   return [section, `team/${name.data}`, ...rest].join('.');
 }
--- a/src/source/review.ts
+++ b/src/source/review.ts
@@ -1,5 +1,6 @@
 /** Decides whether a proposal can be accepted on top of the head of the log. */
 import { type Configuration } from '../configuration/configuration.js';
+import { sizeProblems } from '../configuration/size_problems.js';
 import { validate } from '../configuration/validate.js';
 import { OutcomeError, type Problem, type VersionRecord } from '../contracts.js';
 import { type Acceptance, type Accepted, type Conflict } from './acceptance.js';
@@ -61,7 +62,7 @@
     const rival = await this.#conflict(proposal.note, base, mine, deadline);
     if (rival.resources.length > 0) return rival;
     const next = configuration.next(evaluation.change);
-    const problems = [...evaluation.problems, ...validate(next)];
+    const problems = [...evaluation.problems, ...sizeProblems(next), ...validate(next)];
     if (problems.length > 0) return { outcome: 'refused', problems };
     return { evaluation, configuration: next };
   }
--- a/src/teams/credentials.ts
+++ b/src/teams/credentials.ts
@@ -2,15 +2,21 @@
 import { type IncomingMessage } from 'node:http';
 
 const AUTHORIZATION = 'authorization';
-/** The scheme is compared without regard to case, the key exactly. */
-const TOKEN = /^token +([\x21-\x7e]{1,256})$/i;
+/**
+ * The scheme is compared without regard to case, the key exactly. Its length is bounded by that of
+ * the head only: a key that the operator has given out must not fail for a limit of this program.
+ */
+const TOKEN = /^token +([^ \t].*)$/i;
+const NOT_ASCII = /[^\0-\x7f]/;
 
-/** The key in `Authorization: Token KEY`; undefined if there is none, or no valid one. */
+/** The key in `Authorization: Token KEY`, in UTF-8; undefined if there is none. */
 export function tokenOf({ headers, rawHeaders }: IncomingMessage): string | undefined {
   const { authorization } = headers;
   // Node keeps only the first of several; another server might read another one.
   if (authorization === undefined || hasSeveral(rawHeaders)) return undefined;
-  return TOKEN.exec(authorization)?.[1];
+  const key = TOKEN.exec(authorization)?.[1];
+  if (key === undefined || !NOT_ASCII.test(key)) return key;
+  return Buffer.from(key, 'latin1').toString();
 }
 
 function hasSeveral(rawHeaders: readonly string[]): boolean {
--- a/src/test/source/source_test.ts
+++ b/src/test/source/source_test.ts
@@ -30,6 +30,17 @@
     expect(await fixture.held()).toMatchSnapshot();
   });
 
+  // Guards against a note that passes its schema and is too large to be stored or held.
+  it('refuses a note that exceeds a limit of size, and stores nothing', async () => {
+    using fixture = new Fixture();
+    const split = Array.from({ length: 1_200 }, () => ({ upstream: 'listings', weight: 1 }));
+    const wide = { name: 'wide', pathPrefix: '/', upstream: 'listings', split };
+    const add = { ...upstreams('listings'), routes: [wide] };
+    const outcome = await fixture.source().submit(note('wide', { add }), fixture.deadline);
+    expect(brief(outcome)).toMatchSnapshot();
+    expect(await fixture.records()).to.deep.equal([]);
+  });
+
   it('restores the state before a note and its amendments on withdrawal', async () => {
     using fixture = new Fixture();
     const source = fixture.source();
