Read a corrected version at once after one that was refused

What callers would see: a version cannot be read, the operator writes the next one, and machines serve by the old one for up to 31 s more, although the store has acknowledged the new one.

Cause: the watch was not moved past the refused change, so each read returned it again, and the reader waited longer between two reads of it (up to 31 s).

Change: the feed of the operator's object goes on after a refused change and waits for the next; only the log, which is read from the version in force on, repeats one. A process that holds no version is not caught up by a refusal: it answers 503 and not 404.

Test: object_feed_test.ts, 'applies a corrected version at once after one that was refused', while a reader follows and as it starts: both fail on (version 12 not in force 100 ms after it was written), and the reader makes at most 5 calls in the 10 s after a refusal.

--- a/src/distribution/feed.ts
+++ b/src/distribution/feed.ts
@@ -2,10 +2,16 @@
 import { type Problem } from '../contracts.js';
 
 export abstract class Feed {
+  /**
+   * Whether a version that was refused is read again by the next call. If not, the next call waits
+   * for a later version.
+   */
+  abstract readonly repeatsRefused: boolean;
+
   /**
    * Brings the replica to a version that was the head at some time after this call. Resolves to
-   * false if a version was refused on the way; rejects if the source cannot be reached before
-   * `deadline`.
+   * false if a version was refused on the way; rejects with an `UnreadableError` if the head does not
+   * parse, and with another error if the source cannot be reached before `deadline`.
    */
   abstract catchUp(deadline: number): Promise<boolean>;
 
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -23,10 +23,14 @@
  */
 export class Reader {
   /**
-   * Whether the source was read at least once up to its head, or up to a version that was refused.
+   * Whether the source was read at least once up to its head, or up to a version that was refused
+   * while an earlier one is in force.
    */
   caughtUp = false;
 
+  /** Whether the source was read up to its head, so that only later versions are waited for. */
+  #isFollowing = false;
+
   /** Refusals since versions were last applied in full. */
   #refusals = 0;
 
@@ -66,12 +70,13 @@
 
   async #follow(signal: AbortSignal): Promise<void> {
     const deadline = this.clock.now() + this.pace.watchTimeoutMs;
-    const isApplied = this.caughtUp
+    const isApplied = this.#isFollowing
       ? await this.feed.follow(deadline, signal)
       : await this.feed.catchUp(deadline);
-    this.caughtUp = true;
+    this.#isFollowing = true;
+    this.caughtUp ||= isApplied || this.replica.current.number > 0;
     if (isApplied) this.#refusals = 0;
-    else await this.#backOff(signal);
+    else if (this.feed.repeatsRefused) await this.#backOff(signal);
   }
 
   async #handleError(error: unknown, signal: AbortSignal): Promise<void> {
@@ -80,14 +85,16 @@
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
       return;
     }
-    const problems = error instanceof UnreadableError ? error.problems : [];
+    const isUnreadable = error instanceof UnreadableError;
+    const problems = isUnreadable ? error.problems : [];
+    this.#isFollowing ||= isUnreadable;
     this.replica.recordRefusal(this.replica.current.number + 1, 'unreadable', problems);
-    await this.#backOff(signal);
+    if (!isUnreadable || this.feed.repeatsRefused) await this.#backOff(signal);
   }
 
   /**
-   * A refused version is still there on the next read. Without an increasing wait, the reader would
-   * do nothing but read and refuse it, and use up calls to the platform.
+   * A refused version is still there on the next read. Without an increasing wait, the reader
+   * would do nothing but read and refuse it, and use up calls to the platform.
    */
   async #backOff(signal: AbortSignal): Promise<void> {
     this.#refusals += 1;
--- a/src/platform/object_feed.ts
+++ b/src/platform/object_feed.ts
@@ -10,6 +10,12 @@
 const KEY = 'config/main';
 
 export class ObjectFeed extends Feed {
+  /**
+   * A change that was refused is not waited for again: only a later one can replace it, and that one
+   * has to be seen at once.
+   */
+  readonly repeatsRefused = false;
+
   readonly #objects = new OperatorObjectDecoder();
 
   /** Revision of the store after which changes are followed; undefined if its history is gone. */
@@ -27,9 +33,8 @@
     const { objects, asOf } = await this.platform.listKind(KIND, deadline);
     const main = objects.find(({ key }) => key === KEY);
     if (!main) throw absentError();
-    const isWhole = this.#apply(main);
     this.#asOf = asOf;
-    return isWhole;
+    return this.#apply(main);
   }
 
   async follow(deadline: number, signal: AbortSignal): Promise<boolean> {
@@ -42,9 +47,8 @@
         signal,
       );
       const latest = changes.findLast(({ object, isDeleted }) => object.key === KEY && !isDeleted);
-      const isWhole = latest ? this.#apply(latest.object) : true;
       this.#asOf = asOf;
-      return isWhole;
+      return latest ? this.#apply(latest.object) : true;
     } catch (error) {
       if (error instanceof OutcomeError && error.reason === HISTORY_GONE) this.#asOf = undefined;
       throw error;
--- a/src/source/log_feed.ts
+++ b/src/source/log_feed.ts
@@ -6,6 +6,9 @@
 import { Snapshots } from './snapshots.js';
 
 export class LogFeed extends Feed {
+  /** The log is read from the version in force on. */
+  readonly repeatsRefused = true;
+
   /** Whether the latest snapshot was looked up already. */
   #hasTriedSnapshot = false;
 
--- a/src/test/distribution/idle_feed.ts
+++ b/src/test/distribution/idle_feed.ts
@@ -4,6 +4,8 @@
 
 /** The test applies versions to the replica itself. */
 export class IdleFeed extends Feed {
+  readonly repeatsRefused = false;
+
   constructor(private readonly clock: Clock) {
     super();
   }
--- a/src/test/distribution/newest_object.ts
+++ b/src/test/distribution/newest_object.ts
@@ -26,6 +26,8 @@
 
 /** Polls the object, and takes up to `maxReadMs` to read a version after noticing it. */
 export class SlowFeed extends Feed {
+  readonly repeatsRefused = false;
+
   constructor(
     private readonly object: NewestObject,
     private readonly replica: Replica,
--- a/src/test/platform/object_feed_test.ts
+++ b/src/test/platform/object_feed_test.ts
@@ -2,9 +2,15 @@
 import { Replica } from '../../distribution/replica.js';
 import { HttpPlatform } from '../../platform/http_platform.js';
 import { ObjectFeed } from '../../platform/object_feed.js';
+import { Reader } from '../../distribution/reader.js';
+import { PROMPT } from '../../membership/pace.js';
+import { type Ranking } from '../../membership/ranking.js';
 import { MachineClock } from '../../runtime/clock.js';
+import { SeededRandom } from '../../runtime/random.js';
 import { ResourceStack } from '../../runtime/resource_stack.js';
 import { PlatformServer } from '../../standins/platform_server.js';
+import { PlatformStore } from '../../standins/platform_store.js';
+import { FakeTime } from '../fake_time.js';
 
 const KEY = 'config/main';
 const CALL_TIMEOUT_MS = 2_000;
@@ -125,6 +131,50 @@
     expect(replica.current.number).to.equal(9);
   });
 
+  // Guards against a reader that waits up to half a minute after a version that it refused, while
+  // the operator has corrected it long ago.
+  for (const [when, number] of [
+    ['while it follows', 5],
+    ['when it starts', 0],
+  ] as const) {
+    it(`applies a corrected version at once after one that was refused ${when}`, async () => {
+      using time = new FakeTime();
+      const { clock } = time;
+      const store = new PlatformStore(clock);
+      const write = async (value: string) => {
+        const { revision = 0 } = (await store.get(KEY, clock.now())) ?? {};
+        if (revision > 0) await store.update(KEY, value, revision, clock.now());
+        else await store.create(KEY, value, clock.now());
+      };
+      const replica = new Replica();
+      const feed = new ObjectFeed(store, replica, clock);
+      const ranking = { isReader: true } as Ranking;
+      const reader = new Reader(feed, replica, ranking, clock, new SeededRandom(1), PROMPT);
+      const stopping = new AbortController();
+      if (number > 0) await write(configuration(number, ['menus']));
+      else await write('{"version":"r1"}');
+      const running = reader.run(stopping.signal);
+      await time.advance(1_000);
+      for (const invalid of ['{"version":"r7"}', '{"version":"r8"}']) {
+        await write(invalid);
+        await time.advance(1_000);
+      }
+      expect([replica.current.number, replica.refusal?.reason]).to.deep.equal([
+        number,
+        'unreadable',
+      ]);
+      const callsBefore = store.calls.reads + store.calls.watches;
+      await time.advance(10_000);
+      expect(store.calls.reads + store.calls.watches - callsBefore).to.be.at.most(5);
+      await write(configuration(12, ['menus']));
+      await time.advance(100);
+      expect([replica.current.number, replica.refusal]).to.deep.equal([12, undefined]);
+      stopping.abort();
+      await time.advance(5_000);
+      await running;
+    });
+  }
+
   it('gives a neighbour the changes since a version that both have had', async () => {
     await using fixture = await Fixture.start();
     await fixture.write(5, ['menus']);
