--- a/src/test/platform/operator_versions_test.ts
+++ b/src/test/platform/operator_versions_test.ts
@@ -174,7 +174,7 @@
     ['a team with as many keys as fit', { large: { apiKeys: keys(70_000) } }],
     [
       'as many teams as fit',
-      Object.fromEntries(keys(25_000).map((key) => [key, { apiKeys: [key] }])),
+      Object.fromEntries(keys(25_000).map((each) => [each, { apiKeys: [each] }])),
     ],
   ] as const) {
     it(`is applied with ${what}`, () => {
@@ -192,7 +192,7 @@
     const object = { version: 'r7', routes: {}, services: {}, tenants };
     const held = reader(new OperatorObjectDecoder().decode(JSON.stringify(object)));
     const index = TeamIndex.of(held.current);
-    const holders = ['both', 'own', 'x'].map((key) => index.teamOf(key)?.name);
+    const holders = ['both', 'own', 'x'].map((each) => index.teamOf(each)?.name);
     expect([holders, held.refusal]).to.deep.equal([['pulo', 'rana', 'pulo'], undefined]);
   });
 
