Pass over suspects when naming the readers of a data centre

What callers would see: both readers of each data centre are paused or cut off, a version is written, and all other machines serve by the old one until the readers are declared dead and then some.

Cause: readers were named by rank among live members, and suspects count as live for the 3 s in which they may refute. A suspect that is paused reads nothing.

Change: the readers of a data centre are its members by rank up to the second that is no suspect. A suspect counts as a reader too, as it may be alive; a reader more costs a watch and nothing else.

Test: ranking_test.ts, 'passes over suspects when it names the readers'; the method is new, so it does not compile before.

--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -23,7 +23,7 @@
 /**
  * Ranks live members by a hash of their instance, so that a member that joins or leaves changes the
  * place of few others. Rank 0 is the root of the data centre's tree; the first
- * `READERS_PER_DATA_CENTRE` ranks are its readers.
+ * `READERS_PER_DATA_CENTRE` ranks that are no suspects are its readers.
  */
 export class Ranking {
   #topology = -1;
@@ -55,8 +55,23 @@
   }
 
   get isReader(): boolean {
-    const rank = this.#ownRank;
-    return rank >= 0 && rank < READERS_PER_DATA_CENTRE;
+    const { instance, dataCentre } = this.roster.self;
+    return this.readers(dataCentre).some((member) => member.instance === instance);
+  }
+
+  /**
+   * The members of a data centre that read the source. Suspects are passed over: one that is paused
+   * or cut off reads nothing, and until it is declared dead the data centre would get no versions. As
+   * a suspect may still be alive, it counts as a reader too.
+   */
+  readers(dataCentre: string): readonly Member[] {
+    const members = this.ranked(dataCentre);
+    let trusted = 0;
+    const last = members.findIndex(({ liveness }) => {
+      if (liveness !== 'suspect') trusted += 1;
+      return trusted >= READERS_PER_DATA_CENTRE;
+    });
+    return last < 0 ? members : members.slice(0, last + 1);
   }
 
   /** Index of this process among the readers of all data centres; -1 if it is no reader. */
--- a/src/test/membership/ranking_test.ts
+++ b/src/test/membership/ranking_test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
+import { type Member } from '../../contracts.js';
 import { Ranking } from '../../membership/ranking.js';
 import { Roster } from '../../membership/roster.js';
 import { memberOf } from './member.js';
@@ -16,11 +17,13 @@
 
 function rankingsOf(size: number): Ranking[] {
   const members = fleetOf(size);
-  return members.map((self) => {
-    const roster = new Roster(self);
-    roster.merge(members);
-    return new Ranking(roster, FANOUT);
-  });
+  return members.map((self) => rankingOf(self, members));
+}
+
+function rankingOf(self: Member, members: readonly Member[]): Ranking {
+  const roster = new Roster(self);
+  roster.merge(members);
+  return new Ranking(roster, FANOUT);
 }
 
 describe('Ranking', () => {
@@ -51,6 +54,22 @@
     }
   });
 
+  // Guards against a data centre without a reader for as long as paused ones are not declared dead.
+  it('passes over suspects when it names the readers', () => {
+    const members = Array.from({ length: 6 }, (_, index) => memberOf(`i${index}`));
+    const ranked = rankingOf(members[0]!, members).ranked('arima');
+    const roster = new Roster(ranked.at(-1)!);
+    roster.merge(members);
+    const ranking = new Ranking(roster, FANOUT);
+    const readers = () => ranking.readers('arima').map(({ instance }) => instance);
+    const expected = (count: number) => ranked.slice(0, count).map(({ instance }) => instance);
+    expect(readers()).to.deep.equal(expected(2));
+    roster.setLiveness(ranked[1]!.instance, 'suspect');
+    expect(readers()).to.deep.equal(expected(3));
+    for (const { instance } of ranked.slice(2, 5)) roster.setLiveness(instance, 'suspect');
+    expect([readers(), ranking.isReader]).to.deep.equal([expected(6), true]);
+  });
+
   // Guards against detecting failures one after another when 63 of 64 processes die at once, each
   // together with all of its monitors.
   it('doubles the monitored members with each round of suspects', () => {
