Have a peer read in place of a reader that has lost contact with the source

Cause: the role of a reader goes by rank among live members, and a reader that the store turns away lives. Ruled out: that others read the version and it does not spread; that only a refusal does it.

Change: a reader that gets an error, or no answer 400 ms after it is due, asks the members after it by rank, one at a time, to read in its place; a peer that does not reach the store or does not know the request is passed over, with growing waits. The delegate also reads and writes rollout orders and answers for the head. The deadlines of the readers' watches are spread over the period, so that silence is noticed by the first of them. It works as versions are immutable and replicas only move forward, so a reader more does no harm; the delegate tells its neighbours first, as they must not take what they heard of it for all that it held.

--- a/src/bench/acceptance.ts
+++ b/src/bench/acceptance.ts
@@ -5,8 +5,8 @@
  */
 import { ReleaseNote } from '../contracts.js';
 import { Reader } from '../distribution/reader.js';
+import { ReaderRole } from '../distribution/reader_role.js';
 import { Replica } from '../distribution/replica.js';
-import { type Ranking } from '../membership/ranking.js';
 import { HttpPlatform } from '../platform/http_platform.js';
 import { MachineClock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
@@ -55,11 +55,11 @@
   const log = new VersionLog(platform);
   const nothing = new PlatformStore(clock);
   const snapshots = new Snapshots(hasSnapshots ? platform : nothing, log);
-  const ranking = { isReader: true } as Ranking;
+  const ranking = { isReader: true, readerIndex: 0, dataCentres: () => ['one'] };
   const reader = new Reader(
     new LogFeed(log, snapshots, replica),
     replica,
-    ranking,
+    new ReaderRole(ranking, clock),
     clock,
     new SeededRandom(1),
   );
--- a/src/contracts/message.ts
+++ b/src/contracts/message.ts
@@ -142,3 +142,20 @@
 
 export const Confirmed = z.strictObject({ head: z.number().int() });
 export type Confirmed = z.infer<typeof Confirmed>;
+
+/** Asks a process to read the source in place of the sender, which has lost contact with it. */
+export const Delegation = z.strictObject({
+  /** How long it is asked to, in milliseconds; the sender repeats the request before that. */
+  forMs: z.number().int().min(1),
+});
+export type Delegation = z.infer<typeof Delegation>;
+
+export const Delegated = z.strictObject({
+  /** Whether the process reads the source; false if it does not reach it either. */
+  isReading: z.boolean(),
+});
+export type Delegated = z.infer<typeof Delegated>;
+
+/** Announces that the sender reads the source, so that it may hold versions that no peer has heard of. */
+export const Reading = z.strictObject({});
+export type Reading = z.infer<typeof Reading>;
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -6,7 +6,9 @@
 import { type Address, type Dialer, Mesh } from '../distribution/mesh.js';
 import { HEARTBEAT } from '../distribution/methods.js';
 import { type Profile } from '../distribution/profile.js';
+import { ReadDelegation } from '../distribution/read_delegation.js';
 import { Reader } from '../distribution/reader.js';
+import { ReaderRole } from '../distribution/reader_role.js';
 import { Readiness } from '../distribution/readiness.js';
 import { Replica } from '../distribution/replica.js';
 import { Surveyor } from '../distribution/surveyor.js';
@@ -70,8 +72,12 @@
 
   readonly readiness: Readiness;
 
+  readonly readerRole: ReaderRole;
+
   readonly reader: Reader;
 
+  readonly readDelegation: ReadDelegation;
+
   readonly directory: Directory;
 
   readonly gossip: GossipTask;
@@ -137,21 +143,34 @@
       this.distributor.handleHeartbeat(peer, heartbeat);
       this.gossip.compare(peer, heartbeat.roster);
     });
+    this.readerRole = new ReaderRole(this.ranking, clock);
     this.reader = new Reader(
       dependencies.feed(replica),
       replica,
-      this.ranking,
+      this.readerRole,
       clock,
       random,
       pace,
     );
+    this.readDelegation = new ReadDelegation(
+      this.reader,
+      this.readerRole,
+      this.ranking,
+      this.roster,
+      this.mesh,
+      clock,
+      random,
+      methods,
+    );
     const headLookup = new HeadLookup(
       this.reader,
+      this.readerRole,
       this.mesh,
       this.roster,
       this.ranking,
       clock,
       methods,
+      () => this.readDelegation.delegate,
     );
     this.readiness = new Readiness(
       self,
--- a/src/daemon/create_rollouts.ts
+++ b/src/daemon/create_rollouts.ts
@@ -7,12 +7,22 @@
 
 /** Undefined without a source of rollout orders. */
 export function createRollouts(
-  { roster, ranking, mesh, methods, endpointLease }: Control,
+  { roster, readerRole, mesh, methods, endpointLease }: Control,
   { rolloutShare: allowedShare }: Settings,
   { orders: source, clock, random }: InstanceDependencies,
   log: Log,
 ): Rollouts | undefined {
   if (!source) return undefined;
   endpointLease.publishesVersion = true;
-  return new Rollouts({ roster, ranking, mesh, methods, clock, random, log, source, allowedShare });
+  return new Rollouts({
+    roster,
+    readerRole,
+    mesh,
+    methods,
+    clock,
+    random,
+    log,
+    source,
+    allowedShare,
+  });
 }
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -212,6 +212,7 @@
   #createOperatorsPort(): OperatorsPort {
     const { clock, platform, feed } = this.dependencies;
     const { replica, roster, ranking, mesh, surveyor, endpointLease } = this.control;
+    const { readerRole, readDelegation } = this.control;
     const { entry, guard, safeguards, source } = this;
     const parts = {
       clock,
@@ -219,6 +220,8 @@
       replica,
       roster,
       ranking,
+      readerRole,
+      readDelegation,
       mesh,
       surveyor,
       endpointLease,
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,9 +1,10 @@
 /** Metrics of one process in the Prometheus text format. */
 import { type Mesh } from '../distribution/mesh.js';
+import { type ReadDelegation } from '../distribution/read_delegation.js';
+import { type ReaderRole } from '../distribution/reader_role.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Peer } from '../link/peer.js';
 import { type Log } from '../logs/log.js';
-import { type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { type Quota } from '../quota/quota.js';
@@ -26,7 +27,8 @@
   readonly clock: Clock;
   readonly replica: Replica;
   readonly roster: Pick<Roster, 'counts' | 'refutations'>;
-  readonly ranking: Pick<Ranking, 'isReader'>;
+  readonly readerRole: Pick<ReaderRole, 'isReader'>;
+  readonly readDelegation: Pick<ReadDelegation, 'delegate'>;
   readonly mesh: Pick<Mesh, 'peers'>;
   readonly platform: Pick<Platform, 'meter'>;
   readonly entry: Pick<Entry, 'budgets'>;
@@ -83,7 +85,7 @@
   }
 
   #configuration(): void {
-    const { clock, replica, ranking, isReady } = this.parts;
+    const { clock, replica, readerRole, readDelegation, isReady } = this.parts;
     this.#gauges.add('version', 'Version in force', () => replica.current.number);
     this.#gauges.add(
       'version_age_seconds',
@@ -98,7 +100,12 @@
       () => replica.refusal?.number ?? 0,
     );
     this.#gauges.add('reader', '1 while this process watches the platform', () =>
-      Number(ranking.isReader),
+      Number(readerRole.isReader),
+    );
+    this.#gauges.add(
+      'reading_delegated',
+      '1 while another process watches the platform in place of this one, which does not reach it',
+      () => Number(readDelegation.delegate !== undefined),
     );
   }
 
--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -22,6 +22,9 @@
   recordRateLimit(guard, log);
   recordDrains(control, log);
   recordPlatform(platform, log, clock);
+  control.readDelegation.onDelegated = (delegate) => {
+    log.record('info', { event: 'reading-delegated', delegate });
+  };
   control.gossip.onLateWakeUp = (lateMs) => log.record('warn', { event: 'late', lateMs });
 }
 
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -4,12 +4,12 @@
  */
 import { type Heartbeat, type Recall, type Recalled, type Version } from '../contracts.js';
 import { type Methods, notifyAll, type Peer } from '../link/peer.js';
-import { READERS_PER_DATA_CENTRE, type Ranking } from '../membership/ranking.js';
+import { type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Mesh } from './mesh.js';
-import { AHEAD, PULL, PUSH, RECALL } from './methods.js';
+import { AHEAD, PULL, PUSH, READING, RECALL } from './methods.js';
 import { MAX_CHANGE_BYTES, versionBytes } from './pages.js';
 import { type Profile } from './profile.js';
 import { Puller } from './puller.js';
@@ -50,6 +50,10 @@
         peer.isReady ||= ahead.isReady;
         this.#recordVersion(peer, ahead.version);
       })
+      .on(READING, (peer) => {
+        peer.readsSource = true;
+        this.#recordVersion(peer, peer.version);
+      })
       .on(PULL, (_, pull) => responder.answer(pull))
       .on(RECALL, (_, recall) => this.#handleRecall(recall));
   }
@@ -75,16 +79,15 @@
 
   #recordVersion(peer: Peer, version: number): void {
     peer.version = Math.max(peer.version, version);
-    const isUpperBound = peer.isReady && !this.#isReader(peer);
+    const isUpperBound = peer.isReady && !peer.readsSource && !this.#isReader(peer);
     if (peer.member) this.#instanceVersions.record(peer.member, version, isUpperBound);
     this.#puller.wake();
   }
 
   #isReader({ member }: Peer): boolean {
-    const readers = member
-      ? this.ranking.ranked(member.dataCentre).slice(0, READERS_PER_DATA_CENTRE)
-      : [];
-    return readers.some(({ instance }) => instance === member?.instance);
+    if (!member) return false;
+    const readers = this.ranking.readers(member.dataCentre);
+    return readers.some(({ instance }) => instance === member.instance);
   }
 
   #handleRecall({ instance, incarnation }: Recall): Recalled {
--- a/src/distribution/feed.ts
+++ b/src/distribution/feed.ts
@@ -1,5 +1,11 @@
 /** The source from which readers get accepted versions. */
 import { type Problem } from '../contracts.js';
+import { HISTORY_GONE } from '../platform/platform.js';
+
+/** Reason of the error when the source holds no configuration yet. */
+export const ABSENT = 'absent';
+/** Reasons of errors that the source itself has reported: it can be reached. */
+export const SOURCE_ANSWERED: ReadonlySet<string> = new Set([HISTORY_GONE, ABSENT]);
 
 export abstract class Feed {
   /**
--- a/src/distribution/head_lookup.ts
+++ b/src/distribution/head_lookup.ts
@@ -8,6 +8,7 @@
 import { type Mesh } from './mesh.js';
 import { CONFIRM } from './methods.js';
 import { type Reader } from './reader.js';
+import { type ReaderRole } from './reader_role.js';
 
 /**
  * Margin by which each level of the tree answers before the level below gives up, in milliseconds.
@@ -32,11 +33,14 @@
 
   constructor(
     private readonly reader: Reader,
+    private readonly role: ReaderRole,
     private readonly mesh: Mesh,
     private readonly roster: Roster,
     private readonly ranking: Ranking,
     private readonly clock: Clock,
     methods: Methods,
+    /** The peer that reads in place of this process, if any. */
+    private readonly delegate: () => Peer | undefined,
   ) {
     methods.on(CONFIRM, async (_, { withinMs }) => ({
       head: await this.lookUp(clock.now() + withinMs),
@@ -64,13 +68,14 @@
   }
 
   async #findHead(deadline: number): Promise<number> {
-    const { parent, isReader } = this.ranking;
-    if (!isReader) return this.#askAny(parent ? [this.mesh.peer(parent.instance)] : [], deadline);
+    const { parent } = this.ranking;
+    if (!this.role.isReader)
+      return this.#askAny(parent ? [this.mesh.peer(parent.instance)] : [], deadline);
     try {
       const halfMs = (deadline - this.clock.now()) / 2;
       return await this.reader.readHead(this.clock.now() + halfMs);
     } catch {
-      return this.#askAny(this.#remotePeers(), deadline);
+      return this.#askAny([...this.#remotePeers(), this.delegate()], deadline);
     }
   }
 
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -6,6 +6,8 @@
   Bulletin,
   Confirm,
   Confirmed,
+  Delegated,
+  Delegation,
   DrainAnswer,
   DrainQuery,
   Gossip,
@@ -17,6 +19,7 @@
   Push,
   QuotaAnswer,
   QuotaReport,
+  Reading,
   Recall,
   Recalled,
   RolloutUpdate,
@@ -67,6 +70,17 @@
   params: Confirm,
   result: Confirmed,
 };
+/** Asks a process to read the source in place of the sender; older releases do not know the method. */
+export const DELEGATE: Method<Delegation, Delegated> = {
+  name: 'delegate',
+  params: Delegation,
+  result: Delegated,
+};
+export const READING: Method<Reading, unknown> = {
+  name: 'reading',
+  params: Reading,
+  result: Nothing,
+};
 export const SURVEY: Method<SurveyQuery, Survey> = {
   name: 'survey',
   params: SurveyQuery,
--- /dev/null
+++ b/src/distribution/read_delegation.ts
@@ -0,0 +1,131 @@
+/** Lets a peer read the source in place of a reader that does not reach it. */
+import { type Methods, notifyAll, type Peer } from '../link/peer.js';
+import { type Ranking, READERS_PER_DATA_CENTRE } from '../membership/ranking.js';
+import { type Roster } from '../membership/roster.js';
+import { type Clock } from '../runtime/clock.js';
+import { type Random } from '../runtime/random.js';
+import { type Mesh } from './mesh.js';
+import { DELEGATE, READING } from './methods.js';
+import { type Reader } from './reader.js';
+import { type ReaderRole } from './reader_role.js';
+
+/** How long a delegate reads after each request, in milliseconds. */
+const DELEGATION_MS = 1_500;
+/** Interval at which a delegate is asked again, in milliseconds. */
+const RENEWAL_INTERVAL_MS = 500;
+/** Time in which a peer has to read the source once and answer, in milliseconds. */
+const ANSWER_TIMEOUT_MS = 600;
+/** Number of peers asked one right after another; at most one store call each. */
+const IMMEDIATE_ATTEMPTS = 3;
+/** First and highest cap of the jittered wait before a further peer is asked, in milliseconds. */
+const INITIAL_RETRY_CAP_MS = 1_000;
+const MAX_RETRY_CAP_MS = 4_000;
+/** Time without a failed attempt after which peers are again asked at once, in milliseconds. */
+const CALM_MS = 10_000;
+
+/**
+ * A store may turn the readers away and serve all others. Readers live on and keep their rank then, so
+ * no process would read new versions for as long as that lasts. Therefore a reader that has lost contact
+ * asks peers of its data centre, one after another, to read in its place until it is in contact again.
+ *
+ * When the store turns everybody away, each reader has one peer at a time try, and rarely: the number of
+ * calls depends on the number of readers and not on the size of the fleet. Two processes that both read
+ * do no harm, as versions are immutable and replicas only move forward.
+ */
+export class ReadDelegation {
+  #isRunning = false;
+
+  #delegate: Peer | undefined;
+
+  /** Number of candidates passed over so far. */
+  #passed = 0;
+
+  #failures = 0;
+
+  #lastFailureAt = 0;
+
+  /** Called with the instance that reads in place of this process. */
+  onDelegated: (instance: string) => void = () => {};
+
+  constructor(
+    private readonly reader: Reader,
+    private readonly role: ReaderRole,
+    private readonly ranking: Ranking,
+    private readonly roster: Roster,
+    private readonly mesh: Mesh,
+    private readonly clock: Clock,
+    private readonly random: Random,
+    methods: Methods,
+  ) {
+    methods.on(DELEGATE, async (_, { forMs }) => {
+      if (!role.isReader) notifyAll(mesh.peers, READING, {});
+      return { isReading: await reader.readFor(forMs) };
+    });
+    mesh.onOpen((peer) => {
+      if (role.isDelegated) peer.notify(READING, {});
+    });
+    reader.onContactLost = () => void this.#run();
+  }
+
+  /** The peer that reads in place of this process. */
+  get delegate(): Peer | undefined {
+    return this.#delegate;
+  }
+
+  async #run(): Promise<void> {
+    if (this.#isRunning) return;
+    this.#isRunning = true;
+    if (this.clock.now() - this.#lastFailureAt > CALM_MS) this.#failures = 0;
+    while (this.#isNeeded) await this.#step();
+    this.#delegate = undefined;
+    this.#isRunning = false;
+  }
+
+  get #isNeeded(): boolean {
+    return this.role.isRanked && !this.reader.hasContact;
+  }
+
+  async #step(): Promise<void> {
+    const { contactRegained } = this.reader;
+    const peer = this.#delegate ?? this.#nextCandidate();
+    const isReading = peer !== undefined && (await this.#ask(peer));
+    if (!this.#isNeeded) return;
+    if (isReading && peer !== this.#delegate) this.onDelegated(peer.member!.instance);
+    this.#delegate = isReading ? peer : undefined;
+    const wait = isReading ? RENEWAL_INTERVAL_MS : this.#waitAfterFailure();
+    await this.clock.sleepUntil(this.clock.now() + wait, contactRegained);
+  }
+
+  async #ask(peer: Peer): Promise<boolean> {
+    const deadline = this.clock.now() + ANSWER_TIMEOUT_MS;
+    try {
+      return (await peer.request(DELEGATE, { forMs: DELEGATION_MS }, deadline)).isReading;
+    } catch {
+      return false;
+    }
+  }
+
+  /**
+   * The other members of the data centre by rank, as far as there is a link. The second reader begins
+   * with the second of them, so that both do not ask the same one.
+   */
+  #nextCandidate(): Peer | undefined {
+    const { dataCentre, instance } = this.roster.self;
+    const ranked = this.ranking.ranked(dataCentre);
+    const peers = ranked
+      .slice(READERS_PER_DATA_CENTRE)
+      .flatMap((member) => this.mesh.peer(member.instance) ?? []);
+    const ownRank = ranked.findIndex((member) => member.instance === instance);
+    return peers[(Math.max(0, ownRank) + this.#passed) % peers.length];
+  }
+
+  /** Longer with each failure: when the store serves nobody, asking further peers only costs calls. */
+  #waitAfterFailure(): number {
+    this.#passed += 1;
+    this.#failures += 1;
+    this.#lastFailureAt = this.clock.now();
+    const doublings = this.#failures - IMMEDIATE_ATTEMPTS;
+    if (doublings < 0) return 0;
+    return this.random.jitter(Math.min(MAX_RETRY_CAP_MS, INITIAL_RETRY_CAP_MS * 2 ** doublings));
+  }
+}
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -1,14 +1,24 @@
-/** Follows the source of versions, in processes that rank as readers. */
-import { OutcomeError } from '../contracts.js';
+/** Follows the source of versions, in processes that are readers. */
+import { OutcomeError, type Problem } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Pace, STEADY } from '../membership/pace.js';
-import { type Ranking } from '../membership/ranking.js';
-import { type Feed, UnreadableError } from './feed.js';
+import { type Feed, SOURCE_ANSWERED, UnreadableError } from './feed.js';
+import { type ReaderRole } from './reader_role.js';
 import { type Replica } from './replica.js';
 
 /** Cap of the jittered wait after a failed call, in milliseconds. */
 const RETRY_CAP_MS = 1_000;
+/** The same while the source has not been reached since the last call, in milliseconds. */
+const LOST_RETRY_CAP_MS = 2_000;
+/** Time after which an answer that is due counts as missing, in milliseconds. */
+const SILENCE_MS = 400;
+/** A wake-up later than this, in milliseconds, means that this process is late, not the answer. */
+const LATE_WAKE_UP_MS = 100;
+/** Timeout of the first read in place of another process, in milliseconds. */
+const DELEGATED_READ_MS = 500;
+/** Timeout of its watches, in milliseconds; short, as the source may go silent for it too. */
+const DELEGATED_WATCH_MS = 1_000;
 /**
  * Cap of the jittered backoff after the platform served a version that was refused, in
  * milliseconds.
@@ -34,21 +44,41 @@
   /** Refusals since versions were last applied in full. */
   #refusals = 0;
 
+  #hasContact = true;
+
+  #regained = new AbortController();
+
+  /** Called when the process does not reach the source any more. */
+  onContactLost: () => void = () => {};
+
   constructor(
     private readonly feed: Feed,
     private readonly replica: Replica,
-    private readonly ranking: Ranking,
+    private readonly role: ReaderRole,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly pace: Pace = STEADY,
   ) {}
 
+  /** Whether the last call to the source was answered, and no answer is overdue. */
+  get hasContact(): boolean {
+    return this.#hasContact;
+  }
+
+  /** Aborts when the process reaches the source again after it has lost contact. */
+  get contactRegained(): AbortSignal {
+    return this.#regained.signal;
+  }
+
   /** Runs until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       const isStarting = this.pace.isEager && !this.caughtUp;
-      if (!isStarting && !this.ranking.isReader) {
-        await this.clock.sleepUntil(this.clock.now() + RANK_CHECK_MS, signal);
+      if (!isStarting && !this.role.isReader) {
+        // By the time it is a reader again, the source may have dropped the changes since then.
+        this.#isFollowing = false;
+        this.#setContact(true);
+        await this.role.waitUntilDelegated(this.clock.now() + RANK_CHECK_MS, signal);
         continue;
       }
       try {
@@ -57,6 +87,24 @@
         await this.#handleError(error, signal);
       }
     }
+    // Ends the delegation of a process that stops.
+    this.#setContact(true);
+  }
+
+  /**
+   * Reads in place of a process that has lost contact with the source, for `forMs` milliseconds.
+   * Resolves to whether this process reaches it.
+   */
+  async readFor(forMs: number): Promise<boolean> {
+    if (!this.#isFollowing) {
+      try {
+        await this.#takeUp(this.clock.now() + DELEGATED_READ_MS);
+      } catch {
+        return false;
+      }
+    }
+    if (this.#hasContact) this.role.delegateUntil(this.clock.now() + forMs);
+    return this.#hasContact;
   }
 
   /**
@@ -68,30 +116,87 @@
     return this.replica.current.number;
   }
 
+  /** Reads up to the head, to follow the source from there. */
+  async #takeUp(deadline: number): Promise<boolean> {
+    try {
+      const isApplied = await this.feed.catchUp(deadline);
+      this.caughtUp ||= isApplied || this.replica.current.number > 0;
+      this.#isFollowing = true;
+      return isApplied;
+    } catch (error) {
+      if (!(error instanceof UnreadableError)) throw error;
+      this.#isFollowing = true;
+      this.#recordUnreadable(error.problems);
+      return false;
+    }
+  }
+
   async #follow(signal: AbortSignal): Promise<void> {
-    const deadline = this.clock.now() + this.pace.watchTimeoutMs;
-    const isApplied = this.#isFollowing
-      ? await this.feed.follow(deadline, signal)
-      : await this.feed.catchUp(deadline);
-    this.#isFollowing = true;
-    this.caughtUp ||= isApplied || this.replica.current.number > 0;
-    if (isApplied) this.#refusals = 0;
-    else if (this.feed.repeatsRefused) await this.#backOff(signal);
+    const now = this.clock.now();
+    const deadline = this.#watchDeadline(now);
+    const answered = new AbortController();
+    const answerDue = this.#isFollowing ? deadline : now;
+    void this.#awaitAnswer(answerDue + SILENCE_MS, AbortSignal.any([signal, answered.signal]));
+    try {
+      const isApplied = this.#isFollowing
+        ? await this.feed.follow(deadline, signal)
+        : await this.#takeUp(deadline);
+      this.#setContact(true);
+      if (isApplied) this.#refusals = 0;
+      else if (this.feed.repeatsRefused) await this.#backOff(signal);
+    } finally {
+      answered.abort();
+    }
+  }
+
+  #watchDeadline(now: number): number {
+    const { watchTimeoutMs } = this.pace;
+    if (this.role.isRanked) return this.role.nextWatchDeadline(watchTimeoutMs);
+    return now + (this.role.isDelegated ? DELEGATED_WATCH_MS : watchTimeoutMs);
+  }
+
+  /**
+   * Notices a source that does not answer long before the call is given up. After a pause of this
+   * process the answer may be there and not read yet, so it gets the time again.
+   */
+  async #awaitAnswer(dueAt: number, answered: AbortSignal): Promise<void> {
+    let deadline = dueAt;
+    await this.clock.sleepUntil(deadline, answered);
+    while (!answered.aborted && this.clock.now() - deadline > LATE_WAKE_UP_MS) {
+      deadline = this.clock.now() + SILENCE_MS;
+      await this.clock.sleepUntil(deadline, answered);
+    }
+    if (!answered.aborted) this.#setContact(false);
+  }
+
+  #setContact(hasContact: boolean): void {
+    if (hasContact === this.#hasContact) return;
+    this.#hasContact = hasContact;
+    if (hasContact) {
+      this.#regained.abort();
+    } else {
+      this.#regained = new AbortController();
+      this.onContactLost();
+    }
   }
 
   async #handleError(error: unknown, signal: AbortSignal): Promise<void> {
     if (error instanceof OutcomeError) {
-      const wait = this.random.jitter(RETRY_CAP_MS);
+      const wasLost = !this.#hasContact;
+      this.#setContact(SOURCE_ANSWERED.has(error.reason));
+      const wait = this.random.jitter(wasLost ? LOST_RETRY_CAP_MS : RETRY_CAP_MS);
       await this.clock.sleepUntil(this.clock.now() + wait, signal);
       return;
     }
     const isUnreadable = error instanceof UnreadableError;
-    const problems = isUnreadable ? error.problems : [];
-    this.#isFollowing ||= isUnreadable;
-    this.replica.recordRefusal(this.replica.current.number + 1, 'unreadable', problems);
+    this.#recordUnreadable(isUnreadable ? error.problems : []);
     if (!isUnreadable || this.feed.repeatsRefused) await this.#backOff(signal);
   }
 
+  #recordUnreadable(problems: readonly Problem[]): void {
+    this.replica.recordRefusal(this.replica.current.number + 1, 'unreadable', problems);
+  }
+
   /**
    * A refused version is still there on the next read. Without an increasing wait, the reader
    * would do nothing but read and refuse it, and use up calls to the platform.
--- /dev/null
+++ b/src/distribution/reader_role.ts
@@ -0,0 +1,56 @@
+/** Whether this process reads the source of versions. */
+import { type Ranking, READERS_PER_DATA_CENTRE } from '../membership/ranking.js';
+import { type Clock } from '../runtime/clock.js';
+
+/** A process reads the source if it ranks as a reader, or in place of a reader that asked it to. */
+export class ReaderRole {
+  #delegatedUntil = 0;
+
+  #change = new AbortController();
+
+  constructor(
+    private readonly ranking: Pick<Ranking, 'isReader' | 'readerIndex' | 'dataCentres'>,
+    private readonly clock: Clock,
+  ) {}
+
+  get isReader(): boolean {
+    return this.isRanked || this.isDelegated;
+  }
+
+  get isRanked(): boolean {
+    return this.ranking.isReader;
+  }
+
+  get isDelegated(): boolean {
+    return this.clock.now() < this.#delegatedUntil;
+  }
+
+  /** Index of this process among the readers of all data centres; -1 if it does not rank as one. */
+  get readerIndex(): number {
+    return this.ranking.readerIndex;
+  }
+
+  /**
+   * Deadline of the next watch of a ranked reader, half a period to one and a half from now. The
+   * deadlines of all readers are spread evenly over the period: when the source goes silent, the first
+   * answer is overdue after a part of a period, and without more calls.
+   */
+  nextWatchDeadline(periodMs: number): number {
+    const readers = Math.max(1, this.ranking.dataCentres().length * READERS_PER_DATA_CENTRE);
+    const phase = (Math.max(0, this.readerIndex) * periodMs) / readers;
+    const earliest = this.clock.now() + periodMs / 2;
+    return phase + Math.ceil((earliest - phase) / periodMs) * periodMs;
+  }
+
+  /** Makes this process read until then, in milliseconds since the epoch, or longer if it does already. */
+  delegateUntil(deadline: number): void {
+    this.#delegatedUntil = Math.max(this.#delegatedUntil, deadline);
+    this.#change.abort();
+    this.#change = new AbortController();
+  }
+
+  /** Resolves at `deadline`, as soon as reading is delegated, or when `signal` aborts. */
+  async waitUntilDelegated(deadline: number, signal: AbortSignal): Promise<void> {
+    await this.clock.sleepUntil(deadline, AbortSignal.any([signal, this.#change.signal]));
+  }
+}
--- a/src/link/peer.ts
+++ b/src/link/peer.ts
@@ -49,6 +49,9 @@
   /** Whether the far end has reported that it is ready. */
   isReady = false;
 
+  /** Whether the far end has reported that it reads the source, although it does not rank as a reader. */
+  readsSource = false;
+
   /** When the last message arrived from it, in milliseconds since the epoch. */
   lastMessageAt: number;
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -209,6 +209,11 @@
     problems: z.array(z.string()),
   }),
   z.object({ event: z.literal('reader-changed'), isReader: z.boolean() }),
+  z.object({
+    /** Another process watches the platform in place of this one, which does not reach it. */
+    event: z.literal('reading-delegated'),
+    delegate: z.string(),
+  }),
   z.object({
     event: z.literal('endpoint-changed'),
     endpoint: z.string(),
--- a/src/platform/object_feed.ts
+++ b/src/platform/object_feed.ts
@@ -1,7 +1,7 @@
 /** Updates the replica from the operator's object in the store. */
 import { type Clock } from '../runtime/clock.js';
 import { OutcomeError } from '../contracts.js';
-import { Feed } from '../distribution/feed.js';
+import { ABSENT, Feed } from '../distribution/feed.js';
 import { type Replica } from '../distribution/replica.js';
 import { OperatorObjectDecoder } from './operator_object.js';
 import { HISTORY_GONE, type Platform, type Stored } from './platform.js';
@@ -63,6 +63,6 @@
 }
 
 function absentError(): OutcomeError {
-  const props = { verdict: 'not-run', reason: 'absent' } as const;
+  const props = { verdict: 'not-run', reason: ABSENT } as const;
   return new OutcomeError(`no configuration in the store yet: ${KEY} does not exist`, props);
 }
--- a/src/rollout/order_reader.ts
+++ b/src/rollout/order_reader.ts
@@ -1,7 +1,7 @@
-/** Reads orders from the platform and writes their outcomes, in processes that rank as readers. */
+/** Reads orders from the platform and writes their outcomes, in processes that are readers. */
 import { OutcomeError, type Rollout, type RolloutPhase } from '../contracts.js';
 import { type Log } from '../logs/log.js';
-import { type Ranking } from '../membership/ranking.js';
+import { type ReaderRole } from '../distribution/reader_role.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
 import { type Judge } from './judge.js';
@@ -47,7 +47,7 @@
     private readonly broadcast: RolloutBroadcast,
     private readonly judge: Judge,
     private readonly knownVersions: KnownVersions,
-    private readonly ranking: Ranking,
+    private readonly role: Pick<ReaderRole, 'isReader' | 'readerIndex'>,
     private readonly clock: Clock,
     private readonly random: Random,
     private readonly log: Log,
@@ -65,7 +65,7 @@
     const { clock, orders, source } = this;
     const now = clock.now();
     const mustList = !orders.isComplete && now >= startedAt + LIST_AFTER_MS;
-    const isReader = this.ranking.isReader && now >= startedAt + READ_DELAY_MS;
+    const isReader = this.role.isReader && now >= startedAt + READ_DELAY_MS;
     if (orders.isComplete && isReader) {
       this.#merge(await source.follow(now + WATCH_MS, signal));
     } else if (isReader || mustList) {
@@ -79,7 +79,7 @@
     await this.#repeat(signal, async () => {
       const isOver = this.orders.all().every(({ phase }) => FINAL_PHASES.has(phase));
       await this.clock.sleepUntil(this.clock.now() + (isOver ? IDLE_POLL_MS : POLL_MS), signal);
-      if (!this.ranking.isReader || signal.aborted) return;
+      if (!this.role.isReader || signal.aborted) return;
       await this.#clearNewcomers();
       for (const rollout of this.orders.all()) await this.#writeInTurn(rollout);
     });
@@ -130,7 +130,7 @@
     }
     const since = this.#dueSince.get(upstream) ?? now;
     this.#dueSince.set(upstream, since);
-    if (now - since < this.ranking.readerIndex * READER_DELAY_MS) return;
+    if (now - since < this.role.readerIndex * READER_DELAY_MS) return;
     const isWritten = await this.source.writeOutcome(rollout, now + CALL_MS);
     // Reads what another reader wrote, or an earlier write of this process whose answer was lost.
     if (!isWritten) this.#merge(await this.source.list(this.clock.now() + CALL_MS));
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -3,7 +3,7 @@
 import { type Mesh } from '../distribution/mesh.js';
 import { type Methods } from '../link/peer.js';
 import { type Log } from '../logs/log.js';
-import { type Ranking } from '../membership/ranking.js';
+import { type ReaderRole } from '../distribution/reader_role.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -19,7 +19,7 @@
 /** The parts of the process that rollouts use. */
 export interface RolloutDependencies {
   readonly roster: Roster;
-  readonly ranking: Ranking;
+  readonly readerRole: Pick<ReaderRole, 'isReader' | 'readerIndex'>;
   readonly mesh: Mesh;
   readonly methods: Methods;
   readonly clock: Clock;
@@ -60,7 +60,7 @@
 
   constructor(private readonly dependencies: RolloutDependencies) {
     super();
-    const { mesh, methods, roster, ranking, clock, random, log, source, allowedShare } =
+    const { mesh, methods, roster, readerRole, clock, random, log, source, allowedShare } =
       dependencies;
     const { orders } = this;
     this.roles = new RolloutRoles(orders, roster, clock, allowedShare);
@@ -79,7 +79,7 @@
       this.#broadcast,
       this.#judge,
       this.roles,
-      ranking,
+      readerRole,
       clock,
       random,
       log,
@@ -126,8 +126,8 @@
 
   /** Guards of the ordered version's endpoints judge too, as all readers may be unreachable. */
   get #isJudge(): boolean {
-    const { ranking, roster } = this.dependencies;
-    if (ranking.isReader) return true;
+    const { readerRole, roster } = this.dependencies;
+    if (readerRole.isReader) return true;
     const order = this.#ownOrder;
     return order !== undefined && order.version === roster.self.endpoint?.version;
   }
--- a/src/standins/interruptible_platform.ts
+++ b/src/standins/interruptible_platform.ts
@@ -11,11 +11,16 @@
 import { type Gate } from './gate.js';
 
 export class InterruptiblePlatform extends Platform {
+  /** Calls made, whether or not they reached the platform. */
+  calls = 0;
+
   constructor(
     private readonly platform: Platform,
     private readonly clock: Clock,
     private readonly gate: Gate,
     private readonly isCut: () => boolean,
+    /** Whether a cut is noticed only when the deadline of a call passes. */
+    private readonly isSilent: () => boolean = () => false,
   ) {
     super();
   }
@@ -73,8 +78,10 @@
 
   /** If the connection is cut before the answer, the call takes effect but times out at its deadline. */
   async #call<T>(deadline: number, call: () => Promise<T>): Promise<T> {
+    this.calls += 1;
     await this.gate.waitUntilOpen();
     if (this.isCut()) {
+      if (this.isSilent()) await this.clock.sleepUntil(deadline);
       throw new OutcomeError('platform unreachable: the connection is cut', {
         verdict: 'not-run',
         reason: 'cut',
--- a/src/test/distribution/readiness_test.ts
+++ b/src/test/distribution/readiness_test.ts
@@ -16,6 +16,14 @@
   return fleet.ranked(dataCentre).at(-1)!;
 }
 
+/** A process that reads in place of a reader that is cut off from the platform. */
+async function findDelegate(fleet: TestFleet): Promise<Node> {
+  const isDelegated = ({ control }: Node) => control.readerRole.isDelegated;
+  for (const { name } of fleet.ranked('arima').slice(0, 2)) fleet.cutOff.add(name);
+  expect(await fleet.time.until(() => fleet.alive.some(isDelegated), 20_000)).to.equal(true);
+  return fleet.alive.find(isDelegated)!;
+}
+
 async function restart(fleet: TestFleet, node: Node, apartMs = 10): Promise<Node> {
   fleet.kill(node.name);
   await fleet.time.advance(apartMs);
@@ -46,29 +54,34 @@
     expect(held(leaf)).to.equal(1);
   });
 
-  // Guards against a restarted reader that serves an older version than before: its neighbours
+  // Guards against a restarted process that serves an older version than before: its neighbours
   // missed the last one, as its links were silent, and remember the one before.
-  it('is not reached by a reader through its neighbours, which may have missed its last version', async () => {
-    await using fleet = await TestFleet.start({ sizes: SIZES });
-    await fleet.accept();
-    await fleet.time.advance(3_000);
-    const [reader] = fleet.ranked('arima');
-    const others = fleet.alive.filter((node) => node !== reader);
-    others.forEach(({ host }) => fleet.network.silence(reader!.host, host));
-    others.forEach(({ name }) => fleet.cutOff.add(name));
-    await fleet.accept();
-    await fleet.time.advance(100);
-    expect(held(reader!)).to.equal(2);
-    fleet.platform.faults.down = true;
-    fleet.kill(reader!.name, 'silent');
-    const successor = fleet.launch(reader!.name, 'arima');
-    await fleet.time.advance(20_000);
-    expect([held(successor), isReady(successor)]).to.deep.equal([1, false]);
-    fleet.platform.faults.down = false;
-    fleet.cutOff.clear();
-    expect(await fleet.time.until(() => isReady(successor), 5_000)).to.equal(true);
-    expect(held(successor)).to.equal(2);
-  });
+  for (const [who, find] of [
+    ['a reader', async (fleet: TestFleet) => fleet.ranked('arima')[0]!],
+    ['a process that read in place of one', findDelegate],
+  ] as const) {
+    it(`is not reached by ${who} through its neighbours, which may have missed its last version`, async () => {
+      await using fleet = await TestFleet.start({ sizes: SIZES });
+      await fleet.accept();
+      await fleet.time.advance(3_000);
+      const reader = await find(fleet);
+      const others = fleet.alive.filter((node) => node !== reader);
+      others.forEach(({ host }) => fleet.network.silence(reader.host, host));
+      others.forEach(({ name }) => fleet.cutOff.add(name));
+      await fleet.accept();
+      await fleet.time.advance(100);
+      expect(held(reader)).to.equal(2);
+      fleet.platform.faults.down = true;
+      fleet.kill(reader.name, 'silent');
+      const successor = fleet.launch(reader.name, reader.host.dataCentre);
+      await fleet.time.advance(20_000);
+      expect([held(successor), isReady(successor)]).to.deep.equal([1, false]);
+      fleet.platform.faults.down = false;
+      fleet.cutOff.clear();
+      expect(await fleet.time.until(() => isReady(successor), 10_000)).to.equal(true);
+      expect(held(successor)).to.equal(2);
+    });
+  }
 
   // Guards against restarted processes that confirm each other's versions when no process remembers
   // any: none may become ready before the log can be read.
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -46,7 +46,12 @@
    * Source of versions instead of the log. `isCut` tells whether the process is disconnected from
    * it.
    */
-  readonly feed?: (replica: Replica, clock: Clock, isCut: () => boolean) => Feed;
+  readonly feed?: (
+    replica: Replica,
+    clock: Clock,
+    isCut: () => boolean,
+    platform: Platform,
+  ) => Feed;
   readonly pace?: Pace;
   /** Bandwidth of each machine's network link in kbit/s; unlimited when absent. */
   readonly linkKbps?: number;
@@ -78,6 +83,9 @@
   /** Names of data centres or processes that are disconnected from the platform. */
   readonly cutOff = new Set<string>();
 
+  /** Whether their calls get no answer; otherwise they fail at once. */
+  isSilentlyCut = false;
+
   /** Accepted configurations, indexed by version. */
   readonly accepted = [Configuration.empty];
 
@@ -170,7 +178,8 @@
     const isCut = () => this.cutOff.has(dataCentre) || this.cutOff.has(name);
     const release = this.options.releaseOf?.(name);
     const received = (link: Link) => release?.link(link) ?? link;
-    const connected = new InterruptiblePlatform(this.platform, clock, gate, isCut);
+    const isSilent = () => this.isSilentlyCut;
+    const connected = new InterruptiblePlatform(this.platform, clock, gate, isCut, isSilent);
     const platform = release?.platform(connected) ?? connected;
     const { linkKbps } = this.options;
     const port = 1_000 + [...this.nodes.keys(), name].indexOf(name);
@@ -210,7 +219,8 @@
         clock,
         random: this.random,
         dialer,
-        feed: (replica) => this.options.feed?.(replica, clock, isCut) ?? logFeed(platform, replica),
+        feed: (replica) =>
+          this.options.feed?.(replica, clock, isCut, platform) ?? logFeed(platform, replica),
       },
     );
     const node = { name, host, control, isAlive: true };
--- a/src/test/rollout/rollout_fleet.ts
+++ b/src/test/rollout/rollout_fleet.ts
@@ -154,12 +154,12 @@
   }
 
   #startProcess({ name, control }: Node, platform: Platform, clock: Clock): void {
-    const { roster, ranking, mesh, methods } = control;
+    const { roster, readerRole, mesh, methods } = control;
     const random = new SeededRandom(SEED + this.#processes.size);
     const source = new ObjectOrders(platform);
     const log = new SilentLog();
     const allowedShare = ALLOWED_SHARE;
-    const parts = { roster, ranking, mesh, methods, clock, random, log, source, allowedShare };
+    const parts = { roster, readerRole, mesh, methods, clock, random, log, source, allowedShare };
     const rollouts = new Rollouts(parts);
     const balancer = new Balancer(roster, clock, random, rollouts.roles);
     const stopping = new AbortController();
--- a/src/test/source/snapshots_test.ts
+++ b/src/test/source/snapshots_test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { Replica } from '../../distribution/replica.js';
 import { Reader } from '../../distribution/reader.js';
-import { type Ranking } from '../../membership/ranking.js';
+import { ReaderRole } from '../../distribution/reader_role.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { VersionLog } from '../../source/log.js';
 import { LogFeed } from '../../source/log_feed.js';
@@ -33,11 +33,11 @@
   const replica = new Replica();
   const snapshots = new Snapshots(fixture.store, fixture.log);
   const { log, clock } = fixture;
-  const ranking = { isReader: true } as Ranking;
+  const ranking = { isReader: true, readerIndex: 0, dataCentres: () => ['one'] };
   const reader = new Reader(
     new LogFeed(log, snapshots, replica),
     replica,
-    ranking,
+    new ReaderRole(ranking, clock),
     clock,
     new SeededRandom(1),
   );
