Cut a response that is not complete soon after its deadline

What callers would see: an upstream instance answers 200 and sends bytes without end, or goes silent after the head. The caller has no final answer at the timeout, nor ever in the first case; connection, slot and the instance's share of the link are held meanwhile.

Cause: the deadline ended with the head. After it only 10 s without any progress ended a response, and each byte started these anew; the same for a refused response whose rest was read to keep the connection, and for the health check of an instance, whose timeout was that of an idle socket.

Change: a whole response has 150 ms beyond its deadline, at each hop. The rest of a refused response is read up to 64 KiB and 500 ms. The health check has 500 ms in all.

--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -23,6 +23,14 @@
 const CONNECT_TIMEOUT_MS = 200;
 /** A response without progress for this long is cut, in milliseconds. */
 export const PROGRESS_TIMEOUT_MS = 10_000;
+/**
+ * Time after its deadline by which a response has to be complete, in milliseconds. Progress alone does
+ * not keep it: bytes may come without end.
+ */
+const COMPLETION_GRACE_MS = 150;
+/** Most of a refused response that is read to keep its connection, in bytes, and for how long, in ms. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+const DISCARD_TIMEOUT_MS = 500;
 
 /** Destination and content of a request, and its time limits. */
 export interface ExchangeOptions {
@@ -34,7 +42,10 @@
   /** Alternating names and values, without those that frame the body. */
   readonly headers: string[];
   readonly body: Body;
-  /** Time limit for the response head, in milliseconds since the epoch. */
+  /**
+   * Time limit for the response head, in milliseconds since the epoch; the whole response has
+   * `COMPLETION_GRACE_MS` more.
+   */
   readonly deadline: number;
   /** Whether it may run twice; if not, idle connections without a recent response are not used. */
   readonly isRepeatable: boolean;
@@ -130,6 +141,7 @@
       const onTimeout = () =>
         this.#fail('silent', `no response progress for ${PROGRESS_TIMEOUT_MS} ms`);
       const timer = setTimeout(onTimeout, PROGRESS_TIMEOUT_MS);
+      this.#limitCompletion(answer);
       answer.on('data', (chunk: Buffer) => {
         timer.refresh();
         bytes += chunk.length;
@@ -166,6 +178,7 @@
       if (read === before)
         this.#fail('silent', `no response progress for ${PROGRESS_TIMEOUT_MS} ms`);
     }, PROGRESS_TIMEOUT_MS);
+    this.#limitCompletion(answer);
     try {
       const result = await reading;
       await this.#verifyComplete();
@@ -175,10 +188,19 @@
     }
   }
 
-  /** Reads and discards the rest of a response, so that its connection can be reused. */
+  /**
+   * Reads and discards the rest of a response, so that its connection can be reused. If that is much,
+   * or takes long, the connection is closed instead.
+   */
   discard(answer: IncomingMessage): void {
+    let bytes = 0;
+    const timer = setTimeout(() => this.#request?.destroy(), DISCARD_TIMEOUT_MS);
     answer.on('error', () => {});
-    answer.resume();
+    answer.on('data', (chunk: Buffer) => {
+      bytes += chunk.length;
+      if (bytes > MAX_DISCARDED_BYTES) this.#request?.destroy();
+    });
+    answer.once('close', () => clearTimeout(timer));
   }
 
   /** Aborts the exchange because the response belongs to another request; returns the error. */
@@ -207,6 +229,16 @@
     request.once('information', stop).once('response', stop).once('close', stop);
   }
 
+  /** Cuts a response that is not complete in time, however much of it arrives. */
+  #limitCompletion(answer: IncomingMessage): void {
+    const left = Math.max(0, this.options.deadline + COMPLETION_GRACE_MS - this.clock.now());
+    const timer = setTimeout(
+      () => this.#fail('deadline', 'response not complete before the deadline'),
+      left,
+    );
+    answer.once('close', () => clearTimeout(timer));
+  }
+
   /** Rejects if the response ended before it was complete. */
   async #verifyComplete(): Promise<void> {
     try {
--- a/src/requests/upstream_probe.ts
+++ b/src/requests/upstream_probe.ts
@@ -25,6 +25,7 @@
 ): Promise<UpstreamProbe> {
   try {
     const answer = await fetchHealth(place);
+    answer.on('error', () => {});
     answer.resume();
     return { identity: dialect.identityOf(answer), refusesWork: dialect.refusesWork(answer) };
   } catch {
@@ -35,10 +36,13 @@
 
 function fetchHealth({ host, port, path }: HealthCheckAddress): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
-    const outgoing = request({ host, port, path, agent: false, timeout: TIMEOUT_MS }, resolve);
-    outgoing.on('timeout', () =>
-      outgoing.destroy(new Error(`no response within ${TIMEOUT_MS} ms`)),
+    const outgoing = request({ host, port, path, agent: false }, resolve);
+    // For the whole response: the timeout of a socket starts anew with every byte.
+    const timer = setTimeout(
+      () => outgoing.destroy(new Error(`no response within ${TIMEOUT_MS} ms`)),
+      TIMEOUT_MS,
     );
+    outgoing.on('close', () => clearTimeout(timer));
     outgoing.on('error', reject);
     outgoing.end();
   });
