Do not take a wait after a refused version for a silent source

The timer that notices a missing answer ran on while a reader of the log waited after a refusal, so it would have asked a peer to read in its place. A reader without linked peers no longer counts that as failed attempts. Found by reading; no test shows the first two.

--- a/src/distribution/read_delegation.ts
+++ b/src/distribution/read_delegation.ts
@@ -87,13 +87,17 @@
 
   async #step(): Promise<void> {
     const { contactRegained } = this.reader;
-    const peer = this.#delegate ?? this.#nextCandidate();
-    const isReading = peer !== undefined && (await this.#ask(peer));
-    if (!this.#isNeeded) return;
+    const wait = await this.#delegateTo(this.#delegate ?? this.#nextCandidate());
+    await this.clock.sleepUntil(this.clock.now() + wait, contactRegained);
+  }
+
+  /** Resolves to the time until the next step, in milliseconds. */
+  async #delegateTo(peer: Peer | undefined): Promise<number> {
+    if (!peer) return RENEWAL_INTERVAL_MS;
+    const isReading = await this.#ask(peer);
     if (isReading && peer !== this.#delegate) this.onDelegated(peer.member!.instance);
     this.#delegate = isReading ? peer : undefined;
-    const wait = isReading ? RENEWAL_INTERVAL_MS : this.#waitAfterFailure();
-    await this.clock.sleepUntil(this.clock.now() + wait, contactRegained);
+    return isReading ? RENEWAL_INTERVAL_MS : this.#waitAfterFailure();
   }
 
   async #ask(peer: Peer): Promise<boolean> {
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -132,18 +132,21 @@
   }
 
   async #follow(signal: AbortSignal): Promise<void> {
+    const isApplied = await this.#readNext(signal);
+    this.#setContact(true);
+    if (isApplied) this.#refusals = 0;
+    else if (this.feed.repeatsRefused) await this.#backOff(signal);
+  }
+
+  async #readNext(signal: AbortSignal): Promise<boolean> {
     const now = this.clock.now();
     const deadline = this.#watchDeadline(now);
     const answered = new AbortController();
     const answerDue = this.#isFollowing ? deadline : now;
-    void this.#awaitAnswer(answerDue + SILENCE_MS, AbortSignal.any([signal, answered.signal]));
+    void this.#awaitAnswer(answerDue + SILENCE_MS, answered.signal);
     try {
-      const isApplied = this.#isFollowing
-        ? await this.feed.follow(deadline, signal)
-        : await this.#takeUp(deadline);
-      this.#setContact(true);
-      if (isApplied) this.#refusals = 0;
-      else if (this.feed.repeatsRefused) await this.#backOff(signal);
+      if (!this.#isFollowing) return await this.#takeUp(deadline);
+      return await this.feed.follow(deadline, signal);
     } finally {
       answered.abort();
     }
--- a/src/distribution/reader_role.ts
+++ b/src/distribution/reader_role.ts
@@ -6,7 +6,7 @@
 export class ReaderRole {
   #delegatedUntil = 0;
 
-  #change = new AbortController();
+  #waking = new AbortController();
 
   constructor(
     private readonly ranking: Pick<Ranking, 'isReader' | 'readerIndex' | 'dataCentres'>,
@@ -45,12 +45,17 @@
   /** Makes this process read until then, in milliseconds since the epoch, or longer if it does already. */
   delegateUntil(deadline: number): void {
     this.#delegatedUntil = Math.max(this.#delegatedUntil, deadline);
-    this.#change.abort();
-    this.#change = new AbortController();
+    this.#waking.abort();
   }
 
   /** Resolves at `deadline`, as soon as reading is delegated, or when `signal` aborts. */
   async waitUntilDelegated(deadline: number, signal: AbortSignal): Promise<void> {
-    await this.clock.sleepUntil(deadline, AbortSignal.any([signal, this.#change.signal]));
+    const waking = new AbortController();
+    this.#waking = waking;
+    // `AbortSignal.any` keeps some memory of each call for as long as `signal` exists.
+    const wake = () => waking.abort();
+    signal.addEventListener('abort', wake, { once: true });
+    await this.clock.sleepUntil(signal.aborted ? this.clock.now() : deadline, waking.signal);
+    signal.removeEventListener('abort', wake);
   }
 }
