--- a/src/test/rollout/rollouts_test.ts
+++ b/src/test/rollout/rollouts_test.ts
@@ -87,6 +87,21 @@
     expect(await fleet.status()).to.deep.equal(ROLLED_BACK);
   });
 
+  // Guards against an order that nobody reads, and an outcome that nobody writes, while the platform turns
+  // away just the processes that rank as readers.
+  it('are read and ended by delegates while the platform turns the readers away', async () => {
+    await using fleet = await RolloutFleet.start({ v2: FAILING });
+    for (const name of readers(fleet)) fleet.fleet.cutOff.add(name);
+    await fleet.serve(6_000);
+    await fleet.order('v2', DURATION_MS);
+    await fleet.serve(DURATION_MS - 1_000);
+    expect(await outcome(fleet)).to.deep.equal({
+      status: ROLLED_BACK,
+      phases: { 'rolled-back': 18 },
+      exposure: KEPT,
+    });
+  });
+
   // Guards against an outcome that is written again and again because the answers to its writes are lost.
   it('write an outcome without endless retries when answers of the platform are lost', async () => {
     await using fleet = await RolloutFleet.start({ v2: FAILING });
