Tell requests of the same content apart by their callers in quarantine

Cause: the fingerprint of a request left out the caller, so a success of one caller's request cleared the other's of its crashes.

Change: the name of the caller's service is part of the fingerprint where callers have names; the entry takes it from its own settings, never from what the caller sent. Without names the fingerprint is that of earlier releases.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -9,6 +9,7 @@
 import { Balancer } from '../placement/balancer.js';
 import { type Quota } from '../quota/quota.js';
 import { SharedQuota } from '../quota/shared_quota.js';
+import { DEFAULT_DIALECT } from '../requests/default_dialect.js';
 import { Entry } from '../requests/entry.js';
 import { type Guard } from '../requests/guard.js';
 import { Safeguards } from '../requests/safeguards.js';
@@ -200,10 +201,9 @@
   }
 
   #createSafeguards(): Safeguards {
-    const { platform, clock, random, dialect } = this.dependencies;
+    const { platform, clock, random, dialect = DEFAULT_DIALECT } = this.dependencies;
     const { mesh, methods, ranking } = this.control;
-    const takesKeys = dialect?.takesKeys ?? true;
-    const parts = { platform, clock, random, mesh, methods, ranking, takesKeys };
+    const parts = { platform, clock, random, mesh, methods, ranking, dialect };
     const safeguards = new Safeguards(this.settings.instance, parts);
     safeguards.install(this.entry, this.guard);
     return safeguards;
--- a/src/platform/mesh_dialect.ts
+++ b/src/platform/mesh_dialect.ts
@@ -1,7 +1,7 @@
 /** Headers and status codes that callers and upstream instances use on the operators' platform. */
 import { type IncomingHttpHeaders, type IncomingMessage } from 'node:http';
 import { Dialect, type Identity, type ResponseKind } from '../requests/dialect.js';
-import { headerOf, nameHeader } from '../requests/headers.js';
+import { headerOf, nameHeader, nameOf } from '../requests/headers.js';
 import { parseRate } from '../admission/rate_limit.js';
 import {
   CALLER_HEADER,
@@ -60,8 +60,16 @@
     return timeoutMs > 0 ? timeoutMs : undefined;
   }
 
+  get ownCaller(): string {
+    return this.service();
+  }
+
+  callerOf(request: Pick<IncomingMessage, 'headers'>): string {
+    return nameOf(request, CALLER_HEADER) ?? '';
+  }
+
   entryHeaders(team: string | undefined): readonly string[] {
-    const headers = [CALLER_HEADER, nameHeader(this.service())];
+    const headers = [CALLER_HEADER, nameHeader(this.ownCaller)];
     if (team !== undefined) headers.push(TEAM_HEADER, nameHeader(team));
     return headers;
   }
--- a/src/quarantine/crash_detector.ts
+++ b/src/quarantine/crash_detector.ts
@@ -30,6 +30,9 @@
   readonly response: ServerResponse;
 }
 
+/** The name of the service that sent a request; empty if callers have no names. */
+export type CallerLookup = (request: Pick<IncomingMessage, 'headers'>) => string;
+
 /** Resolves to whether a new connection is refused, which proves that nothing listens any more. */
 export type RefusalProbe = (address: UpstreamAddress) => Promise<boolean>;
 
@@ -50,6 +53,7 @@
     private readonly request: IncomingMessage,
     /** The fingerprint, if the beginning of the body was read to compute it. */
     private readonly knownFingerprint: string | undefined,
+    private readonly caller: string,
   ) {
     if (knownFingerprint === undefined && needsBody(request))
       request.on('data', this.#collectPrefix);
@@ -57,7 +61,7 @@
 
   get fingerprint(): string {
     if (this.knownFingerprint !== undefined) return this.knownFingerprint;
-    const head = headFingerprint(this.upstream, this.request);
+    const head = headFingerprint(this.upstream, this.request, this.caller);
     return needsBody(this.request) ? wholeFingerprint(head, this.#prefix) : head;
   }
 
@@ -82,6 +86,7 @@
   constructor(
     private readonly quarantine: Quarantine,
     private readonly clock: Clock,
+    private readonly callerOf: CallerLookup = () => '',
     private readonly isRefused: RefusalProbe = isConnectionRefused,
   ) {}
 
@@ -96,7 +101,7 @@
   ): Promise<PeekResult | undefined> {
     const { quarantine } = this;
     if (quarantine.isIdle) return undefined;
-    const head = headFingerprint(upstream, request);
+    const head = headFingerprint(upstream, request, this.callerOf(request));
     quarantine.check(head);
     if (!quarantine.needsBody(head) || !needsBody(request)) return undefined;
     if (request.headers.expect !== undefined) response.writeContinue();
@@ -119,6 +124,7 @@
       announced.upstream,
       request,
       this.#knownFingerprints.get(request),
+      this.callerOf(request),
     );
     try {
       const result = await exchange();
--- a/src/quarantine/request_fingerprint.ts
+++ b/src/quarantine/request_fingerprint.ts
@@ -15,14 +15,20 @@
 /** The parts of a request that its head fingerprint covers. */
 export type FingerprintedMessage = Pick<IncomingMessage, 'method' | 'url' | 'headers'>;
 
-/** Digest of upstream, method, URL and idempotency key, marked as a read if many callers send it alike. */
+/**
+ * Digest of upstream, method, URL, idempotency key and caller, marked as a read if many callers send it
+ * alike. Another caller's request of the same content may be harmless: if it counted as the same one,
+ * its success would clear the request that crashes instances. Without a caller the digest is that of
+ * earlier releases.
+ */
 export function headFingerprint(
   upstream: string,
   { method, url, headers }: FingerprintedMessage,
+  caller = '',
 ): string {
   const key = headers[IDEMPOTENCY_KEY] ?? '';
   const mark = !hasBody({ headers }) && (method === 'GET' || method === 'HEAD');
-  const parts = JSON.stringify([upstream, method, url, key]);
+  const parts = JSON.stringify([upstream, method, url, key, ...(caller === '' ? [] : [caller])]);
   return (mark ? READ_MARK : WRITE_MARK) + digest(parts);
 }
 
--- a/src/requests/default_dialect.ts
+++ b/src/requests/default_dialect.ts
@@ -34,6 +34,12 @@
     return asked > 0 ? asked : undefined;
   }
 
+  readonly ownCaller = '';
+
+  callerOf(): string {
+    return '';
+  }
+
   /** The name of the team is sent to the guard in any case, which forwards it. */
   entryHeaders(): readonly string[] {
     return [];
--- a/src/requests/dialect.ts
+++ b/src/requests/dialect.ts
@@ -36,6 +36,12 @@
   /** The caller's timeout in milliseconds; undefined if it sends none. */
   abstract callerTimeoutMs(headers: IncomingHttpHeaders): number | undefined;
 
+  /** The name under which requests that enter here are sent on; empty if callers have no names. */
+  abstract readonly ownCaller: string;
+
+  /** That name on a request from an entry. */
+  abstract callerOf(request: Pick<IncomingMessage, 'headers'>): string;
+
   /** Headers that an entry adds for the upstream instance, as alternating names and values. */
   abstract entryHeaders(team: string | undefined): readonly string[];
 
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -182,7 +182,8 @@
     const { quarantine } = this;
     if (!quarantine || quarantine.isIdle) return;
     const { method, url } = target;
-    quarantine.check(headFingerprint(upstream, { method, url, headers: request.headers }));
+    const message = { method, url, headers: request.headers };
+    quarantine.check(headFingerprint(upstream, message, this.dialect.ownCaller));
   }
 
   async #readBody(routed: RoutedRequest): Promise<Body> {
--- a/src/requests/safeguards.ts
+++ b/src/requests/safeguards.ts
@@ -1,4 +1,5 @@
 /** Sets up at-most-once execution and quarantine for one process. */
+import { type IncomingMessage } from 'node:http';
 import { type Mesh } from '../distribution/mesh.js';
 import { type Methods } from '../link/peer.js';
 import { type Ranking } from '../membership/ranking.js';
@@ -8,6 +9,7 @@
 import { BulletinBroadcaster } from '../quarantine/bulletin_broadcaster.js';
 import { ClaimSweep } from '../claims/claim_sweep.js';
 import { Claims } from '../claims/claims.js';
+import { type Dialect } from './dialect.js';
 import { type Entry } from './entry.js';
 import { CrashDetector } from '../quarantine/crash_detector.js';
 import { type Guard } from './guard.js';
@@ -22,8 +24,7 @@
   readonly mesh: Mesh;
   readonly methods: Methods;
   readonly ranking: Ranking;
-  /** Whether callers may send idempotency keys; without them there are no claims to sweep. */
-  readonly takesKeys: boolean;
+  readonly dialect: Dialect;
 }
 
 export class Safeguards implements AsyncDisposable {
@@ -57,8 +58,11 @@
     const { quarantine } = this;
     entry.quarantine = quarantine;
     guard.claims = this.claims;
-    guard.crashDetector = new CrashDetector(quarantine, this.dependencies.clock);
-    if (this.dependencies.takesKeys) this.#sweeping = this.sweep.run(this.#stopping.signal);
+    const { clock, dialect } = this.dependencies;
+    const callerOf = (request: Pick<IncomingMessage, 'headers'>) => dialect.callerOf(request);
+    guard.crashDetector = new CrashDetector(quarantine, clock, callerOf);
+    // Without idempotency keys there are no claims to sweep.
+    if (dialect.takesKeys) this.#sweeping = this.sweep.run(this.#stopping.signal);
   }
 
   /** Tries a last time to write the outcomes of claims that are not stored yet, and ends the sweep. */
--- a/src/test/quarantine/crash_detector_test.ts
+++ b/src/test/quarantine/crash_detector_test.ts
@@ -1,4 +1,4 @@
-import { createServer, type Server } from 'node:http';
+import { createServer, type IncomingMessage, type Server } from 'node:http';
 import { expect } from 'chai';
 import { sendRequest, type HttpResponse } from '../../bench/http_client.js';
 import { type Bulletin, type EndpointState } from '../../contracts.js';
@@ -12,6 +12,8 @@
 
 const clock = new MachineClock();
 const POISON = 'seat=poison';
+/** Its requests are harmless, whatever their body. */
+const HARMLESS_CALLER = 'listings';
 const INNOCENT = 'seat=12';
 
 /** A guard with its upstream instance, which crashes on the body `POISON`. */
@@ -23,6 +25,10 @@
   readonly announce: (state: EndpointState) => void;
 }
 
+function callerOf({ headers }: Pick<IncomingMessage, 'headers'>): string {
+  return String(headers['x-caller'] ?? '');
+}
+
 describe('CrashDetector', () => {
   let owned: ResourceStack;
   let guards: GuardedUpstream[];
@@ -52,7 +58,7 @@
     owned.use({ [Symbol.asyncDispose]: () => closeServer(upstream) });
     const guard = owned.use(new Guard(clock));
     const quarantine = new Quarantine(clock, new SeededRandom(index), broadcast);
-    guard.crashDetector = new CrashDetector(quarantine, clock);
+    guard.crashDetector = new CrashDetector(quarantine, clock, callerOf);
     const announce = (state: EndpointState) => {
       const endpoint = { upstream: 'bookings', state, slots: 8 };
       guard.announce({ ...endpoint, host: LOOPBACK, port: upstreamPort });
@@ -73,7 +79,7 @@
       request.on('data', (chunk: Buffer) => chunks.push(chunk));
       request.on('end', () => {
         const body = Buffer.concat(chunks).toString();
-        if (body === POISON) {
+        if (body === POISON && callerOf(request) !== HARMLESS_CALLER) {
           beforeDeath();
           void closeServer(server);
         } else if (body === 'slow') arrived();
@@ -83,8 +89,16 @@
     return server;
   }
 
-  function book({ port }: Pick<GuardedUpstream, 'port'>, body: string): Promise<HttpResponse> {
-    const headers = { 'barleyhaven-upstream': 'bookings', 'barleyhaven-remaining-ms': '5000' };
+  function book(
+    { port }: Pick<GuardedUpstream, 'port'>,
+    body: string,
+    caller = '',
+  ): Promise<HttpResponse> {
+    const headers = {
+      'barleyhaven-upstream': 'bookings',
+      'barleyhaven-remaining-ms': '5000',
+      'x-caller': caller,
+    };
     return sendRequest({ port, path: '/seats', method: 'POST', headers, body });
   }
 
@@ -113,6 +127,18 @@
     expect(seen).toMatchSnapshot();
   });
 
+  // Guards against a request that crashes one upstream after the other while another caller's harmless
+  // ones have its path and body, and against the refusal of these.
+  it('tells requests of the same content apart by their callers', async () => {
+    await startGuards(3);
+    const [first, second, third] = guards;
+    const harmless = async () => verdictOf(await book(third!, POISON, HARMLESS_CALLER));
+    const seen = [await harmless(), await crashUpstream(first!), await harmless()];
+    seen.push(await crashUpstream(second!), await harmless());
+    seen.push(verdictOf(await book(third!, POISON)), await harmless());
+    expect(seen).toMatchSnapshot();
+  });
+
   // Guards against a crash that goes unnoticed because its upstream is draining: in a rolling restart
   // that could happen to each one.
   it('records a death during draining with all requests in flight', async () => {
@@ -133,7 +159,7 @@
     await startGuards(1);
     const quarantine = new Quarantine(clock, new SeededRandom(1), () => {});
     let probed = 0;
-    const crashDetector = new CrashDetector(quarantine, clock, async () => {
+    const crashDetector = new CrashDetector(quarantine, clock, undefined, async () => {
       probed += 1;
       return false;
     });
