Survive a reset of a connection that asks for a tunnel

What callers saw: a process ends with ECONNRESET (uncaught), and all that others have in flight there is cut.

Cause: for CONNECT the server lets go of the socket, and the refusal was written to it without a listener for errors.

Change: the socket has one, and is closed once the refusal is written; until now a caller who kept his half open held it.

The fuzzer that the issue asks for on all ports is not begun.

--- a/src/requests/client_errors.ts
+++ b/src/requests/client_errors.ts
@@ -6,7 +6,7 @@
 
 /** Time limit for receiving the head of a request, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
-/** Time limit for receiving a whole request, in milliseconds; the longest timeout a route may have. */
+/** Time limit for receiving a whole request, in milliseconds; the longest timeout of a note's route. */
 const REQUEST_TIMEOUT_MS = 300_000;
 /** How often both limits are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
@@ -42,7 +42,11 @@
   constructor(server: Server) {
     server.on('clientError', (error, socket) => this.#refuse(error, socket));
     server.on('connect', (_, socket) => {
-      socket.end(rawRefusal(notRun('bad-request', 'CONNECT tunnels are not supported')));
+      // The server has let go of the socket. Without a listener, a reset by the caller would be an
+      // uncaught error and end the process.
+      socket.on('error', () => socket.destroy());
+      const refusal = notRun('bad-request', 'CONNECT tunnels are not supported');
+      socket.end(rawRefusal(refusal), () => socket.destroy());
     });
     server.on('checkExpectation', (_: IncomingMessage, response: ServerResponse) => {
       const error = notRun('expectation-failed', 'unsupported Expect header');
--- a/src/test/requests/client_errors_test.ts
+++ b/src/test/requests/client_errors_test.ts
@@ -1,4 +1,7 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { expect } from 'chai';
+import { LOOPBACK } from '../../standins/listen.js';
 import { TestPath } from './test_path.js';
 
 const HOST = 'Host: suppers.example\r\n';
@@ -30,6 +33,16 @@
   return { status, body: JSON.parse(body) as unknown };
 }
 
+/** Sends bytes, and resets the connection after some turns of the event loop. */
+async function resetAfter(port: number, text: string, turns: number): Promise<void> {
+  const socket = connect(port, LOOPBACK);
+  socket.on('error', () => {});
+  await once(socket, 'connect');
+  socket.write(text);
+  for (let turn = 0; turn < turns; turn++) await new Promise((resolve) => setImmediate(resolve));
+  socket.resetAndDestroy();
+}
+
 describe('ClientErrors', () => {
   // Guards against request smuggling: input that the next hop could parse differently would give one
   // caller the response to another. Each gets its own status and a true verdict.
@@ -55,6 +68,19 @@
     expect(received).to.equal('');
   });
 
+  // Guards against the end of the process, with all that others have in flight, by a caller who asks for a
+  // tunnel and resets the connection.
+  it('survives a reset at any moment of a request for a tunnel', async () => {
+    await using path = await TestPath.start();
+    const others = Array.from({ length: 20 }, () => path.ask({ path: '/menus' }));
+    for (let round = 0; round < 60; round++) {
+      await resetAfter(path.port, REQUESTS['a tunnel']!, round % 3);
+    }
+    const statuses = (await Promise.all(others)).map(({ status }) => status);
+    expect(new Set(statuses)).to.deep.equal(new Set([200]));
+    expect((await path.ask({ path: '/menus' })).status).to.equal(200);
+  });
+
   it('strips internal headers that a caller has forged', async () => {
     await using path = await TestPath.start();
     const headers = { 'Barleyhaven-Upstream': 'nobody', 'barleyhaven-remaining-ms': '0' };
