--- a/src/distribution/reader_role.ts
+++ b/src/distribution/reader_role.ts
@@ -1,6 +1,7 @@
 /** Whether this process reads the source of versions. */
 import { type Ranking, READERS_PER_DATA_CENTRE } from '../membership/ranking.js';
 import { type Clock } from '../runtime/clock.js';
+import { sleepUntilAny } from '../runtime/sleep.js';
 
 /** A process reads the source if it ranks as a reader, or in place of a reader that asked it to. */
 export class ReaderRole {
@@ -50,12 +51,7 @@
 
   /** Resolves at `deadline`, as soon as reading is delegated, or when `signal` aborts. */
   async waitUntilDelegated(deadline: number, signal: AbortSignal): Promise<void> {
-    const waking = new AbortController();
-    this.#waking = waking;
-    // `AbortSignal.any` keeps some memory of each call for as long as `signal` exists.
-    const wake = () => waking.abort();
-    signal.addEventListener('abort', wake, { once: true });
-    await this.clock.sleepUntil(signal.aborted ? this.clock.now() : deadline, waking.signal);
-    signal.removeEventListener('abort', wake);
+    this.#waking = new AbortController();
+    await sleepUntilAny(this.clock, deadline, [signal, this.#waking.signal]);
   }
 }
--- a/src/rollout/rollouts.ts
+++ b/src/rollout/rollouts.ts
@@ -6,6 +6,7 @@
 import { type ReaderRole } from '../distribution/reader_role.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
+import { sleepUntilAny } from '../runtime/sleep.js';
 import { type Random } from '../runtime/random.js';
 import { AnswerCounter, EvidenceStore } from './evidence_store.js';
 import { Judge } from './judge.js';
@@ -117,7 +118,7 @@
     for (let look = 0; !signal.aborted; look++) {
       const isBusy = this.#ownOrder !== undefined || (this.#isJudge && this.#hasUndecided);
       const wakeAt = clock.now() + (isBusy ? EVALUATE_MS : IDLE_MS);
-      await clock.sleepUntil(wakeAt, AbortSignal.any([signal, this.#wake.signal]));
+      await sleepUntilAny(clock, wakeAt, [signal, this.#wake.signal]);
       if (this.#wake.signal.aborted) this.#wake = new AbortController();
       this.#publish(look);
       if (this.#isJudge) this.#judge.look();
--- a/src/test/requests/client_errors_test.ts
+++ b/src/test/requests/client_errors_test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { connect } from 'node:net';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { expect } from 'chai';
 import { LOOPBACK } from '../../standins/listen.js';
 import { TestPath } from './test_path.js';
@@ -39,7 +40,7 @@
   socket.on('error', () => {});
   await once(socket, 'connect');
   socket.write(text);
-  for (let turn = 0; turn < turns; turn++) await new Promise((resolve) => setImmediate(resolve));
+  for (let turn = 0; turn < turns; turn++) await nextTurn();
   socket.resetAndDestroy();
 }
 
