Bound the recent versions of a replica by their bytes

What would be seen: a process ends out of memory after some versions that each change a very large team. Since versions of any size are applied, each of the 256 versions that a replica keeps for its neighbours may hold 10 MB.

Change: they hold 16 MB together, and the latest is kept in any case; neighbours further behind get a difference or pages.

Test: replica_test.ts, 'keeps recent versions up to a number of bytes'.

--- a/src/configuration/configuration.ts
+++ b/src/configuration/configuration.ts
@@ -239,6 +239,11 @@
   return entry;
 }
 
+/** Length of the resources that a change puts as canonical JSON, in bytes. */
+export function changeBytes({ put }: Change): number {
+  return put.reduce((sum, resource) => sum + entryOf(resource).bytes, 0);
+}
+
 function versionDigest(number: number, parent: string, state: string): string {
   return digestOf({ number, parent, state });
 }
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -1,5 +1,5 @@
 /** The current configuration of a process. */
-import { Configuration } from '../configuration/configuration.js';
+import { changeBytes, Configuration } from '../configuration/configuration.js';
 import { GENESIS } from '../configuration/digest.js';
 import { type Problem, validate, validateChange } from '../configuration/validate.js';
 import { type Difference, type Resource, type Snapshot, type Version } from '../contracts.js';
@@ -30,6 +30,11 @@
 const MAX_HELD_BYTES = 16_000_000;
 /** Number of recent versions kept, so that neighbours slightly behind need no snapshot. */
 const MAX_RECENT_VERSIONS = 256;
+/**
+ * Most that they hold together, in bytes of canonical JSON; the latest is kept in any case. A few
+ * versions with large teams would otherwise use up the memory of the process.
+ */
+const MAX_RECENT_BYTES = 16_000_000;
 
 /**
  * Holds the current configuration, and only moves forward. A candidate is built and checked
@@ -43,6 +48,8 @@
 
   #recent: Version[] = [];
 
+  #recentBytes = 0;
+
   /** Number of the version that the first of `#recent` follows. */
   #recentBase = 0;
 
@@ -133,6 +140,7 @@
     this.#current = candidate;
     this.#parent = snapshot.parent;
     this.#recent = [];
+    this.#recentBytes = 0;
     this.#recentBase = snapshot.number;
     this.#refusal = undefined;
     this.#origin = origin;
@@ -226,11 +234,23 @@
     this.#parent = standsAlone ? GENESIS : parent;
     this.#current = candidate;
     this.#refusal = undefined;
-    this.#recent.push(version);
-    if (this.#recent.length > MAX_RECENT_VERSIONS) this.#recentBase = this.#recent.shift()!.number;
+    this.#keepRecent(version);
     return true;
   }
 
+  #keepRecent(version: Version): void {
+    this.#recent.push(version);
+    this.#recentBytes += changeBytes(version.change);
+    while (
+      this.#recent.length > MAX_RECENT_VERSIONS ||
+      (this.#recentBytes > MAX_RECENT_BYTES && this.#recent.length > 1)
+    ) {
+      const oldest = this.#recent.shift()!;
+      this.#recentBase = oldest.number;
+      this.#recentBytes -= changeBytes(oldest.change);
+    }
+  }
+
   #refuse(number: number, reason: Refusal['reason'], problems: readonly Problem[]): false {
     const isKnown = this.#refusal?.number === number && this.#refusal.reason === reason;
     this.#refusal = { number, reason, problems };
--- a/src/test/distribution/replica_test.ts
+++ b/src/test/distribution/replica_test.ts
@@ -46,6 +46,18 @@
     expect(outcomes).toMatchSnapshot();
   });
 
+  // Guards against a process that runs out of memory by keeping recent versions with large resources.
+  it('keeps recent versions up to a number of bytes, and the latest in any case', () => {
+    const replica = new Replica();
+    for (const [number, length] of [1, 2, 3, 4, 5, 6].map((each) => [each, 4_000_000] as const)) {
+      replica.replace(number, [{ ...listings, about: String(number).repeat(length) }], 0);
+    }
+    const kept = [0, 1, 2, 3, 4, 5].filter((number) => replica.since(number) !== undefined);
+    expect(kept).to.deep.equal([3, 4, 5]);
+    replica.replace(7, [{ ...listings, about: 'x'.repeat(15_900_000) }], 0);
+    expect([replica.since(5), replica.since(6)?.length]).to.deep.equal([undefined, 1]);
+  });
+
   it('refuses a snapshot that does not match its digest, or that has dangling references', () => {
     const held = Configuration.empty.next({ put: [menus], remove: [] });
     const { number, digest } = held;
