--- a/src/test/platform/object_orders_test.ts
+++ b/src/test/platform/object_orders_test.ts
@@ -52,7 +52,7 @@
     await fixture.order(order('v2'));
     await fixture.order({ service: 7 }, 'rollouts/odd');
     // Neighbours would refuse a whole message that contains an invalid name.
-    await fixture.order({ ...order('v2'), service: 'No Name' }, 'rollouts/unnamed');
+    await fixture.order({ ...order('v2'), service: 'No\nName' }, 'rollouts/unnamed');
     const { rollouts } = await orders.list(fixture.deadline);
     const [first] = rollouts;
     const isNoted = await orders.writeOutcome(first!, fixture.deadline);
