--- a/src/bench/acceptance.ts
+++ b/src/bench/acceptance.ts
@@ -5,7 +5,6 @@
  */
 import { ReleaseNote } from '../contracts.js';
 import { Reader } from '../distribution/reader.js';
-import { ReaderRole } from '../distribution/reader_role.js';
 import { Replica } from '../distribution/replica.js';
 import { HttpPlatform } from '../platform/http_platform.js';
 import { MachineClock } from '../runtime/clock.js';
@@ -16,6 +15,7 @@
 import { Source } from '../source/source.js';
 import { PlatformServer } from '../standins/platform_server.js';
 import { PlatformStore } from '../standins/platform_store.js';
+import { soleReader } from '../standins/sole_reader.js';
 import { saveResult } from './results.js';
 import { compareSplits } from './splits.js';
 
@@ -55,11 +55,10 @@
   const log = new VersionLog(platform);
   const nothing = new PlatformStore(clock);
   const snapshots = new Snapshots(hasSnapshots ? platform : nothing, log);
-  const ranking = { isReader: true, readerIndex: 0, dataCentres: () => ['one'] };
   const reader = new Reader(
     new LogFeed(log, snapshots, replica),
     replica,
-    new ReaderRole(ranking, clock),
+    soleReader(clock),
     clock,
     new SeededRandom(1),
   );
--- a/src/contracts/accepted.ts
+++ b/src/contracts/accepted.ts
@@ -3,7 +3,18 @@
  * reason, before anything is stored; processes apply whatever was accepted.
  */
 import * as z from 'zod';
-import { Limit, MAX_QUOTA, Name, Route, Rule, Team, Upstream } from './resource.js';
+import {
+  DEFAULT_MAX_BODY_BYTES,
+  DEFAULT_QUEUE,
+  DEFAULT_TIMEOUT_MS,
+  Limit,
+  MAX_QUOTA,
+  Name,
+  Route,
+  Rule,
+  Team,
+  Upstream,
+} from './resource.js';
 
 export const MAX_NAME_LENGTH = 63;
 /** Maximum timeout that a route may allow, in milliseconds. */
@@ -28,7 +39,6 @@
 const About = z.string().max(MAX_ABOUT_LENGTH).optional();
 const TimeoutMs = z.number().int().min(1).max(MAX_NOTE_TIMEOUT_MS);
 const Quota = z.number().min(0).max(MAX_QUOTA).optional();
-const { shape: route } = Route;
 
 export const AcceptedUpstream = Upstream.omit({ kind: true }).extend({
   name: AcceptedName,
@@ -39,7 +49,7 @@
 export const AcceptedLimit = Limit.omit({ kind: true }).extend({
   name: AcceptedName,
   slots: Limit.shape.slots.max(MAX_SLOTS),
-  queue: Limit.shape.queue.unwrap().max(MAX_QUEUE).default(100),
+  queue: Limit.shape.queue.unwrap().max(MAX_QUEUE).default(DEFAULT_QUEUE),
 });
 
 export const AcceptedRule = Rule.omit({ kind: true }).extend({
@@ -67,11 +77,11 @@
     .optional(),
   limit: AcceptedName.optional(),
   rules: z.array(AcceptedName).default([]),
-  timeoutMs: TimeoutMs.default(10_000),
+  timeoutMs: TimeoutMs.default(DEFAULT_TIMEOUT_MS),
   targetMs: TimeoutMs.optional(),
-  maxAttempts: route.maxAttempts.unwrap().max(MAX_ROUTE_ATTEMPTS).optional(),
-  maxBodyBytes: route.maxBodyBytes
+  maxAttempts: Route.shape.maxAttempts.unwrap().max(MAX_ROUTE_ATTEMPTS).optional(),
+  maxBodyBytes: Route.shape.maxBodyBytes
     .unwrap()
     .max(MAX_BODY_BYTES)
-    .default(16 * 1024 * 1024),
+    .default(DEFAULT_MAX_BODY_BYTES),
 });
--- a/src/contracts/resource.ts
+++ b/src/contracts/resource.ts
@@ -10,6 +10,10 @@
 /** Longest timeout that requests are given, in milliseconds; timers can hold it with any margin. */
 export const MAX_TIMEOUT_MS = 86_400_000;
 
+export const DEFAULT_TIMEOUT_MS = 10_000;
+export const DEFAULT_QUEUE = 100;
+export const DEFAULT_MAX_BODY_BYTES = 16 * 1024 * 1024;
+
 /** Without control characters and unpaired surrogates, which no message carries unchanged. */
 export const Name = z.string().regex(/^[^\p{Cc}\p{Cs}]+$/u, 'printable characters only');
 
@@ -31,7 +35,7 @@
   /** Maximum number of requests in flight at one endpoint. */
   slots: z.number().int().min(1),
   /** Maximum number of requests that wait at one endpoint. */
-  queue: z.number().int().min(0).default(100),
+  queue: z.number().int().min(0).default(DEFAULT_QUEUE),
   /** Allowed retries, as a percentage of first attempts. */
   retryPercent: z.number().min(0).max(100).default(10),
 });
@@ -102,7 +106,7 @@
     .optional(),
   limit: Name.optional(),
   rules: z.array(Name).default([]),
-  timeoutMs: z.number().int().min(1).max(MAX_TIMEOUT_MS).default(10_000),
+  timeoutMs: z.number().int().min(1).max(MAX_TIMEOUT_MS).default(DEFAULT_TIMEOUT_MS),
   /** Maximum number of endpoints that one request is sent to, one after the other. */
   maxAttempts: z.number().int().min(1).optional(),
   /**
@@ -118,11 +122,7 @@
   public: z.boolean().optional(),
   /** Priority among waiting requests; higher goes first. */
   priority: z.number().int().min(0).max(MAX_PRIORITY).default(5),
-  maxBodyBytes: z
-    .number()
-    .int()
-    .min(0)
-    .default(16 * 1024 * 1024),
+  maxBodyBytes: z.number().int().min(0).default(DEFAULT_MAX_BODY_BYTES),
 });
 export type Route = z.infer<typeof Route>;
 
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -25,6 +25,7 @@
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { sleepUntilAny } from '../runtime/sleep.js';
 
 /** External services that the control plane uses. */
 export interface ControlDependencies {
@@ -247,7 +248,7 @@
     const linked = new AbortController();
     this.mesh.onOpen(() => linked.abort());
     if (!isEager) {
-      await clock.sleepUntil(deadline, AbortSignal.any([signal, linked.signal]));
+      await sleepUntilAny(clock, deadline, [signal, linked.signal]);
       await clock.sleepUntil(clock.now() + rosterWaitMs, signal);
     }
     await Promise.all([this.reader.run(signal), this.readiness.run(signal)]);
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -4,6 +4,7 @@
 import { type Problem, validate, validateChange } from '../configuration/validate.js';
 import { type Difference, type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { sleepUntilAny } from '../runtime/sleep.js';
 
 /** Why a version was refused; the configuration before it stays current. */
 export interface Refusal {
@@ -92,7 +93,7 @@
       if (this.#current.number > number) reached.abort();
     };
     this.#listeners.add(check);
-    await clock.sleepUntil(deadline, AbortSignal.any([signal, reached.signal]));
+    await sleepUntilAny(clock, deadline, [signal, reached.signal]);
     this.#listeners.delete(check);
   }
 
--- a/src/quarantine/crash_detector.ts
+++ b/src/quarantine/crash_detector.ts
@@ -53,7 +53,7 @@
     private readonly request: IncomingMessage,
     /** The fingerprint, if the beginning of the body was read to compute it. */
     private readonly knownFingerprint: string | undefined,
-    private readonly caller: string,
+    private readonly callerOf: CallerLookup,
   ) {
     if (knownFingerprint === undefined && needsBody(request))
       request.on('data', this.#collectPrefix);
@@ -61,7 +61,7 @@
 
   get fingerprint(): string {
     if (this.knownFingerprint !== undefined) return this.knownFingerprint;
-    const head = headFingerprint(this.upstream, this.request, this.caller);
+    const head = headFingerprint(this.upstream, this.request, this.callerOf(this.request));
     return needsBody(this.request) ? wholeFingerprint(head, this.#prefix) : head;
   }
 
@@ -124,7 +124,7 @@
       announced.upstream,
       request,
       this.#knownFingerprints.get(request),
-      this.callerOf(request),
+      this.callerOf,
     );
     try {
       const result = await exchange();
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -128,9 +128,16 @@
   return typeof value === 'string' ? value : value?.[0];
 }
 
+const NOT_ASCII = /[^\0-\x7f]/;
+
 /** A name as a header value: in UTF-8, byte by byte, as header values may hold no other characters. */
 export function nameHeader(name: string): string {
-  return Buffer.from(name).toString('latin1');
+  return NOT_ASCII.test(name) ? Buffer.from(name).toString('latin1') : name;
+}
+
+/** The text of a header value in UTF-8, which Node reads byte by byte. */
+export function utf8Of(value: string): string {
+  return NOT_ASCII.test(value) ? Buffer.from(value, 'latin1').toString() : value;
 }
 
 /** The name in a header that `nameHeader` has formatted. */
@@ -139,7 +146,7 @@
   header: string,
 ): string | undefined {
   const value = headerOf(head, header);
-  return value === undefined ? undefined : Buffer.from(value, 'latin1').toString();
+  return value === undefined ? undefined : utf8Of(value);
 }
 
 /**
--- a/src/standins/endless_upstream.ts
+++ b/src/standins/endless_upstream.ts
@@ -35,12 +35,10 @@
 export type StreamName = keyof typeof STREAMS;
 
 export class EndlessUpstream implements AsyncDisposable {
-  /** Bytes that were written to all channels. */
-  bytesWritten = 0;
-
-  /** Channels that were opened, and those still open. */
+  /** Number of channels that were opened. */
   opened = 0;
 
+  /** Channels that are open. */
   readonly open = new Set<Socket>();
 
   readonly #server: Server;
@@ -79,7 +77,6 @@
 
   #repeat(socket: Socket): void {
     if (socket.destroyed) return;
-    this.bytesWritten += this.stream.repeated.length;
     const hasRoom = socket.write(this.stream.repeated);
     const next = () => this.#repeat(socket);
     if (this.intervalMs > 0) setTimeout(next, this.intervalMs);
--- a/src/teams/credentials.ts
+++ b/src/teams/credentials.ts
@@ -1,5 +1,6 @@
 /** Reads the key of a team from the credentials that a caller sends. */
 import { type IncomingMessage } from 'node:http';
+import { utf8Of } from '../requests/headers.js';
 
 const AUTHORIZATION = 'authorization';
 /**
@@ -7,7 +8,6 @@
  * the head only: a key that the operator has given out must not fail for a limit of this program.
  */
 const TOKEN = /^token +([^ \t].*)$/i;
-const NOT_ASCII = /[^\0-\x7f]/;
 
 /** The key in `Authorization: Token KEY`, in UTF-8; undefined if there is none. */
 export function tokenOf({ headers, rawHeaders }: IncomingMessage): string | undefined {
@@ -15,8 +15,7 @@
   // Node keeps only the first of several; another server might read another one.
   if (authorization === undefined || hasSeveral(rawHeaders)) return undefined;
   const key = TOKEN.exec(authorization)?.[1];
-  if (key === undefined || !NOT_ASCII.test(key)) return key;
-  return Buffer.from(key, 'latin1').toString();
+  return key === undefined ? undefined : utf8Of(key);
 }
 
 function hasSeveral(rawHeaders: readonly string[]): boolean {
--- a/src/test/distribution/read_delegation_test.ts
+++ b/src/test/distribution/read_delegation_test.ts
@@ -13,23 +13,23 @@
 
 /** A fleet whose processes read the operator's object, and the calls that they make to the store. */
 class ObjectFleet implements AsyncDisposable {
-  readonly platforms = new Map<string, InterruptiblePlatform>();
-
   #number = 0;
 
-  private constructor(readonly fleet: TestFleet) {}
+  private constructor(
+    readonly fleet: TestFleet,
+    readonly platforms: ReadonlyMap<string, InterruptiblePlatform>,
+  ) {}
 
-  static async start(seed: number, sizes: Readonly<Record<string, number>> = SIZES) {
+  static async start(seed: number) {
     const platforms = new Map<string, InterruptiblePlatform>();
     const fleet = await TestFleet.start({
-      sizes,
+      sizes: SIZES,
       seed,
       pace: PROMPT,
       feed: (replica, clock, _, platform) => new ObjectFeed(platform, replica, clock),
       onLaunch: ({ name }, platform) => platforms.set(name, platform as InterruptiblePlatform),
     });
-    const started = new ObjectFleet(fleet);
-    platforms.forEach((platform, name) => started.platforms.set(name, platform));
+    const started = new ObjectFleet(fleet, platforms);
     await started.write();
     await fleet.time.advance(APPLY_MS + 1_000);
     return started;
--- a/src/test/platform/object_feed_test.ts
+++ b/src/test/platform/object_feed_test.ts
@@ -3,13 +3,13 @@
 import { HttpPlatform } from '../../platform/http_platform.js';
 import { ObjectFeed } from '../../platform/object_feed.js';
 import { Reader } from '../../distribution/reader.js';
-import { ReaderRole } from '../../distribution/reader_role.js';
 import { PROMPT } from '../../membership/pace.js';
 import { MachineClock } from '../../runtime/clock.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { ResourceStack } from '../../runtime/resource_stack.js';
 import { PlatformServer } from '../../standins/platform_server.js';
 import { PlatformStore } from '../../standins/platform_store.js';
+import { soleReader } from '../../standins/sole_reader.js';
 import { FakeTime } from '../fake_time.js';
 
 const KEY = 'config/main';
@@ -148,8 +148,7 @@
       };
       const replica = new Replica();
       const feed = new ObjectFeed(store, replica, clock);
-      const ranking = { isReader: true, readerIndex: 0, dataCentres: () => ['one'] };
-      const role = new ReaderRole(ranking, clock);
+      const role = soleReader(clock);
       const reader = new Reader(feed, replica, role, clock, new SeededRandom(1), PROMPT);
       const stopping = new AbortController();
       if (number > 0) await write(configuration(number, ['menus']));
--- a/src/test/rollout/rollouts_test.ts
+++ b/src/test/rollout/rollouts_test.ts
@@ -5,6 +5,11 @@
 const ROLLED_BACK = { state: 'rolled_back', targetVersion: 'v2' };
 const COMPLETED = { state: 'completed', targetVersion: 'v2' };
 const KEPT = { isTooMuch: false, isTooLate: false };
+const ROLLED_BACK_EVERYWHERE = {
+  status: ROLLED_BACK,
+  phases: { 'rolled-back': 18 },
+  exposure: KEPT,
+};
 
 async function outcome(fleet: RolloutFleet, version = 'v2') {
   const { phases } = fleet;
@@ -39,11 +44,7 @@
     await using fleet = await RolloutFleet.start({ v2: FAILING });
     await fleet.order('v2', DURATION_MS);
     await fleet.serve(DURATION_MS - 1_000);
-    expect(await outcome(fleet)).to.deep.equal({
-      status: ROLLED_BACK,
-      phases: { 'rolled-back': 18 },
-      exposure: KEPT,
-    });
+    expect(await outcome(fleet)).to.deep.equal(ROLLED_BACK_EVERYWHERE);
   });
 
   // Guards against a version that becomes bad in the same second in which it gets a large share.
@@ -95,11 +96,7 @@
     await fleet.serve(6_000);
     await fleet.order('v2', DURATION_MS);
     await fleet.serve(DURATION_MS - 1_000);
-    expect(await outcome(fleet)).to.deep.equal({
-      status: ROLLED_BACK,
-      phases: { 'rolled-back': 18 },
-      exposure: KEPT,
-    });
+    expect(await outcome(fleet)).to.deep.equal(ROLLED_BACK_EVERYWHERE);
   });
 
   // Guards against an outcome that is written again and again because the answers to its writes are lost.
--- a/src/test/source/snapshots_test.ts
+++ b/src/test/source/snapshots_test.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai';
 import { Replica } from '../../distribution/replica.js';
 import { Reader } from '../../distribution/reader.js';
-import { ReaderRole } from '../../distribution/reader_role.js';
 import { SeededRandom } from '../../runtime/random.js';
+import { soleReader } from '../../standins/sole_reader.js';
 import { VersionLog } from '../../source/log.js';
 import { LogFeed } from '../../source/log_feed.js';
 import { VERSIONS_PER_SNAPSHOT } from '../../source/publisher.js';
@@ -33,11 +33,10 @@
   const replica = new Replica();
   const snapshots = new Snapshots(fixture.store, fixture.log);
   const { log, clock } = fixture;
-  const ranking = { isReader: true, readerIndex: 0, dataCentres: () => ['one'] };
   const reader = new Reader(
     new LogFeed(log, snapshots, replica),
     replica,
-    new ReaderRole(ranking, clock),
+    soleReader(clock),
     clock,
     new SeededRandom(1),
   );
