--- /dev/null
+++ b/src/test/distribution/reader_standby_test.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai';
+import { SeededRandom } from '../../runtime/random.js';
+import { APPLY_MS, ObjectFleet } from './object_fleet.js';
+import { type Node } from './test_fleet.js';
+
+const SIZES = { amman: 6, salt: 6, irbid: 6, zarqa: 6 };
+const DATA_CENTRES = Object.keys(SIZES);
+const READERS_PER_DATA_CENTRE = 2;
+const VERSIONS = 3;
+const VERSION_INTERVAL_MS = 300;
+const RECOVERY_MS = 12_000;
+
+/** Writes versions in quick succession, and checks each when it has to be in force. */
+async function expectVersionsInForce(objects: ObjectFleet, what: string): Promise<void> {
+  for (let version = 0; version < VERSIONS; version += 1) {
+    await objects.write();
+    await objects.fleet.time.advance(VERSION_INTERVAL_MS);
+  }
+  await objects.fleet.time.advance(APPLY_MS - VERSION_INTERVAL_MS);
+  expect(objects.behind, what).to.deep.equal([]);
+}
+
+describe('processes beside readers that stand still', () => {
+  // Guards against versions that reach nobody because all readers are paused while their links stay open.
+  it('have each version in time when all readers are paused', async () => {
+    for (const seed of [1, 2, 3]) {
+      await using objects = await ObjectFleet.start(seed, SIZES);
+      const random = new SeededRandom(seed);
+      for (let wave = 0; wave < 3; wave += 1) {
+        await objects.fleet.time.advance(random.below(2_500));
+        objects.freeze(objects.readers);
+        await objects.fleet.time.advance(random.below(500));
+        await expectVersionsInForce(objects, `seed ${seed}, wave ${wave}`);
+        await objects.fleet.time.advance(1_500);
+        objects.thaw();
+        await objects.fleet.time.advance(RECOVERY_MS);
+      }
+    }
+  });
+
+  // Guards against a data centre that gets no versions when those that take over are paused in turn.
+  for (const dataCentres of [DATA_CENTRES.slice(0, 1), DATA_CENTRES]) {
+    it(`have them when those that take over are paused too, in ${dataCentres.length} of 4 data centres`, async () => {
+      for (const seed of [1, 2, 3]) {
+        await using objects = await ObjectFleet.start(seed, SIZES);
+        const { fleet } = objects;
+        await fleet.time.advance(new SeededRandom(seed).below(2_500));
+        const next = (dataCentre: string, wave: number): Node[] =>
+          fleet
+            .ranked(dataCentre)
+            .filter(({ name }) => !objects.frozen.has(name))
+            .slice(0, wave === 0 ? READERS_PER_DATA_CENTRE : 1);
+        for (let wave = 0; wave < 3; wave += 1) {
+          objects.freeze(dataCentres.flatMap((name) => next(name, wave)));
+          await expectVersionsInForce(objects, `seed ${seed}, wave ${wave}`);
+        }
+        objects.thaw();
+        await fleet.time.advance(RECOVERY_MS);
+        expect(objects.behind).to.deep.equal([]);
+      }
+    });
+  }
+});
