Let processes next by rank hear whether a reader of their data centre runs

What could not be told apart before: a calm minute from readers that stand still. The line readers-silent and the metric readers_silent_seconds say when a process that is next to read hears of none. Nothing acts on it yet; releases without the message ignore it.

--- a/src/contracts/message.ts
+++ b/src/contracts/message.ts
@@ -156,6 +156,23 @@
 });
 export type Delegated = z.infer<typeof Delegated>;
 
+/**
+ * Sent several times a second between the processes of a data centre that may read the source, so that
+ * the others notice soon when no reader runs any more. Encoded as a list, like a heartbeat.
+ */
+export const ReaderHeartbeat = z
+  .tuple([z.number().min(0)])
+  .transform(([silentMs]) => ({ silentMs }));
+
+export interface ReaderHeartbeat {
+  /** Time since a reader of the data centre was last known to run, in milliseconds. */
+  readonly silentMs: number;
+}
+
+export function packReaderHeartbeat({ silentMs }: ReaderHeartbeat): unknown {
+  return [Math.round(silentMs)];
+}
+
 /** Announces that the sender reads the source, so that it may hold versions that no peer has heard of. */
 export const Reading = z.strictObject({});
 export type Reading = z.infer<typeof Reading>;
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -8,6 +8,7 @@
 import { type Profile } from '../distribution/profile.js';
 import { ReadDelegation } from '../distribution/read_delegation.js';
 import { Reader } from '../distribution/reader.js';
+import { ReaderMonitor } from '../distribution/reader_monitor.js';
 import { ReaderRole } from '../distribution/reader_role.js';
 import { Readiness } from '../distribution/readiness.js';
 import { Replica } from '../distribution/replica.js';
@@ -79,6 +80,8 @@
 
   readonly readDelegation: ReadDelegation;
 
+  readonly readerMonitor: ReaderMonitor;
+
   readonly directory: Directory;
 
   readonly gossip: GossipTask;
@@ -163,6 +166,16 @@
       random,
       methods,
     );
+    this.readerMonitor = new ReaderMonitor(
+      this.reader,
+      this.readerRole,
+      this.ranking,
+      this.roster,
+      this.mesh,
+      clock,
+      methods,
+      pace,
+    );
     const headLookup = new HeadLookup(
       this.reader,
       this.readerRole,
@@ -204,6 +217,7 @@
       this.#drains.run(signal),
       this.mesh.run(signal),
       this.#runReader(signal),
+      this.readerMonitor.run(signal),
       this.directory.run(signal),
       this.gossip.run(signal),
     ];
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -212,7 +212,7 @@
   #createOperatorsPort(): OperatorsPort {
     const { clock, platform, feed } = this.dependencies;
     const { replica, roster, ranking, mesh, surveyor, endpointLease } = this.control;
-    const { readerRole, readDelegation } = this.control;
+    const { readerRole, readDelegation, readerMonitor } = this.control;
     const { entry, guard, safeguards, source } = this;
     const parts = {
       clock,
@@ -222,6 +222,7 @@
       ranking,
       readerRole,
       readDelegation,
+      readerMonitor,
       mesh,
       surveyor,
       endpointLease,
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of one process in the Prometheus text format. */
 import { type Mesh } from '../distribution/mesh.js';
 import { type ReadDelegation } from '../distribution/read_delegation.js';
+import { type ReaderMonitor } from '../distribution/reader_monitor.js';
 import { type ReaderRole } from '../distribution/reader_role.js';
 import { type Replica } from '../distribution/replica.js';
 import { type Peer } from '../link/peer.js';
@@ -29,6 +30,7 @@
   readonly roster: Pick<Roster, 'counts' | 'refutations'>;
   readonly readerRole: Pick<ReaderRole, 'isReader'>;
   readonly readDelegation: Pick<ReadDelegation, 'delegate'>;
+  readonly readerMonitor: Pick<ReaderMonitor, 'silentMs'>;
   readonly mesh: Pick<Mesh, 'peers'>;
   readonly platform: Pick<Platform, 'meter'>;
   readonly entry: Pick<Entry, 'budgets'>;
@@ -85,7 +87,7 @@
   }
 
   #configuration(): void {
-    const { clock, replica, readerRole, readDelegation, isReady } = this.parts;
+    const { clock, replica, readerRole, readDelegation, readerMonitor, isReady } = this.parts;
     this.#gauges.add('version', 'Version in force', () => replica.current.number);
     this.#gauges.add(
       'version_age_seconds',
@@ -107,6 +109,11 @@
       '1 while another process watches the platform in place of this one, which does not reach it',
       () => Number(readDelegation.delegate !== undefined),
     );
+    this.#gauges.add(
+      'readers_silent_seconds',
+      'Time since a reader of the data centre was last known to run; 0 where that is not followed',
+      () => (readerMonitor.silentMs ?? 0) / MS_PER_SECOND,
+    );
   }
 
   #membership(): void {
--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -25,6 +25,9 @@
   control.readDelegation.onDelegated = (delegate) => {
     log.record('info', { event: 'reading-delegated', delegate });
   };
+  control.readerMonitor.onSilenceBegun = (silentMs) => {
+    log.record('warn', { event: 'readers-silent', silentMs: Math.round(silentMs) });
+  };
   control.gossip.onLateWakeUp = (lateMs) => log.record('warn', { event: 'late', lateMs });
 }
 
--- a/src/distribution/methods.ts
+++ b/src/distribution/methods.ts
@@ -14,11 +14,13 @@
   Heartbeat,
   Hello,
   packHeartbeat,
+  packReaderHeartbeat,
   Pull,
   Pulled,
   Push,
   QuotaAnswer,
   QuotaReport,
+  ReaderHeartbeat,
   Reading,
   Recall,
   Recalled,
@@ -81,6 +83,13 @@
   params: Reading,
   result: Nothing,
 };
+/** Older releases do not know the method, and ignore it. */
+export const READER_HEARTBEAT: Method<ReaderHeartbeat, unknown> = {
+  name: 'rhb',
+  params: ReaderHeartbeat,
+  result: Nothing,
+  pack: packReaderHeartbeat,
+};
 export const SURVEY: Method<SurveyQuery, Survey> = {
   name: 'survey',
   params: SurveyQuery,
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -214,6 +214,11 @@
     event: z.literal('reading-delegated'),
     delegate: z.string(),
   }),
+  z.object({
+    /** No reader of this data centre is heard of any more; this process is the next to read. */
+    event: z.literal('readers-silent'),
+    silentMs: z.number(),
+  }),
   z.object({
     event: z.literal('endpoint-changed'),
     endpoint: z.string(),
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -5,6 +5,11 @@
 
 /** Number of processes of a data centre that watch the platform. */
 export const READERS_PER_DATA_CENTRE = 2;
+/**
+ * Number of processes of a data centre that may read the platform, the readers included: each takes over
+ * when those before it are silent. So many may stand still at once, but for one.
+ */
+const READER_CANDIDATES = 8;
 /** Number of next members on the ring to which a process keeps a link. */
 const SUCCESSORS = 2;
 /** Maximum number of ring members that one process dials, however many are suspects. */
@@ -32,6 +37,8 @@
 
   #neighbours: readonly Member[] | undefined;
 
+  #readerCandidates: readonly Member[] | undefined;
+
   readonly #hashes = new Map<string, string>();
 
   constructor(
@@ -74,6 +81,18 @@
     return last < 0 ? members : members.slice(0, last + 1);
   }
 
+  /**
+   * The members of the own data centre that read the source or take over reading, in that order. Suspects
+   * are passed over.
+   */
+  get readerCandidates(): readonly Member[] {
+    this.#refresh();
+    this.#readerCandidates ??= this.#ownGroup.members
+      .filter(({ liveness }) => liveness !== 'suspect')
+      .slice(0, READER_CANDIDATES);
+    return this.#readerCandidates;
+  }
+
   /** Index of this process among the readers of all data centres; -1 if it is no reader. */
   get readerIndex(): number {
     if (!this.isReader) return -1;
@@ -170,6 +189,7 @@
     if (this.#topology === this.roster.topology) return;
     this.#topology = this.roster.topology;
     this.#neighbours = undefined;
+    this.#readerCandidates = undefined;
     const byDataCentre = new Map<string, Member[]>();
     for (const member of this.roster.live()) {
       const members = byDataCentre.get(member.dataCentre);
