Take over reading when the readers of a data centre are silent

Callers saw: requests handled by a version that had been replaced more than 2.5 s before, at processes that ran and reached the store.

Cause: versions enter a data centre through its two readers. One that is paused or cut off keeps rank and links until its neighbours have found the links silent (2 to 2.5 s) and failed to dial it (2 s more). It cannot ask for a delegate, as one can that the store turns away.

Change: the processes next by rank, up to the eighth, read by themselves when the readers' heartbeats are missing for 700 ms, each 100 ms later than the one before it. They need nothing but the store, so it works again when those who have taken over are paused too. A version that came past the tree is pushed to all neighbours of the data centre: with hints alone each hop along the ring waited 100 to 200 ms for a push of a parent that stands still.

--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -1,4 +1,5 @@
 /** Control plane of a process: configuration and membership, without the proxying of requests. */
+import { setMaxListeners } from 'node:events';
 import { type Member } from '../contracts.js';
 import { HeadLookup } from '../distribution/head_lookup.js';
 import { type Feed } from '../distribution/feed.js';
@@ -9,6 +10,7 @@
 import { ReadDelegation } from '../distribution/read_delegation.js';
 import { Reader } from '../distribution/reader.js';
 import { ReaderMonitor } from '../distribution/reader_monitor.js';
+import { ReaderStandby } from '../distribution/reader_standby.js';
 import { ReaderRole } from '../distribution/reader_role.js';
 import { Readiness } from '../distribution/readiness.js';
 import { Replica } from '../distribution/replica.js';
@@ -89,6 +91,8 @@
   /** State announced by the local upstream instance. */
   readonly endpointLease: EndpointLease;
 
+  readonly #readerStandby: ReaderStandby;
+
   readonly #drains: Drains;
 
   readonly #bootstrap: Bootstrap;
@@ -176,6 +180,7 @@
       methods,
       pace,
     );
+    this.#readerStandby = new ReaderStandby(this.readerMonitor, this.readDelegation, clock, random);
     const headLookup = new HeadLookup(
       this.reader,
       this.readerRole,
@@ -210,6 +215,8 @@
   /** Joins the fleet and starts all tasks. */
   start(): void {
     const { signal } = this.#stopping;
+    // One listener per task at least; Node.js logs a warning above ten by default.
+    setMaxListeners(0, signal);
     this.#tasks = [
       this.#bootstrap.run(signal),
       this.#probe.run(signal),
@@ -217,7 +224,7 @@
       this.#drains.run(signal),
       this.mesh.run(signal),
       this.#runReader(signal),
-      this.readerMonitor.run(signal),
+      this.#readerStandby.run(signal),
       this.directory.run(signal),
       this.gossip.run(signal),
     ];
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -26,6 +26,9 @@
 
   #scheduledPropagation: Promise<void> | undefined;
 
+  /** Whether the pending versions came past the tree: from the source or a peer that is not the parent. */
+  #cameOutsideTree = false;
+
   constructor(
     private readonly replica: Replica,
     private readonly mesh: Mesh,
@@ -97,6 +100,7 @@
 
   #handleApplied(versions: readonly Version[]): void {
     this.#pendingVersions.push(...versions);
+    this.#cameOutsideTree ||= this.replica.origin === 'source' && !this.ranking.isReader;
     const { batchWindowMs } = this.profile;
     if (batchWindowMs === 0) this.#propagate();
     else this.#scheduledPropagation ??= this.#propagateLater(batchWindowMs);
@@ -110,24 +114,37 @@
 
   #propagate(): void {
     const versions = this.#pendingVersions;
+    const receives = this.#pushReceivers();
     this.#pendingVersions = [];
-    const isChild = new Set(this.ranking.children.map(({ instance }) => instance));
-    const children: Peer[] = [];
+    this.#cameOutsideTree = false;
+    const receivers: Peer[] = [];
     for (const peer of this.mesh.peers) {
-      if (peer.member && isChild.has(peer.member.instance)) children.push(peer);
+      if (receives(peer)) receivers.push(peer);
       else if (this.profile.pushes) this.#announceVersion(peer);
     }
-    this.#sendToChildren(children, versions);
+    this.#push(receivers, versions);
+  }
+
+  /**
+   * The children; all neighbours of the data centre if the versions came past the tree. The parents of those
+   * neighbours are then likely to stand still, and if each neighbour waited for a push before it pulled, the
+   * waits would add up along the ring.
+   */
+  #pushReceivers(): (peer: Peer) => boolean {
+    const { dataCentre } = this.roster.self;
+    if (this.#cameOutsideTree) return ({ member }) => member?.dataCentre === dataCentre;
+    const children = new Set(this.ranking.children.map(({ instance }) => instance));
+    return ({ member }) => member !== undefined && children.has(member.instance);
   }
 
   /**
-   * Pushes the versions to the children, if the profile says so. Children that lack the same
-   * versions share one message, which is encoded once. A child is only told the version number, and
+   * Pushes the versions to the receivers, if the profile says so. Receivers that lack the same
+   * versions share one message, which is encoded once. A receiver is only told the version number, and
    * pulls, if the versions are too large for one message or if it lacks earlier versions too.
    */
-  #sendToChildren(children: readonly Peer[], versions: readonly Version[]): void {
+  #push(receivers: readonly Peer[], versions: readonly Version[]): void {
     const peersByMissing = new Map<number, Peer[]>();
-    for (const peer of children) {
+    for (const peer of receivers) {
       const count = versions.filter(({ number }) => number > peer.version).length;
       peersByMissing.set(count, [...(peersByMissing.get(count) ?? []), peer]);
     }
@@ -157,7 +174,9 @@
   }
 
   #handlePush(peer: Peer, versions: readonly Version[]): void {
+    this.#cameOutsideTree ||= peer.member?.instance !== this.ranking.parent?.instance;
     this.replica.apply(versions, 'push');
+    if (this.#pendingVersions.length === 0) this.#cameOutsideTree = false;
     this.#recordVersion(peer, versions.at(-1)?.number ?? 0);
   }
 }
--- a/src/distribution/read_delegation.ts
+++ b/src/distribution/read_delegation.ts
@@ -15,6 +15,8 @@
 const RENEWAL_INTERVAL_MS = 500;
 /** Time in which a peer has to read the source once and answer, in milliseconds. */
 const ANSWER_TIMEOUT_MS = 600;
+/** Timeout of the first read of a delegate, in milliseconds. */
+const DELEGATED_READ_MS = 500;
 /** Number of peers asked one right after another; at most one store call each. */
 const IMMEDIATE_ATTEMPTS = 3;
 /** First and highest cap of the jittered wait before a further peer is asked, in milliseconds. */
@@ -57,16 +59,25 @@
     private readonly random: Random,
     methods: Methods,
   ) {
-    methods.on(DELEGATE, async (_, { forMs }) => {
-      if (!role.isReader) notifyAll(mesh.peers, READING, {});
-      return { isReading: await reader.readFor(forMs) };
-    });
+    methods.on(DELEGATE, async (_, { forMs }) => ({
+      isReading: await this.readInPlace(forMs, clock.now() + DELEGATED_READ_MS),
+    }));
     mesh.onOpen((peer) => {
       if (role.isDelegated) peer.notify(READING, {});
     });
     reader.onContactLost = () => void this.#run();
   }
 
+  /**
+   * Reads the source for `forMs` milliseconds without the rank for it; resolves to whether this process
+   * reaches it by `deadline`. Peers learn of it first: they then know that they may not have heard of all
+   * versions that this process holds.
+   */
+  readInPlace(forMs: number, deadline: number): Promise<boolean> {
+    if (!this.role.isReader) notifyAll(this.mesh.peers, READING, {});
+    return this.reader.readFor(forMs, deadline);
+  }
+
   /** The peer that reads in place of this process. */
   get delegate(): Peer | undefined {
     return this.#delegate;
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -15,8 +15,6 @@
 const SILENCE_MS = 400;
 /** A wake-up later than this, in milliseconds, means that this process is late, not the answer. */
 const LATE_WAKE_UP_MS = 100;
-/** Timeout of the first read in place of another process, in milliseconds. */
-const DELEGATED_READ_MS = 500;
 /** Timeout of its watches, in milliseconds; short, as the source may go silent for it too. */
 const DELEGATED_WATCH_MS = 1_000;
 /**
@@ -92,13 +90,13 @@
   }
 
   /**
-   * Reads in place of a process that has lost contact with the source, for `forMs` milliseconds.
-   * Resolves to whether this process reaches it.
+   * Reads in place of readers that do not, for `forMs` milliseconds. Resolves to whether this process
+   * reaches the source by `deadline`.
    */
-  async readFor(forMs: number): Promise<boolean> {
+  async readFor(forMs: number, deadline: number): Promise<boolean> {
     if (!this.#isFollowing) {
       try {
-        await this.#takeUp(this.clock.now() + DELEGATED_READ_MS);
+        await this.#takeUp(deadline);
       } catch {
         return false;
       }
--- a/src/distribution/reader_monitor.ts
+++ b/src/distribution/reader_monitor.ts
@@ -31,6 +31,9 @@
   /** Called when this process finds that no reader is heard of, with the length of the silence in ms. */
   onSilenceBegun: (silentMs: number) => void = () => {};
 
+  /** Called at the same time, and then once per heartbeat interval until a reader is heard of. */
+  onSilent: () => void = () => {};
+
   constructor(
     private readonly reader: Pick<Reader, 'hasContact'>,
     private readonly role: Pick<ReaderRole, 'isRanked' | 'isDelegated'>,
@@ -102,7 +105,9 @@
     const silentAt = this.#silentAt;
     const wasSilent = this.#isSilent;
     this.#isSilent = silentAt !== undefined && this.clock.now() >= silentAt;
-    if (this.#isSilent && !wasSilent) this.onSilenceBegun(this.clock.now() - this.#heardAt!);
+    if (!this.#isSilent) return;
+    if (!wasSilent) this.onSilenceBegun(this.clock.now() - this.#heardAt!);
+    this.onSilent();
   }
 
   /** After a pause of this process, what readers sent meanwhile is not read yet: it gets the time again. */
--- a/src/test/distribution/object_fleet.ts
+++ b/src/test/distribution/object_fleet.ts
@@ -19,10 +19,11 @@
     readonly platforms: ReadonlyMap<string, InterruptiblePlatform>,
   ) {}
 
-  static async start(seed: number, sizes: Readonly<Record<string, number>>) {
+  static async start(seed: number, sizes: Readonly<Record<string, number>>, fanout = 2) {
     const platforms = new Map<string, InterruptiblePlatform>();
     const fleet = await TestFleet.start({
       sizes,
+      fanout,
       seed,
       pace: PROMPT,
       feed: (replica, clock, _, platform) => new ObjectFeed(platform, replica, clock),
