--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -10,6 +10,7 @@
 import { Convergence } from './experiments/convergence.js';
 import { Herd } from './experiments/herd.js';
 import { Overload } from './experiments/overload.js';
+import { Pauses } from './experiments/pauses.js';
 import { RolloutSimulations } from './experiments/rollout.js';
 import { Slopes } from './experiments/slopes.js';
 import { Stops } from './experiments/stops.js';
@@ -31,6 +32,7 @@
   new Slopes(clock),
   new Cold(clock),
   new Stops(clock),
+  new Pauses(clock),
   new RolloutSimulations(clock),
 ];
 
--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -101,12 +101,13 @@
     }
   }
 
-  /** Publishes the next version: the same routes and one more. */
-  async publishVersion(): Promise<void> {
+  /** Publishes the next version: the same routes and one more, whose index it resolves to. */
+  async publishVersion(): Promise<number> {
     const { routes, services } = this.options;
     this.#number += 1;
     const value = configurationObject(this.#number, routes + this.#number, services);
     await applyConfiguration(this.#store.store, value, this.clock.now() + STORE_CALL_TIMEOUT_MS);
+    return routes + this.#number - 1;
   }
 
   /** Sends one request to the entry of machine `index`; resolves to whether it got status 200. */
