Pass over silent neighbours on the ring at once

Callers would see the same as with paused readers, at single processes: a version that others of the data centre hold reaches a process only over its parent and its neighbours on the ring. When all of them stand still, it waited for the suspicion of them, some 4 s after the pause. Found by looking for the same cause along related paths.

Change: a neighbour without a message for 2.2 heartbeats (1.1 s on the platform) is passed over where neighbours are chosen, as a suspect is: the process before it on the ring dials those after it, and readers dial the next process of a data centre whose root is silent. Nobody is suspected by it. A second way, heartbeats of readers to all processes, each of which would read the store itself, was weighed by reading only: it costs messages on every link all the time, and all those processes call the store when it is away.

--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -25,6 +25,7 @@
 import { Probe } from '../membership/probe.js';
 import { Ranking } from '../membership/ranking.js';
 import { Roster } from '../membership/roster.js';
+import { SilentNeighbours } from '../membership/silent_neighbours.js';
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
@@ -93,6 +94,8 @@
 
   readonly #readerStandby: ReaderStandby;
 
+  readonly #silentNeighbours: SilentNeighbours;
+
   readonly #drains: Drains;
 
   readonly #bootstrap: Bootstrap;
@@ -147,6 +150,12 @@
       options.heartbeatMs,
       methods,
     );
+    this.#silentNeighbours = new SilentNeighbours(
+      this.mesh,
+      this.ranking,
+      clock,
+      options.heartbeatMs,
+    );
     methods.on(HEARTBEAT, (peer, heartbeat) => {
       this.distributor.handleHeartbeat(peer, heartbeat);
       this.gossip.compare(peer, heartbeat.roster);
@@ -225,6 +234,7 @@
       this.mesh.run(signal),
       this.#runReader(signal),
       this.#readerStandby.run(signal),
+      this.#silentNeighbours.run(signal),
       this.directory.run(signal),
       this.gossip.run(signal),
     ];
--- a/src/distribution/mesh.ts
+++ b/src/distribution/mesh.ts
@@ -99,6 +99,11 @@
     await this.#linkMaintenance.run(signal);
   }
 
+  /** Dials the neighbours to which there is no link; call it when the neighbours have changed. */
+  dialMissing(): void {
+    this.#linkMaintenance.dialMissing();
+  }
+
   /**
    * Accepts a link opened by another process, within the rate limit. When many processes restart at
    * once, all of them dial at once; a process that exchanged hellos with all of them would miss its
--- a/src/membership/link_maintenance.ts
+++ b/src/membership/link_maintenance.ts
@@ -40,22 +40,23 @@
     private readonly random: Random,
     private readonly stopping: AbortSignal,
   ) {
-    roster.onUpdate(() => this.#dialMissing());
+    roster.onUpdate(() => this.dialMissing());
     mesh.onOpen((peer) => this.#opened(peer));
-    mesh.onClose(() => this.#dialMissing());
+    mesh.onClose(() => this.dialMissing());
   }
 
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       await this.clock.sleepUntil(this.clock.now() + SWEEP_INTERVAL_MS, signal);
       if (signal.aborted) return;
-      this.#dialMissing();
+      this.dialMissing();
       this.#resetAttempts();
       for (const peer of this.mesh.peers) this.#closeIfUnneeded(peer);
     }
   }
 
-  #dialMissing(): void {
+  /** Dials the neighbours to which there is no link. */
+  dialMissing(): void {
     if (this.stopping.aborted) return;
     for (const member of this.ranking.neighbours) void this.#dialUntilLinked(member);
   }
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -37,6 +37,9 @@
 
   #neighbours: readonly Member[] | undefined;
 
+  /** Instances whose links are silent. */
+  #silent: ReadonlySet<string> = new Set();
+
   #readerCandidates: readonly Member[] | undefined;
 
   readonly #hashes = new Map<string, string>();
@@ -138,6 +141,19 @@
     return found;
   }
 
+  /**
+   * Passes over these instances, whose links are silent, where neighbours are chosen; they stay
+   * neighbours too. Returns whether the set has changed.
+   */
+  passOver(silent: ReadonlySet<string>): boolean {
+    const isSame =
+      silent.size === this.#silent.size && [...silent].every((name) => this.#silent.has(name));
+    if (isSame) return false;
+    this.#silent = silent;
+    this.#neighbours = undefined;
+    return true;
+  }
+
   /** The members to which this process opens and keeps a link. */
   get neighbours(): readonly Member[] {
     this.#refresh();
@@ -162,16 +178,35 @@
     const wanted = new Set<Member>();
     if (rank > 0) wanted.add(members[Math.floor((rank - 1) / this.fanout)]!);
     const ring = [...members.slice(rank + 1), ...members.slice(0, rank)];
-    for (const successor of monitored(ring, SUCCESSORS)) wanted.add(successor);
+    for (const successor of this.#monitored(ring, SUCCESSORS)) wanted.add(successor);
     if (rank < READERS_PER_DATA_CENTRE) {
       for (const [dataCentre, group] of this.#groups) {
         if (dataCentre === member.dataCentre) continue;
-        for (const root of monitored(group.members, 1)) wanted.add(root);
+        for (const root of this.#monitored(group.members, 1)) wanted.add(root);
       }
     }
     return [...wanted];
   }
 
+  /**
+   * The first members of `ring` until enough of them are alive: at least `count`, and as many as
+   * there are suspects or silent ones among them. In a mass failure, the monitors of a member may fail
+   * with it, and detecting the rest two successors at a time would take minutes. With one more monitored
+   * member for each of them, the number detected doubles with each round. Links to members that turn out
+   * to be alive are closed again later.
+   */
+  #monitored(ring: readonly Member[], count: number): Member[] {
+    let alive = 0;
+    let missing = 0;
+    const last = ring.findIndex(({ instance, liveness }) => {
+      if (liveness === 'suspect' || this.#silent.has(instance)) missing += 1;
+      else alive += 1;
+      return alive >= Math.max(count, missing);
+    });
+    const end = last < 0 ? ring.length : last + 1;
+    return ring.slice(0, Math.min(end, MAX_MONITORED));
+  }
+
   get #ownGroup(): Group {
     return this.#group(this.roster.self.dataCentre);
   }
@@ -216,25 +251,6 @@
   }
 }
 
-/**
- * The first members of `ring` until enough of them are alive: at least `count`, and as many as
- * there are suspects among them. In a mass failure, the monitors of a member may fail with it, and
- * detecting the rest two successors at a time would take minutes. With one more monitored member
- * for each suspect, the number detected doubles with each round. Links to members that turn out to
- * be alive are closed again later.
- */
-function monitored(ring: readonly Member[], count: number): Member[] {
-  let alive = 0;
-  let suspects = 0;
-  const last = ring.findIndex((member) => {
-    if (member.liveness === 'suspect') suspects += 1;
-    else alive += 1;
-    return alive >= Math.max(count, suspects);
-  });
-  const end = last < 0 ? ring.length : last + 1;
-  return ring.slice(0, Math.min(end, MAX_MONITORED));
-}
-
 function compare(a: string, b: string): number {
   if (a === b) return 0;
   return a < b ? -1 : 1;
--- a/src/test/distribution/object_fleet.ts
+++ b/src/test/distribution/object_fleet.ts
@@ -4,6 +4,8 @@
 import { type InterruptiblePlatform } from '../../standins/interruptible_platform.js';
 import { type Node, TestFleet } from './test_fleet.js';
 
+/** As on the platform. */
+const HEARTBEAT_MS = 500;
 const KEY = 'config/main';
 /** Time from the acknowledgement of a version until it has to be in force, in milliseconds. */
 export const APPLY_MS = 2_000;
@@ -26,6 +28,7 @@
       fanout,
       seed,
       pace: PROMPT,
+      heartbeatMs: HEARTBEAT_MS,
       feed: (replica, clock, _, platform) => new ObjectFeed(platform, replica, clock),
       onLaunch: ({ name }, platform) => platforms.set(name, platform as InterruptiblePlatform),
     });
--- a/src/test/distribution/test_fleet.ts
+++ b/src/test/distribution/test_fleet.ts
@@ -53,6 +53,7 @@
     platform: Platform,
   ) => Feed;
   readonly pace?: Pace;
+  readonly heartbeatMs?: number;
   /** Bandwidth of each machine's network link in kbit/s; unlimited when absent. */
   readonly linkKbps?: number;
   /** What a process of another release reads of messages and values, by the name of the process. */
@@ -206,7 +207,7 @@
       },
       {
         fanout: this.options.fanout ?? 2,
-        heartbeatMs: HEARTBEAT_MS,
+        heartbeatMs: this.options.heartbeatMs ?? HEARTBEAT_MS,
         profile: this.options.profile ?? new ConvergenceProfile(),
         ...(this.options.pace && { pace: this.options.pace }),
         peers: [...this.nodes.values()]
