Wake up less often to hear of readers

Cause: every process that may take over sent and received four messages a second on each link.

Change: any message of a reader counts, so readers send one heartbeat more, halfway between two that all links carry; others pass on what they have heard only while the first reader is silent, and sleep until it would be. Times follow the heartbeat interval (take-over after 1.4 intervals, 700 ms on the platform, as before). Silent neighbours are checked when one would be silent. Pace has no settings for it any more.

Tests of paused readers, delegation and silent neighbours passed; a new one: processes that start while all readers stand still are ready with the newest version after 2 s.

--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -187,7 +187,8 @@
       this.mesh,
       clock,
       methods,
-      pace,
+      options.heartbeatMs,
+      this.gossip,
     );
     this.#readerStandby = new ReaderStandby(this.readerMonitor, this.readDelegation, clock, random);
     const headLookup = new HeadLookup(
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -26,6 +26,9 @@
 
   readonly #retention: Retention;
 
+  /** When heartbeats were last sent, in milliseconds since the epoch. */
+  heartbeatSentAt = 0;
+
   /** Called when this process wakes up much too late, with the delay in milliseconds. */
   onLateWakeUp: (lateMs: number) => void = () => {};
 
@@ -79,5 +82,6 @@
     const { number: version, digest } = this.replica.current;
     const roster = this.roster.hash;
     notifyAll(this.mesh.peers, HEARTBEAT, { version, digest, roster });
+    this.heartbeatSentAt = this.clock.now();
   }
 }
--- a/src/membership/pace.ts
+++ b/src/membership/pace.ts
@@ -16,15 +16,6 @@
   readonly readinessCheckMs: number;
   /** Timeout of a watch on the source, so the longest delay by a silent one, in milliseconds. */
   readonly watchTimeoutMs: number;
-  /** Interval of the heartbeats by which the readers of a data centre show that they run, in ms. */
-  readonly readerHeartbeatMs: number;
-  /**
-   * Time without them after which the first process takes over from the readers, in milliseconds; has to
-   * be longer than two of the intervals.
-   */
-  readonly readerSilenceMs: number;
-  /** How much later each further process takes over, in milliseconds. */
-  readonly takeOverStaggerMs: number;
   /**
    * Whether a starting process reads the source itself immediately, and may be ready as soon as a
    * ready neighbour holds no newer version.
@@ -42,9 +33,6 @@
   callsPerSecond: 0.125,
   readinessCheckMs: 300,
   watchTimeoutMs: 10_000,
-  readerHeartbeatMs: 1_000,
-  readerSilenceMs: 2_800,
-  takeOverStaggerMs: 400,
   isEager: false,
 };
 
@@ -58,8 +46,5 @@
   callsPerSecond: 1,
   readinessCheckMs: 50,
   watchTimeoutMs: 2_500,
-  readerHeartbeatMs: 250,
-  readerSilenceMs: 700,
-  takeOverStaggerMs: 100,
   isEager: true,
 };
--- a/src/membership/silent_neighbours.ts
+++ b/src/membership/silent_neighbours.ts
@@ -1,12 +1,13 @@
 /** Finds neighbours that are silent, long before they are suspected. */
 import { type Mesh } from '../distribution/mesh.js';
+import { type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Ranking } from './ranking.js';
 
 /** A neighbour is silent after this many heartbeat intervals without a message. */
 const SILENT_HEARTBEATS = 2.2;
-/** Checks per heartbeat interval. */
-const CHECKS_PER_HEARTBEAT = 2;
+/** A wake-up later than this, in heartbeat intervals, means that messages are still unread. */
+const LATE_HEARTBEATS = 0.5;
 
 /**
  * A paused process keeps its links for seconds. If the parent of a process and both neighbours before it
@@ -22,21 +23,30 @@
     private readonly heartbeatMs: number,
   ) {}
 
-  /** Checks all links until the signal aborts. */
+  /** Checks the links until the signal aborts, each when it would be silent. */
   async run(signal: AbortSignal): Promise<void> {
-    const intervalMs = this.heartbeatMs / CHECKS_PER_HEARTBEAT;
     while (!signal.aborted) {
-      const wakeAt = this.clock.now() + intervalMs;
+      const wakeAt = this.#nextCheckAt();
       await this.clock.sleepUntil(wakeAt, signal);
-      // After a pause of this process all links look silent until their messages have been read.
-      const wasPaused = this.clock.now() - wakeAt > intervalMs;
+      const lateMs = this.clock.now() - wakeAt;
+      const wasPaused = lateMs > LATE_HEARTBEATS * this.heartbeatMs;
       if (!wasPaused && this.ranking.passOver(this.#silent())) this.mesh.dialMissing();
     }
   }
 
+  #nextCheckAt(): number {
+    const now = this.clock.now();
+    const due = this.mesh.peers.map((peer) => this.#silentAt(peer)).filter((at) => at > now);
+    return Math.min(now + this.heartbeatMs, ...due);
+  }
+
+  #silentAt({ lastMessageAt }: Peer): number {
+    return lastMessageAt + SILENT_HEARTBEATS * this.heartbeatMs;
+  }
+
   #silent(): ReadonlySet<string> {
-    const silentSince = this.clock.now() - SILENT_HEARTBEATS * this.heartbeatMs;
-    const silent = this.mesh.peers.filter(({ lastMessageAt }) => lastMessageAt < silentSince);
+    const now = this.clock.now();
+    const silent = this.mesh.peers.filter((peer) => this.#silentAt(peer) <= now);
     return new Set(silent.flatMap(({ member }) => member?.instance ?? []));
   }
 }
--- a/src/test/distribution/reader_standby_test.ts
+++ b/src/test/distribution/reader_standby_test.ts
@@ -38,6 +38,22 @@
     }
   });
 
+  // Guards against a process that starts meanwhile and is never ready, or ready with an old version.
+  it('are ready with the newest version when they start then', async () => {
+    await using objects = await ObjectFleet.start(1, SIZES);
+    const { fleet } = objects;
+    objects.freeze(objects.readers);
+    await objects.write();
+    const others = fleet.alive.filter(({ name }) => !objects.frozen.has(name));
+    const restarted = others.slice(0, 4).map(({ name, host }) => {
+      fleet.kill(name);
+      return fleet.launch(name, host.dataCentre);
+    });
+    await fleet.time.advance(APPLY_MS);
+    const ready = restarted.filter(({ control }) => control.readiness.isReady);
+    expect([ready.length, objects.behind]).to.deep.equal([restarted.length, []]);
+  });
+
   // Guards against a data centre that gets no versions when those that take over are paused in turn.
   for (const dataCentres of [DATA_CENTRES.slice(0, 1), DATA_CENTRES]) {
     it(`have them when those that take over are paused too, in ${dataCentres.length} of 4 data centres`, async () => {
