Remember when a reader was heard beyond the end of its link

Found by reading: silent links are closed after four heartbeats, before their ends are suspects. Where the readers are of a release without heartbeats of their own, that made the one that had taken over forget that it had heard of a reader, and stop until the suspicion. The last instant is kept now.

Comments are put more plainly.

--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -26,7 +26,7 @@
 
   #scheduledPropagation: Promise<void> | undefined;
 
-  /** Whether the pending versions came past the tree: from the source or a peer that is not the parent. */
+  /** Whether the pending versions came from the source, without the rank for it, or not from the parent. */
   #cameOutsideTree = false;
 
   constructor(
@@ -126,7 +126,7 @@
   }
 
   /**
-   * The children; all neighbours of the data centre if the versions came past the tree. The parents of those
+   * The children; all neighbours of the data centre if the versions came outside the tree. The parents of those
    * neighbours are then likely to stand still, and if each neighbour waited for a push before it pulled, the
    * waits would add up along the ring.
    */
--- a/src/distribution/reader_monitor.ts
+++ b/src/distribution/reader_monitor.ts
@@ -32,8 +32,8 @@
  * long ago they heard of another reader.
  */
 export class ReaderMonitor {
-  /** The latest instant at which a reader was said to run, in milliseconds since the epoch. */
-  #toldAt = 0;
+  /** When a reader was last known to run, in milliseconds since the epoch; 0 if never. */
+  #runningAt = 0;
 
   /** Until when this process was last paused; what arrived meanwhile is read only now. */
   #pausedUntil = 0;
@@ -58,7 +58,7 @@
     private readonly times: HeartbeatTimes,
   ) {
     methods.on(READER_HEARTBEAT, (_, { silentMs }) => {
-      this.#toldAt = Math.max(this.#toldAt, clock.now() - silentMs);
+      this.#runningAt = Math.max(this.#runningAt, clock.now() - silentMs);
     });
   }
 
@@ -76,6 +76,7 @@
       await this.clock.sleepUntil(wakeAt, signal);
       const now = this.clock.now();
       if (now - wakeAt > LATE_WAKE_UP_MS) this.#pausedUntil = now;
+      this.#hearReaders();
       if (this.#isReading || this.#isFirstSilent) this.sendHeartbeat();
       this.#check();
     }
@@ -100,11 +101,16 @@
     return this.ranking.readerCandidates.findIndex((member) => member.instance === instance);
   }
 
-  /** When a reader was last heard, or said to have been heard; 0 if never. */
+  /** From when on a reader has been silent; 0 if none was ever heard of. */
   get #heardAt(): number {
+    return this.#runningAt > 0 ? Math.max(this.#runningAt, this.#pausedUntil) : 0;
+  }
+
+  /** Kept beyond the end of the links, which are closed when they have been silent for long. */
+  #hearReaders(): void {
     const readers = this.ranking.readerCandidates.slice(0, READERS_PER_DATA_CENTRE);
-    const heardAt = Math.max(this.#toldAt, ...readers.map((reader) => this.#lastMessageOf(reader)));
-    return heardAt > 0 ? Math.max(heardAt, this.#pausedUntil) : 0;
+    const messageTimes = readers.map((reader) => this.#lastMessageOf(reader));
+    this.#runningAt = Math.max(this.#runningAt, ...messageTimes);
   }
 
   /** Whether the first reader, to which all that may take over have a link, is silent. */
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -7,7 +7,7 @@
 export const READERS_PER_DATA_CENTRE = 2;
 /**
  * Number of processes of a data centre that may read the platform, the readers included: each takes over
- * when those before it are silent. So many may stand still at once, but for one.
+ * when those before it are silent. Versions arrive as long as one of them runs.
  */
 const READER_CANDIDATES = 8;
 /** Number of next members on the ring to which a process keeps a link. */
--- a/src/test/distribution/reader_standby_test.ts
+++ b/src/test/distribution/reader_standby_test.ts
@@ -31,7 +31,8 @@
         objects.freeze(objects.readers);
         await objects.fleet.time.advance(random.below(500));
         await expectVersionsInForce(objects, `seed ${seed}, wave ${wave}`);
-        await objects.fleet.time.advance(1_500);
+        // By now silent links are closed, and the paused readers become suspects.
+        await expectVersionsInForce(objects, `seed ${seed}, wave ${wave}, later`);
         objects.thaw();
         await objects.fleet.time.advance(RECOVERY_MS);
       }
