--- a/src/bench/pauses/pause_series.ts
+++ b/src/bench/pauses/pause_series.ts
@@ -21,7 +21,7 @@
 export const WAVES = ['readers', 'takers-over', 'takers-over-of-one', 'random'] as const;
 export type Wave = (typeof WAVES)[number];
 
-/** A version, and which machines had been left alone for long when it was acknowledged. */
+/** A version that was published during a wave. */
 export interface PublishedVersion {
   readonly wave: Wave;
   /** Index of the route that came with it. */
