--- a/src/bench/pauses/pause_series.ts
+++ b/src/bench/pauses/pause_series.ts
@@ -33,7 +33,7 @@
 export class PauseSeries {
   readonly versions: PublishedVersion[] = [];
 
-  /** Machines that the current wave has paused or will pause, by index. */
+  /** Indexes of the machines that the current wave has paused so far. */
   readonly paused = new Set<number>();
 
   readonly #ranked: ReadonlyMap<string, readonly number[]>;
