Test that processes in touch with the source hold versions in time in mixed troubles

Until now tests paused readers or turned them away; nothing cut links one way, silenced connections, restarted readers and turned them away, or mixed these.

TROUBLE_SEEDS sets more seeds.

--- a/src/standins/interruptible_platform.ts
+++ b/src/standins/interruptible_platform.ts
@@ -10,10 +10,22 @@
 import { type Clock } from '../runtime/clock.js';
 import { type Gate } from './gate.js';
 
+/** How long an idle connection is kept, as by `StoreConnection`, in milliseconds. */
+const IDLE_MS = 1_000;
+
 export class InterruptiblePlatform extends Platform {
   /** Calls made, whether or not they reached the platform. */
   calls = 0;
 
+  /** Number of times that the open connections went silent. */
+  #silences = 0;
+
+  /** When the last call ended, in milliseconds since the epoch. */
+  #idleSince = 0;
+
+  /** Until when a call is sent on a connection that was idle when it went silent. */
+  #isIdleSilentUntil = 0;
+
   constructor(
     private readonly platform: Platform,
     private readonly clock: Clock,
@@ -76,9 +88,18 @@
     return this.#call(deadline, () => this.platform.watch(range, deadline, signal));
   }
 
+  /** The open connections carry nothing any more, without an end; later connections work. */
+  silenceConnections(): void {
+    this.#silences += 1;
+    this.#isIdleSilentUntil = this.#idleSince + IDLE_MS;
+  }
+
   /** If the connection is cut before the answer, the call takes effect but times out at its deadline. */
   async #call<T>(deadline: number, call: () => Promise<T>): Promise<T> {
     this.calls += 1;
+    const isSilent = this.clock.now() < this.#isIdleSilentUntil;
+    const silencesBefore = isSilent ? this.#silences - 1 : this.#silences;
+    this.#isIdleSilentUntil = 0;
     await this.gate.waitUntilOpen();
     if (this.isCut()) {
       if (this.isSilent()) await this.clock.sleepUntil(deadline);
@@ -88,8 +109,9 @@
       });
     }
     const answer = await call();
+    this.#idleSince = this.clock.now();
     await this.gate.waitUntilOpen();
-    if (!this.isCut()) return answer;
+    if (!this.isCut() && this.#silences === silencesBefore) return answer;
     await this.clock.sleepUntil(deadline);
     throw new OutcomeError('the answer of the platform was lost', {
       verdict: 'may-have-run',
--- a/src/standins/memory_link.ts
+++ b/src/standins/memory_link.ts
@@ -30,8 +30,6 @@
   readonly random: Random;
   readonly codec: Codec;
   readonly faults: LinkFaults;
-  /** Whether messages are currently dropped, without either end being notified. */
-  readonly isCut: () => boolean;
 }
 
 /** What affects the end of a link at one process: its pauses and its bandwidth. */
@@ -40,6 +38,11 @@
   readonly bandwidthLimiter?: BandwidthLimiter | undefined;
 }
 
+export interface LinkEnd extends HostConditions {
+  /** Whether what this end sends is currently dropped, without either end being notified. */
+  readonly isCut: () => boolean;
+}
+
 /** Length of the frame header that a real link sends before each message, in bytes. */
 const HEADER_BYTES = 4;
 /** Upper bound of the extra delay of a message that may be overtaken, in milliseconds. */
@@ -67,27 +70,18 @@
 
   private constructor(
     private readonly settings: LinkSettings,
-    private readonly gate: Gate,
-    /** Limits the bandwidth of this end's machine; unlimited if absent. */
-    private readonly bandwidthLimiter: BandwidthLimiter | undefined,
+    private readonly end: LinkEnd,
   ) {
     super();
   }
 
   /** Creates the two ends of a link. */
-  static pair(
-    settings: LinkSettings,
-    near: HostConditions,
-    far: HostConditions,
-  ): [MemoryLink, MemoryLink] {
-    const ends: [MemoryLink, MemoryLink] = [
-      new MemoryLink(settings, near.gate, near.bandwidthLimiter),
-      new MemoryLink(settings, far.gate, far.bandwidthLimiter),
-    ];
-    const [one, other] = ends;
+  static pair(settings: LinkSettings, near: LinkEnd, far: LinkEnd): [MemoryLink, MemoryLink] {
+    const one = new MemoryLink(settings, near);
+    const other = new MemoryLink(settings, far);
     one.#otherEnd = other;
     other.#otherEnd = one;
-    return ends;
+    return [one, other];
   }
 
   get closed(): AbortSignal {
@@ -122,12 +116,12 @@
   }
 
   async #transmit(bytes: Uint8Array): Promise<void> {
-    await this.gate.waitUntilOpen();
+    await this.end.gate.waitUntilOpen();
     const { clock } = this.settings;
     const otherEnd = this.#otherEnd;
     await clock.sleepUntil(this.#arrivalTime(HEADER_BYTES + bytes.length));
-    if (this.isSilent || this.settings.isCut()) return;
-    await otherEnd.gate.waitUntilOpen();
+    if (this.isSilent || this.end.isCut()) return;
+    await otherEnd.end.gate.waitUntilOpen();
     if (otherEnd.closed.aborted) return;
     otherEnd.bytesReceived += HEADER_BYTES + bytes.length;
     otherEnd.#deliver(this.settings.codec.decode(bytes));
@@ -136,7 +130,7 @@
   #arrivalTime(bytes: number): number {
     const { clock, random, faults } = this.settings;
     const now = clock.now();
-    const leavesAt = this.bandwidthLimiter?.departure(bytes, now) ?? now;
+    const leavesAt = this.end.bandwidthLimiter?.departure(bytes, now) ?? now;
     const earliest = leavesAt + faults.latencyMs + random.jitter(faults.delayMs);
     if (random.next() < faults.reorder) return earliest + random.jitter(MAX_REORDER_DELAY_MS);
     this.#lastArrivalAt = Math.max(this.#lastArrivalAt, earliest);
@@ -151,8 +145,8 @@
   async #closeOtherEnd(): Promise<void> {
     const { clock, faults } = this.settings;
     await clock.sleepUntil(Math.max(this.#lastArrivalAt, clock.now() + faults.latencyMs));
-    if (this.isSilent || this.settings.isCut()) return;
-    await this.#otherEnd.gate.waitUntilOpen();
+    if (this.isSilent || this.end.isCut()) return;
+    await this.#otherEnd.end.gate.waitUntilOpen();
     this.#otherEnd.close();
   }
 }
--- a/src/standins/memory_network.ts
+++ b/src/standins/memory_network.ts
@@ -15,6 +15,9 @@
   readonly accept: (link: Link) => void;
 }
 
+/** Which messages of an isolated process are lost. */
+export type LostDirections = 'both' | 'sent' | 'received';
+
 interface Connection {
   readonly ends: readonly [MemoryLink, MemoryLink];
   readonly hosts: readonly [Host, Host];
@@ -30,6 +33,9 @@
 
   readonly #cuts = new Set<string>();
 
+  /** Processes whose messages are lost in these directions. */
+  readonly #isolated = new Map<Host, LostDirections>();
+
   readonly #connections: Connection[] = [];
 
   constructor(
@@ -70,8 +76,14 @@
     this.#cuts.add(pairKey(one, other));
   }
 
+  /** Drops the messages between a process and all others until `heal`, without a close of its links. */
+  isolate(host: Host, lost: LostDirections): void {
+    this.#isolated.set(host, lost);
+  }
+
   heal(): void {
     this.#cuts.clear();
+    this.#isolated.clear();
   }
 
   #openConnections(host: Host): Connection[] {
@@ -82,27 +94,36 @@
 
   async #dial(from: Host, host: string, port: number): Promise<Link> {
     const target = this.#hosts.get(address(host, port));
-    const isCut = () => target !== undefined && this.#isCut(from, target);
+    const isCut = () =>
+      target !== undefined && (this.#isCut(from, target) || this.#isCut(target, from));
     if (isCut()) await this.clock.sleepUntil(this.clock.now() + DIAL_TIMEOUT_MS);
     else await this.clock.sleepUntil(this.clock.now() + this.faults.latencyMs);
     if (!target || this.#hosts.get(address(host, port)) !== target || isCut()) {
       const props = { verdict: 'not-run', reason: 'unreachable' } as const;
       throw new OutcomeError(`no link to ${address(host, port)}`, props);
     }
-    return this.#connect(from, target, isCut);
+    return this.#connect(from, target);
   }
 
-  #connect(from: Host, target: Host, isCut: () => boolean): Link {
+  #connect(from: Host, target: Host): Link {
     const { clock, random, codec, faults } = this;
-    const settings = { clock, random, codec, faults, isCut };
-    const ends = MemoryLink.pair(settings, from, target);
+    const settings = { clock, random, codec, faults };
+    const ends = MemoryLink.pair(
+      settings,
+      { ...from, isCut: () => this.#isCut(from, target) },
+      { ...target, isCut: () => this.#isCut(target, from) },
+    );
     this.#connections.push({ ends, hosts: [from, target] });
     target.accept(ends[1]);
     return ends[0];
   }
 
-  #isCut(one: Host, other: Host): boolean {
-    return this.#cuts.has(pairKey(one.dataCentre, other.dataCentre));
+  /** Whether what one process sends to another is lost. */
+  #isCut(from: Host, to: Host): boolean {
+    const sent = this.#isolated.get(from) ?? 'received';
+    const received = this.#isolated.get(to) ?? 'sent';
+    const isLost = sent !== 'received' || received !== 'sent';
+    return isLost || this.#cuts.has(pairKey(from.dataCentre, to.dataCentre));
   }
 }
 
--- /dev/null
+++ b/src/test/distribution/in_touch_test.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai';
+import { SeededRandom } from '../../runtime/random.js';
+import { ObjectFleet } from './object_fleet.js';
+import { type Fault, SCOPES, TROUBLES, TroubleSeries } from './trouble_series.js';
+
+const SMALL = { arima: 4, chaguanas: 4, couva: 3 };
+const FANOUT = 8;
+const MAX_CALM_MS = 9_000;
+const SETTLE_MS = 6_000;
+const MIXED_ROUNDS = 5;
+/** Seeds of the mixed series; more are run by hand. */
+const MIXED_SEEDS = Number(process.env.TROUBLE_SEEDS ?? 3);
+
+type Rounds = readonly (readonly Fault[])[];
+
+/** Plays the rounds for some seeds; resolves to the versions that came late to processes in touch. */
+async function lateVersions(
+  sizes: Readonly<Record<string, number>>,
+  seeds: number,
+  roundsOf: (random: SeededRandom) => Rounds,
+): Promise<string[]> {
+  const late: string[] = [];
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    await using objects = await ObjectFleet.start(seed, sizes, FANOUT);
+    const random = new SeededRandom(seed);
+    const series = new TroubleSeries(objects, random);
+    for (const faults of roundsOf(random)) {
+      await series.play(faults);
+      await series.check.advance(random.below(MAX_CALM_MS));
+    }
+    await series.check.advance(SETTLE_MS);
+    late.push(...series.check.late.map(({ name, version }) => `${seed}: ${name} r${version}`));
+  }
+  return [...new Set(late)];
+}
+
+function mixedRounds(random: SeededRandom): Rounds {
+  const fault = (): Fault => ({
+    trouble: random.shuffled(TROUBLES)[0]!,
+    scope: random.shuffled(SCOPES)[0]!,
+  });
+  return Array.from({ length: MIXED_ROUNDS }, () =>
+    Array.from({ length: 1 + random.below(2) }, fault),
+  );
+}
+
+describe('processes in touch with the source', function inTouch() {
+  this.timeout(120_000 + MIXED_SEEDS * 30_000);
+
+  // Guards against safeguards that each hold alone and fail together, or one right after the other.
+  it('have each version in time in mixed troubles', async () => {
+    expect(await lateVersions(SMALL, MIXED_SEEDS, mixedRounds)).to.deep.equal([]);
+  });
+});
--- a/src/test/distribution/object_fleet.ts
+++ b/src/test/distribution/object_fleet.ts
@@ -38,6 +38,11 @@
     return started;
   }
 
+  /** Number of the newest version. */
+  get version(): number {
+    return this.#number;
+  }
+
   async write(): Promise<void> {
     const { platform, clock } = this.fleet;
     this.#number += 1;
--- a/src/test/membership/reconciliation_test.ts
+++ b/src/test/membership/reconciliation_test.ts
@@ -14,6 +14,7 @@
 
 const FLEET = 740;
 const HEARTBEATS = 2;
+const END = { gate: new Gate(), isCut: () => false };
 
 /** Two linked processes that run reconciliation only. */
 class Pair implements Disposable {
@@ -32,8 +33,8 @@
   constructor() {
     const { clock } = this.time;
     const random = new SeededRandom(1);
-    const wire = { clock, random, codec: this.codec, faults: noFaults(), isCut: () => false };
-    const [near, far] = MemoryLink.pair(wire, { gate: new Gate() }, { gate: new Gate() });
+    const wire = { clock, random, codec: this.codec, faults: noFaults() };
+    const [near, far] = MemoryLink.pair(wire, END, END);
     this.#add(this.one, near, this.other);
     this.#add(this.other, far, this.one);
   }
