Keep idle connections to the store for a second only

Callers: requests handled by an old version 3 s and more after all connections of the fleet went silent without a close, when the machines are in touch again. Cause: a process that takes over reading sends its first read on a kept connection, idle for up to 15 s, which is silent too; the read lasts 1.5 s until its timeout, and a jittered wait follows. Why it works: watches follow each other without a pause and keep their connection; whoever reads rarely opens a new one, one round trip more.

--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -19,8 +19,12 @@
 }
 
 const MAX_SOCKETS = 16;
-/** Idle connections are closed after this time, in milliseconds, as the peer may be gone. */
-const IDLE_MS = 15_000;
+/**
+ * Idle connections are closed after this time, in milliseconds. One that was lost without a close would
+ * cost the next call its whole timeout, and a process that takes over reading has no time for that.
+ * Readers use theirs without a pause.
+ */
+const IDLE_MS = 1_000;
 
 export class StoreConnection implements AsyncDisposable {
   readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, timeout: IDLE_MS });
