Log how old a version is when it is applied, and how long a lost neighbour was silent

The hypotheses of the incident differ in where the time went and in whether links were silent or closed, and no line told either: 'neighbour-lost' stood for both, and 'applied' gave no age.

--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -15,9 +15,9 @@
   clock: Clock,
 ): void {
   if (!log.isEnabled('info')) return;
-  recordConfiguration(control, log);
+  recordConfiguration(control, log, clock);
   recordMembers(control, log);
-  recordLinks(control, log);
+  recordLinks(control, log, clock);
   recordUpstream(control, log);
   recordRateLimit(guard, log);
   recordDrains(control, log);
@@ -31,11 +31,13 @@
   control.gossip.onLateWakeUp = (lateMs) => log.record('warn', { event: 'late', lateMs });
 }
 
-function recordConfiguration({ replica, readiness }: Control, log: Log): void {
-  replica.onApplied(() => {
+function recordConfiguration({ replica, readiness }: Control, log: Log, clock: Clock): void {
+  replica.onApplied((versions) => {
     const { origin } = replica;
     const { number: version, digest, size: resources } = replica.current;
-    log.record('info', { event: 'applied', version, digest, resources, origin });
+    const latest = origin === 'push' || origin === 'pull' ? versions.at(-1) : undefined;
+    const age = latest && { ageMs: Math.max(0, Math.round(clock.now() - latest.acceptedAt)) };
+    log.record('info', { event: 'applied', version, digest, resources, origin, ...age });
   });
   replica.onServedOlder = (served) => {
     log.record('info', { event: 'served-older', held: replica.current.number, served });
@@ -75,14 +77,15 @@
   log.record('info', { event: 'endpoint-changed', endpoint: name, upstream, state, slots });
 }
 
-function recordLinks({ mesh }: Control, log: Log): void {
+function recordLinks({ mesh }: Control, log: Log, clock: Clock): void {
   mesh.onOpen((peer) => {
     const neighbour = peer.hello?.member.instance ?? '';
     log.record('info', { event: 'neighbour-found', neighbour });
   });
   mesh.onClose((peer) => {
     const neighbour = peer.hello?.member.instance ?? '';
-    log.record('info', { event: 'neighbour-lost', neighbour });
+    const silentMs = Math.round(clock.now() - peer.lastMessageAt);
+    log.record('info', { event: 'neighbour-lost', neighbour, silentMs });
   });
 }
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -183,6 +183,8 @@
     resources: z.number(),
     /** How this process got the version. */
     origin: z.enum(['source', 'push', 'pull', 'difference', 'pages']),
+    /** Time since a process read it from the source, by the clock of that process; pushed and pulled versions only. */
+    ageMs: z.number().optional(),
   }),
   z.object({
     /** A peer that announced a later version served one no newer than that held here. */
@@ -232,7 +234,12 @@
     liveness: z.string(),
   }),
   z.object({ event: z.literal('neighbour-found'), neighbour: z.string() }),
-  z.object({ event: z.literal('neighbour-lost'), neighbour: z.string() }),
+  z.object({
+    event: z.literal('neighbour-lost'),
+    neighbour: z.string(),
+    /** Time since its last message: seconds if the link was closed here for silence. */
+    silentMs: z.number(),
+  }),
   z.object({
     event: z.literal('upstream-changed'),
     upstream: z.string(),
