Give the first watch of a process a short timeout

Callers: requests handled by an old version for up to 2.7 s after the acknowledgement, at all processes that are no readers, when the readers have just started and the store turns them away. Cause: the deadlines of the readers' watches are spread by the rank of each, but the first watch starts before the process knows the others. All take themselves for the only reader, choose the same deadline, up to 3.75 s away, and none notices sooner that its watch brings nothing. Why it works: by the second watch, a second later, the roster is known, and the deadlines are spread as they are meant to be. It costs a call for each reader that starts.

--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -15,8 +15,14 @@
 const SILENCE_MS = 400;
 /** A wake-up later than this, in milliseconds, means that this process is late, not the answer. */
 const LATE_WAKE_UP_MS = 100;
-/** Timeout of its watches, in milliseconds; short, as the source may go silent for it too. */
+/** Timeout of the watches of a delegate, in milliseconds; short, as the source may go silent for it too. */
 const DELEGATED_WATCH_MS = 1_000;
+/**
+ * Timeout of the first watch of a process, in milliseconds. It starts before the process knows the other
+ * readers: if all have just started, their deadlines are the same, and none of them would notice soon that
+ * the source has gone silent.
+ */
+const FIRST_WATCH_MS = 1_000;
 /**
  * Cap of the jittered backoff after the platform served a version that was refused, in
  * milliseconds.
@@ -44,6 +50,8 @@
 
   #hasContact = true;
 
+  #hasWatched = false;
+
   #regained = new AbortController();
 
   /** Called when the process does not reach the source any more. */
@@ -144,6 +152,7 @@
     void this.#awaitAnswer(answerDue + SILENCE_MS, answered.signal);
     try {
       if (!this.#isFollowing) return await this.#takeUp(deadline);
+      this.#hasWatched = true;
       return await this.feed.follow(deadline, signal);
     } finally {
       answered.abort();
@@ -152,6 +161,8 @@
 
   #watchDeadline(now: number): number {
     const { watchTimeoutMs } = this.pace;
+    const isFirstWatch = this.#isFollowing && !this.#hasWatched;
+    if (isFirstWatch) return now + Math.min(watchTimeoutMs, FIRST_WATCH_MS);
     if (this.role.isRanked) return this.role.nextWatchDeadline(watchTimeoutMs);
     return now + (this.role.isDelegated ? DELEGATED_WATCH_MS : watchTimeoutMs);
   }
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -47,6 +47,16 @@
 describe('processes in touch with the source', function inTouch() {
   this.timeout(120_000 + MIXED_SEEDS * 30_000);
 
+  // Guards against readers that have just started and all notice late that the source is silent to them.
+  it('have each version in time when the readers have just started and are turned away', async () => {
+    const faults: Fault[] = [
+      { trouble: 'killed', scope: 'readers' },
+      { trouble: 'turned away', scope: 'readers' },
+    ];
+    const late = await lateVersions(SMALL, 4, () => [faults, faults, faults]);
+    expect(late).to.deep.equal([]);
+  });
+
   // Guards against safeguards that each hold alone and fail together, or one right after the other.
   it('have each version in time in mixed troubles', async () => {
     expect(await lateVersions(SMALL, MIXED_SEEDS, mixedRounds)).to.deep.equal([]);
