Read the source where peers hold versions and do not send them

Callers: requests handled by an old version for up to 3.0 s after the acknowledgement, at machines that reach the store and all others, when what they send to the others is lost (a cut in one direction). Cause: such a process hears heartbeats and knows of the version, but gets no answer to its pulls. It hears readers, so it does not take over from them either; only when its peers have closed the links after 2.0 to 2.5 s does it look silent to itself. A process never doubted its peers while it heard them. Why it works: behind for 700 ms without getting nearer, whatever the reason, the process reads by itself. New line: 'reading-alone'.

--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -13,6 +13,7 @@
 import { ReaderStandby } from '../distribution/reader_standby.js';
 import { ReaderRole } from '../distribution/reader_role.js';
 import { Readiness } from '../distribution/readiness.js';
+import { SourceFallback } from '../distribution/source_fallback.js';
 import { Replica } from '../distribution/replica.js';
 import { Surveyor } from '../distribution/surveyor.js';
 import { Methods } from '../link/peer.js';
@@ -85,6 +86,8 @@
 
   readonly readerMonitor: ReaderMonitor;
 
+  readonly sourceFallback: SourceFallback;
+
   readonly directory: Directory;
 
   readonly gossip: GossipTask;
@@ -191,6 +194,14 @@
       this.gossip,
     );
     this.#readerStandby = new ReaderStandby(this.readerMonitor, this.readDelegation, clock, random);
+    this.sourceFallback = new SourceFallback(
+      this.readDelegation,
+      this.readerRole,
+      replica,
+      clock,
+      random,
+    );
+    this.distributor.onStalled(() => void this.sourceFallback.readMissing());
     const headLookup = new HeadLookup(
       this.reader,
       this.readerRole,
--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -28,6 +28,9 @@
   control.readerMonitor.onSilenceBegun = (silentMs) => {
     log.record('warn', { event: 'readers-silent', silentMs: Math.round(silentMs) });
   };
+  control.sourceFallback.onReading = (reason) => {
+    log.record('warn', { event: 'reading-alone', reason });
+  };
   control.gossip.onLateWakeUp = (lateMs) => log.record('warn', { event: 'late', lateMs });
 }
 
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -61,6 +61,11 @@
       .on(RECALL, (_, recall) => this.#handleRecall(recall));
   }
 
+  /** Sets what is called while peers are ahead and their versions do not arrive. */
+  onStalled(listener: () => void): void {
+    this.#puller.onStalled = listener;
+  }
+
   /** Records the version in a peer's heartbeat, and pulls if the peer is ahead. */
   handleHeartbeat(peer: Peer, { version, digest }: Heartbeat): void {
     const { current } = this.replica;
--- a/src/distribution/puller.ts
+++ b/src/distribution/puller.ts
@@ -12,6 +12,8 @@
 const PULL_TIMEOUT_MS = 2_000;
 /** Time without an answer after which another peer is asked as well, in milliseconds. */
 const HEDGE_MS = 300;
+/** Time behind without any progress after which the peers count as no help, in milliseconds. */
+const STALLED_MS = 700;
 /**
  * Cap of the jittered backoff after a peer's first failure, in milliseconds; it doubles with each
  * further failure.
@@ -41,6 +43,12 @@
 
   readonly #peerStates = new WeakMap<Peer, PeerState>();
 
+  /** When this process fell behind or last got nearer to its peers, in milliseconds since the epoch. */
+  #progressAt = 0;
+
+  /** Called every `STALLED_MS` while peers are ahead and this process gets no nearer to them. */
+  onStalled: () => void = () => {};
+
   constructor(
     private readonly replica: Replica,
     private readonly mesh: Mesh,
@@ -48,7 +56,9 @@
     private readonly profile: Profile,
     private readonly clock: Clock,
     private readonly random: Random,
-  ) {}
+  ) {
+    replica.onApplied(() => this.#recordProgress());
+  }
 
   /** Starts pulling if any peer is ahead; call it whenever a peer may have got ahead. */
   wake(): void {
@@ -58,6 +68,7 @@
 
   async #run(): Promise<void> {
     this.#isRunning = true;
+    this.#recordProgress();
     const { pushWaitMs } = this.profile;
     await this.clock.sleepUntil(this.clock.now() + pushWaitMs + this.random.jitter(pushWaitMs));
     while (this.#peersAhead().length > 0) await this.#step();
@@ -67,17 +78,29 @@
   /** Pulls from one more peer, or waits until a pull may start. */
   async #step(): Promise<void> {
     const now = this.clock.now();
+    if (now >= this.#stalledAt) {
+      this.onStalled();
+      this.#recordProgress();
+    }
     const idle = this.#peersAhead().filter((peer) => !this.#pullsInFlight.has(peer));
     const ready = idle.filter((peer) => this.#stateOf(peer).retryAt <= now);
     const peer = this.#choose(ready);
     if (peer) this.#startPull(peer);
     const retries = idle.map((other) => this.#stateOf(other).retryAt);
-    const until = peer ? now + HEDGE_MS : Math.min(...retries, now + PULL_TIMEOUT_MS);
+    const until = peer ? now + HEDGE_MS : Math.min(...retries, this.#stalledAt);
     this.#wakeUp = new AbortController();
     const timer = this.clock.sleepUntil(until, peer ? undefined : this.#wakeUp.signal);
     await Promise.race([timer, ...this.#pullsInFlight.values()]);
   }
 
+  get #stalledAt(): number {
+    return this.#progressAt + STALLED_MS;
+  }
+
+  #recordProgress(): void {
+    this.#progressAt = this.clock.now();
+  }
+
   #peersAhead(): Peer[] {
     const held = this.replica.current.number;
     return this.mesh.peers.filter((peer) => peer.version > held && !peer.link.closed.aborted);
@@ -105,6 +128,7 @@
     try {
       const answer = await this.#request(peer, this.#pullRequest(state));
       if (answer.busyMs !== undefined) {
+        this.#recordProgress();
         state.retryAt = this.#busyRetryTime(answer.busyMs);
         return;
       }
@@ -148,6 +172,7 @@
       if (page?.number !== number || page.offset !== offset || page.resources.length === 0) {
         throw new Error(`unexpected page while collecting version ${number} at offset ${offset}`);
       }
+      this.#recordProgress();
       resources.push(...page.resources);
     }
     return { number, digest, parent, resources };
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -221,6 +221,12 @@
     event: z.literal('readers-silent'),
     silentMs: z.number(),
   }),
+  z.object({
+    /** This process begins to read the source, as its peers bring it no versions. */
+    event: z.literal('reading-alone'),
+    /** `stalled`: peers hold a later version and do not send it. */
+    reason: z.literal('stalled'),
+  }),
   z.object({
     event: z.literal('endpoint-changed'),
     endpoint: z.string(),
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -47,6 +47,13 @@
 describe('processes in touch with the source', function inTouch() {
   this.timeout(120_000 + MIXED_SEEDS * 30_000);
 
+  // Guards against a process that hears of versions, gets no answer to its pulls and does nothing else.
+  it('have each version in time when what they send to others is lost', async () => {
+    const faults: Fault[] = [{ trouble: 'sends nothing', scope: 'all but one of one' }];
+    const late = await lateVersions(SMALL, 3, () => [faults, faults, faults]);
+    expect(late).to.deep.equal([]);
+  });
+
   // Guards against readers that have just started and all notice late that the source is silent to them.
   it('have each version in time when the readers have just started and are turned away', async () => {
     const faults: Fault[] = [
