Read the source in a process that hears nobody

Callers: requests handled by an old version for up to 3.1 s and more after the acknowledgement, at machines that reach the store and no other machine. Cause: only the first eight of a data centre by rank listen for its readers and take over. All others wait until their links are closed (2.0 to 2.5 s), the dials have failed (2 s) and the others are declared dead, before they read themselves. Why it works: that all links are silent is known after 2.2 heartbeats, from what the process sees itself. A process that has just started and was never heard of does not count, so a fleet that starts does not come to the store; if all links go silent at once, the reads are spread over 200 ms, and each process makes one.

--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -157,6 +157,7 @@
       this.mesh,
       this.ranking,
       clock,
+      random,
       options.heartbeatMs,
     );
     methods.on(HEARTBEAT, (peer, heartbeat) => {
@@ -202,6 +203,7 @@
       random,
     );
     this.distributor.onStalled(() => void this.sourceFallback.readMissing());
+    this.#silentNeighbours.onCutOff = () => void this.sourceFallback.readWhileCutOff();
     const headLookup = new HeadLookup(
       this.reader,
       this.readerRole,
--- a/src/distribution/source_fallback.ts
+++ b/src/distribution/source_fallback.ts
@@ -13,12 +13,12 @@
 const INITIAL_RETRY_CAP_MS = 1_000;
 const MAX_RETRY_CAP_MS = 30_000;
 
-/** `stalled`: peers hold a later version and do not send it. */
-export type FallbackReason = 'stalled';
+/** `cut-off`: no peer is heard of; `stalled`: peers hold a later version and do not send it. */
+export type FallbackReason = 'cut-off' | 'stalled';
 
 /**
  * What a process sends may be lost while it hears everything, so it knows of a version and gets no answer
- * to its pulls. Its peers notice only once the links are closed, and until then
+ * to its pulls; or it hears nobody at all. Its peers notice only once the links are closed, and until then
  * it would go on with an old version although it reaches the source.
  */
 export class SourceFallback {
@@ -41,6 +41,11 @@
     replica.onApplied(() => this.#reset());
   }
 
+  /** Reads for a while if the source is reached; call it again as long as nobody is heard. */
+  async readWhileCutOff(): Promise<void> {
+    await this.#read('cut-off', (reachesSource) => reachesSource);
+  }
+
   /**
    * Reads the versions that peers hold and do not send. A process that refuses these would read over and
    * over, so a read that brings no version counts as a failure.
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -224,8 +224,8 @@
   z.object({
     /** This process begins to read the source, as its peers bring it no versions. */
     event: z.literal('reading-alone'),
-    /** `stalled`: peers hold a later version and do not send it. */
-    reason: z.literal('stalled'),
+    /** `cut-off`: no peer is heard of; `stalled`: peers hold a later version and do not send it. */
+    reason: z.enum(['cut-off', 'stalled']),
   }),
   z.object({
     event: z.literal('endpoint-changed'),
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -4,6 +4,8 @@
 import { type Fault, SCOPES, TROUBLES, TroubleSeries } from './trouble_series.js';
 
 const SMALL = { arima: 4, chaguanas: 4, couva: 3 };
+/** More processes in a data centre than may take over from its readers. */
+const LARGE = { arima: 14, chaguanas: 3 };
 const FANOUT = 8;
 const MAX_CALM_MS = 9_000;
 const SETTLE_MS = 6_000;
@@ -54,6 +56,13 @@
     expect(late).to.deep.equal([]);
   });
 
+  // Guards against a process that hears nobody and waits until all others have been declared dead.
+  it('have each version in time when they are cut off from all others', async () => {
+    const faults: Fault[] = [{ trouble: 'isolated', scope: 'all but one of one' }];
+    const late = await lateVersions(LARGE, 4, () => [faults, faults]);
+    expect(late).to.deep.equal([]);
+  });
+
   // Guards against readers that have just started and all notice late that the source is silent to them.
   it('have each version in time when the readers have just started and are turned away', async () => {
     const faults: Fault[] = [
