Read anew in a reader that hears nobody, in place of trusting its watch

Callers: requests handled by an old version for up to 3.0 s at a reader that hears no process and whose connection to the store was lost without a close. Cause: a process asked to read in place of others answers at once if it follows the source already. A watch of a ranked reader waits up to 3.75 s, and until then it looks the same whether the connection carries anything or not. Why it works: a reader that has had no answer for a second reads once on another connection. Delegates have an answer each second anyway, so only a ranked reader that hears nobody calls more, once a second.

--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -52,6 +52,9 @@
 
   #hasWatched = false;
 
+  /** When the source last answered, in milliseconds since the epoch. */
+  #answeredAt = 0;
+
   #regained = new AbortController();
 
   /** Called when the process does not reach the source any more. */
@@ -102,7 +105,7 @@
    * reaches the source by `deadline`.
    */
   async readFor(forMs: number, deadline: number): Promise<boolean> {
-    if (!this.#isFollowing) {
+    if (!this.#isFollowing || !this.#isFresh) {
       try {
         await this.#takeUp(deadline);
       } catch {
@@ -122,10 +125,19 @@
     return this.replica.current.number;
   }
 
+  /**
+   * Whether the source has answered lately. A watch that waits longer may wait on a connection that is lost,
+   * so it is no proof of contact for a process that gets no versions from its peers.
+   */
+  get #isFresh(): boolean {
+    return this.clock.now() - this.#answeredAt <= DELEGATED_WATCH_MS;
+  }
+
   /** Reads up to the head, to follow the source from there. */
   async #takeUp(deadline: number): Promise<boolean> {
     try {
       const isApplied = await this.feed.catchUp(deadline);
+      this.#answeredAt = this.clock.now();
       this.caughtUp ||= isApplied || this.replica.current.number > 0;
       this.#isFollowing = true;
       return isApplied;
@@ -139,6 +151,7 @@
 
   async #follow(signal: AbortSignal): Promise<void> {
     const isApplied = await this.#readNext(signal);
+    this.#answeredAt = this.clock.now();
     this.#setContact(true);
     if (isApplied) this.#refusals = 0;
     else if (this.feed.repeatsRefused) await this.#backOff(signal);
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -73,6 +73,16 @@
     expect(late).to.deep.equal([]);
   });
 
+  // Guards against a reader that hears nobody and takes a watch on a lost connection for contact.
+  it('have each version in time when a reader hears nobody and its connections are silent', async () => {
+    const faults: Fault[] = [
+      { trouble: 'receives nothing', scope: 'readers of one' },
+      { trouble: 'all connections silent', scope: 'one' },
+    ];
+    const late = await lateVersions(SMALL, 6, () => [faults, faults, faults]);
+    expect(late).to.deep.equal([]);
+  });
+
   // Guards against safeguards that each hold alone and fail together, or one right after the other.
   it('have each version in time in mixed troubles', async () => {
     expect(await lateVersions(SMALL, MIXED_SEEDS, mixedRounds)).to.deep.equal([]);
