Miss nobody in a process whose neighbours have all left

It counts as cut off only while its roster has neighbours; once the others are gone or dead it ranks as the reader, with a reader's watches. The series of faults starts each kind of fault in a branch of its own.

--- a/src/membership/silent_neighbours.ts
+++ b/src/membership/silent_neighbours.ts
@@ -56,8 +56,12 @@
     if (this.#hearsNobody) this.onCutOff();
   }
 
-  /** Whether no link brings anything. A process that has just started has not been heard by anybody yet. */
+  /**
+   * Whether there are neighbours and none of them is heard. A process that has just started has not heard
+   * anybody yet, and one whose neighbours have left misses nobody.
+   */
   get #hearsNobody(): boolean {
+    if (this.ranking.neighbours.length === 0) return false;
     this.#heardAt = Math.max(this.#heardAt, ...this.mesh.peers.map((peer) => peer.lastMessageAt));
     return this.#heardAt > 0 && this.clock.now() >= this.#silentAt(this.#heardAt);
   }
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -83,6 +83,23 @@
     expect(late).to.deep.equal([]);
   });
 
+  // Guards against calls without end in a process that is the last one of its fleet.
+  it('make no more calls than before when all others have left', async () => {
+    await using objects = await ObjectFleet.start(1, { arima: 2 });
+    const { fleet } = objects;
+    const callsIn20s = async () => {
+      const before = objects.callCount;
+      await fleet.time.advance(20_000);
+      return objects.callCount - before;
+    };
+    const [last, other] = fleet.alive;
+    const together = await callsIn20s();
+    void other!.control.leave();
+    await fleet.time.advance(SETTLE_MS);
+    fleet.kill(other!.name);
+    expect(last!.isAlive && (await callsIn20s())).to.be.at.most(together);
+  });
+
   // Guards against safeguards that each hold alone and fail together, or one right after the other.
   it('have each version in time in mixed troubles', async () => {
     expect(await lateVersions(SMALL, MIXED_SEEDS, mixedRounds)).to.deep.equal([]);
--- a/src/test/distribution/trouble_series.ts
+++ b/src/test/distribution/trouble_series.ts
@@ -32,7 +32,7 @@
 const VERSION_INTERVAL_MS = 300;
 const MAX_VERSIONS = 8;
 
-const LOST: Partial<Record<Trouble, LostDirections>> = {
+const LOST: Readonly<Record<'isolated' | 'sends nothing' | 'receives nothing', LostDirections>> = {
   isolated: 'both',
   'sends nothing': 'sent',
   'receives nothing': 'received',
@@ -59,7 +59,7 @@
   /** Starts the faults one shortly after the other, writes versions meanwhile, and ends all faults. */
   async play(faults: readonly Fault[]): Promise<void> {
     for (const { trouble, scope } of faults) {
-      await this.#start(trouble, this.#nodesOf(scope));
+      this.#start(trouble, this.#nodesOf(scope));
       await this.check.advance(this.random.below(400));
     }
     const endsAt = this.objects.fleet.clock.now() + 500 + this.random.below(MAX_TROUBLE_MS);
@@ -84,22 +84,36 @@
     return this.random.shuffled(members).slice(1);
   }
 
-  async #start(trouble: Trouble, nodes: readonly Node[]): Promise<void> {
+  #start(trouble: Trouble, nodes: readonly Node[]): void {
     const { fleet } = this.objects;
     const names = nodes.map(({ name }) => name);
-    const lost = LOST[trouble];
-    if (lost) nodes.forEach(({ host }) => fleet.network.isolate(host, lost));
-    else if (trouble === 'paused') this.objects.freeze(nodes);
-    else if (trouble === 'killed') nodes.forEach((node) => this.#restart(node));
-    else if (trouble.endsWith('silent') && trouble !== 'store silent')
-      this.#silence(trouble, nodes);
-    else {
-      fleet.isSilentlyCut = trouble === 'store silent';
-      names.forEach((name) => fleet.cutOff.add(name));
+    switch (trouble) {
+      case 'isolated':
+      case 'sends nothing':
+      case 'receives nothing':
+        // The source is still reached, so these processes count as in touch.
+        nodes.forEach(({ host }) => fleet.network.isolate(host, LOST[trouble]));
+        return;
+      case 'killed':
+        nodes.forEach((node) => this.#restart(node));
+        this.check.markImpaired(names);
+        return;
+      case 'links silent':
+        this.#silenceLinks(nodes);
+        this.check.markImpaired(names);
+        return;
+      case 'all connections silent':
+        this.#silenceAll();
+        return;
+      case 'paused':
+        this.objects.freeze(nodes);
+        break;
+      default:
+        fleet.isSilentlyCut = trouble === 'store silent';
+        names.forEach((name) => fleet.cutOff.add(name));
     }
-    this.check.markImpaired(lost ? [] : names);
-    if (!lost && trouble !== 'killed' && !trouble.endsWith('s silent'))
-      names.forEach((name) => this.#impaired.add(name));
+    this.check.markImpaired(names);
+    names.forEach((name) => this.#impaired.add(name));
   }
 
   #restart({ name, host, isAlive }: Node): void {
@@ -108,13 +122,15 @@
     this.objects.fleet.launch(name, host.dataCentre);
   }
 
-  /** Open links of the processes, or all links and connections to the store, carry nothing any more. */
-  #silence(trouble: Trouble, nodes: readonly Node[]): void {
-    const { fleet, platforms } = this.objects;
-    const isEverything = trouble === 'all connections silent';
-    for (const { host } of isEverything ? fleet.alive : nodes)
+  #silenceLinks(nodes: readonly Node[]): void {
+    const { fleet } = this.objects;
+    for (const { host } of nodes)
       for (const other of fleet.alive) fleet.network.silence(host, other.host);
-    if (!isEverything) return;
+  }
+
+  #silenceAll(): void {
+    const { fleet, platforms } = this.objects;
+    this.#silenceLinks(fleet.alive);
     for (const { name } of fleet.alive) platforms.get(name)!.silenceConnections();
     this.check.markImpaired(fleet.alive.map(({ name }) => name));
   }
