--- a/src/test/distribution/touch_check.ts
+++ b/src/test/distribution/touch_check.ts
@@ -25,15 +25,14 @@
   /** Latest version seen at a process. */
   readonly #held = new Map<string, number>();
 
+  /** Indexed by version. */
   readonly #acknowledgedAt: number[] = [];
 
   constructor(
     private readonly objects: ObjectFleet,
     /** Processes that are impaired at the moment. */
     private readonly impaired: ReadonlySet<string>,
-  ) {
-    this.#acknowledgedAt.length = objects.version + 1;
-  }
+  ) {}
 
   /** Records that processes were impaired for a moment. */
   markImpaired(names: Iterable<string>): void {
--- a/src/test/platform/store_connection_test.ts
+++ b/src/test/platform/store_connection_test.ts
@@ -25,8 +25,10 @@
       server.on('connection', (socket) => socket.on('close', () => resolve(true)));
     });
     await connection.call({ method: 'GET', path: '/', deadline: clock.now() + CLOSED_MS });
-    const late = clock.sleepUntil(clock.now() + CLOSED_MS).then(() => false);
+    const ending = new AbortController();
+    const late = clock.sleepUntil(clock.now() + CLOSED_MS, ending.signal).then(() => false);
     const isClosed = await Promise.race([closed, late]);
+    ending.abort();
     server.closeAllConnections();
     server.close();
     expect(isClosed).to.equal(true);
