Write the doubling cap of jittered waits once

It is a method of Random now, next to the jitter that it is made of. The same numbers are drawn in the same order.

--- a/src/distribution/puller.ts
+++ b/src/distribution/puller.ts
@@ -191,9 +191,9 @@
   }
 
   #backOff(state: PeerState, minWaitMs: number): void {
-    const cap = Math.min(MAX_BACKOFF_MS, INITIAL_BACKOFF_MS * 2 ** state.failures);
+    const wait = this.random.backoff(state.failures, INITIAL_BACKOFF_MS, MAX_BACKOFF_MS);
     state.failures += 1;
-    state.retryAt = this.clock.now() + minWaitMs + this.random.jitter(cap);
+    state.retryAt = this.clock.now() + minWaitMs + wait;
   }
 
   #stateOf(peer: Peer): PeerState {
--- a/src/distribution/read_delegation.ts
+++ b/src/distribution/read_delegation.ts
@@ -141,6 +141,6 @@
     this.#lastFailureAt = this.clock.now();
     const doublings = this.#failures - IMMEDIATE_ATTEMPTS;
     if (doublings < 0) return 0;
-    return this.random.jitter(Math.min(MAX_RETRY_CAP_MS, INITIAL_RETRY_CAP_MS * 2 ** doublings));
+    return this.random.backoff(doublings, INITIAL_RETRY_CAP_MS, MAX_RETRY_CAP_MS);
   }
 }
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -228,8 +228,8 @@
    */
   async #backOff(signal: AbortSignal): Promise<void> {
     this.#refusals += 1;
-    const cap = Math.min(REFUSED_BACKOFF_CAP_MS, RETRY_CAP_MS * 2 ** this.#refusals);
-    const wait = RETRY_CAP_MS + this.random.jitter(cap);
+    const backoff = this.random.backoff(this.#refusals, RETRY_CAP_MS, REFUSED_BACKOFF_CAP_MS);
+    const wait = RETRY_CAP_MS + backoff;
     await this.clock.sleepUntil(this.clock.now() + wait, signal);
   }
 }
--- a/src/distribution/source_fallback.ts
+++ b/src/distribution/source_fallback.ts
@@ -74,8 +74,8 @@
   }
 
   #backOff(): void {
-    const cap = Math.min(MAX_RETRY_CAP_MS, INITIAL_RETRY_CAP_MS * 2 ** this.#failures);
+    const wait = this.random.backoff(this.#failures, INITIAL_RETRY_CAP_MS, MAX_RETRY_CAP_MS);
     this.#failures += 1;
-    this.#retryAt = this.clock.now() + this.random.jitter(cap);
+    this.#retryAt = this.clock.now() + wait;
   }
 }
--- a/src/membership/bootstrap.ts
+++ b/src/membership/bootstrap.ts
@@ -79,7 +79,7 @@
       previous = 0;
       await this.clock.sleepUntil(this.clock.now() + CHECK_INTERVAL_MS, signal);
     }
-    const wait = this.random.jitter(Math.min(capMs, firstCapMs * 2 ** previous));
+    const wait = this.random.backoff(previous, firstCapMs, capMs);
     await this.clock.sleepUntil(this.clock.now() + wait, signal);
     return previous + 1;
   }
--- a/src/membership/link_maintenance.ts
+++ b/src/membership/link_maintenance.ts
@@ -82,8 +82,8 @@
   async #backOff(instance: string): Promise<void> {
     const attempts = this.#attempts.get(instance) ?? 0;
     if (attempts === 0) return;
-    const cap = Math.min(MAX_REDIAL_CAP_MS, INITIAL_REDIAL_CAP_MS * 2 ** (attempts - 1));
-    await this.clock.sleepUntil(this.clock.now() + this.random.jitter(cap), this.stopping);
+    const wait = this.random.backoff(attempts - 1, INITIAL_REDIAL_CAP_MS, MAX_REDIAL_CAP_MS);
+    await this.clock.sleepUntil(this.clock.now() + wait, this.stopping);
   }
 
   async #dial(instance: string): Promise<void> {
--- a/src/placement/retry_budget.ts
+++ b/src/placement/retry_budget.ts
@@ -157,7 +157,7 @@
   }
 
   #backoff(attempts: number): number {
-    return this.random.jitter(Math.min(BACKOFF_CAP_MS, BACKOFF_BASE_MS * 2 ** (attempts - 1)));
+    return this.random.backoff(attempts - 1, BACKOFF_BASE_MS, BACKOFF_CAP_MS);
   }
 
   #spend(now: number): boolean {
--- a/src/runtime/random.ts
+++ b/src/runtime/random.ts
@@ -27,6 +27,11 @@
   jitter(capMs: number): number {
     return this.next() * capMs;
   }
+
+  /** Full jitter in ms with a cap that doubles with each of `failures`, from `initialCapMs` to `maxCapMs`. */
+  backoff(failures: number, initialCapMs: number, maxCapMs: number): number {
+    return this.jitter(Math.min(maxCapMs, initialCapMs * 2 ** failures));
+  }
 }
 
 /** The random number generators of Node.js. */
