Let the standby of readers and the fallback share their attempts to read

Both guarded one read at a time and waited with jitter after those that failed, with the same constants; a read of the source in place of others is now in ReadAttempts, and each says for itself what counts as a failure.

--- a/src/distribution/reader_standby.ts
+++ b/src/distribution/reader_standby.ts
@@ -1,15 +1,11 @@
 /** Takes over reading when the readers of the data centre are silent. */
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { ReadAttempts } from './read_attempts.js';
 import { type ReadDelegation } from './read_delegation.js';
 import { type ReaderMonitor } from './reader_monitor.js';
 
-/** How long this process reads after it has last found the readers silent, in milliseconds. */
-const TAKE_OVER_MS = 1_500;
-/** Timeout of its first read, in milliseconds; a large object on a narrow link takes most of it. */
-const READ_TIMEOUT_MS = 1_500;
-/** First and highest cap of the jittered wait after a read that failed, in milliseconds. */
-const INITIAL_RETRY_CAP_MS = 1_000;
+/** Highest cap of the jittered wait after a read that failed, in milliseconds. */
 const MAX_RETRY_CAP_MS = 4_000;
 
 /**
@@ -19,18 +15,15 @@
  * was merely late costs one call and a few watches.
  */
 export class ReaderStandby {
-  #isReading = false;
-
-  #failures = 0;
-
-  #retryAt = 0;
+  readonly #attempts: ReadAttempts;
 
   constructor(
     private readonly monitor: ReaderMonitor,
-    private readonly delegation: ReadDelegation,
-    private readonly clock: Clock,
-    private readonly random: Random,
+    delegation: ReadDelegation,
+    clock: Clock,
+    random: Random,
   ) {
+    this.#attempts = new ReadAttempts(delegation, clock, random, MAX_RETRY_CAP_MS);
     monitor.onSilent = () => void this.#takeOver();
   }
 
@@ -40,24 +33,14 @@
   }
 
   async #takeOver(): Promise<void> {
-    const now = this.clock.now();
-    if (this.#isReading || now < this.#retryAt) return;
-    this.#isReading = true;
-    const reachesSource = await this.delegation.readInPlace(TAKE_OVER_MS, now + READ_TIMEOUT_MS);
-    this.#isReading = false;
-    if (reachesSource) this.#succeed();
-    else this.#backOff();
+    if (!this.#attempts.isDue) return;
+    if (await this.#attempts.read()) this.#succeed();
+    else this.#attempts.recordFailure();
   }
 
   /** The processes after this one need not take over. */
   #succeed(): void {
-    this.#failures = 0;
+    this.#attempts.reset();
     this.monitor.sendHeartbeat();
   }
-
-  #backOff(): void {
-    const wait = this.random.backoff(this.#failures, INITIAL_RETRY_CAP_MS, MAX_RETRY_CAP_MS);
-    this.#failures += 1;
-    this.#retryAt = this.clock.now() + wait;
-  }
 }
--- a/src/distribution/source_fallback.ts
+++ b/src/distribution/source_fallback.ts
@@ -1,16 +1,12 @@
 /** Reads the source when the peers bring this process no versions. */
 import { type Clock } from '../runtime/clock.js';
 import { type Random } from '../runtime/random.js';
+import { ReadAttempts } from './read_attempts.js';
 import { type ReadDelegation } from './read_delegation.js';
 import { type ReaderRole } from './reader_role.js';
 import { type Replica } from './replica.js';
 
-/** How long this process goes on reading, in milliseconds. */
-const READ_MS = 1_500;
-/** Timeout of the first read, in milliseconds; a large object on a narrow link takes most of it. */
-const READ_TIMEOUT_MS = 1_500;
-/** First and highest cap of the jittered wait after a read that brought no version, in milliseconds. */
-const INITIAL_RETRY_CAP_MS = 1_000;
+/** Highest cap of the jittered wait after a read that did not help, in milliseconds. */
 const MAX_RETRY_CAP_MS = 30_000;
 
 /** `cut-off`: no peer is heard of; `stalled`: peers hold a later version and do not send it. */
@@ -22,23 +18,20 @@
  * it would go on with an old version although it reaches the source.
  */
 export class SourceFallback {
-  #isReading = false;
-
-  #failures = 0;
-
-  #retryAt = 0;
+  readonly #attempts: ReadAttempts;
 
   /** Called with the reason when this process begins to read. */
   onReading: (reason: FallbackReason) => void = () => {};
 
   constructor(
-    private readonly delegation: ReadDelegation,
+    delegation: ReadDelegation,
     private readonly role: ReaderRole,
     private readonly replica: Replica,
-    private readonly clock: Clock,
-    private readonly random: Random,
+    clock: Clock,
+    random: Random,
   ) {
-    replica.onApplied(() => this.#reset());
+    this.#attempts = new ReadAttempts(delegation, clock, random, MAX_RETRY_CAP_MS);
+    replica.onApplied(() => this.#attempts.reset());
   }
 
   /** Reads for a while if the source is reached; call it again as long as nobody is heard. */
@@ -59,23 +52,9 @@
     reason: FallbackReason,
     hasHelped: (reachesSource: boolean) => boolean,
   ): Promise<void> {
-    const now = this.clock.now();
-    if (this.#isReading || now < this.#retryAt) return;
-    this.#isReading = true;
+    if (!this.#attempts.isDue) return;
     if (!this.role.isReader) this.onReading(reason);
-    const reachesSource = await this.delegation.readInPlace(READ_MS, now + READ_TIMEOUT_MS);
-    this.#isReading = false;
-    if (!hasHelped(reachesSource)) this.#backOff();
-  }
-
-  #reset(): void {
-    this.#failures = 0;
-    this.#retryAt = 0;
-  }
-
-  #backOff(): void {
-    const wait = this.random.backoff(this.#failures, INITIAL_RETRY_CAP_MS, MAX_RETRY_CAP_MS);
-    this.#failures += 1;
-    this.#retryAt = this.clock.now() + wait;
+    const reachesSource = await this.#attempts.read();
+    if (!hasHelped(reachesSource)) this.#attempts.recordFailure();
   }
 }
