Take constants of the stand-ins and tests from the product, and name what is lost plainly

The idle time of store connections and the number of readers stood again in a stand-in and two tests. An isolated process is held as one that nobody hears, one that hears nobody, or both, in place of a direction with two defaults; a method that records what was heard is no getter any more.

--- a/src/membership/silent_neighbours.ts
+++ b/src/membership/silent_neighbours.ts
@@ -48,19 +48,19 @@
 
   #handleSilent(silent: ReadonlySet<string>): void {
     if (this.ranking.passOver(silent)) this.mesh.dialMissing();
-    if (this.#hearsNobody) void this.#reportCutOff();
+    if (this.#hearsNobody()) void this.#reportCutOff();
   }
 
   async #reportCutOff(): Promise<void> {
     await this.clock.sleepUntil(this.clock.now() + this.random.jitter(CUT_OFF_JITTER_MS));
-    if (this.#hearsNobody) this.onCutOff();
+    if (this.#hearsNobody()) this.onCutOff();
   }
 
   /**
    * Whether there are neighbours and none of them is heard. A process that has just started has not heard
    * anybody yet, and one whose neighbours have left misses nobody.
    */
-  get #hearsNobody(): boolean {
+  #hearsNobody(): boolean {
     if (this.ranking.neighbours.length === 0) return false;
     this.#heardAt = Math.max(this.#heardAt, ...this.mesh.peers.map((peer) => peer.lastMessageAt));
     return this.#heardAt > 0 && this.clock.now() >= this.#silentAt(this.#heardAt);
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -24,10 +24,14 @@
  * cost the next call its whole timeout, and a process that takes over reading has no time for that.
  * Readers use theirs without a pause.
  */
-const IDLE_MS = 1_000;
+export const IDLE_CONNECTION_MS = 1_000;
 
 export class StoreConnection implements AsyncDisposable {
-  readonly #agent = new Agent({ keepAlive: true, maxSockets: MAX_SOCKETS, timeout: IDLE_MS });
+  readonly #agent = new Agent({
+    keepAlive: true,
+    maxSockets: MAX_SOCKETS,
+    timeout: IDLE_CONNECTION_MS,
+  });
 
   constructor(
     private readonly base: URL,
--- a/src/standins/interruptible_platform.ts
+++ b/src/standins/interruptible_platform.ts
@@ -7,12 +7,10 @@
   type KeyRange,
   type Stored,
 } from '../platform/platform.js';
+import { IDLE_CONNECTION_MS } from '../platform/store_connection.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Gate } from './gate.js';
 
-/** How long an idle connection is kept, as by `StoreConnection`, in milliseconds. */
-const IDLE_MS = 1_000;
-
 export class InterruptiblePlatform extends Platform {
   /** Calls made, whether or not they reached the platform. */
   calls = 0;
@@ -24,7 +22,7 @@
   #idleSince = 0;
 
   /** Until when a call is sent on a connection that was idle when it went silent. */
-  #isIdleSilentUntil = 0;
+  #idleSilentUntil = 0;
 
   constructor(
     private readonly platform: Platform,
@@ -91,15 +89,15 @@
   /** The open connections carry nothing any more, without an end; later connections work. */
   silenceConnections(): void {
     this.#silences += 1;
-    this.#isIdleSilentUntil = this.#idleSince + IDLE_MS;
+    this.#idleSilentUntil = this.#idleSince + IDLE_CONNECTION_MS;
   }
 
   /** If the connection is cut before the answer, the call takes effect but times out at its deadline. */
   async #call<T>(deadline: number, call: () => Promise<T>): Promise<T> {
     this.calls += 1;
-    const isSilent = this.clock.now() < this.#isIdleSilentUntil;
+    const isSilent = this.clock.now() < this.#idleSilentUntil;
     const silencesBefore = isSilent ? this.#silences - 1 : this.#silences;
-    this.#isIdleSilentUntil = 0;
+    this.#idleSilentUntil = 0;
     await this.gate.waitUntilOpen();
     if (this.isCut()) {
       if (this.isSilent()) await this.clock.sleepUntil(deadline);
--- a/src/standins/memory_network.ts
+++ b/src/standins/memory_network.ts
@@ -33,8 +33,11 @@
 
   readonly #cuts = new Set<string>();
 
-  /** Processes whose messages are lost in these directions. */
-  readonly #isolated = new Map<Host, LostDirections>();
+  /** Processes that nobody hears. */
+  readonly #unheard = new Set<Host>();
+
+  /** Processes that hear nobody. */
+  readonly #unhearing = new Set<Host>();
 
   readonly #connections: Connection[] = [];
 
@@ -78,12 +81,14 @@
 
   /** Drops the messages between a process and all others until `heal`, without a close of its links. */
   isolate(host: Host, lost: LostDirections): void {
-    this.#isolated.set(host, lost);
+    if (lost !== 'received') this.#unheard.add(host);
+    if (lost !== 'sent') this.#unhearing.add(host);
   }
 
   heal(): void {
     this.#cuts.clear();
-    this.#isolated.clear();
+    this.#unheard.clear();
+    this.#unhearing.clear();
   }
 
   #openConnections(host: Host): Connection[] {
@@ -120,9 +125,7 @@
 
   /** Whether what one process sends to another is lost. */
   #isCut(from: Host, to: Host): boolean {
-    const sent = this.#isolated.get(from) ?? 'received';
-    const received = this.#isolated.get(to) ?? 'sent';
-    const isLost = sent !== 'received' || received !== 'sent';
+    const isLost = this.#unheard.has(from) || this.#unhearing.has(to);
     return isLost || this.#cuts.has(pairKey(from.dataCentre, to.dataCentre));
   }
 }
--- a/src/test/distribution/reader_standby_test.ts
+++ b/src/test/distribution/reader_standby_test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai';
+import { READERS_PER_DATA_CENTRE } from '../../membership/ranking.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { APPLY_MS, ObjectFleet } from './object_fleet.js';
 import { type Node } from './test_fleet.js';
 
 const SIZES = { amman: 6, salt: 6, irbid: 6, zarqa: 6 };
 const DATA_CENTRES = Object.keys(SIZES);
-const READERS_PER_DATA_CENTRE = 2;
 const VERSIONS = 3;
 const VERSION_INTERVAL_MS = 300;
 const RECOVERY_MS = 12_000;
--- a/src/test/distribution/trouble_series.ts
+++ b/src/test/distribution/trouble_series.ts
@@ -1,4 +1,5 @@
 /** Series of overlapping faults of processes, their links and their connections to the store. */
+import { READERS_PER_DATA_CENTRE } from '../../membership/ranking.js';
 import { type Random } from '../../runtime/random.js';
 import { type LostDirections } from '../../standins/memory_network.js';
 import { type ObjectFleet } from './object_fleet.js';
@@ -27,7 +28,6 @@
 ] as const;
 export type Scope = (typeof SCOPES)[number];
 
-const READERS_PER_DATA_CENTRE = 2;
 const MAX_TROUBLE_MS = 5_000;
 const VERSION_INTERVAL_MS = 300;
 const MAX_VERSIONS = 8;
