Take over all signals in the first line of a process

Callers saw requests cut as a process ended though nobody had asked it to stop: SIGHUP, by which the platform says that settings have changed, has its default effect, death, until main() registered its handler. That was after the instance had opened its ports and the others were bound, and after the bundle had been loaded, up to 0.8 s after the start on a busy machine; barleyhavend had no handler at all. SIGUSR2, SIGQUIT, SIGALRM, SIGIO and others ended a process at any time, with no line in its log, and SIGUSR1 opened Node's inspector.

Signals are now taken over before anything else is loaded (start.ts, barleyhavend.ts) and passed on to main, those that came before first; each has a line with the time at which it came. SIGINT stops both programs.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,5 +1,4 @@
-/** Command line of the daemon: runs one instance until SIGTERM or SIGINT. */
-import { once } from 'node:events';
+/** Command line of the daemon: runs one instance until it is asked to stop. */
 import { cac } from 'cac';
 import { type Codec, JsonCodec, MsgpackCodec } from '../link/codec.js';
 import { DeflateCodec } from '../link/deflate_codec.js';
@@ -12,11 +11,15 @@
 import { EXIT_OK, EXIT_SETTINGS } from './exit.js';
 import { exitOnUncaughtException } from './uncaught_exception.js';
 import { Instance } from './instance.js';
-import { StopSignal } from './stop_signal.js';
+import { type Signals } from './signals.js';
 import { FLAG_HELP, flagName, readSettings, type Settings, SettingsError } from './settings.js';
 
 /** Resolves to the exit code: 0 after a requested stop or `--help`, 2 for invalid settings. */
-export async function main(argv: string[], environment: NodeJS.ProcessEnv): Promise<number> {
+export async function main(
+  argv: string[],
+  environment: NodeJS.ProcessEnv,
+  signals: Signals,
+): Promise<number> {
   const command = cac('barleyhavend');
   for (const [setting, description] of Object.entries(FLAG_HELP)) {
     command.option(`--${flagName(setting)} <value>`, description);
@@ -25,7 +28,7 @@
   const { options } = command.parse(argv, { run: false });
   if (options.help) return EXIT_OK;
   try {
-    await serve(readSettings(options, environment));
+    await serve(readSettings(options, environment), signals);
     return EXIT_OK;
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
@@ -34,24 +37,23 @@
   }
 }
 
-async function serve(settings: Settings): Promise<void> {
+async function serve(settings: Settings, signals: Signals): Promise<void> {
   const clock = new MachineClock();
-  const stopSignal = new StopSignal(clock);
   exitOnUncaughtException(settings.instance);
   await using platform = new HttpPlatform(new URL(settings.platform), clock);
   const codec = codecFor(settings);
   const random = new MachineRandom();
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
-  stopSignal.onRepeat = () => log.record('info', { event: 'stop-repeated' });
+  // Settings come from flags and the environment: there is nothing to reload.
+  signals.listen(({ at, ...signal }) => log.record('info', { event: 'signal', ...signal }, at));
   const dependencies = { platform, clock, random, codec, log };
   await using instance = await Instance.start(settings, dependencies);
   const { callerPort, operatorsPort } = instance;
   const { linkPort, guardPort } = instance.roster.self;
   const ports = { callerPort, guardPort, linkPort, operatorsPort };
   process.stdout.write(`${JSON.stringify({ event: 'listening', ...ports })}\n`);
-  const interrupted = once(process, 'SIGINT').then(() => clock.now());
-  const stoppedAt = await Promise.race([stopSignal.received, interrupted]);
-  await instance.stop(stoppedAt + settings.stopMs);
+  const stopAt = await signals.stopRequested;
+  await instance.stop(stopAt + settings.stopMs);
 }
 
 function codecFor({ codec, profile }: Settings): Codec {
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -135,8 +135,10 @@
   }),
   z.object({ event: z.literal('stopping') }),
   z.object({
-    /** A stopping process was told to stop once more, which changes nothing. */
-    event: z.literal('stop-repeated'),
+    /** The process got a signal; `none`: one that asks it for nothing. */
+    event: z.literal('signal'),
+    signal: z.string(),
+    action: z.enum(['stop', 'reload', 'none']),
   }),
   z.object({
     /** A stopping process has closed the port for callers; connections that are open may be used. */
--- a/src/platform/barleyhavend.ts
+++ b/src/platform/barleyhavend.ts
@@ -1,15 +1,20 @@
 /** Entry point of the process on the operators' platform; `start.ts` loads its bundle. */
 import { EXIT_SETTINGS } from '../daemon/exit.js';
 import { SettingsError } from '../daemon/settings.js';
+import { type Signals } from '../daemon/signals.js';
 import { main } from './main.js';
 
 /**
  * Serves until the process is told to stop, then exits. `cacheMissReason` says why the V8 code
  * cache was not used; undefined if it was.
  */
-export async function run(environment: NodeJS.ProcessEnv, cacheMissReason?: string): Promise<void> {
+export async function run(
+  environment: NodeJS.ProcessEnv,
+  signals: Signals,
+  cacheMissReason?: string,
+): Promise<void> {
   try {
-    await main(environment, cacheMissReason);
+    await main(environment, signals, cacheMissReason);
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(`${error.message}\n`);
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -3,7 +3,7 @@
 import { bind } from '../daemon/bind.js';
 import { exitOnUncaughtException } from '../daemon/uncaught_exception.js';
 import { Instance } from '../daemon/instance.js';
-import { StopSignal } from '../daemon/stop_signal.js';
+import { type Signals } from '../daemon/signals.js';
 import { LineLog } from '../logs/log.js';
 import { standardOutput } from '../logs/sink.js';
 import { MsgpackCodec } from '../link/codec.js';
@@ -31,17 +31,16 @@
 /** Serves until the process is told to stop. `cacheMissReason`: why no code cache is used. */
 export async function main(
   environment: NodeJS.ProcessEnv,
+  signals: Signals,
   cacheMissReason?: string,
 ): Promise<void> {
   const clock = new MachineClock();
-  const stopSignal = new StopSignal(clock);
   const path = environment[SETTINGS_VARIABLE] ?? '';
   let file = await readHostFile(path);
   const settings = settingsOf(file);
   exitOnUncaughtException(settings.instance);
   const platform = new HttpPlatform(new URL(settings.platform), clock);
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
-  stopSignal.onRepeat = () => log.record('info', { event: 'stop-repeated' });
   if (cacheMissReason !== undefined)
     log.record('warn', { event: 'uncompiled', reason: cacheMissReason });
   const instance = await Instance.start(settings, {
@@ -57,19 +56,22 @@
   });
   await startServers(file, instance);
   const reload = async () => {
-    file = await readHostFile(path);
-    instance.control.peers = seedsOf(file);
-    log.record('info', { event: 'reloaded' });
-  };
-  const onChange = () => {
-    reload().catch((error: unknown) => {
+    try {
+      file = await readHostFile(path);
+      instance.control.peers = seedsOf(file);
+      log.record('info', { event: 'reloaded' });
+    } catch (error) {
       log.record('warn', { event: 'reload-failed', message: String(error) });
-    });
+    }
   };
-  process.on('SIGHUP', onChange);
+  const onChange = () => void reload();
+  signals.listen(({ at, ...signal }) => {
+    log.record('info', { event: 'signal', ...signal }, at);
+    if (signal.action === 'reload') onChange();
+  });
   watchFile(path, { interval: SETTINGS_POLL_MS, persistent: false }, onChange);
-  const stoppedAt = await stopSignal.received;
-  await instance.stop(stoppedAt + settings.stopMs);
+  const stopAt = await signals.stopRequested;
+  await instance.stop(stopAt + settings.stopMs);
   // Open connections end with the process; only the neighbours have to be notified.
   const leaving = instance.control.leave();
   await Promise.race([leaving, clock.sleepUntil(clock.now() + LEAVE_TIMEOUT_MS)]);
