Read settings again that are being written, in place of ending the process

A settings file that is written in place is empty or cut off for a moment. A process that started just then ended with status 2 and a message on standard error only, and was missed until the platform started it again; a reload kept the old settings until the next change. The file is now read again for up to a second before it counts as invalid. Reloads run one after the other: SIGHUP and the check of the file may start two at once, and what was read first could have been put in force last.

settings_file_test.ts: 3 tests, the class is new; with one read in place of several the first fails by its meaning (SettingsError at the cut-off content).

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -1,5 +1,6 @@
 /** Runs one process of the system on the operators' platform. */
 import { watchFile } from 'node:fs';
+import PQueue from 'p-queue';
 import { bind } from '../daemon/bind.js';
 import { exitOnUncaughtException } from '../daemon/uncaught_exception.js';
 import { Instance } from '../daemon/instance.js';
@@ -13,12 +14,13 @@
 import { MachineClock } from '../runtime/clock.js';
 import { MachineRandom } from '../runtime/random.js';
 import { createReportServer } from './endpoint_reports.js';
-import { type HostFile, hasRollouts, readHostFile, seedsOf, settingsOf } from './host_settings.js';
+import { type HostFile, hasRollouts, seedsOf, settingsOf } from './host_settings.js';
 import { HttpPlatform } from './http_platform.js';
 import { MeshDialect } from './mesh_dialect.js';
 import { ObjectFeed } from './object_feed.js';
 import { ObjectOrders } from './object_orders.js';
 import { createReadinessServer } from './readiness_port.js';
+import { SettingsFile } from './settings_file.js';
 
 /** Environment variable with the path of the settings file. */
 const SETTINGS_VARIABLE = 'BARLEYHAVEN_SETTINGS';
@@ -35,8 +37,8 @@
   cacheMissReason?: string,
 ): Promise<void> {
   const clock = new MachineClock();
-  const path = environment[SETTINGS_VARIABLE] ?? '';
-  let file = await readHostFile(path);
+  const settingsFile = new SettingsFile(environment[SETTINGS_VARIABLE] ?? '', clock);
+  let file = await settingsFile.read();
   const settings = settingsOf(file);
   exitOnUncaughtException(settings.instance);
   const platform = new HttpPlatform(new URL(settings.platform), clock);
@@ -57,19 +59,21 @@
   await startServers(file, instance);
   const reload = async () => {
     try {
-      file = await readHostFile(path);
+      file = await settingsFile.read();
       instance.control.peers = seedsOf(file);
       log.record('info', { event: 'reloaded' });
     } catch (error) {
       log.record('warn', { event: 'reload-failed', message: String(error) });
     }
   };
-  const onChange = () => void reload();
+  // One at a time, so that the last one puts in force what was read last.
+  const reloads = new PQueue({ concurrency: 1 });
+  const onChange = () => void reloads.add(reload);
   signals.listen(({ at, ...signal }) => {
     log.record('info', { event: 'signal', ...signal }, at);
     if (signal.action === 'reload') onChange();
   });
-  watchFile(path, { interval: SETTINGS_POLL_MS, persistent: false }, onChange);
+  watchFile(settingsFile.path, { interval: SETTINGS_POLL_MS, persistent: false }, onChange);
   const stopAt = await signals.stopRequested;
   await instance.stop(stopAt + settings.stopMs);
   // Open connections end with the process; only the neighbours have to be notified.
