Write the last line of a process also while the reader of its log stalls

Callers saw cut connections, and operators nothing: the line `ended` with the cause of an uncaught exception was written once, to a pipe that is non-blocking, and dropped if the pipe was full. A message of more than some 2,000 characters could also make it longer than one atomic write, and a thrown value that cannot be turned into a string ended the handler itself.

Test: a process fills a real pipe and throws; before, the last line that its reader got was 'reloaded' (expected 'ended'), and standard error had no line. If neither pipe is read, the cause is still lost.

--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -154,8 +154,9 @@
     connections: z.number().optional(),
   }),
   z.object({
-    /** Ended by an uncaught exception; always the last line. */
+    /** Ended though nobody asked for it; always the last line. */
     event: z.literal('ended'),
+    /** `uncaughtException`, `unhandledRejection`, or `settings` if these cannot be used. */
     origin: z.string(),
     message: z.string(),
     stack: z.string(),
--- a/src/logs/line_buffer.ts
+++ b/src/logs/line_buffer.ts
@@ -12,7 +12,7 @@
  * Most bytes of one write: `PIPE_BUF` on Linux, up to which POSIX guarantees that a write to a pipe
  * is atomic. A larger one could be interleaved with lines of another process on the same pipe.
  */
-const MAX_WRITE_BYTES = 4_096;
+export const MAX_WRITE_BYTES = 4_096;
 /** Interval at which `drain` checks for the end of a write, in milliseconds. */
 const POLL_INTERVAL_MS = 10;
 
--- a/src/test/daemon/uncaught_exception_test.ts
+++ b/src/test/daemon/uncaught_exception_test.ts
@@ -1,9 +1,17 @@
-import { execFile } from 'node:child_process';
+import { execFile, spawn } from 'node:child_process';
+import { mkdtemp } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { type Readable, type Writable } from 'node:stream';
+import { text } from 'node:stream/consumers';
+import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { expect } from 'chai';
+import { build } from 'esbuild';
 import { Line } from '../../logs/events.js';
 
 const execFileAsync = promisify(execFile);
+const WRITER = fileURLToPath(new URL('./faulting_writer.ts', import.meta.url));
 const PROGRAM = `
 import { exitOnUncaughtException } from './src/daemon/uncaught_exception.ts';
 exitOnUncaughtException('arima-1');
@@ -36,4 +44,64 @@
     expect(code).to.equal(1);
     expect(line).to.include({ event: 'ended', origin: 'unhandledRejection', message: 'lost' });
   });
+
+  // Guards against a line that a pipe takes in parts, or a handler that fails itself.
+  it('fits the line into one write, whatever is thrown', async () => {
+    const long = await runUntilExit(`throw new Error('\\n€'.repeat(10_000))`);
+    expect(JSON.stringify(long.line).length).to.be.within(1_000, 4_096);
+    const odd = await runUntilExit(`throw { get message() { return this.message; } }`);
+    expect(odd.line).to.include({ event: 'ended', message: '{ message: [Getter] }' });
+  });
+
+  describe('with a full pipe', () => {
+    let folder: string;
+    let writer: string;
+
+    // Bundled as in a deployment: the loader of the tests may change how standard output behaves.
+    before(async () => {
+      folder = await mkdtemp(join(tmpdir(), 'writer-'));
+      writer = join(folder, 'writer.mjs');
+      const banner = "import { createRequire } from 'node:module';";
+      await build({
+        entryPoints: [WRITER],
+        outfile: writer,
+        bundle: true,
+        platform: 'node',
+        format: 'esm',
+        banner: { js: `${banner} const require = createRequire(import.meta.url);` },
+      });
+    });
+
+    /** Runs the writer on a pipe that is read once `text` is on standard error. */
+    async function runWriter(textBeforeRead: string) {
+      // Node connects child processes by sockets; the shell uses real pipes.
+      const script = '{ "$0" "$@" 2>&3; echo "exit $?" >&3; } | { read go <&4; exec cat; }';
+      const shell = spawn('sh', ['-c', script, process.execPath, writer], {
+        stdio: ['ignore', 'pipe', 'inherit', 'pipe', 'pipe'],
+      });
+      const output = text(shell.stdout!);
+      const go = shell.stdio[4] as Writable;
+      let stderr = '';
+      for await (const chunk of shell.stdio[3] as Readable) {
+        stderr += String(chunk);
+        if (stderr.includes(textBeforeRead) && !go.writableEnded) go.end('go\n');
+      }
+      return { lines: (await output).trimEnd().split('\n'), stderr: stderr.split('\n') };
+    }
+
+    // Guards against the loss of the cause while the log collector stalls: the line was written once,
+    // and dropped if the pipe had no room for it.
+    it('waits a moment for a stalled reader', async () => {
+      const { lines, stderr } = await runWriter('faulting');
+      expect(JSON.parse(lines.at(-1)!)).to.include({ event: 'ended', message: 'no such slot' });
+      expect(stderr).to.include('exit 1');
+    });
+
+    it('writes the line to standard error if nobody reads', async () => {
+      const { lines, stderr } = await runWriter('exit');
+      expect(JSON.parse(lines.at(-1)!)).to.include({ event: 'reloaded' });
+      expect(JSON.parse(stderr[1]!)).to.include({ event: 'ended', message: 'no such slot' });
+      expect(stderr).to.include('exit 1');
+    });
+  });
 });
