--- a/src/test/daemon/uncaught_exception_test.ts
+++ b/src/test/daemon/uncaught_exception_test.ts
@@ -1,17 +1,13 @@
 import { execFile, spawn } from 'node:child_process';
-import { mkdtemp } from 'node:fs/promises';
-import { tmpdir } from 'node:os';
-import { join } from 'node:path';
 import { type Readable, type Writable } from 'node:stream';
 import { text } from 'node:stream/consumers';
-import { fileURLToPath } from 'node:url';
 import { promisify } from 'node:util';
 import { expect } from 'chai';
-import { build } from 'esbuild';
 import { Line } from '../../logs/events.js';
+import { bundleProgram } from '../bundled_program.js';
 
 const execFileAsync = promisify(execFile);
-const WRITER = fileURLToPath(new URL('./faulting_writer.ts', import.meta.url));
+const WRITER = new URL('./faulting_writer.ts', import.meta.url);
 const PROGRAM = `
 import { exitOnUncaughtException } from './src/daemon/uncaught_exception.ts';
 exitOnUncaughtException('arima-1');
@@ -54,22 +50,10 @@
   });
 
   describe('with a full pipe', () => {
-    let folder: string;
     let writer: string;
 
-    // Bundled as in a deployment: the loader of the tests may change how standard output behaves.
     before(async () => {
-      folder = await mkdtemp(join(tmpdir(), 'writer-'));
-      writer = join(folder, 'writer.mjs');
-      const banner = "import { createRequire } from 'node:module';";
-      await build({
-        entryPoints: [WRITER],
-        outfile: writer,
-        bundle: true,
-        platform: 'node',
-        format: 'esm',
-        banner: { js: `${banner} const require = createRequire(import.meta.url);` },
-      });
+      writer = await bundleProgram(WRITER);
     });
 
     /** Runs the writer on a pipe that is read once `text` is on standard error. */
--- a/src/test/logs/sink_test.ts
+++ b/src/test/logs/sink_test.ts
@@ -1,31 +1,20 @@
 import { expect } from 'chai';
-import { build } from 'esbuild';
 import { spawn } from 'node:child_process';
 import { createReadStream } from 'node:fs';
 import { mkdtemp, open } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { text } from 'node:stream/consumers';
-import { fileURLToPath } from 'node:url';
 import { sinkOf } from '../../logs/sink.js';
+import { bundleProgram } from '../bundled_program.js';
 
-const WRITER = fileURLToPath(new URL('./stalled_writer.ts', import.meta.url));
+const WRITER = new URL('./stalled_writer.ts', import.meta.url);
 
 describe('a sink on standard output', () => {
   let writer: string;
 
-  // Bundled as in a deployment: the loader of the tests may change how standard output behaves.
   before(async () => {
-    writer = join(await mkdtemp(join(tmpdir(), 'writer-')), 'writer.mjs');
-    const banner = "import { createRequire } from 'node:module';";
-    await build({
-      entryPoints: [WRITER],
-      outfile: writer,
-      bundle: true,
-      platform: 'node',
-      format: 'esm',
-      banner: { js: `${banner} const require = createRequire(import.meta.url);` },
-    });
+    writer = await bundleProgram(WRITER);
   });
 
   // Guards against a process that cannot exit while the log collector stalls: a blocked thread would
