Write the lines that wait before the last line of a process

Log lines wait up to 200 ms before they are written, and longer while the log collector stalls. An uncaught exception lost all of them, among them what had led to it. They are now written synchronously for up to 250 ms, in order and each once, also those of a write that the pipe had not taken; `ended` says how many were lost (`lostLines`). `exitOnUncaughtException` returns where to set the log.

Test: 1,500 lines on a full pipe, then an exception.

--- a/src/daemon/last_line.ts
+++ b/src/daemon/last_line.ts
@@ -2,6 +2,7 @@
 import { inspect } from 'node:util';
 import { type ProcessEvent } from '../logs/events.js';
 import { MAX_WRITE_BYTES } from '../logs/line_buffer.js';
+import { type Log, SilentLog } from '../logs/log.js';
 import { sinkOf } from '../logs/sink.js';
 import { writeSynchronously } from '../logs/synchronous_write.js';
 import { MachineClock } from '../runtime/clock.js';
@@ -13,10 +14,12 @@
 /** How long a reader of standard output may stall before standard error is used, in milliseconds. */
 const OUTPUT_TIMEOUT_MS = 500;
 const ERROR_TIMEOUT_MS = 100;
+/** How long it may stall before the lines that wait are given up, in milliseconds. */
+const LINES_TIMEOUT_MS = 250;
 
 type EndedLine = Extract<ProcessEvent, { readonly event: 'ended' }>;
 /** Why a process ends. */
-export type End = Omit<EndedLine, 'event'>;
+export type End = Omit<EndedLine, 'event' | 'lostLines'>;
 
 /** Describes the exception, of whatever type, that ends the process. */
 export function endOf(origin: string, error: unknown): End {
@@ -31,11 +34,14 @@
 
 /**
  * Writes `ended` before it returns, since nothing else in the process can be relied on to run any
- * more: to standard output, or to standard error if the reader of standard output stalls.
+ * more: to standard output after all lines of `log`, or to standard error if the reader of standard
+ * output stalls.
  */
-export function writeLastLine(instance: string, end: End): void {
+export function writeLastLine(instance: string, end: End, log: Log = new SilentLog()): void {
   const clock = new MachineClock();
-  const line = lineOf(instance, end, Math.round(clock.now()));
+  const at = Math.round(clock.now());
+  const lostLines = log.drainSynchronously(clock.now() + LINES_TIMEOUT_MS);
+  const line = lineOf(instance, at, { event: 'ended', ...end, lostLines });
   if (writeSynchronously(STANDARD_OUTPUT, line, clock.now() + OUTPUT_TIMEOUT_MS, clock)) return;
   // Makes a pipe non-blocking: a full one would keep the process from exiting.
   sinkOf(STANDARD_ERROR);
@@ -43,11 +49,11 @@
 }
 
 /** The line with its line break, which fits into one atomic write. */
-function lineOf(instance: string, { origin, message, stack }: End, at: number): string {
+function lineOf(instance: string, at: number, ended: EndedLine): string {
   for (let length = MAX_STACK_LENGTH; ; length = Math.floor(length / 2)) {
-    const texts = { message: message.slice(0, length), stack: stack.slice(0, length) };
-    const line = { level: 'warn', instance, at, event: 'ended', origin, ...texts };
-    const text = `${JSON.stringify(line)}\n`;
-    if (length === 0 || Buffer.byteLength(text) <= MAX_WRITE_BYTES) return text;
+    const message = ended.message.slice(0, length);
+    const stack = ended.stack.slice(0, length);
+    const line = `${JSON.stringify({ level: 'warn', instance, at, ...ended, message, stack })}\n`;
+    if (length === 0 || Buffer.byteLength(line) <= MAX_WRITE_BYTES) return line;
   }
 }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -160,6 +160,8 @@
     origin: z.string(),
     message: z.string(),
     stack: z.string(),
+    /** Lines before it that were not written, as the reader stalled. */
+    lostLines: z.number().optional(),
   }),
   z.object({
     /** A request waited long for the check of its caller; at most one line a second. */
--- a/src/logs/line_buffer.ts
+++ b/src/logs/line_buffer.ts
@@ -29,6 +29,9 @@
 
   #bytes = 0;
 
+  /** Lines of the write in progress. */
+  #linesInWrite: readonly string[] = [];
+
   /** Length of the write in progress; 0 if there is none. */
   #bytesInWrite = 0;
 
@@ -75,6 +78,25 @@
     }
   }
 
+  /**
+   * Blocks until all lines are written, or until `deadline` (milliseconds since the epoch); returns
+   * how many are not. For a process that exits next: lines that it logs afterwards may overtake them.
+   */
+  writeSynchronously(deadline: number): number {
+    clearTimeout(this.#timer);
+    if (this.sink.isWaiting) {
+      // Only a line above `PIPE_BUF` may be written in part; the line break ends that part.
+      const isAtomic = this.#bytesInWrite <= MAX_WRITE_BYTES;
+      this.#lines.unshift(...(isAtomic ? [] : ['\n']), ...this.#linesInWrite);
+    }
+    while (this.#lines.length > 0) {
+      const lines = this.#takeBatch();
+      if (!this.sink.writeSynchronously(lines.join(''), deadline, this.clock))
+        return lines.length + this.#lines.length;
+    }
+    return 0;
+  }
+
   #schedule(): void {
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
@@ -86,6 +108,7 @@
     if (this.#lines.length === 0 || this.#bytesInWrite > 0) return;
     const lines = this.#takeBatch();
     const text = lines.join('');
+    this.#linesInWrite = lines;
     this.#bytesInWrite = text.length;
     this.#bytes -= text.length;
     this.sink.write(text).then(
--- a/src/logs/log.ts
+++ b/src/logs/log.ts
@@ -31,6 +31,12 @@
 
   /** Resolves when all lines are written, or at the deadline (milliseconds since the epoch). */
   abstract drain(deadline: number): Promise<void>;
+
+  /**
+   * Blocks until all lines are written, or until `deadline` (milliseconds since the epoch); returns
+   * how many are not. For a process that exits next.
+   */
+  abstract drainSynchronously(deadline: number): number;
 }
 
 /** Discards all lines. */
@@ -46,6 +52,10 @@
   drain(): Promise<void> {
     return Promise.resolve();
   }
+
+  drainSynchronously(): number {
+    return 0;
+  }
 }
 
 /**
@@ -105,4 +115,8 @@
   async drain(deadline: number): Promise<void> {
     await this.#buffer.drain(deadline);
   }
+
+  drainSynchronously(deadline: number): number {
+    return this.#buffer.writeSynchronously(deadline);
+  }
 }
--- a/src/logs/sink.ts
+++ b/src/logs/sink.ts
@@ -1,10 +1,21 @@
 /** Destinations of log lines. */
 import { write } from 'node:fs';
 import { Socket } from 'node:net';
+import { type Clock } from '../runtime/clock.js';
+import { writeSynchronously } from './synchronous_write.js';
 
 export abstract class Sink {
+  /** Whether the text of a write waits in this process for the descriptor to become writable. */
+  abstract readonly isWaiting: boolean;
+
   /** Resolves when the text is written; rejects if that fails. Never blocks the event loop. */
   abstract write(text: string): Promise<void>;
+
+  /**
+   * Blocks until the text is written, or until `deadline` (milliseconds since the epoch); returns
+   * whether it is. A write that waits is overtaken.
+   */
+  abstract writeSynchronously(text: string, deadline: number, clock: Clock): boolean;
 }
 
 /**
@@ -17,7 +28,7 @@
   readonly #socket: Socket;
 
   /** Throws if the descriptor is neither a pipe nor a socket. */
-  constructor(descriptor: number) {
+  constructor(private readonly descriptor: number) {
     super();
     this.#socket = new Socket({ fd: descriptor, readable: false, writable: true });
     // Errors are reported by the callback of each write.
@@ -25,15 +36,26 @@
     this.#socket.unref();
   }
 
+  get isWaiting(): boolean {
+    return this.#socket.writableLength > 0;
+  }
+
   write(text: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.#socket.write(text, (error) => (error ? reject(error) : resolve()));
     });
   }
+
+  writeSynchronously(text: string, deadline: number, clock: Clock): boolean {
+    return writeSynchronously(this.descriptor, text, deadline, clock);
+  }
 }
 
 /** Writes to a file or terminal. */
 export class FileSink extends Sink {
+  /** A thread of the pool does not wait for a file, and its write ends before the process does. */
+  readonly isWaiting = false;
+
   constructor(private readonly descriptor: number) {
     super();
   }
@@ -43,6 +65,10 @@
       write(this.descriptor, text, (error) => (error ? reject(error) : resolve()));
     });
   }
+
+  writeSynchronously(text: string, deadline: number, clock: Clock): boolean {
+    return writeSynchronously(this.descriptor, text, deadline, clock);
+  }
 }
 
 /** Creates the sink for the type of a descriptor. */
--- a/src/test/daemon/faulting_writer.ts
+++ b/src/test/daemon/faulting_writer.ts
@@ -9,9 +9,10 @@
 const DRAIN_MS = 500;
 
 const clock = new MachineClock();
-exitOnUncaughtException('arima-1');
+const faultExit = exitOnUncaughtException('arima-1');
 const log = new LineLog('arima-1', 'info', standardOutput(), clock);
-for (let line = 0; line < LINES; line++) log.record('info', { event: 'reloaded' });
+faultExit.log = log;
+for (let version = 0; version < LINES; version++) log.record('info', { event: 'ready', version });
 await log.drain(clock.now() + DRAIN_MS);
 process.stderr.write('faulting\n');
 throw new TypeError('no such slot');
--- a/src/test/daemon/uncaught_exception_test.ts
+++ b/src/test/daemon/uncaught_exception_test.ts
@@ -3,7 +3,7 @@
 import { text } from 'node:stream/consumers';
 import { promisify } from 'node:util';
 import { expect } from 'chai';
-import { Line } from '../../logs/events.js';
+import { Line, type ProcessEvent } from '../../logs/events.js';
 import { bundleProgram } from '../bundled_program.js';
 
 const execFileAsync = promisify(execFile);
@@ -15,6 +15,8 @@
 setTimeout(() => {}, 60_000);
 `;
 
+type Ready = Extract<ProcessEvent, { readonly event: 'ready' }>;
+
 /** Runs a process that executes `fault`; resolves to its exit code and its last log line. */
 async function runUntilExit(fault: string) {
   const args = ['--import', 'tsx', '--input-type=module', '-e', PROGRAM.replace('FAULT', fault)];
@@ -81,9 +83,18 @@
       expect(stderr).to.include('exit 1');
     });
 
+    // Guards against the loss of what led to the exception: lines wait 200 ms before they are written,
+    // and longer while the log collector stalls.
+    it('writes the lines that wait before it, each once', async () => {
+      const { lines } = await runWriter('faulting');
+      const before = lines.slice(0, -1).map((line) => (JSON.parse(line) as Ready).version);
+      expect(before).to.deep.equal(Array.from({ length: 1_500 }, (_, index) => index));
+      expect(JSON.parse(lines.at(-1)!)).to.include({ event: 'ended', lostLines: 0 });
+    });
+
     it('writes the line to standard error if nobody reads', async () => {
       const { lines, stderr } = await runWriter('exit');
-      expect(JSON.parse(lines.at(-1)!)).to.include({ event: 'reloaded' });
+      expect(JSON.parse(lines.at(-1)!)).to.include({ event: 'ready' });
       expect(JSON.parse(stderr[1]!)).to.include({ event: 'ended', message: 'no such slot' });
       expect(stderr).to.include('exit 1');
     });
--- a/src/test/logs/line_buffer_test.ts
+++ b/src/test/logs/line_buffer_test.ts
@@ -9,6 +9,9 @@
 class ManualSink extends Sink {
   readonly texts: string[] = [];
 
+  /** Whether a synchronous write finds room. */
+  hasRoom = true;
+
   readonly #pending: { read: () => void; close: (error: Error) => void }[] = [];
 
   write(text: string): Promise<void> {
@@ -18,6 +21,15 @@
     });
   }
 
+  get isWaiting(): boolean {
+    return this.#pending.length > 0;
+  }
+
+  writeSynchronously(text: string): boolean {
+    if (this.hasRoom) this.texts.push(text);
+    return this.hasRoom;
+  }
+
   read(): void {
     this.#pending.shift()?.read();
   }
@@ -109,4 +121,20 @@
     expect(isDrained).to.equal(true);
     expect(sink.texts).to.deep.equal(['last\n']);
   });
+
+  // Guards against lines that are torn, lost or written twice as the process exits.
+  it('writes what waits synchronously, and counts what finds no room', async () => {
+    const buffer = bufferOf(100_000);
+    const long = `${'x'.repeat(5_000)}\n`;
+    buffer.write(long, false);
+    await time.advance(AFTER_FLUSH_MS);
+    buffer.write('two\n', false);
+    expect(buffer.writeSynchronously(time.clock.now())).to.equal(0);
+    expect(sink.texts).to.deep.equal([long, '\n', long, 'two\n']);
+    sink.read();
+    buffer.write('three\n', false);
+    buffer.write('four\n', false);
+    sink.hasRoom = false;
+    expect(buffer.writeSynchronously(time.clock.now())).to.equal(2);
+  });
 });
--- a/src/test/logs/memory_log.ts
+++ b/src/test/logs/memory_log.ts
@@ -25,4 +25,8 @@
   drain(): Promise<void> {
     return Promise.resolve();
   }
+
+  drainSynchronously(): number {
+    return 0;
+  }
 }
