Count bytes, not characters, in what a pipe takes at once

Lines with characters outside ASCII (paths, messages) made writes longer than PIPE_BUF, which a pipe may take in parts. The test of atomic writes now uses such characters; before, it saw one write of 7505 bytes, now 3002, 3002 and 1501.

--- a/src/logs/line_buffer.ts
+++ b/src/logs/line_buffer.ts
@@ -86,7 +86,7 @@
     clearTimeout(this.#timer);
     if (this.sink.isWaiting) {
       // Only a line above `PIPE_BUF` may be written in part; the line break ends that part.
-      const isAtomic = this.#bytesInWrite <= MAX_WRITE_BYTES;
+      const isAtomic = Buffer.byteLength(this.#linesInWrite.join('')) <= MAX_WRITE_BYTES;
       this.#lines.unshift(...(isAtomic ? [] : ['\n']), ...this.#linesInWrite);
     }
     while (this.#lines.length > 0) {
@@ -137,8 +137,9 @@
     let size = 0;
     let count = 0;
     for (const line of this.#lines) {
-      if (count > 0 && size + line.length > MAX_WRITE_BYTES) break;
-      size += line.length;
+      const bytes = Buffer.byteLength(line);
+      if (count > 0 && size + bytes > MAX_WRITE_BYTES) break;
+      size += bytes;
       count += 1;
     }
     return this.#lines.splice(0, count);
--- a/src/test/logs/line_buffer_test.ts
+++ b/src/test/logs/line_buffer_test.ts
@@ -85,14 +85,14 @@
   // are not atomic, and neither line could be parsed.
   it('writes whole lines, and no more at a time than a pipe writes atomically', async () => {
     const buffer = bufferOf(100_000);
-    const line = `${'x'.repeat(1_500)}\n`;
+    const line = `${'€'.repeat(500)}\n`;
     for (let count = 0; count < 5; count++) buffer.write(line, false);
     await time.advance(AFTER_FLUSH_MS);
     sink.read();
     await time.advance(1);
     sink.read();
     await time.advance(1);
-    expect(sink.texts.map((text) => text.length)).to.deep.equal([3_002, 3_002, 1_501]);
+    expect(sink.texts.map((text) => Buffer.byteLength(text))).to.deep.equal([3_002, 3_002, 1_501]);
   });
 
   // Guards against a process that crashes, or buffers lines forever, once its collector is gone.
