Let requests in flight end after an uncaught exception

An uncaught exception, of whatever timer or request, cut all requests in flight at once; of those with an unknown outcome callers can't tell whether they ran. Once main sets `stop`, the process refuses new requests as not run, lets those in flight end for 3 s at most, announces that its endpoint drains and that it leaves, and exits with code 1. A later exception doesn't prolong that, and it exits although the stop throws or hangs (after 4 s). The line `fault` says the cause at once, `ended` again as the last line. Without `stop` it exits at once, as before.

Serving what is in flight is safe enough: an exchange has its own request, response, connection upstream and version of the configuration, and the guard checks whose response it got. State that is shared (roster, limits, routing) may be half changed, so nothing new is accepted. Cutting everything stays the way for exceptions before the start has ended.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -139,12 +139,23 @@
     this.control.endpointLease.startDraining();
     await clock.sleepUntil(closeAt);
     this.entry.tracker.limitTo(deadline);
-    await this.guard.tracker.waitUntilIdle(deadline - CLOSING_MS);
-    this.entry.tracker.stopAccepting();
-    this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
-    await this.entry.tracker.waitUntilIdle(deadline);
-    await this.guard.tracker.waitUntilIdle(deadline);
-    await this.#logStopped();
+    await this.#close(deadline);
+  }
+
+  /**
+   * Stops after an exception that may have left state of the process half changed. What is in flight
+   * has state of its own and ends, until `deadline` at the latest (milliseconds since the epoch); all
+   * other requests are refused at once, since their routing and limits cannot be relied on.
+   */
+  async stopAfterFault(deadline: number): Promise<void> {
+    this.#isStopping = true;
+    this.entry.tracker.beginShutdown();
+    this.entry.tracker.limitTo(0);
+    this.guard.beginShutdown();
+    this.control.endpointLease.startDraining();
+    this.#uplink.release();
+    await this.#close(deadline);
+    await this.control.leave();
   }
 
   get replica(): Replica {
@@ -248,6 +259,16 @@
     this.#uplink.release();
   }
 
+  /** Waits for requests in flight while the port closes; logs what the stop cuts. */
+  async #close(deadline: number): Promise<void> {
+    await this.guard.tracker.waitUntilIdle(deadline - CLOSING_MS);
+    this.entry.tracker.stopAccepting();
+    this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
+    await this.entry.tracker.waitUntilIdle(deadline);
+    await this.guard.tracker.waitUntilIdle(deadline);
+    await this.#logStopped();
+  }
+
   /** Logs which requests the stop cuts, and drains the log. */
   async #logStopped(): Promise<void> {
     const { clock } = this.dependencies;
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -153,6 +153,13 @@
     /** Open connections of callers. */
     connections: z.number().optional(),
   }),
+  z.object({
+    /** An uncaught exception. What is in flight may end for some seconds, then the process does. */
+    event: z.literal('fault'),
+    origin: z.string(),
+    message: z.string(),
+    stack: z.string(),
+  }),
   z.object({
     /** Ended though nobody asked for it; always the last line. */
     event: z.literal('ended'),
--- a/src/test/daemon/uncaught_exception_test.ts
+++ b/src/test/daemon/uncaught_exception_test.ts
@@ -10,7 +10,7 @@
 const WRITER = new URL('./faulting_writer.ts', import.meta.url);
 const PROGRAM = `
 import { exitOnUncaughtException } from './src/daemon/uncaught_exception.ts';
-exitOnUncaughtException('arima-1');
+const faultExit = exitOnUncaughtException('arima-1');
 setTimeout(() => { FAULT }, 1);
 setTimeout(() => {}, 60_000);
 `;
@@ -51,6 +51,18 @@
     expect(odd.line).to.include({ event: 'ended', message: '{ message: [Getter] }' });
   });
 
+  // Guards against a process that serves on in an unknown state, because its stop hangs or fails too.
+  it('exits although its stop hangs or throws, with the first cause', async () => {
+    const hanging = `faultExit.stop = () => new Promise(() => {});
+      setInterval(() => { throw new Error('later'); }, 100);
+      throw new Error('first')`;
+    const throwing = `faultExit.stop = () => { throw new Error('later'); }; throw new Error('first')`;
+    for (const { code, line } of await Promise.all([hanging, throwing].map(runUntilExit))) {
+      expect(code).to.equal(1);
+      expect(line).to.include({ event: 'ended', message: 'first' });
+    }
+  });
+
   describe('with a full pipe', () => {
     let writer: string;
 
