Tell how near the heap is to its limit

At the limit of the heap V8 aborts the process with all requests in flight, and writes to standard error only: no line and no metric told that it was near. The limit that V8 states can't be used: it includes the young objects, 172 MB with the flags of the deploy file and 96 MB with a limit of 48, which was aborted at 52 % of it.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -20,6 +20,7 @@
 import { Control } from './control.js';
 import { createRollouts } from './create_rollouts.js';
 import { type InstanceDependencies } from './dependencies.js';
+import { HeapWatch } from './heap_watch.js';
 import { Metrics } from './metrics.js';
 import { type OpenPorts, openPorts } from './open_ports.js';
 import { operatorMethods } from './operator_methods.js';
@@ -70,6 +71,8 @@
 
   readonly #uplink: Uplink;
 
+  readonly #heapWatch: HeapWatch;
+
   #isStopping = false;
 
   readonly #stopping = new AbortController();
@@ -96,6 +99,7 @@
     this.#operators = this.#createOperatorsPort();
     this.#linkServer = ports.link;
     this.#uplink = ports.uplink;
+    this.#heapWatch = new HeapWatch(log);
     ports.disconnectCheck.onLongWait = (waitedMs, waiting) => {
       log.record('warn', { event: 'caller-check-late', waitedMs: Math.round(waitedMs), waiting });
     };
@@ -176,6 +180,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
+    this.#heapWatch[Symbol.dispose]();
     await this.control.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -15,6 +15,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { histogramText } from './ended_requests.js';
 import { Gauges, PREFIX } from './gauges.js';
+import { heapUse } from './heap_use.js';
 import { type RequestMeter } from './request_meter.js';
 import { type RequestRecords } from './request_records.js';
 import { TeamMetrics } from './team_metrics.js';
@@ -68,6 +69,7 @@
     this.#safeguards();
     this.#platform();
     this.#logs();
+    this.#memory();
   }
 
   get contentType(): string {
@@ -230,4 +232,22 @@
       () => records.leftOut,
     );
   }
+
+  #memory(): void {
+    this.#gauges.add(
+      'heap_used_bytes',
+      'Heap without young objects, with those that are not collected yet',
+      () => heapUse().usedBytes,
+    );
+    this.#gauges.add(
+      'heap_limit_bytes',
+      'Limit of the heap, at which the process is aborted',
+      () => heapUse().limitBytes,
+    );
+    this.#gauges.add(
+      'resident_bytes',
+      'Memory of the process that is not swapped out',
+      () => heapUse().residentBytes,
+    );
+  }
 }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -207,6 +207,13 @@
     event: z.literal('late'),
     lateMs: z.number(),
   }),
+  z.object({
+    /** The heap has passed four fifths of its limit, at which V8 aborts the process; sizes in bytes. */
+    event: z.literal('heap-high'),
+    usedBytes: z.number(),
+    limitBytes: z.number(),
+    residentBytes: z.number(),
+  }),
   z.object({
     /** An upstream instance announced that it drains. */
     event: z.literal('drain-announced'),
--- a/src/test/daemon/operators_port_test.ts
+++ b/src/test/daemon/operators_port_test.ts
@@ -31,6 +31,7 @@
     expect(status).to.equal(200);
     expect(body)
       .to.include('barleyhaven_version 0')
+      .and.to.match(/barleyhaven_heap_used_bytes [1-9]\d+\n/)
       .and.not.to.match(/team|quota/);
   });
 });
