Count the starts of processes that ended without announcing that they leave

A process that is killed, aborted by V8 or loses its machine writes no line, and its own log may be gone. Its neighbours lost a link, which a departure looks like, too. Its next start has a higher incarnation, and the record before says whether it had left: all others now write unannounced-restart and count it in unannounced_restarts.

Registrations in the store are not taken as records of a run, as they may be older than its departure. A process that was cut off during a departure counts it wrongly.

--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -25,6 +25,7 @@
 import { type Pace, STEADY } from '../membership/pace.js';
 import { Probe } from '../membership/probe.js';
 import { Ranking } from '../membership/ranking.js';
+import { Restarts } from '../membership/restarts.js';
 import { Roster } from '../membership/roster.js';
 import { SilentNeighbours } from '../membership/silent_neighbours.js';
 import { type Platform } from '../platform/platform.js';
@@ -67,6 +68,8 @@
 
   readonly ranking: Ranking;
 
+  readonly restarts: Restarts;
+
   /** Handlers for requests that arrive on links. */
   readonly methods = new Methods();
 
@@ -125,6 +128,7 @@
     this.#pace = pace;
     this.peers = options.peers;
     this.roster = new Roster(self);
+    this.restarts = new Restarts(this.roster);
     this.ranking = new Ranking(this.roster, options.fanout);
     this.mesh = new Mesh(this.roster, this.ranking, methods, dialer, clock, random, () => ({
       member: this.roster.self,
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -227,7 +227,7 @@
 
   #createOperatorsPort(): OperatorsPort {
     const { clock, platform, feed } = this.dependencies;
-    const { replica, roster, ranking, mesh, surveyor, endpointLease } = this.control;
+    const { replica, roster, restarts, ranking, mesh, surveyor, endpointLease } = this.control;
     const { readerRole, readDelegation, readerMonitor } = this.control;
     const { entry, guard, safeguards, source } = this;
     const parts = {
@@ -235,6 +235,7 @@
       platform,
       replica,
       roster,
+      restarts,
       ranking,
       readerRole,
       readDelegation,
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -6,6 +6,7 @@
 import { type Replica } from '../distribution/replica.js';
 import { type Peer } from '../link/peer.js';
 import { type Log } from '../logs/log.js';
+import { type Restarts } from '../membership/restarts.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { type Quota } from '../quota/quota.js';
@@ -29,6 +30,7 @@
   readonly clock: Clock;
   readonly replica: Replica;
   readonly roster: Pick<Roster, 'counts' | 'refutations'>;
+  readonly restarts: Pick<Restarts, 'unannounced'>;
   readonly readerRole: Pick<ReaderRole, 'isReader'>;
   readonly readDelegation: Pick<ReadDelegation, 'delegate'>;
   readonly readerMonitor: Pick<ReaderMonitor, 'silentMs'>;
@@ -119,11 +121,16 @@
   }
 
   #membership(): void {
-    const { roster } = this.parts;
+    const { roster, restarts } = this.parts;
     this.#gauges.addLabelled('members', 'Members known, by liveness', ['liveness'], (gauge) => {
       for (const [liveness, count] of Object.entries(roster.counts)) gauge.set({ liveness }, count);
     });
     this.#gauges.add('refutations', 'Statements about itself refuted', () => roster.refutations);
+    this.#gauges.add(
+      'unannounced_restarts',
+      'Starts of other processes that had ended without announcing that they leave',
+      () => restarts.unannounced,
+    );
   }
 
   #links(): void {
--- a/src/daemon/state_changes.ts
+++ b/src/daemon/state_changes.ts
@@ -55,7 +55,10 @@
 }
 
 /** Logs changes of members; an update that repeats the known state logs nothing. */
-function recordMembers({ roster, ranking }: Control, log: Log): void {
+function recordMembers({ roster, ranking, restarts }: Control, log: Log): void {
+  restarts.onUnannounced = ({ instance: endpoint, incarnation }) => {
+    log.record('warn', { event: 'unannounced-restart', endpoint, incarnation });
+  };
   const known = new Map<string, Member>();
   let { isReader } = ranking;
   roster.onUpdate((members) => {
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -256,6 +256,13 @@
     endpoint: z.string(),
     liveness: z.string(),
   }),
+  z.object({
+    /** Another process ended and has started again, without having announced that it leaves. */
+    event: z.literal('unannounced-restart'),
+    endpoint: z.string(),
+    /** Time of its new start. */
+    incarnation: z.number(),
+  }),
   z.object({ event: z.literal('neighbour-found'), neighbour: z.string() }),
   z.object({
     event: z.literal('neighbour-lost'),
