--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -20,6 +20,7 @@
 import { Control } from './control.js';
 import { createRollouts } from './create_rollouts.js';
 import { type InstanceDependencies } from './dependencies.js';
+import { HeapWatch } from './heap_watch.js';
 import { Metrics } from './metrics.js';
 import { type OpenPorts, openPorts } from './open_ports.js';
 import { operatorMethods } from './operator_methods.js';
@@ -70,6 +71,8 @@
 
   readonly #uplink: Uplink;
 
+  readonly #heapWatch: HeapWatch;
+
   #isStopping = false;
 
   readonly #stopping = new AbortController();
@@ -96,6 +99,7 @@
     this.#operators = this.#createOperatorsPort();
     this.#linkServer = ports.link;
     this.#uplink = ports.uplink;
+    this.#heapWatch = new HeapWatch(log);
     ports.disconnectCheck.onLongWait = (waitedMs, waiting) => {
       log.record('warn', { event: 'caller-check-late', waitedMs: Math.round(waitedMs), waiting });
     };
@@ -139,12 +143,23 @@
     this.control.endpointLease.startDraining();
     await clock.sleepUntil(closeAt);
     this.entry.tracker.limitTo(deadline);
-    await this.guard.tracker.waitUntilIdle(deadline - CLOSING_MS);
-    this.entry.tracker.stopAccepting();
-    this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
-    await this.entry.tracker.waitUntilIdle(deadline);
-    await this.guard.tracker.waitUntilIdle(deadline);
-    await this.#logStopped();
+    await this.#close(deadline);
+  }
+
+  /**
+   * Stops after an exception that may have left state of the process half changed. What is in flight
+   * has state of its own and ends, until `deadline` at the latest (milliseconds since the epoch); all
+   * other requests are refused at once, since their routing and limits cannot be relied on.
+   */
+  async stopAfterFault(deadline: number): Promise<void> {
+    this.#isStopping = true;
+    this.entry.tracker.beginShutdown();
+    this.entry.tracker.limitTo(0);
+    this.guard.beginShutdown();
+    this.control.endpointLease.startDraining();
+    this.#uplink.release();
+    await this.#close(deadline);
+    await this.control.leave();
   }
 
   get replica(): Replica {
@@ -165,6 +180,7 @@
 
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
+    this.#heapWatch[Symbol.dispose]();
     await this.control.leave();
     await this.entry[Symbol.asyncDispose]();
     await this.guard[Symbol.asyncDispose]();
@@ -211,7 +227,7 @@
 
   #createOperatorsPort(): OperatorsPort {
     const { clock, platform, feed } = this.dependencies;
-    const { replica, roster, ranking, mesh, surveyor, endpointLease } = this.control;
+    const { replica, roster, restarts, ranking, mesh, surveyor, endpointLease } = this.control;
     const { readerRole, readDelegation, readerMonitor } = this.control;
     const { entry, guard, safeguards, source } = this;
     const parts = {
@@ -219,6 +235,7 @@
       platform,
       replica,
       roster,
+      restarts,
       ranking,
       readerRole,
       readDelegation,
@@ -248,6 +265,16 @@
     this.#uplink.release();
   }
 
+  /** Waits for requests in flight while the port closes; logs what the stop cuts. */
+  async #close(deadline: number): Promise<void> {
+    await this.guard.tracker.waitUntilIdle(deadline - CLOSING_MS);
+    this.entry.tracker.stopAccepting();
+    this.#log.record('info', { event: 'port-closed', ...this.entry.tracker.counts });
+    await this.entry.tracker.waitUntilIdle(deadline);
+    await this.guard.tracker.waitUntilIdle(deadline);
+    await this.#logStopped();
+  }
+
   /** Logs which requests the stop cuts, and drains the log. */
   async #logStopped(): Promise<void> {
     const { clock } = this.dependencies;
--- /dev/null
+++ b/src/daemon/last_line.ts
@@ -0,0 +1,59 @@
+/** The last line of a process that ends though it was not asked to stop. */
+import { inspect } from 'node:util';
+import { type ProcessEvent } from '../logs/events.js';
+import { MAX_WRITE_BYTES } from '../logs/line_buffer.js';
+import { type Log, SilentLog } from '../logs/log.js';
+import { sinkOf } from '../logs/sink.js';
+import { writeSynchronously } from '../logs/synchronous_write.js';
+import { MachineClock } from '../runtime/clock.js';
+
+const STANDARD_OUTPUT = 1;
+const STANDARD_ERROR = 2;
+/** Most characters of the stack; it is shortened further if the line does not fit into one write. */
+const MAX_STACK_LENGTH = 2_000;
+/** How long a reader of standard output may stall before standard error is used, in milliseconds. */
+const OUTPUT_TIMEOUT_MS = 500;
+const ERROR_TIMEOUT_MS = 100;
+/** How long it may stall before the lines that wait are given up, in milliseconds. */
+const LINES_TIMEOUT_MS = 250;
+
+type EndedLine = Extract<ProcessEvent, { readonly event: 'ended' }>;
+/** Why a process ends. */
+export type End = Omit<EndedLine, 'event' | 'lostLines'>;
+
+/** Describes the exception, of whatever type, that ends the process. */
+export function endOf(origin: string, error: unknown): End {
+  try {
+    if (!(error instanceof Error)) return { origin, message: inspect(error), stack: '' };
+    return { origin, message: String(error.message), stack: String(error.stack ?? '') };
+  } catch {
+    // A getter of the value threw, or a proxy.
+    return { origin, message: 'an exception that cannot be described', stack: '' };
+  }
+}
+
+/**
+ * Writes `ended` before it returns, since nothing else in the process can be relied on to run any
+ * more: to standard output after all lines of `log`, or to standard error if the reader of standard
+ * output stalls.
+ */
+export function writeLastLine(instance: string, end: End, log: Log = new SilentLog()): void {
+  const clock = new MachineClock();
+  const at = Math.round(clock.now());
+  const lostLines = log.drainSynchronously(clock.now() + LINES_TIMEOUT_MS);
+  const line = lineOf(instance, at, { event: 'ended', ...end, lostLines });
+  if (writeSynchronously(STANDARD_OUTPUT, line, clock.now() + OUTPUT_TIMEOUT_MS, clock)) return;
+  // Makes a pipe non-blocking: a full one would keep the process from exiting.
+  sinkOf(STANDARD_ERROR);
+  writeSynchronously(STANDARD_ERROR, line, clock.now() + ERROR_TIMEOUT_MS, clock);
+}
+
+/** The line with its line break, which fits into one atomic write. */
+function lineOf(instance: string, at: number, ended: EndedLine): string {
+  for (let length = MAX_STACK_LENGTH; ; length = Math.floor(length / 2)) {
+    const message = ended.message.slice(0, length);
+    const stack = ended.stack.slice(0, length);
+    const line = `${JSON.stringify({ level: 'warn', instance, at, ...ended, message, stack })}\n`;
+    if (length === 0 || Buffer.byteLength(line) <= MAX_WRITE_BYTES) return line;
+  }
+}
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -6,6 +6,7 @@
 import { type Replica } from '../distribution/replica.js';
 import { type Peer } from '../link/peer.js';
 import { type Log } from '../logs/log.js';
+import { type Restarts } from '../membership/restarts.js';
 import { type Roster } from '../membership/roster.js';
 import { type Platform } from '../platform/platform.js';
 import { type Quota } from '../quota/quota.js';
@@ -15,6 +16,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { histogramText } from './ended_requests.js';
 import { Gauges, PREFIX } from './gauges.js';
+import { heapUse } from './heap_use.js';
 import { type RequestMeter } from './request_meter.js';
 import { type RequestRecords } from './request_records.js';
 import { TeamMetrics } from './team_metrics.js';
@@ -28,6 +30,7 @@
   readonly clock: Clock;
   readonly replica: Replica;
   readonly roster: Pick<Roster, 'counts' | 'refutations'>;
+  readonly restarts: Pick<Restarts, 'unannounced'>;
   readonly readerRole: Pick<ReaderRole, 'isReader'>;
   readonly readDelegation: Pick<ReadDelegation, 'delegate'>;
   readonly readerMonitor: Pick<ReaderMonitor, 'silentMs'>;
@@ -68,6 +71,7 @@
     this.#safeguards();
     this.#platform();
     this.#logs();
+    this.#memory();
   }
 
   get contentType(): string {
@@ -117,11 +121,16 @@
   }
 
   #membership(): void {
-    const { roster } = this.parts;
+    const { roster, restarts } = this.parts;
     this.#gauges.addLabelled('members', 'Members known, by liveness', ['liveness'], (gauge) => {
       for (const [liveness, count] of Object.entries(roster.counts)) gauge.set({ liveness }, count);
     });
     this.#gauges.add('refutations', 'Statements about itself refuted', () => roster.refutations);
+    this.#gauges.add(
+      'unannounced_restarts',
+      'Starts of other processes that had ended without announcing that they leave',
+      () => restarts.unannounced,
+    );
   }
 
   #links(): void {
@@ -230,4 +239,22 @@
       () => records.leftOut,
     );
   }
+
+  #memory(): void {
+    this.#gauges.add(
+      'heap_used_bytes',
+      'Heap without young objects, with those that are not collected yet',
+      () => heapUse().usedBytes,
+    );
+    this.#gauges.add(
+      'heap_limit_bytes',
+      'Limit of the heap, at which the process is aborted',
+      () => heapUse().limitBytes,
+    );
+    this.#gauges.add(
+      'resident_bytes',
+      'Memory of the process that is not swapped out',
+      () => heapUse().residentBytes,
+    );
+  }
 }
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -156,11 +156,21 @@
     connections: z.number().optional(),
   }),
   z.object({
-    /** Ended by an uncaught exception; always the last line. */
+    /** An uncaught exception. What is in flight may end for some seconds, then the process does. */
+    event: z.literal('fault'),
+    origin: z.string(),
+    message: z.string(),
+    stack: z.string(),
+  }),
+  z.object({
+    /** Ended though nobody asked for it; always the last line. */
     event: z.literal('ended'),
+    /** `uncaughtException`, `unhandledRejection`, or `settings` if these cannot be used. */
     origin: z.string(),
     message: z.string(),
     stack: z.string(),
+    /** Lines before it that were not written, as the reader stalled. */
+    lostLines: z.number().optional(),
   }),
   z.object({
     /** A request waited long for the check of its caller; at most one line a second. */
@@ -199,6 +209,13 @@
     event: z.literal('late'),
     lateMs: z.number(),
   }),
+  z.object({
+    /** The heap has passed four fifths of its limit, at which V8 aborts the process; sizes in bytes. */
+    event: z.literal('heap-high'),
+    usedBytes: z.number(),
+    limitBytes: z.number(),
+    residentBytes: z.number(),
+  }),
   z.object({
     /** An upstream instance announced that it drains. */
     event: z.literal('drain-announced'),
@@ -241,6 +258,13 @@
     endpoint: z.string(),
     liveness: z.string(),
   }),
+  z.object({
+    /** Another process ended and has started again, without having announced that it leaves. */
+    event: z.literal('unannounced-restart'),
+    endpoint: z.string(),
+    /** Time of its new start. */
+    incarnation: z.number(),
+  }),
   z.object({ event: z.literal('neighbour-found'), neighbour: z.string() }),
   z.object({
     event: z.literal('neighbour-lost'),
--- a/src/logs/line_buffer.ts
+++ b/src/logs/line_buffer.ts
@@ -12,7 +12,7 @@
  * Most bytes of one write: `PIPE_BUF` on Linux, up to which POSIX guarantees that a write to a pipe
  * is atomic. A larger one could be interleaved with lines of another process on the same pipe.
  */
-const MAX_WRITE_BYTES = 4_096;
+export const MAX_WRITE_BYTES = 4_096;
 /** Interval at which `drain` checks for the end of a write, in milliseconds. */
 const POLL_INTERVAL_MS = 10;
 
@@ -29,6 +29,9 @@
 
   #bytes = 0;
 
+  /** Lines of the write in progress. */
+  #linesInWrite: readonly string[] = [];
+
   /** Length of the write in progress; 0 if there is none. */
   #bytesInWrite = 0;
 
@@ -75,6 +78,25 @@
     }
   }
 
+  /**
+   * Blocks until all lines are written, or until `deadline` (milliseconds since the epoch); returns
+   * how many are not. For a process that exits next: lines that it logs afterwards may overtake them.
+   */
+  writeSynchronously(deadline: number): number {
+    clearTimeout(this.#timer);
+    if (this.sink.isWaiting) {
+      // Only a line above `PIPE_BUF` may be written in part; the line break ends that part.
+      const isAtomic = Buffer.byteLength(this.#linesInWrite.join('')) <= MAX_WRITE_BYTES;
+      this.#lines.unshift(...(isAtomic ? [] : ['\n']), ...this.#linesInWrite);
+    }
+    while (this.#lines.length > 0) {
+      const lines = this.#takeBatch();
+      if (!this.sink.writeSynchronously(lines.join(''), deadline, this.clock))
+        return lines.length + this.#lines.length;
+    }
+    return 0;
+  }
+
   #schedule(): void {
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
@@ -86,6 +108,7 @@
     if (this.#lines.length === 0 || this.#bytesInWrite > 0) return;
     const lines = this.#takeBatch();
     const text = lines.join('');
+    this.#linesInWrite = lines;
     this.#bytesInWrite = text.length;
     this.#bytes -= text.length;
     this.sink.write(text).then(
@@ -114,8 +137,9 @@
     let size = 0;
     let count = 0;
     for (const line of this.#lines) {
-      if (count > 0 && size + line.length > MAX_WRITE_BYTES) break;
-      size += line.length;
+      const bytes = Buffer.byteLength(line);
+      if (count > 0 && size + bytes > MAX_WRITE_BYTES) break;
+      size += bytes;
       count += 1;
     }
     return this.#lines.splice(0, count);
--- a/src/test/logs/line_buffer_test.ts
+++ b/src/test/logs/line_buffer_test.ts
@@ -9,6 +9,9 @@
 class ManualSink extends Sink {
   readonly texts: string[] = [];
 
+  /** Whether a synchronous write finds room. */
+  hasRoom = true;
+
   readonly #pending: { read: () => void; close: (error: Error) => void }[] = [];
 
   write(text: string): Promise<void> {
@@ -18,6 +21,15 @@
     });
   }
 
+  get isWaiting(): boolean {
+    return this.#pending.length > 0;
+  }
+
+  writeSynchronously(text: string): boolean {
+    if (this.hasRoom) this.texts.push(text);
+    return this.hasRoom;
+  }
+
   read(): void {
     this.#pending.shift()?.read();
   }
@@ -73,14 +85,14 @@
   // are not atomic, and neither line could be parsed.
   it('writes whole lines, and no more at a time than a pipe writes atomically', async () => {
     const buffer = bufferOf(100_000);
-    const line = `${'x'.repeat(1_500)}\n`;
+    const line = `${'€'.repeat(500)}\n`;
     for (let count = 0; count < 5; count++) buffer.write(line, false);
     await time.advance(AFTER_FLUSH_MS);
     sink.read();
     await time.advance(1);
     sink.read();
     await time.advance(1);
-    expect(sink.texts.map((text) => text.length)).to.deep.equal([3_002, 3_002, 1_501]);
+    expect(sink.texts.map((text) => Buffer.byteLength(text))).to.deep.equal([3_002, 3_002, 1_501]);
   });
 
   // Guards against a process that crashes, or buffers lines forever, once its collector is gone.
@@ -109,4 +121,20 @@
     expect(isDrained).to.equal(true);
     expect(sink.texts).to.deep.equal(['last\n']);
   });
+
+  // Guards against lines that are torn, lost or written twice as the process exits.
+  it('writes what waits synchronously, and counts what finds no room', async () => {
+    const buffer = bufferOf(100_000);
+    const long = `${'x'.repeat(5_000)}\n`;
+    buffer.write(long, false);
+    await time.advance(AFTER_FLUSH_MS);
+    buffer.write('two\n', false);
+    expect(buffer.writeSynchronously(time.clock.now())).to.equal(0);
+    expect(sink.texts).to.deep.equal([long, '\n', long, 'two\n']);
+    sink.read();
+    buffer.write('three\n', false);
+    buffer.write('four\n', false);
+    sink.hasRoom = false;
+    expect(buffer.writeSynchronously(time.clock.now())).to.equal(2);
+  });
 });
