Use the graceful end after an exception, and the last line, in both programs

The programs set the log and the stop of FaultExit, so that an exception no longer cuts what is in flight, and settings that cannot be used stand in the log as the line ended (origin settings) beside the message on standard error. start_test.ts, failing before: no line on standard output.

--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -39,15 +39,17 @@
 
 async function serve(settings: Settings, signals: Signals): Promise<void> {
   const clock = new MachineClock();
-  exitOnUncaughtException(settings.instance);
+  const faultExit = exitOnUncaughtException(settings.instance);
   await using platform = new HttpPlatform(new URL(settings.platform), clock);
   const codec = codecFor(settings);
   const random = new MachineRandom();
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  faultExit.log = log;
   // Settings come from flags and the environment: there is nothing to reload.
   signals.listen(({ at, ...signal }) => log.record('info', { event: 'signal', ...signal }, at));
   const dependencies = { platform, clock, random, codec, log };
   await using instance = await Instance.start(settings, dependencies);
+  faultExit.stop = (deadline) => instance.stopAfterFault(deadline);
   const { callerPort, operatorsPort } = instance;
   const { linkPort, guardPort } = instance.roster.self;
   const ports = { callerPort, guardPort, linkPort, operatorsPort };
--- a/src/platform/barleyhavend.ts
+++ b/src/platform/barleyhavend.ts
@@ -1,5 +1,7 @@
 /** Entry point of the process on the operators' platform; `start.ts` loads its bundle. */
+import { hostname } from 'node:os';
 import { EXIT_SETTINGS } from '../daemon/exit.js';
+import { endOf, writeLastLine } from '../daemon/last_line.js';
 import { SettingsError } from '../daemon/settings.js';
 import { type Signals } from '../daemon/signals.js';
 import { main } from './main.js';
@@ -18,6 +20,8 @@
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(`${error.message}\n`);
+    // Its own name stands in the settings.
+    writeLastLine(hostname(), endOf('settings', error));
     process.exitCode = EXIT_SETTINGS;
   }
   // The local servers may still hold idle connections; no request is in flight.
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -40,9 +40,10 @@
   const settingsFile = new SettingsFile(environment[SETTINGS_VARIABLE] ?? '', clock);
   let file = await settingsFile.read();
   const settings = settingsOf(file);
-  exitOnUncaughtException(settings.instance);
+  const faultExit = exitOnUncaughtException(settings.instance);
   const platform = new HttpPlatform(new URL(settings.platform), clock);
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  faultExit.log = log;
   if (cacheMissReason !== undefined)
     log.record('warn', { event: 'uncompiled', reason: cacheMissReason });
   const instance = await Instance.start(settings, {
@@ -56,6 +57,7 @@
     pace: PROMPT,
     log,
   });
+  faultExit.stop = (deadline) => instance.stopAfterFault(deadline);
   await startServers(file, instance);
   const reload = async () => {
     try {
--- a/src/test/platform/start_test.ts
+++ b/src/test/platform/start_test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { createInterface } from 'node:readline';
+import { text } from 'node:stream/consumers';
 import { expect } from 'chai';
 import { meshMachine, writeSettings } from '../../standins/mesh_machine.js';
 
@@ -51,4 +52,18 @@
       await rm(folder, { recursive: true });
     }
   });
+
+  // Guards against an end whose cause stands on standard error only, which may not be kept.
+  it('logs as its last line that its settings cannot be used', async () => {
+    const environment = { ...process.env, BARLEYHAVEN_SETTINGS: '/nowhere/settings.json' };
+    const child = spawn(process.execPath, ['target/start.cjs'], {
+      stdio: ['ignore', 'pipe', 'ignore'],
+      env: environment,
+    });
+    const [output, end] = await Promise.all([text(child.stdout), once(child, 'exit')]);
+    expect(end).to.deep.equal([2, null]);
+    const line = JSON.parse(output) as Record<string, string>;
+    expect(line).to.include({ event: 'ended', origin: 'settings' });
+    expect(line.message).to.include('/nowhere/settings.json');
+  });
 });
