Exit after the last line also where the pipe still blocks

Until a log has opened standard output, its pipe blocks, and so does a write to a full one: a process that failed early in its start would hang in its last line as long as the log collector stalls. The last line is now written through a sink, which makes the pipe non-blocking first.

--- a/src/daemon/last_line.ts
+++ b/src/daemon/last_line.ts
@@ -3,19 +3,15 @@
 import { type ProcessEvent } from '../logs/events.js';
 import { MAX_WRITE_BYTES } from '../logs/line_buffer.js';
 import { type Log, SilentLog } from '../logs/log.js';
-import { sinkOf } from '../logs/sink.js';
-import { writeSynchronously } from '../logs/synchronous_write.js';
+import { sinkOf, standardOutput } from '../logs/sink.js';
 import { MachineClock } from '../runtime/clock.js';
 
-const STANDARD_OUTPUT = 1;
 const STANDARD_ERROR = 2;
 /** Most characters of the stack; it is shortened further if the line does not fit into one write. */
 const MAX_STACK_LENGTH = 2_000;
-/** How long a reader of standard output may stall before standard error is used, in milliseconds. */
-const OUTPUT_TIMEOUT_MS = 500;
+/** How long the reader of standard output may stall before standard error is used, in milliseconds. */
+const READER_TIMEOUT_MS = 500;
 const ERROR_TIMEOUT_MS = 100;
-/** How long it may stall before the lines that wait are given up, in milliseconds. */
-const LINES_TIMEOUT_MS = 250;
 
 type EndedLine = Extract<ProcessEvent, { readonly event: 'ended' }>;
 /** Why a process ends. */
@@ -35,17 +31,22 @@
 /**
  * Writes `ended` before it returns, since nothing else in the process can be relied on to run any
  * more: to standard output after all lines of `log`, or to standard error if the reader of standard
- * output stalls.
+ * output stalls. Lines of `log` are given up after half of that time.
  */
-export function writeLastLine(instance: string, end: End, log: Log = new SilentLog()): void {
+export function writeLastLine(
+  instance: string,
+  end: End,
+  log: Log = new SilentLog(),
+  timeoutMs: number = READER_TIMEOUT_MS,
+): void {
   const clock = new MachineClock();
+  // Sinks make pipes non-blocking: a full one would keep the process from exiting.
+  const output = standardOutput();
   const at = Math.round(clock.now());
-  const lostLines = log.drainSynchronously(clock.now() + LINES_TIMEOUT_MS);
+  const lostLines = log.drainSynchronously(clock.now() + timeoutMs / 2);
   const line = lineOf(instance, at, { event: 'ended', ...end, lostLines });
-  if (writeSynchronously(STANDARD_OUTPUT, line, clock.now() + OUTPUT_TIMEOUT_MS, clock)) return;
-  // Makes a pipe non-blocking: a full one would keep the process from exiting.
-  sinkOf(STANDARD_ERROR);
-  writeSynchronously(STANDARD_ERROR, line, clock.now() + ERROR_TIMEOUT_MS, clock);
+  if (output.writeSynchronously(line, clock.now() + timeoutMs, clock)) return;
+  sinkOf(STANDARD_ERROR).writeSynchronously(line, clock.now() + ERROR_TIMEOUT_MS, clock);
 }
 
 /** The line with its line break, which fits into one atomic write. */
