Stop gracefully after an uncaught exception, in both programs

Test with real processes: a request that entered at the process and one that its upstream instance serves are in flight as a timer throws. Before, one caller saw 'socket hang up' and the other 502; now both get 200, a new request 503 without running, and the process exits with code 1 and `ended` as its last line.

--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -30,6 +30,8 @@
   readonly dataCentres: number;
   readonly services: readonly string[];
   readonly routes: number;
+  /** Module that each process loads before the program. */
+  readonly preload?: string;
 }
 
 export interface SendOptions {
@@ -159,7 +161,11 @@
 
   async #open(): Promise<void> {
     await buildForPlatform();
-    this.#nodeArguments = await readNodeArguments();
+    const { preload } = this.options;
+    this.#nodeArguments = [
+      ...(preload ? ['--import', preload] : []),
+      ...(await readNodeArguments()),
+    ];
     this.#store = this.#resources.use(await PlatformServer.start(this.clock));
     await this.publishVersion();
     this.#folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -37,14 +37,16 @@
 async function serve(settings: Settings): Promise<void> {
   const clock = new MachineClock();
   const stopSignal = new StopSignal(clock);
-  exitOnUncaughtException(settings.instance);
+  const faultExit = exitOnUncaughtException(settings.instance);
   await using platform = new HttpPlatform(new URL(settings.platform), clock);
   const codec = codecFor(settings);
   const random = new MachineRandom();
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  faultExit.log = log;
   stopSignal.onRepeat = () => log.record('info', { event: 'stop-repeated' });
   const dependencies = { platform, clock, random, codec, log };
   await using instance = await Instance.start(settings, dependencies);
+  faultExit.stop = (deadline) => instance.stopAfterFault(deadline);
   const { callerPort, operatorsPort } = instance;
   const { linkPort, guardPort } = instance.roster.self;
   const ports = { callerPort, guardPort, linkPort, operatorsPort };
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -38,9 +38,10 @@
   const path = environment[SETTINGS_VARIABLE] ?? '';
   let file = await readHostFile(path);
   const settings = settingsOf(file);
-  exitOnUncaughtException(settings.instance);
+  const faultExit = exitOnUncaughtException(settings.instance);
   const platform = new HttpPlatform(new URL(settings.platform), clock);
   const log = new LineLog(settings.instance, settings.logLevel, standardOutput(), clock);
+  faultExit.log = log;
   stopSignal.onRepeat = () => log.record('info', { event: 'stop-repeated' });
   if (cacheMissReason !== undefined)
     log.record('warn', { event: 'uncompiled', reason: cacheMissReason });
@@ -55,6 +56,7 @@
     pace: PROMPT,
     log,
   });
+  faultExit.stop = (deadline) => instance.stopAfterFault(deadline);
   await startServers(file, instance);
   const reload = async () => {
     file = await readHostFile(path);
