Say in the log, too, that the settings cannot be used

A start that failed for its settings wrote to standard error only, and its log was empty. It now also writes ended with origin settings; the name of the instance is not known then. Test: before, standard output was empty ('Unexpected end of JSON input').

--- a/src/platform/barleyhavend.ts
+++ b/src/platform/barleyhavend.ts
@@ -1,5 +1,6 @@
 /** Entry point of the process on the operators' platform; `start.ts` loads its bundle. */
 import { EXIT_SETTINGS } from '../daemon/exit.js';
+import { writeLastLine } from '../daemon/last_line.js';
 import { SettingsError } from '../daemon/settings.js';
 import { main } from './main.js';
 
@@ -13,6 +14,7 @@
   } catch (error) {
     if (!(error instanceof SettingsError)) throw error;
     process.stderr.write(`${error.message}\n`);
+    writeLastLine('', { origin: 'settings', message: error.message, stack: '' });
     process.exitCode = EXIT_SETTINGS;
   }
   // The local servers may still hold idle connections; no request is in flight.
