--- a/src/daemon/uncaught_exception.ts
+++ b/src/daemon/uncaught_exception.ts
@@ -39,7 +39,7 @@
     const isFirst = this.#count === 1;
     if (isFirst) this.#setLastLine(end);
     if (!this.stop) exit();
-    if (this.#count <= MAX_LOGGED) this.log.record('warn', { event: 'fault', ...end });
+    if (this.#count <= MAX_LOGGED) this.log.record('warn', { event: 'uncaught', ...end });
     if (isFirst) void this.#stopAndExit(this.stop);
   }
 
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -157,7 +157,7 @@
   }),
   z.object({
     /** An uncaught exception. What is in flight may end for some seconds, then the process does. */
-    event: z.literal('fault'),
+    event: z.literal('uncaught'),
     origin: z.string(),
     message: z.string(),
     stack: z.string(),
