Catch faults outside requests in one place, count and log them

An exception in an event listener, or a rejected promise that nobody awaits, ends the process with all requests in flight. The new module runtime/faults.ts contains such a fault: it ends only its own task, is counted by place (metric faults) and logged (line fault: five at once per place, then one every ten seconds).

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -20,6 +20,7 @@
 import { Control } from './control.js';
 import { createRollouts } from './create_rollouts.js';
 import { type InstanceDependencies } from './dependencies.js';
+import { logFaults } from './fault_log.js';
 import { Metrics } from './metrics.js';
 import { type OpenPorts, openPorts } from './open_ports.js';
 import { operatorMethods } from './operator_methods.js';
@@ -70,6 +71,8 @@
 
   readonly #uplink: Uplink;
 
+  readonly #faultLog: Disposable;
+
   #isStopping = false;
 
   readonly #stopping = new AbortController();
@@ -81,6 +84,7 @@
   ) {
     const { platform, clock, random, log = new SilentLog() } = dependencies;
     this.#log = log;
+    this.#faultLog = logFaults(log, clock);
     this.control = createControl(settings, dependencies, ports);
     this.source = new Source(platform, clock, random);
     this.#rollouts = createRollouts(this.control, settings, dependencies, log);
@@ -173,6 +177,7 @@
     await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
+    this.#faultLog[Symbol.dispose]();
   }
 
   #connectGuard(): void {
--- a/src/daemon/metrics.ts
+++ b/src/daemon/metrics.ts
@@ -13,6 +13,7 @@
 import { type Guard } from '../requests/guard.js';
 import { type Safeguards } from '../requests/safeguards.js';
 import { type Clock } from '../runtime/clock.js';
+import { faultCounts } from '../runtime/faults.js';
 import { histogramText } from './ended_requests.js';
 import { Gauges, PREFIX } from './gauges.js';
 import { type RequestMeter } from './request_meter.js';
@@ -224,6 +225,14 @@
       gauge.set({ kind: 'routine' }, log.dropped.routine);
       gauge.set({ kind: 'important' }, log.dropped.important);
     });
+    this.#gauges.addLabelled(
+      'faults',
+      'Faults of the program that ended no more than one task, by place',
+      ['place'],
+      (gauge) => {
+        for (const [place, count] of faultCounts()) gauge.set({ place }, count);
+      },
+    );
     this.#gauges.add(
       'log_requests_left_out',
       'Requests of which no lines were written',
--- a/src/logs/events.ts
+++ b/src/logs/events.ts
@@ -160,6 +160,16 @@
     message: z.string(),
     stack: z.string(),
   }),
+  z.object({
+    /** A fault of the program that ended no more than the task in which it occurred. */
+    event: z.literal('fault'),
+    /** Part of the program in which it was caught. */
+    place: z.string(),
+    /** Faults there since the start; not each of them has a line. */
+    count: z.number(),
+    message: z.string(),
+    stack: z.string(),
+  }),
   z.object({
     /** A request waited long for the check of its caller; at most one line a second. */
     event: z.literal('caller-check-late'),
