Fail a test in which a promise is rejected that nobody handles

Mocha listens for unhandledRejection and only emits it again, which keeps Node from ending the process: a rejection that would end a process of the product passed unnoticed in every test. The hook after each test now fails for it as for a caught fault.

--- a/src/test/faults.ts
+++ b/src/test/faults.ts
@@ -5,6 +5,9 @@
 
 onFault((place, error) => faults.push({ place, error }));
 
+// Mocha ignores rejections that nobody handles; each of them would end a process of the product.
+process.on('unhandledRejection', (error) => faults.push({ place: 'unhandled rejection', error }));
+
 /** The faults since the last call; a test that provokes faults takes them. */
 export function takeFaults(): readonly { readonly place: string; readonly error: unknown }[] {
   const taken = faults;
