Survive a request to an instance that has announced an impossible port

An upstream instance that announced a port above 65535 (announcements and reports of the platform allow up to 99999) ended the process beside it at the first request, with all others in flight: the probe that tells a crash from a broken connection calls connect, which throws, and nobody awaited the investigation. The test failed before with an unhandled 'RangeError [ERR_SOCKET_BAD_PORT]'. The probe takes such an address for not refused, an investigation that fails leaves the detector able to start the next one, and it runs as a background task whose faults are contained.

--- a/src/quarantine/crash_detector.ts
+++ b/src/quarantine/crash_detector.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net';
 import { asOutcome } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type PeekResult, peekBody } from '../claims/fingerprint.js';
 import { type Quarantine } from './quarantine.js';
 import {
@@ -41,6 +42,7 @@
 const PROBE_TIMEOUT_MS = 500;
 const FIRST_SERVER_ERROR = 500;
 const TOO_MANY_REQUESTS = 429;
+const MAX_PORT = 65_535;
 
 /** A request in flight. Its fingerprint is computed only when it is needed. */
 class InFlightRequest {
@@ -143,16 +145,22 @@
 
   #onBroken(inFlight: InFlightRequest, announced: AnnouncedUpstream): void {
     this.#broken.add(inFlight);
-    if (!this.#isInvestigating) void this.#investigate(announced);
+    if (!this.#isInvestigating) runInBackground('crash detection', this.#investigate(announced));
   }
 
   async #investigate(announced: AnnouncedUpstream): Promise<void> {
     this.#isInvestigating = true;
-    const hasCrashed = await this.isRefused(announced);
-    if (hasCrashed) await this.clock.sleepUntil(this.clock.now() + GATHER_WINDOW_MS);
-    const suspects = [...this.#broken].map(({ fingerprint }) => fingerprint);
-    this.#broken = new Set();
-    this.#isInvestigating = false;
+    let broken: ReadonlySet<InFlightRequest>;
+    let hasCrashed = false;
+    try {
+      hasCrashed = await this.isRefused(announced);
+      if (hasCrashed) await this.clock.sleepUntil(this.clock.now() + GATHER_WINDOW_MS);
+    } finally {
+      broken = this.#broken;
+      this.#broken = new Set();
+      this.#isInvestigating = false;
+    }
+    const suspects = [...broken].map(({ fingerprint }) => fingerprint);
     if (hasCrashed) this.quarantine.recordDeath(announced.upstream, suspects);
   }
 }
@@ -162,7 +170,9 @@
   return status < FIRST_SERVER_ERROR && status !== TOO_MANY_REQUESTS;
 }
 
-function isConnectionRefused({ host, port }: UpstreamAddress): Promise<boolean> {
+async function isConnectionRefused({ host, port }: UpstreamAddress): Promise<boolean> {
+  // Node throws for a port that cannot exist; nothing has run there that could have crashed.
+  if (port < 0 || port > MAX_PORT) return false;
   return new Promise((resolve) => {
     const socket = connect({ host, port, timeout: PROBE_TIMEOUT_MS });
     const finish = (isRefused: boolean) => {
--- a/src/test/quarantine/crash_detector_test.ts
+++ b/src/test/quarantine/crash_detector_test.ts
@@ -15,6 +15,7 @@
 /** Its requests are harmless, whatever their body. */
 const HARMLESS_CALLER = 'listings';
 const INNOCENT = 'seat=12';
+const MAX_PORT = 65_535;
 
 /** A guard with its upstream instance, which crashes on the body `POISON`. */
 interface GuardedUpstream {
@@ -22,7 +23,7 @@
   readonly quarantine: Quarantine;
   /** Resolves when the upstream has received a request that it does not respond to. */
   readonly slowArrived: Promise<void>;
-  readonly announce: (state: EndpointState) => void;
+  readonly announce: (state: EndpointState, port?: number) => void;
 }
 
 function callerOf({ headers }: Pick<IncomingMessage, 'headers'>): string {
@@ -59,9 +60,9 @@
     const guard = owned.use(new Guard(clock));
     const quarantine = new Quarantine(clock, new SeededRandom(index), broadcast);
     guard.crashDetector = new CrashDetector(quarantine, clock, callerOf);
-    const announce = (state: EndpointState) => {
+    const announce = (state: EndpointState, announcedPort = upstreamPort) => {
       const endpoint = { upstream: 'bookings', state, slots: 8 };
-      guard.announce({ ...endpoint, host: LOOPBACK, port: upstreamPort });
+      guard.announce({ ...endpoint, host: LOOPBACK, port: announcedPort });
     };
     announce('ready');
     return { port: await listen(guard.server), quarantine, slowArrived, announce };
@@ -153,6 +154,18 @@
     expect(death!.suspects).to.have.length(2);
   });
 
+  // Guards against the end of the process, with all requests in flight, by one request to an instance that
+  // has announced a port that cannot exist.
+  it('survives a request to an address that cannot exist', async () => {
+    await startGuards(1);
+    const [guard] = guards;
+    guard!.announce('ready', MAX_PORT + 1);
+    expect(verdictOf(await book(guard!, INNOCENT))).to.equal('may-have-run failed');
+    await new Promise(setImmediate);
+    guard!.announce('ready');
+    expect(verdictOf(await book(guard!, INNOCENT))).to.equal('ran -');
+  });
+
   // Guards against suspicion for a single closed connection: the caller sees may-have-run, but a new
   // connection is accepted, so nothing has crashed.
   it('does not take a broken connection alone for a crash', async () => {
