--- a/src/test/ends/odd_process.ts
+++ b/src/test/ends/odd_process.ts
@@ -24,6 +24,8 @@
 const RESOURCES: readonly Resource[] = [
   { kind: 'upstream', name: UPSTREAM },
   { kind: 'route', name: 'menus', pathPrefix: '/menus', upstream: UPSTREAM, timeoutMs: 500 },
+  // Long enough that a busy machine answers in time.
+  { kind: 'route', name: 'sound', pathPrefix: '/sound', upstream: UPSTREAM, timeoutMs: 30_000 },
   { kind: 'route', name: 'short', pathPrefix: '/short', upstream: UPSTREAM, timeoutMs: 100 },
   {
     kind: 'route',
