Cut only the request in whose handling a fault occurs

The handlers of entry, guard, operators' port and reports were started without anybody who awaits them. What stands before their try, and their catch, which writes the refusal, could reject: an unhandled rejection, which ends the process with all requests in flight. requestListener reports the fault and cuts that response; it writes no refusal, as what the request has done is unknown. An error event of a response that is relayed, or of its paced stream, had no listener, and an exception while a relay is finished was dropped; both now cut that response only. Tests: with a log that throws, the request was never answered (timeout after 30 s; an unhandled rejection before the containment); the error of a relayed response was an uncaught 'Error: broken'. Now each is cut or gets 502 with may-have-run, others get 200.

--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -4,6 +4,7 @@
 import { type Replica } from '../distribution/replica.js';
 import { Announcement, type EndpointLease } from '../membership/announcement.js';
 import { type Roster } from '../membership/roster.js';
+import { requestListener } from '../requests/request_listener.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Metrics } from './metrics.js';
 
@@ -24,7 +25,9 @@
   readonly server: Server;
 
   constructor(private readonly parts: ServedParts) {
-    this.server = createServer((request, response) => void this.#serve(request, response));
+    this.server = createServer(
+      requestListener('operators port', (request, response) => this.#serve(request, response)),
+    );
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -4,8 +4,11 @@
 import * as z from 'zod';
 import { type Announcement } from '../membership/announcement.js';
 import { type InstanceRun } from '../membership/instance_run.js';
+import { requestListener } from '../requests/request_listener.js';
 import { Duration, HostPort } from './wire.js';
 
+const BAD_REQUEST = 400;
+
 const Report = z.object({
   service: z.string(),
   address: HostPort,
@@ -30,12 +33,12 @@
 
 /** Refuses reports of other services: they do not describe an endpoint of this machine. */
 export function createReportServer(service: () => string, handler: ReportHandler): Server {
-  return createServer((request, response) => {
-    serve(request, service(), handler)
-      .then((status) => answer(response, status))
+  return createServer(
+    requestListener('reports', async (request, response) => {
       // A report that cannot be parsed changes nothing, and its sender gets an error.
-      .catch(() => answer(response, 400));
-  });
+      answer(response, await serve(request, service(), handler).catch(() => BAD_REQUEST));
+    }),
+  );
 }
 
 async function serve(request: IncomingMessage, service: string, handler: ReportHandler) {
@@ -45,7 +48,7 @@
   switch (searchParams.get('call')) {
     case 'instances.heartbeat': {
       const report = Report.parse(JSON.parse(body));
-      if (report.service !== service) return 400;
+      if (report.service !== service) return BAD_REQUEST;
       handler.take(announcementOf(id, report));
       if (report.state === 'draining') await handler.kept();
       return 200;
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -28,6 +28,7 @@
 } from '../placement/retry_budget.js';
 import { ReturningCallers } from '../placement/returning_callers.js';
 import { Split } from '../placement/split.js';
+import { requestListener } from './request_listener.js';
 import { RequestTracker } from './request_tracker.js';
 import { AnswerSizes } from '../placement/answer_sizes.js';
 
@@ -76,8 +77,7 @@
     this.requestLog = silentRequestLog(clock);
     this.#budgets = new RetryBudgets(clock, random, retrySettings.allowance);
     this.#nonce = random.nonce();
-    const serve = (request: IncomingMessage, response: ServerResponse) =>
-      void this.#serve(request, response);
+    const serve = requestListener('entry', (request, response) => this.#serve(request, response));
     this.server = createServer(SERVER_OPTIONS, serve);
     this.server.on('checkContinue', serve);
     this.tracker = new RequestTracker(this.server, clock);
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -147,16 +147,23 @@
         bytes += chunk.length;
         if (!sink.write(chunk)) answer.pause();
       });
+      // Without a listener, an error of one response would be an uncaught exception.
+      sink.on('error', (cause) => {
+        clearTimeout(timer);
+        reject(this.#toOutcome(cause));
+        this.#request?.destroy();
+      });
       sink.on('drain', () => {
         timer.refresh();
         answer.resume();
       });
       answer.once('end', () => {
         clearTimeout(timer);
-        this.#verifyComplete().then(() => {
+        const completed = this.#verifyComplete().then(() => {
           this.#finish(answer, response, sink);
           resolve(bytes);
-        }, reject);
+        });
+        completed.catch(reject);
       });
       answer.once('error', (cause) => {
         clearTimeout(timer);
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -36,6 +36,7 @@
 import { type InstanceRun } from '../membership/instance_run.js';
 import { InstanceStatements } from './instance_statements.js';
 import { refuse } from './refusal.js';
+import { requestListener } from './request_listener.js';
 import { RequestTracker } from './request_tracker.js';
 import { UpstreamForwarder } from './upstream_forwarder.js';
 
@@ -100,8 +101,7 @@
       onInstanceGone: () => this.onConnectionRefused(),
     };
     this.#forwarder = new UpstreamForwarder(host, clock, dialect, uplink);
-    const serve = (request: IncomingMessage, response: ServerResponse) =>
-      void this.#serve(request, response);
+    const serve = requestListener('guard', (request, response) => this.#serve(request, response));
     this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, serve);
     this.server.on('checkContinue', serve);
     this.tracker = new RequestTracker(this.server, clock);
