--- a/src/membership/instance_run.ts
+++ b/src/membership/instance_run.ts
@@ -15,7 +15,8 @@
 
 /** The run as a header value; the id is encoded, since an instance may choose any text. */
 export function formatRun({ id, born }: { id: string; born?: number | undefined }): string {
-  return `${encodeURIComponent(id)},${born ?? ''}`;
+  // Encoding throws for a surrogate without its other half, which UTF-8 cannot hold.
+  return `${encodeURIComponent(Buffer.from(id).toString())},${born ?? ''}`;
 }
 
 /** Returns undefined if the text is not a valid run. */
--- a/src/test/requests/request_faults_test.ts
+++ b/src/test/requests/request_faults_test.ts
@@ -40,6 +40,17 @@
     });
   }
 
+  // Guards against the end of the process by an instance whose id is no valid Unicode, once it has stated a
+  // rate limit: the guard sends the id back to entries with each refusal.
+  it('does not occur for an instance with an id that cannot be encoded', async () => {
+    await using path = await TestPath.start();
+    const [{ guard }] = path.endpoints as [(typeof path.endpoints)[0]];
+    guard.announce({ ...guard.announced!, id: '\ud800' });
+    guard.limit.recordRateLimit(1_000, path.clock.now());
+    guard.announce({ ...guard.announced!, state: 'down' });
+    expect((await path.ask(MENUS)).status).to.equal(503);
+  });
+
   // Guards against the end of the process by an error of one response that is being relayed.
   it('cuts a response that fails while it is relayed', async () => {
     await using path = await TestPath.start();
