Bind the port for links last, right before somebody listens for links

The link port was open while the guard's port was bound, and nobody listened for connections yet. A link accepted in that time was never served, and a reset of it an uncaught exception, as its socket had no error listener. Found by reading; after the last bind only microtasks run until Instance adds the listener. No test: the window was one turn of the event loop.

--- a/src/daemon/open_ports.ts
+++ b/src/daemon/open_ports.ts
@@ -28,12 +28,16 @@
   const disconnectCheck = new DisconnectCheck(clock);
   const guard = new Guard(clock, dialect, uplink, disconnectCheck);
   const link = createServer();
+  const boundGuardPort = await bind(guard.server, host, guardPort);
+  // The last one, as nobody listens for links before the instance exists: one that was accepted during
+  // another wait would never be served, and a reset of it would be an uncaught exception.
+  const boundLinkPort = await bind(link, host, linkPort);
   const self: Member = {
     instance,
     dataCentre,
     host,
-    linkPort: await bind(link, host, linkPort),
-    guardPort: await bind(guard.server, host, guardPort),
+    linkPort: boundLinkPort,
+    guardPort: boundGuardPort,
     operatorsPort,
     incarnation: Math.floor(clock.now()),
     sequence: 0,
