Contain faults of background tasks and of listeners

A rejection of any task that nobody awaits, an exception of one listener for versions, members, links, announcements or orders: each ended the process or, caught further up, kept other listeners from hearing of a version. Dropped promises now go through runInBackground and listeners through callEach. A pull that fails to be answered rejects to the peer, and an unreadable page of claims to its requests; both would have been unhandled rejections (by reading; no message that does it was found). The test of listeners failed before: the error of the first came out of Replica.apply.

--- a/src/claims/claim_range.ts
+++ b/src/claims/claim_range.ts
@@ -1,7 +1,8 @@
 /** One range of claims: writes batches of operations as one conditional update each. */
-import { type Claim, ClaimPage, OutcomeError } from '../contracts.js';
+import { asOutcome, type Claim, ClaimPage, OutcomeError } from '../contracts.js';
 import { MAX_VALUE_BYTES, type Platform, type Stored } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { unavailableError } from './claim_store.js';
 
@@ -75,7 +76,7 @@
     return new Promise((resolve, reject) => {
       const succeed = (claims: ClaimsById) => resolve(result(claims));
       this.#pending.push({ id, deadline, apply, succeed, fail: reject });
-      if (!this.#isFlushing) void this.#flush();
+      if (!this.#isFlushing) runInBackground('claim page', this.#flush());
     });
   }
 
@@ -102,7 +103,11 @@
       try {
         if (await this.#attempt(left)) return;
       } catch (error) {
-        if (!(error instanceof OutcomeError)) throw error;
+        if (!(error instanceof OutcomeError)) {
+          // An unreadable page: another attempt would read it again.
+          for (const { fail } of left) fail(asOutcome(error));
+          return;
+        }
         inDoubt ||= error.verdict !== 'not-run';
       }
       this.#cachedPage = undefined;
--- a/src/claims/claim_writer.ts
+++ b/src/claims/claim_writer.ts
@@ -2,6 +2,7 @@
 import PQueue from 'p-queue';
 import { type Claim } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type ClaimStore } from './claim_store.js';
 
@@ -64,7 +65,7 @@
       await this.clock.sleepUntil(this.clock.now() + wait, this.#stopping.signal);
       isDone = await this.#retries.add(() => this.#attempt(id, claim, settled));
     }
-    if (isDone && !settled) void this.#releaseAgain(id, claim.nonce);
+    if (isDone && !settled) runInBackground('claim release', this.#releaseAgain(id, claim.nonce));
   }
 
   #hasGivenUp({ expiresAt }: Claim): boolean {
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -2,6 +2,7 @@
 import { createHash } from 'node:crypto';
 import { type Claim, type Outcome, OutcomeError } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type ClaimStore } from './claim_store.js';
 import { ClaimWriter } from './claim_writer.js';
@@ -147,7 +148,11 @@
   }
 
   #writeEnd(id: string, held: HeldClaim, settled: Claim | undefined): void {
-    void this.#writer.write(id, held.claim, settled).then(() => this.#forget(id, held));
+    const written = this.#writer.write(id, held.claim, settled);
+    runInBackground(
+      'claim end',
+      written.then(() => this.#forget(id, held)),
+    );
   }
 
   #forget(id: string, held: HeldClaim): void {
--- a/src/daemon/control.ts
+++ b/src/daemon/control.ts
@@ -29,6 +29,7 @@
 import { SilentNeighbours } from '../membership/silent_neighbours.js';
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
+import { keepRunning, runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { sleepUntilAny } from '../runtime/sleep.js';
 
@@ -202,8 +203,11 @@
       clock,
       random,
     );
-    this.distributor.onStalled(() => void this.sourceFallback.readMissing());
-    this.#silentNeighbours.onCutOff = () => void this.sourceFallback.readWhileCutOff();
+    this.distributor.onStalled(() =>
+      runInBackground('read when stalled', this.sourceFallback.readMissing()),
+    );
+    this.#silentNeighbours.onCutOff = () =>
+      runInBackground('read when cut off', this.sourceFallback.readWhileCutOff());
     const headLookup = new HeadLookup(
       this.reader,
       this.readerRole,
@@ -240,18 +244,21 @@
     const { signal } = this.#stopping;
     // One listener per task at least; Node.js logs a warning above ten by default.
     setMaxListeners(0, signal);
-    this.#tasks = [
-      this.#bootstrap.run(signal),
-      this.#probe.run(signal),
-      this.endpointLease.run(signal),
-      this.#drains.run(signal),
-      this.mesh.run(signal),
-      this.#runReader(signal),
-      this.#readerStandby.run(signal),
-      this.#silentNeighbours.run(signal),
-      this.directory.run(signal),
-      this.gossip.run(signal),
-    ];
+    const tasks: Readonly<Record<string, (until: AbortSignal) => Promise<void>>> = {
+      bootstrap: (until) => this.#bootstrap.run(until),
+      probe: (until) => this.#probe.run(until),
+      'endpoint lease': (until) => this.endpointLease.run(until),
+      drains: (until) => this.#drains.run(until),
+      links: (until) => this.mesh.run(until),
+      reader: (until) => this.#runReader(until),
+      'reader standby': (until) => this.#readerStandby.run(until),
+      'silent neighbours': (until) => this.#silentNeighbours.run(until),
+      directory: (until) => this.directory.run(until),
+      gossip: (until) => this.gossip.run(until),
+    };
+    this.#tasks = Object.entries(tasks).map(([place, run]) =>
+      keepRunning(place, run, signal, this.dependencies.clock),
+    );
   }
 
   /**
--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -32,6 +32,7 @@
 import { type Settings } from './settings.js';
 import { recordStateChanges } from './state_changes.js';
 import { TcpDialer } from './tcp_dialer.js';
+import { keepRunning, runInBackground } from '../runtime/faults.js';
 
 /** Last part of a stop, for large responses and for closing the connections of callers, in ms. */
 const CLOSING_MS = 1_000;
@@ -137,7 +138,7 @@
     this.#isStopping = true;
     this.entry.tracker.beginShutdown();
     this.#log.record('info', { event: 'stopping' });
-    void this.#releaseUplink(deadline - CLOSING_MS);
+    runInBackground('uplink', this.#releaseUplink(deadline - CLOSING_MS));
     await clock.sleepUntil(closeAt - this.settings.drainMs);
     this.guard.beginShutdown();
     this.control.endpointLease.startDraining();
@@ -248,6 +249,14 @@
     return new OperatorsPort({ ...parts, metrics, methods: operatorMethods(parts) });
   }
 
+  #startRollouts(): void {
+    const rollouts = this.#rollouts;
+    if (!rollouts) return;
+    const { signal } = this.#stopping;
+    const run = () => rollouts.run(signal);
+    runInBackground('rollouts', keepRunning('rollouts', run, signal, this.dependencies.clock));
+  }
+
   async #releaseUplink(at: number): Promise<void> {
     await this.dependencies.clock.sleepUntil(at, this.#stopping.signal);
     this.#uplink.release();
@@ -271,11 +280,12 @@
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, this.settings.callerPort);
     this.control.start();
-    void this.#rollouts?.run(this.#stopping.signal);
+    this.#startRollouts();
     const { dataCentre, incarnation } = this.roster.self;
     const { callerPort } = this;
     this.#log.record('info', { event: 'started', dataCentre, callerPort, incarnation });
-    void findRunningUpstream(this.settings, { replica, endpointLease, clock, dialect });
+    const search = { replica, endpointLease, clock, dialect };
+    runInBackground('upstream search', findRunningUpstream(this.settings, search));
   }
 }
 
--- a/src/distribution/distributor.ts
+++ b/src/distribution/distributor.ts
@@ -7,6 +7,7 @@
 import { type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Mesh } from './mesh.js';
 import { AHEAD, PULL, PUSH, READING, RECALL } from './methods.js';
@@ -24,7 +25,7 @@
 
   #pendingVersions: Version[] = [];
 
-  #scheduledPropagation: Promise<void> | undefined;
+  #isScheduled = false;
 
   /** Whether the pending versions came from the source, without the rank for it, or not from the parent. */
   #cameOutsideTree = false;
@@ -108,12 +109,15 @@
     this.#cameOutsideTree ||= this.replica.origin === 'source' && !this.ranking.isReader;
     const { batchWindowMs } = this.profile;
     if (batchWindowMs === 0) this.#propagate();
-    else this.#scheduledPropagation ??= this.#propagateLater(batchWindowMs);
+    else if (!this.#isScheduled) {
+      this.#isScheduled = true;
+      runInBackground('propagation', this.#propagateLater(batchWindowMs));
+    }
   }
 
   async #propagateLater(batchWindowMs: number): Promise<void> {
     await this.clock.sleepUntil(this.clock.now() + batchWindowMs);
-    this.#scheduledPropagation = undefined;
+    this.#isScheduled = false;
     this.#propagate();
   }
 
--- a/src/distribution/mesh.ts
+++ b/src/distribution/mesh.ts
@@ -9,6 +9,7 @@
 import { type Roster } from '../membership/roster.js';
 import { LinkMaintenance } from '../membership/link_maintenance.js';
 import { type Clock } from '../runtime/clock.js';
+import { callEach, runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
 import { type Address, type Dialer } from './dialer.js';
@@ -118,7 +119,7 @@
     }
     const peer = new Peer(link, this.methods, this.clock);
     this.#track(peer);
-    void this.#awaitHello(peer);
+    runInBackground('introduction', this.#awaitHello(peer));
   }
 
   /**
@@ -184,7 +185,7 @@
     if (!this.#register(peer, hello)) return;
     this.roster.merge([hello.member], { instance });
     this.#sendKnownStatement(peer);
-    for (const listener of this.#openListeners) listener(peer);
+    callEach('link opened', this.#openListeners, peer);
   }
 
   /**
@@ -228,6 +229,6 @@
       this.#peers.set(instance, other);
       return;
     }
-    for (const listener of this.#closeListeners) listener(peer);
+    callEach('link closed', this.#closeListeners, peer);
   }
 }
--- a/src/distribution/pull_responder.ts
+++ b/src/distribution/pull_responder.ts
@@ -40,12 +40,12 @@
   }
 
   answer(pull: Pull): Promise<Pulled> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       if (this.#queue.size >= MAX_WAITING) {
         resolve({ versions: [], busyMs: BUSY_RETRY_MS });
         return;
       }
-      void this.#queue.add(() => this.#serve(pull, resolve));
+      this.#queue.add(() => this.#serve(pull, resolve)).catch(reject);
     });
   }
 
--- a/src/distribution/puller.ts
+++ b/src/distribution/puller.ts
@@ -3,6 +3,7 @@
 import { type Peer } from '../link/peer.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Mesh } from './mesh.js';
 import { PULL } from './methods.js';
@@ -63,7 +64,7 @@
   /** Starts pulling if any peer is ahead; call it whenever a peer may have got ahead. */
   wake(): void {
     this.#wakeUp.abort();
-    if (!this.#isRunning && this.#peersAhead().length > 0) void this.#run();
+    if (!this.#isRunning && this.#peersAhead().length > 0) runInBackground('pull', this.#run());
   }
 
   async #run(): Promise<void> {
@@ -71,8 +72,12 @@
     this.#recordProgress();
     const { pushWaitMs } = this.profile;
     await this.clock.sleepUntil(this.clock.now() + pushWaitMs + this.random.jitter(pushWaitMs));
-    while (this.#peersAhead().length > 0) await this.#step();
-    this.#isRunning = false;
+    try {
+      while (this.#peersAhead().length > 0) await this.#step();
+    } finally {
+      // After a failure the next heartbeat of a peer that is ahead starts it again.
+      this.#isRunning = false;
+    }
   }
 
   /** Pulls from one more peer, or waits until a pull may start. */
--- a/src/distribution/read_delegation.ts
+++ b/src/distribution/read_delegation.ts
@@ -3,6 +3,7 @@
 import { type Ranking, READERS_PER_DATA_CENTRE } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Mesh } from './mesh.js';
 import { DELEGATE, READING } from './methods.js';
@@ -65,7 +66,7 @@
     mesh.onOpen((peer) => {
       if (role.isDelegated) peer.notify(READING, {});
     });
-    reader.onContactLost = () => void this.#run();
+    reader.onContactLost = () => runInBackground('read delegation', this.#run());
   }
 
   /**
@@ -87,9 +88,12 @@
     if (this.#isRunning) return;
     this.#isRunning = true;
     if (this.clock.now() - this.#lastFailureAt > CALM_MS) this.#failures = 0;
-    while (this.#isNeeded) await this.#step();
-    this.#delegate = undefined;
-    this.#isRunning = false;
+    try {
+      while (this.#isNeeded) await this.#step();
+    } finally {
+      this.#delegate = undefined;
+      this.#isRunning = false;
+    }
   }
 
   get #isNeeded(): boolean {
--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -1,6 +1,7 @@
 /** Follows the source of versions, in processes that are readers. */
 import { OutcomeError, type Problem } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Pace, STEADY } from '../membership/pace.js';
 import { type Feed, SOURCE_ANSWERED, UnreadableError } from './feed.js';
@@ -162,7 +163,10 @@
     const deadline = this.#watchDeadline(now);
     const answered = new AbortController();
     const answerDue = this.#isFollowing ? deadline : now;
-    void this.#awaitAnswer(answerDue + SILENCE_MS, answered.signal);
+    runInBackground(
+      'answer of the source',
+      this.#awaitAnswer(answerDue + SILENCE_MS, answered.signal),
+    );
     try {
       if (!this.#isFollowing) return await this.#takeUp(deadline);
       this.#hasWatched = true;
--- a/src/distribution/reader_standby.ts
+++ b/src/distribution/reader_standby.ts
@@ -1,5 +1,6 @@
 /** Takes over reading when the readers of the data centre are silent. */
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { ReadAttempts } from './read_attempts.js';
 import { type ReadDelegation } from './read_delegation.js';
@@ -24,7 +25,7 @@
     random: Random,
   ) {
     this.#attempts = new ReadAttempts(delegation, clock, random, MAX_RETRY_CAP_MS);
-    monitor.onSilent = () => void this.#takeOver();
+    monitor.onSilent = () => runInBackground('take over reading', this.#takeOver());
   }
 
   /** Sends, checks and acts on heartbeats of readers until the signal aborts. */
--- a/src/distribution/readiness.ts
+++ b/src/distribution/readiness.ts
@@ -3,6 +3,7 @@
 import { type Pace, STEADY } from '../membership/pace.js';
 import { type Ranking } from '../membership/ranking.js';
 import { type Clock } from '../runtime/clock.js';
+import { callEach } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type HeadLookup } from './head_lookup.js';
 import { type Mesh } from './mesh.js';
@@ -57,7 +58,7 @@
     }
     if (signal.aborted) return;
     this.#isReady = true;
-    for (const listener of this.#listeners) listener();
+    callEach('ready', this.#listeners);
   }
 
   /** Finds a version that this instance cannot have been beyond; undefined while unknown. */
--- a/src/distribution/replica.ts
+++ b/src/distribution/replica.ts
@@ -4,6 +4,7 @@
 import { type Problem, validate, validateChange } from '../configuration/validate.js';
 import { type Difference, type Resource, type Snapshot, type Version } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { callEach } from '../runtime/faults.js';
 import { sleepUntilAny } from '../runtime/sleep.js';
 
 /** Why a version was refused; the configuration before it stays current. */
@@ -260,6 +261,6 @@
   }
 
   #notifyApplied(versions: readonly Version[]): void {
-    for (const listener of this.#listeners) listener(versions);
+    callEach('applied version', this.#listeners, versions);
   }
 }
--- a/src/link/peer.ts
+++ b/src/link/peer.ts
@@ -121,7 +121,7 @@
       return;
     }
     // The library answers a message that is not JSON-RPC with an error response.
-    void this.#rpc.receiveAndSend(message).catch(() => {});
+    this.#rpc.receiveAndSend(message).catch(() => {});
   }
 
   /**
--- a/src/membership/announcement.ts
+++ b/src/membership/announcement.ts
@@ -2,6 +2,7 @@
 import * as z from 'zod';
 import { Endpoint, type Drain } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { callEach } from '../runtime/faults.js';
 import { type InstanceRun, isSameRun } from './instance_run.js';
 import { type Roster } from './roster.js';
 
@@ -184,7 +185,7 @@
 
   #set(announcement: Announcement): void {
     this.#last = announcement;
-    for (const listener of this.#listeners) listener(announcement);
+    callEach('announcement', this.#listeners, announcement);
     const { upstream, slots } = announcement;
     const version = this.publishesVersion ? announcement.version : undefined;
     const isDraining = this.#isStopping && announcement.state !== 'down';
--- a/src/membership/dissemination.ts
+++ b/src/membership/dissemination.ts
@@ -4,6 +4,7 @@
 import { GOSSIP } from '../distribution/methods.js';
 import { type Methods, type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type UpdateOrigin, type Roster } from './roster.js';
 import { isNewer } from './member_record.js';
@@ -33,7 +34,7 @@
 
   #pending = new Map<string, PendingRecord>();
 
-  #flushing: Promise<void> | undefined;
+  #isFlushing = false;
 
   constructor(
     private readonly roster: Roster,
@@ -83,13 +84,15 @@
       const knownBy = new Set(origin.instance === undefined || isOwn ? [] : [origin.instance]);
       this.#pending.set(member.instance, { member, knownBy });
     }
-    if (this.#pending.size > 0) this.#flushing ??= this.#flushLater();
+    if (this.#pending.size === 0 || this.#isFlushing) return;
+    this.#isFlushing = true;
+    runInBackground('gossip', this.#flushLater());
   }
 
   async #flushLater(): Promise<void> {
     const wait = BATCH_DELAY_MS + this.random.jitter(BATCH_DELAY_MS);
     await this.clock.sleepUntil(this.clock.now() + wait);
-    this.#flushing = undefined;
+    this.#isFlushing = false;
     const items = this.#takePending();
     for (const peer of this.mesh.peers) {
       const members = unknownTo(peer, items);
--- a/src/membership/drains.ts
+++ b/src/membership/drains.ts
@@ -4,6 +4,7 @@
 import { DRAIN } from '../distribution/methods.js';
 import { type Methods, type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { setBounded } from '../runtime/bounded_map.js';
 import { type EndpointLease } from './announcement.js';
 import { type Roster } from './roster.js';
@@ -38,7 +39,7 @@
   ) {
     lease.hold();
     roster.onUpdate((members) => members.forEach((member) => this.#store(member)));
-    mesh.onOpen((peer) => void this.#query(peer));
+    mesh.onOpen((peer) => runInBackground('drain query', this.#query(peer)));
     methods.on(DRAIN, (_, { instance }) => {
       const drain = this.#drains.get(instance);
       return drain ? { drain } : {};
--- a/src/membership/link_maintenance.ts
+++ b/src/membership/link_maintenance.ts
@@ -3,6 +3,7 @@
 import { type Mesh } from '../distribution/mesh.js';
 import { type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Ranking } from './ranking.js';
 import { type Roster } from './roster.js';
@@ -58,19 +59,25 @@
   /** Dials the neighbours to which there is no link. */
   dialMissing(): void {
     if (this.stopping.aborted) return;
-    for (const member of this.ranking.neighbours) void this.#dialUntilLinked(member);
+    for (const member of this.ranking.neighbours) {
+      runInBackground('dial', this.#dialUntilLinked(member));
+    }
   }
 
   /** Dials until there is a link or the member is no longer a neighbour. */
   async #dialUntilLinked({ instance }: Member): Promise<void> {
     if (this.#dialling.has(instance) || this.mesh.peer(instance)) return;
     this.#dialling.add(instance);
-    while (this.#isMissing(instance)) {
-      await this.#backOff(instance);
-      if (!this.#isMissing(instance)) break;
-      await this.#dial(instance);
+    try {
+      while (this.#isMissing(instance)) {
+        await this.#backOff(instance);
+        if (!this.#isMissing(instance)) break;
+        await this.#dial(instance);
+      }
+    } finally {
+      // After a failure the next sweep starts it again.
+      this.#dialling.delete(instance);
     }
-    this.#dialling.delete(instance);
   }
 
   #isMissing(instance: string): boolean {
--- a/src/membership/reconciliation.ts
+++ b/src/membership/reconciliation.ts
@@ -4,6 +4,7 @@
 import { EXCHANGE, RECONCILE } from '../distribution/methods.js';
 import { type Methods, type Peer } from '../link/peer.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
 import { type Roster } from './roster.js';
@@ -42,7 +43,7 @@
     methods: Methods,
   ) {
     this.#recordBudget = new TokenBucket(clock, RECORDS_PER_SECOND, RECORD_BURST);
-    mesh.onOpen((peer) => void this.#onLinkOpen(peer));
+    mesh.onOpen((peer) => runInBackground('reconciliation', this.#onLinkOpen(peer)));
     methods
       .on(RECONCILE, (_, { buckets }) => this.#difference(buckets))
       .on(EXCHANGE, (peer, { members, wanted }) => {
@@ -65,7 +66,7 @@
     const count = (this.#differingHeartbeats.get(peer) ?? 0) + 1;
     this.#differingHeartbeats.set(peer, count);
     const threshold = peer.isDialled ? DIFFERING_HEARTBEATS : 2 * DIFFERING_HEARTBEATS;
-    if (count >= threshold) void this.#reconcile(peer);
+    if (count >= threshold) runInBackground('reconciliation', this.#reconcile(peer));
   }
 
   /**
--- a/src/membership/roster.ts
+++ b/src/membership/roster.ts
@@ -2,6 +2,7 @@
 import { type Endpoint, type Liveness, type Member } from '../contracts.js';
 import { RosterDigest } from './roster_digest.js';
 import { isDeadOrLeft, isNewer } from './member_record.js';
+import { callEach } from '../runtime/faults.js';
 
 /** Where records came from. */
 export interface UpdateOrigin {
@@ -170,7 +171,7 @@
   }
 
   #notify(changed: readonly Member[], origin: UpdateOrigin): void {
-    for (const listener of this.#listeners) listener(changed, origin);
+    callEach('roster', this.#listeners, changed, origin);
   }
 }
 
--- a/src/membership/silent_neighbours.ts
+++ b/src/membership/silent_neighbours.ts
@@ -1,6 +1,7 @@
 /** Finds neighbours that are silent, long before they are suspected. */
 import { type Mesh } from '../distribution/mesh.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Ranking } from './ranking.js';
 
@@ -48,7 +49,7 @@
 
   #handleSilent(silent: ReadonlySet<string>): void {
     if (this.ranking.passOver(silent)) this.mesh.dialMissing();
-    if (this.#hearsNobody()) void this.#reportCutOff();
+    if (this.#hearsNobody()) runInBackground('cut-off report', this.#reportCutOff());
   }
 
   async #reportCutOff(): Promise<void> {
--- a/src/platform/call_meter.ts
+++ b/src/platform/call_meter.ts
@@ -1,4 +1,5 @@
 /** Counts calls to the platform and detects when it is unavailable. */
+import { callEach } from '../runtime/faults.js';
 
 /** Method and outcome of completed calls. */
 export interface EndedCall {
@@ -64,6 +65,6 @@
   #setAway(isAway: boolean, message: string): void {
     if (isAway === this.#isAway) return;
     this.#isAway = isAway;
-    for (const listener of this.#listeners) listener({ isAway, message });
+    callEach('platform contact', this.#listeners, { isAway, message });
   }
 }
--- a/src/quota/shared_quota.ts
+++ b/src/quota/shared_quota.ts
@@ -7,6 +7,7 @@
 import { type Ranking } from '../membership/ranking.js';
 import { type Roster } from '../membership/roster.js';
 import { type Clock } from '../runtime/clock.js';
+import { keepRunning, runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
 import { teamLimitsOf } from './team_limit.js';
@@ -129,13 +130,19 @@
   #configure(): void {
     const { replica, clock } = this.dependencies;
     this.#node.configure(teamLimitsOf(replica.current.all('team')), clock.now());
-    if (this.#node.pools.size > 0 && !this.#isRunning) void this.#run();
+    if (this.#node.pools.size > 0 && !this.#isRunning) runInBackground('quota', this.#run());
   }
 
-  /** Reports to the parent at intervals as long as a team has a limit. */
   async #run(): Promise<void> {
-    const { clock, random } = this.dependencies;
     this.#isRunning = true;
+    const report = () => this.#reportRegularly();
+    await keepRunning('quota', report, this.signal, this.dependencies.clock);
+    this.#isRunning = false;
+  }
+
+  /** Reports to the parent at intervals as long as a team has a limit. */
+  async #reportRegularly(): Promise<void> {
+    const { clock, random } = this.dependencies;
     let dueAt = clock.now() + random.jitter(JOIN_INTERVAL_MS);
     while (!this.signal.aborted && this.#node.pools.size > 0) {
       await clock.sleepUntil(dueAt, this.signal);
@@ -144,7 +151,6 @@
       if (clock.now() >= this.#lastReportAt + this.#intervalMs) await this.#report();
       dueAt = Math.max(clock.now() + 1, this.#lastReportAt + this.#intervalMs);
     }
-    this.#isRunning = false;
   }
 
   get #intervalMs(): number {
@@ -210,7 +216,7 @@
   async #ask(pool: TeamPool): Promise<void> {
     const { clock } = this.dependencies;
     const result = this.#waiting.add(pool, clock.now() + MAX_WAIT_MS);
-    void this.#report();
+    runInBackground('quota report', this.#report());
     if (await result) return;
     throw refusal(pool, { retryAt: this.#node.retryAt(pool, clock.now()), mayAsk: false });
   }
--- a/src/quota/waiting_requests.ts
+++ b/src/quota/waiting_requests.ts
@@ -1,5 +1,6 @@
 /** Requests that wait for a token of the parent. */
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type TeamPool } from './team_pool.js';
 
 interface Waiting {
@@ -34,7 +35,11 @@
         },
       };
       this.#waiting.add(waiting);
-      void this.clock.sleepUntil(deadline, ended.signal).then(() => waiting.finish(false));
+      const waited = this.clock.sleepUntil(deadline, ended.signal);
+      runInBackground(
+        'quota wait',
+        waited.then(() => waiting.finish(false)),
+      );
     });
   }
 
--- a/src/requests/safeguards.ts
+++ b/src/requests/safeguards.ts
@@ -5,6 +5,7 @@
 import { type Ranking } from '../membership/ranking.js';
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
+import { keepRunning } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { BulletinBroadcaster } from '../quarantine/bulletin_broadcaster.js';
 import { ClaimSweep } from '../claims/claim_sweep.js';
@@ -62,7 +63,9 @@
     const callerOf = (request: Pick<IncomingMessage, 'headers'>) => dialect.callerOf(request);
     guard.crashDetector = new CrashDetector(quarantine, clock, callerOf);
     // Without idempotency keys there are no claims to sweep.
-    if (dialect.takesKeys) this.#sweeping = this.sweep.run(this.#stopping.signal);
+    if (!dialect.takesKeys) return;
+    const run = (signal: AbortSignal) => this.sweep.run(signal);
+    this.#sweeping = keepRunning('claim sweep', run, this.#stopping.signal, clock);
   }
 
   /** Tries a last time to write the outcomes of claims that are not stored yet, and ends the sweep. */
--- a/src/rollout/orders.ts
+++ b/src/rollout/orders.ts
@@ -1,5 +1,6 @@
 /** The orders that a process knows; merging gives the same result regardless of the message order. */
 import { type VersionClearance, type Rollout, type RolloutPhase } from '../contracts.js';
+import { callEach } from '../runtime/faults.js';
 
 const PHASE_RANK: Readonly<Record<RolloutPhase, number>> = {
   trial: 0,
@@ -85,7 +86,7 @@
     this.#rollouts.set(statement.upstream, merged);
     this.#generation += 1;
     if (held?.phase === merged.phase && isSameOrder(held, merged)) return true;
-    for (const listener of this.#listeners) listener(merged);
+    callEach('rollout order', this.#listeners, merged);
     return true;
   }
 
--- a/src/source/source.ts
+++ b/src/source/source.ts
@@ -11,6 +11,7 @@
 } from '../contracts.js';
 import { type Platform } from '../platform/platform.js';
 import { type Clock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { type Random } from '../runtime/random.js';
 import { type Acceptance, type Check, type Conflict, type Refused } from './acceptance.js';
 import { Appender } from './appender.js';
@@ -143,7 +144,11 @@
     this.counts[acceptance.repeated ? 'repeated' : 'accepted'] += 1;
     // In the same queue, so that nothing else changes the head during the publication; not awaited,
     // so that the answer does not wait for it.
-    if (this.#publisher.isDue) void this.#queue.add(() => this.#publisher.publish());
+    if (this.#publisher.isDue)
+      runInBackground(
+        'snapshot',
+        this.#queue.add(() => this.#publisher.publish()),
+      );
     return acceptance;
   }
 
--- a/src/test/distribution/replica_test.ts
+++ b/src/test/distribution/replica_test.ts
@@ -4,6 +4,7 @@
 import { type Change, Route, Upstream, type Version } from '../../contracts.js';
 import { differingBuckets } from '../../configuration/summary.js';
 import { Replica } from '../../distribution/replica.js';
+import { takeFaults } from '../faults.js';
 
 const listings = Upstream.parse({ kind: 'upstream', name: 'listings' });
 const menus = Route.parse({
@@ -46,6 +47,21 @@
     expect(outcomes).toMatchSnapshot();
   });
 
+  // Guards against a version that children, guards and quotas never hear of, and a reader that takes it for
+  // unreadable, since one listener throws.
+  it('tells all listeners of a version though one of them throws', () => {
+    const replica = new Replica();
+    const heard: string[] = [];
+    replica.onApplied(() => {
+      throw new Error('broken');
+    });
+    replica.onApplied(([version]) => heard.push(version!.digest));
+    const first = versionAfter(Configuration.empty, { put: [listings], remove: [] });
+    expect(replica.apply([first])).to.equal(true);
+    expect(heard).to.deep.equal([first.digest]);
+    expect(takeFaults().map(({ place }) => place)).to.deep.equal(['applied version']);
+  });
+
   // Guards against a process that runs out of memory by keeping recent versions with large resources.
   it('keeps recent versions up to a number of bytes, and the latest in any case', () => {
     const replica = new Replica();
