Forbid promises that nobody awaits in the product

no-void and no-floating-promises without the exception for void, and no-misused-promises, for all sources but tests, benches, stand-ins and the tool; the linter has types already. Two files whose failure has to end the process, start.ts and rehearse.ts, are excepted from the first two.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -38,8 +38,10 @@
       'no-continue': 'off',
       // Trivial methods of subclasses and stand-ins need no `this`.
       'class-methods-use-this': 'off',
-      // `void` marks a promise that is deliberately not awaited.
-      'no-void': 'off',
+      // A promise that nobody awaits ends the process when it is rejected: `runInBackground` takes it.
+      'no-void': 'error',
+      '@typescript-eslint/no-floating-promises': ['error', { ignoreVoid: false }],
+      '@typescript-eslint/no-misused-promises': ['error', { checksConditionals: false }],
       // State objects, such as a peer, are updated through parameters.
       'no-param-reassign': ['error', { props: false }],
       // Counters are incremented on the hot path.
@@ -54,6 +56,20 @@
       '@typescript-eslint/no-redeclare': 'off',
     },
   },
+  {
+    // A start that fails, and a rehearsal in the build, have to end their process.
+    files: ['src/platform/start.ts', 'src/platform/rehearse.ts'],
+    rules: { 'no-void': 'off', '@typescript-eslint/no-floating-promises': 'off' },
+  },
+  {
+    // Not part of the product; there `void` marks a promise that is deliberately not awaited.
+    files: ['src/test/**', 'src/bench/**', 'src/standins/**', 'src/tool/**', 'deploy/**', '*.js'],
+    rules: {
+      'no-void': 'off',
+      '@typescript-eslint/no-floating-promises': 'off',
+      '@typescript-eslint/no-misused-promises': 'off',
+    },
+  },
   {
     files: ['src/test/**', '*.js'],
     rules: {
