End all parts of a task before it is started again

Some tasks run several loops. When one of them failed, the others would have run on beside the next start: two readers of one process, for example. Each start now has its own signal, which aborts when the task fails. Gossip awaits both of its loops from the start: a rejection of the one that expires suspicions would have gone unhandled while the other one ran.

--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -253,7 +253,7 @@
     const rollouts = this.#rollouts;
     if (!rollouts) return;
     const { signal } = this.#stopping;
-    const run = () => rollouts.run(signal);
+    const run = (until: AbortSignal) => rollouts.run(until);
     runInBackground('rollouts', keepRunning('rollouts', run, signal, this.dependencies.clock));
   }
 
--- a/src/membership/gossip.ts
+++ b/src/membership/gossip.ts
@@ -49,7 +49,10 @@
 
   /** Sends heartbeats, closes silent links and expires suspicions until the signal aborts. */
   async run(signal: AbortSignal): Promise<void> {
-    const expiring = this.suspicions.run(signal);
+    await Promise.all([this.suspicions.run(signal), this.#watchLinks(signal)]);
+  }
+
+  async #watchLinks(signal: AbortSignal): Promise<void> {
     let wasPaused = false;
     while (!signal.aborted) {
       if (!wasPaused) this.#closeSilentLinks();
@@ -63,7 +66,6 @@
       if (lateMs > LATE_WAKE_UP_MS) this.onLateWakeUp(lateMs);
       wasPaused = lateMs > this.heartbeatMs;
     }
-    await expiring;
   }
 
   /** Compares the roster hash of a neighbour; called with each heartbeat received. */
--- a/src/runtime/faults.ts
+++ b/src/runtime/faults.ts
@@ -3,6 +3,7 @@
  * listener, or one rejected promise that nobody awaits, ends the process with all requests in flight.
  * Here it ends only the task in which it occurs, and is counted and reported.
  */
+import { setMaxListeners } from 'node:events';
 import { type Clock } from './clock.js';
 
 /** Wait before a failed task is started again, in milliseconds; it doubles with each failure in a row. */
@@ -62,7 +63,8 @@
 /**
  * Runs a task that has to run as long as the process. It is started again, with backoff, when it fails:
  * otherwise the process would go on without it, and for example send no heartbeats any more. Resolves
- * when the task has ended by itself, or after a failure once `signal` aborts.
+ * when the task has ended by itself, or after a failure once `signal` aborts. The signal of each start
+ * also aborts when the task fails, so that no part of it runs on beside the next start.
  */
 export async function keepRunning(
   place: string,
@@ -74,7 +76,7 @@
   while (true) {
     const startedAt = clock.now();
     try {
-      await run(signal);
+      await runOnce(run, signal);
       return;
     } catch (error) {
       reportFault(place, error);
@@ -86,3 +88,23 @@
     waitMs = Math.min(MAX_RESTART_MS, 2 * waitMs);
   }
 }
+
+async function runOnce(
+  run: (signal: AbortSignal) => Promise<void>,
+  signal: AbortSignal,
+): Promise<void> {
+  const ended = new AbortController();
+  // One listener per sleep of each part of the task; Node.js logs a warning above ten by default.
+  setMaxListeners(0, ended.signal);
+  const end = () => ended.abort();
+  if (signal.aborted) end();
+  signal.addEventListener('abort', end, { once: true });
+  try {
+    await run(ended.signal);
+  } catch (error) {
+    end();
+    throw error;
+  } finally {
+    signal.removeEventListener('abort', end);
+  }
+}
--- a/src/test/runtime/faults_test.ts
+++ b/src/test/runtime/faults_test.ts
@@ -44,6 +44,23 @@
     expect(takeFaults()).to.have.length(10);
   });
 
+  // Guards against two readers, or two senders of heartbeats, of one process after a fault in one part.
+  it('end all parts of a task before it is started again', async () => {
+    const clock = new ManualClock();
+    const stop = new AbortController();
+    const starts: AbortSignal[] = [];
+    const run = async (signal: AbortSignal) => {
+      starts.push(signal);
+      if (starts.length === 1) throw new Error('broken');
+      expect(starts.map(({ aborted }) => aborted)).to.deep.equal([true, false]);
+      stop.abort();
+      expect(signal.aborted).to.equal(true);
+    };
+    await keepRunning('test', run, stop.signal, clock);
+    expect(starts).to.have.length(2);
+    expect(takeFaults()).to.have.length(1);
+  });
+
   it('do not restart a task that has ended by itself', async () => {
     let runs = 0;
     const run = async () => {
