--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -21,6 +21,7 @@
 import { createRollouts } from './create_rollouts.js';
 import { type InstanceDependencies } from './dependencies.js';
 import { HeapWatch } from './heap_watch.js';
+import { logFaults } from './fault_log.js';
 import { Metrics } from './metrics.js';
 import { type OpenPorts, openPorts } from './open_ports.js';
 import { operatorMethods } from './operator_methods.js';
@@ -32,6 +33,7 @@
 import { type Settings } from './settings.js';
 import { recordStateChanges } from './state_changes.js';
 import { TcpDialer } from './tcp_dialer.js';
+import { keepRunning, runInBackground } from '../runtime/faults.js';
 
 /** Last part of a stop, for large responses and for closing the connections of callers, in ms. */
 const CLOSING_MS = 1_000;
@@ -73,6 +75,8 @@
 
   readonly #heapWatch: HeapWatch;
 
+  readonly #faultLog: Disposable;
+
   #isStopping = false;
 
   readonly #stopping = new AbortController();
@@ -84,6 +88,7 @@
   ) {
     const { platform, clock, random, log = new SilentLog() } = dependencies;
     this.#log = log;
+    this.#faultLog = logFaults(log, clock);
     this.control = createControl(settings, dependencies, ports);
     this.source = new Source(platform, clock, random);
     this.#rollouts = createRollouts(this.control, settings, dependencies, log);
@@ -137,7 +142,7 @@
     this.#isStopping = true;
     this.entry.tracker.beginShutdown();
     this.#log.record('info', { event: 'stopping' });
-    void this.#releaseUplink(deadline - CLOSING_MS);
+    runInBackground('uplink', this.#releaseUplink(deadline - CLOSING_MS));
     await clock.sleepUntil(closeAt - this.settings.drainMs);
     this.guard.beginShutdown();
     this.control.endpointLease.startDraining();
@@ -189,6 +194,7 @@
     await this.source[Symbol.asyncDispose]();
     await this.control[Symbol.asyncDispose]();
     this.#linkServer.close();
+    this.#faultLog[Symbol.dispose]();
   }
 
   #connectGuard(): void {
@@ -260,6 +266,14 @@
     return new OperatorsPort({ ...parts, metrics, methods: operatorMethods(parts) });
   }
 
+  #startRollouts(): void {
+    const rollouts = this.#rollouts;
+    if (!rollouts) return;
+    const { signal } = this.#stopping;
+    const run = (until: AbortSignal) => rollouts.run(until);
+    runInBackground('rollouts', keepRunning('rollouts', run, signal, this.dependencies.clock));
+  }
+
   async #releaseUplink(at: number): Promise<void> {
     await this.dependencies.clock.sleepUntil(at, this.#stopping.signal);
     this.#uplink.release();
@@ -293,11 +307,12 @@
     await bind(this.#operators.server, host, operatorsPort);
     await bind(this.entry.server, host, this.settings.callerPort);
     this.control.start();
-    void this.#rollouts?.run(this.#stopping.signal);
+    this.#startRollouts();
     const { dataCentre, incarnation } = this.roster.self;
     const { callerPort } = this;
     this.#log.record('info', { event: 'started', dataCentre, callerPort, incarnation });
-    void findRunningUpstream(this.settings, { replica, endpointLease, clock, dialect });
+    const search = { replica, endpointLease, clock, dialect };
+    runInBackground('upstream search', findRunningUpstream(this.settings, search));
   }
 }
 
--- a/src/daemon/uncaught_exception.ts
+++ b/src/daemon/uncaught_exception.ts
@@ -40,7 +40,7 @@
     if (isFirst) this.#setLastLine(end);
     if (!this.stop) exit();
     if (this.#count <= MAX_LOGGED) this.log.record('warn', { event: 'uncaught', ...end });
-    if (isFirst) void this.#stopAndExit(this.stop);
+    if (isFirst) this.#stopAndExit(this.stop).catch(exit);
   }
 
   /** Also holds if the process exits in another way meanwhile, as after a signal to stop. */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -12,6 +12,7 @@
 import { MAX_FRAME_BYTES } from '../link/tcp_link.js';
 import { PROMPT } from '../membership/pace.js';
 import { MachineClock } from '../runtime/clock.js';
+import { runInBackground } from '../runtime/faults.js';
 import { MachineRandom } from '../runtime/random.js';
 import { createReportServer } from './endpoint_reports.js';
 import { type HostFile, hasRollouts, seedsOf, settingsOf } from './host_settings.js';
@@ -70,7 +71,7 @@
   };
   // One at a time, so that the last one puts in force what was read last.
   const reloads = new PQueue({ concurrency: 1 });
-  const onChange = () => void reloads.add(reload);
+  const onChange = () => runInBackground('reload', reloads.add(reload));
   signals.listen(({ at, ...signal }) => {
     log.record('info', { event: 'signal', ...signal }, at);
     if (signal.action === 'reload') onChange();
