Let the watches of a data centre's two readers end half a period apart

Callers: requests handled by an old version for up to 2.2 s after the acknowledgement, while readers hear no other process and are turned away by the store, or get no answer from it. Cause: each data centre then depends on its own two readers, which notice by the end of a watch. The deadlines were spread by index over all readers, so those of a data centre ended right after one another, and it waited 2.5 s less their distance. Other releases: a process of the release before takes its own place; no two readers of a data centre get the same one. No message changes. A reader that is a suspect has no place, so the one that reads in its stead takes it over.

--- a/src/distribution/reader_role.ts
+++ b/src/distribution/reader_role.ts
@@ -1,5 +1,5 @@
 /** Whether this process reads the source of versions. */
-import { type Ranking, READERS_PER_DATA_CENTRE } from '../membership/ranking.js';
+import { type Ranking } from '../membership/ranking.js';
 import { type Clock } from '../runtime/clock.js';
 import { sleepUntilAny } from '../runtime/sleep.js';
 
@@ -10,7 +10,7 @@
   #waking = new AbortController();
 
   constructor(
-    private readonly ranking: Pick<Ranking, 'isReader' | 'readerIndex' | 'dataCentres'>,
+    private readonly ranking: Pick<Ranking, 'isReader' | 'readerIndex' | 'readerPhase'>,
     private readonly clock: Clock,
   ) {}
 
@@ -34,11 +34,11 @@
   /**
    * Deadline of the next watch of a ranked reader, half a period to one and a half from now. The
    * deadlines of all readers are spread evenly over the period: when the source goes silent, the first
-   * answer is overdue after a part of a period, and without more calls.
+   * answer is overdue after a part of a period, and without more calls. Those of a data centre are far
+   * apart, as its readers may hear no other one.
    */
   nextWatchDeadline(periodMs: number): number {
-    const readers = Math.max(1, this.ranking.dataCentres().length * READERS_PER_DATA_CENTRE);
-    const phase = (Math.max(0, this.readerIndex) * periodMs) / readers;
+    const phase = this.ranking.readerPhase * periodMs;
     const earliest = this.clock.now() + periodMs / 2;
     return phase + Math.ceil((earliest - phase) / periodMs) * periodMs;
   }
--- a/src/membership/ranking.ts
+++ b/src/membership/ranking.ts
@@ -105,6 +105,18 @@
     );
   }
 
+  /**
+   * Place of this process in a cycle of the readers of all data centres, from 0 up to 1. They are evenly
+   * spread over it, and those of a data centre are as far apart as they can be. Suspects have no place.
+   */
+  get readerPhase(): number {
+    const { instance, dataCentre } = this.roster.self;
+    const dataCentres = this.dataCentres();
+    const index = this.readerCandidates.findIndex((member) => member.instance === instance);
+    const offset = dataCentres.indexOf(dataCentre) / Math.max(1, dataCentres.length);
+    return (Math.max(0, index) + offset) / READERS_PER_DATA_CENTRE;
+  }
+
   get isRoot(): boolean {
     return this.#ownRank === 0;
   }
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -1,12 +1,14 @@
 import { expect } from 'chai';
 import { SeededRandom } from '../../runtime/random.js';
-import { ObjectFleet } from './object_fleet.js';
+import { APPLY_MS, ObjectFleet } from './object_fleet.js';
 import { type Fault, SCOPES, TROUBLES, TroubleSeries } from './trouble_series.js';
 
 const SMALL = { arima: 4, chaguanas: 4, couva: 3 };
 /** More processes in a data centre than may take over from its readers. */
 const LARGE = { arima: 14, chaguanas: 3 };
 const FANOUT = 8;
+/** Time from the acknowledgement of an ordinary version in which it is to be in force, in milliseconds. */
+const GOAL_MS = 1_500;
 const MAX_CALM_MS = 9_000;
 const SETTLE_MS = 6_000;
 const MIXED_ROUNDS = 5;
@@ -15,11 +17,12 @@
 
 type Rounds = readonly (readonly Fault[])[];
 
-/** Plays the rounds for some seeds; resolves to the versions that came late to processes in touch. */
+/** Plays the rounds for some seeds; resolves to the versions that processes in touch lacked for longer. */
 async function lateVersions(
   sizes: Readonly<Record<string, number>>,
   seeds: number,
   roundsOf: (random: SeededRandom) => Rounds,
+  limitMs = APPLY_MS,
 ): Promise<string[]> {
   const late: string[] = [];
   for (let seed = 1; seed <= seeds; seed += 1) {
@@ -31,7 +34,9 @@
       await series.check.advance(random.below(MAX_CALM_MS));
     }
     await series.check.advance(SETTLE_MS);
-    late.push(...series.check.late.map(({ name, version }) => `${seed}: ${name} r${version}`));
+    const { check } = series;
+    late.push(...check.late.map(({ name, version }) => `${seed}: ${name} r${version}`));
+    late.push(...check.lags.filter((lag) => lag > limitMs).map((lag) => `${seed}: ${lag} ms`));
   }
   return [...new Set(late)];
 }
@@ -83,6 +88,16 @@
     expect(late).to.deep.equal([]);
   });
 
+  // Guards against data centres that each wait for their own readers, whose watches end at the same time.
+  it('have each version soon when the readers hear nobody and the source is silent to them', async () => {
+    const faults: Fault[] = [
+      { trouble: 'receives nothing', scope: 'readers' },
+      { trouble: 'store silent', scope: 'readers' },
+    ];
+    const late = await lateVersions(SMALL, 4, () => [faults, faults, faults], GOAL_MS);
+    expect(late).to.deep.equal([]);
+  });
+
   // Guards against calls without end in a process that is the last one of its fleet.
   it('make no more calls than before when all others have left', async () => {
     await using objects = await ObjectFleet.start(1, { arima: 2 });
