Take a read that the source refuses for lost contact in a ranked reader

Callers: requests handled by an old version for up to 2.7 s after the acknowledgement, while readers hear no other process and are turned away. Cause: a reader that hears nobody reads the source beside its watch. If only that one call was lost: peers read too until the next read, at most a second and a heartbeat later, is answered. A timeout does not count: a large object on a narrow link takes as long, and peers would read it as well; nor does an answer that there is no configuration.

--- a/src/distribution/reader.ts
+++ b/src/distribution/reader.ts
@@ -50,6 +50,9 @@
 
   #hasContact = true;
 
+  /** Whether contact was lost by a read beside the watch, so that the next one may regain it. */
+  #isLostByRead = false;
+
   #hasWatched = false;
 
   /** When the source last answered, in milliseconds since the epoch. */
@@ -108,7 +111,9 @@
     if (!this.#isFollowing || !this.#isFresh) {
       try {
         await this.#takeUp(deadline);
-      } catch {
+        if (this.#isLostByRead) this.#setContact(true);
+      } catch (error) {
+        this.#handleFailedRead(error, deadline);
         return false;
       }
     }
@@ -149,6 +154,18 @@
     }
   }
 
+  /**
+   * A ranked reader that fails to read has lost contact, long before its watch ends. If only this call
+   * was lost, a peer reads too until the next read or watch is answered. A timeout is no sign of it: a
+   * large object may take that long, and peers that read it as well would add to that.
+   */
+  #handleFailedRead(error: unknown, deadline: number): void {
+    if (!this.role.isRanked || !this.#hasContact || this.clock.now() >= deadline) return;
+    if (!(error instanceof OutcomeError) || SOURCE_ANSWERED.has(error.reason)) return;
+    this.#setContact(false);
+    this.#isLostByRead = true;
+  }
+
   async #follow(signal: AbortSignal): Promise<void> {
     const isApplied = await this.#readNext(signal);
     this.#answeredAt = this.clock.now();
@@ -195,6 +212,7 @@
   }
 
   #setContact(hasContact: boolean): void {
+    this.#isLostByRead = false;
     if (hasContact === this.#hasContact) return;
     this.#hasContact = hasContact;
     if (hasContact) {
--- a/src/test/distribution/in_touch_test.ts
+++ b/src/test/distribution/in_touch_test.ts
@@ -20,12 +20,13 @@
 /** Plays the rounds for some seeds; resolves to the versions that processes in touch lacked for longer. */
 async function lateVersions(
   sizes: Readonly<Record<string, number>>,
-  seeds: number,
+  seeds: number | readonly number[],
   roundsOf: (random: SeededRandom) => Rounds,
   limitMs = APPLY_MS,
 ): Promise<string[]> {
   const late: string[] = [];
-  for (let seed = 1; seed <= seeds; seed += 1) {
+  const chosen = typeof seeds === 'number' ? seedsUpTo(seeds) : seeds;
+  for (const seed of chosen) {
     await using objects = await ObjectFleet.start(seed, sizes, FANOUT);
     const random = new SeededRandom(seed);
     const series = new TroubleSeries(objects, random);
@@ -41,6 +42,10 @@
   return [...new Set(late)];
 }
 
+function seedsUpTo(count: number): number[] {
+  return Array.from({ length: count }, (_, index) => index + 1);
+}
+
 function mixedRounds(random: SeededRandom): Rounds {
   const fault = (): Fault => ({
     trouble: random.shuffled(TROUBLES)[0]!,
@@ -98,6 +103,16 @@
     expect(late).to.deep.equal([]);
   });
 
+  // Guards against readers that hear nobody, fail to read and still wait for the end of their watches.
+  it('have each version soon when the readers hear nobody and are turned away', async () => {
+    const faults: Fault[] = [
+      { trouble: 'receives nothing', scope: 'readers' },
+      { trouble: 'turned away', scope: 'readers' },
+    ];
+    const late = await lateVersions(SMALL, [9, 12], () => Array(6).fill(faults), GOAL_MS);
+    expect(late).to.deep.equal([]);
+  });
+
   // Guards against calls without end in a process that is the last one of its fleet.
   it('make no more calls than before when all others have left', async () => {
     await using objects = await ObjectFleet.start(1, { arima: 2 });
