Play restarts, reloads and versions from a seed, and list ends that nobody asked for

Each end is recorded with code, signal, age, last lines and the signals that asked for it; a request that an upstream instance had begun to run and that got no whole response is judged by the end of its process. One end without a request to end, or one such request that a stop should have waited for, ends the run with exit code 1. Ends by SIGHUP before Node has run the first line of the program (default effect in /proc/PID/status, and the bundle not yet read by /proc/PID/io) are listed apart. The record is kept by `Program`, so that every experiment on real processes fails on such an end.

--- a/src/bench/experiment.ts
+++ b/src/bench/experiment.ts
@@ -5,12 +5,16 @@
 export interface Options {
   readonly processes: number;
   readonly seed: number;
+  /** Time for which faults are played; that of the experiment when absent. */
+  readonly seconds?: number;
+  /** Processes that keep the machine busy meanwhile; those of the experiment when absent. */
+  readonly busy?: number;
   /** Reports the step of the experiment that starts. */
   readonly progress: (text: string) => void;
 }
 
-/** Measured values by name. */
-export type Result = Readonly<Record<string, unknown>>;
+/** Measured values by name. A run with `failures` ends with exit code 1. */
+export type Result = Readonly<Record<string, unknown>> & { readonly failures?: readonly string[] };
 
 export abstract class Experiment {
   abstract readonly name: string;
--- a/src/bench/experiments/cold.ts
+++ b/src/bench/experiments/cold.ts
@@ -62,7 +62,7 @@
   }
 
   async #measureBareNode(): Promise<number> {
-    await using bare = Program.launch(['-e', 'setInterval(() => {}, 1e6)'], '.', {});
+    await using bare = Program.launch('node', ['-e', 'setInterval(() => {}, 1e6)'], '.', {});
     await this.#sleep(BARE_MS);
     return (await bare.usage()).cpuMs;
   }
--- a/src/bench/experiments/stops.ts
+++ b/src/bench/experiments/stops.ts
@@ -2,7 +2,8 @@
 import { Experiment, type Options, type Result } from '../experiment.js';
 import { SeededRandom } from '../../runtime/random.js';
 import { Caller, type CallRecord, type CallerOptions } from '../stops/caller.js';
-import { GRACE_MS, type Stop, StopSeries } from '../stops/stop_series.js';
+import { isLongAtStop } from '../stops/long_request.js';
+import { type Stop, StopSeries } from '../stops/stop_series.js';
 
 const RUN_MS = 60_000;
 const ANSWER_BYTES = 2_000;
@@ -12,9 +13,6 @@
   { count: 6, options: { keepsConnection: false, workMs: [10, 300] } },
   { count: 4, options: { keepsConnection: true, workMs: [2_400, 3_800] } },
 ];
-/** A request may be cut if it was sent this early in a stop and was still worked on at its end. */
-const EXCUSED_SENT_MS = 3_000;
-const EXCUSED_WORK_MS = (GRACE_MS * 5) / 6;
 
 /**
  * Requests that ran and got no whole response around a planned stop, while processes of the
@@ -92,8 +90,7 @@
 function isExcused(fleet: MeshFleet, call: CallRecord, stop: Stop | undefined): boolean {
   if (!stop) return false;
   if (stop.isPaused) return true;
-  const isEarly = call.sentAt < stop.signalledAt + EXCUSED_SENT_MS;
-  return isEarly && fleet.workEndsAt(call.id) > stop.signalledAt + EXCUSED_WORK_MS;
+  return isLongAtStop(call, fleet.workEndsAt(call.id), stop.signalledAt);
 }
 
 function describeStop({ machine, signalledAt, exitedAt, isPaused }: Stop): string {
--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -23,6 +23,7 @@
 import { MeshUpstream, type MeshUpstreamOptions, WORK_HEADER } from '../standins/mesh_upstream.js';
 import { PlatformServer } from '../standins/platform_server.js';
 import { sendRequest } from './http_client.js';
+import { type ProcessEnd } from './process_end.js';
 import { Program } from './processes.js';
 
 export interface MeshFleetOptions extends MeshUpstreamOptions {
@@ -54,6 +55,9 @@
 
   readonly #resources = new ResourceStack();
 
+  /** All processes that were ever started. */
+  readonly #launched: Program[] = [];
+
   #store!: PlatformServer;
 
   #folder = '';
@@ -118,17 +122,22 @@
 
   /** Sends a request with that id; resolves to the status, and rejects without a whole response. */
   async send(index: number, route: number, id: string, how: SendOptions = {}): Promise<number> {
-    const { services } = this.options;
     const { agent, workMs } = how;
-    const work = workMs === undefined ? {} : { [WORK_HEADER]: workMs };
-    const { status } = await sendRequest({
+    const request = this.requestOf(index, route, id, workMs);
+    const { status } = await sendRequest({ ...request, ...(agent && { agent }) });
+    return status;
+  }
+
+  /** A request to the entry of machine `index` that upstream instances work on for that long. */
+  requestOf(index: number, route: number, id: string, workMs?: number) {
+    const { services } = this.options;
+    const work: Record<string, number> = workMs === undefined ? {} : { [WORK_HEADER]: workMs };
+    return {
       host: this.machines[index]!.host,
       port: PORTS.outbound,
       path: `/${services[route % services.length]}/${route}/${id}`,
       headers: { ...callHeaders(id), ...work },
-      ...(agent && { agent }),
-    });
-    return status;
+    };
   }
 
   /** Whether an upstream instance has begun to work on the request with that id. */
@@ -148,7 +157,19 @@
   /** Kills the process of machine `index` and starts it again; its upstream instance keeps running. */
   async restart(index: number): Promise<void> {
     await this.programs[index]!.kill();
-    this.programs[index] = await this.#launch(this.machines[index]!);
+    await this.relaunch(index);
+  }
+
+  /** Starts the process of machine `index` after it has ended. */
+  async relaunch(index: number): Promise<Program> {
+    const program = await this.#launch(this.machines[index]!);
+    this.programs[index] = program;
+    return program;
+  }
+
+  /** How processes have ended so far. */
+  get ends(): ProcessEnd[] {
+    return this.#launched.flatMap(({ end }) => end ?? []);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -175,7 +196,9 @@
   async #launch(machine: MeshMachine): Promise<Program> {
     const path = join(this.#folder, `${machine.name}.json`);
     const environment = await writeSettings(path, machine, this.machines, this.#storePort);
-    return this.#resources.use(Program.launch(this.#nodeArguments, ROOT, environment));
+    const program = Program.launch(machine.name, this.#nodeArguments, ROOT, environment);
+    this.#launched.push(program);
+    return this.#resources.use(program);
   }
 }
 
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -2,8 +2,11 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { once } from 'node:events';
 import { readFile } from 'node:fs/promises';
-import { createInterface } from 'node:readline';
+import { createInterface, type Interface } from 'node:readline';
 import { fileURLToPath } from 'node:url';
+import { MachineClock } from '../runtime/clock.js';
+import { type EndRequest, isAsked, type ProcessEnd } from './process_end.js';
+import { hasDefaultEffect, isBeforeBundle } from './process_status.js';
 
 /** The kernel's counters of a process since its start. */
 export interface Usage {
@@ -21,13 +24,48 @@
 const MS_PER_TICK = 10;
 const USER_TICKS_FIELD = 11;
 const SYSTEM_TICKS_FIELD = 12;
+/** Lines of the log that are kept of each process. */
+const MAX_LINES = 400;
+
+const clock = new MachineClock();
+const unaskedEnds: ProcessEnd[] = [];
+const running = new Set<Program>();
+// Otherwise children would go on when an exception ends this process.
+process.once('exit', () => running.forEach((program) => program.signal('SIGKILL')));
 
 /** A Node program running as a child process. */
 export class Program implements AsyncDisposable {
+  /** Resolves when the process has exited. */
+  readonly ended: Promise<ProcessEnd>;
+
+  /** Undefined while the process runs. */
+  end: ProcessEnd | undefined;
+
+  readonly #startedAt = clock.now();
+
+  readonly #requests: EndRequest[] = [];
+
+  readonly #lines: string[] = [];
+
+  #signalBeforeFirstLine: NodeJS.Signals | undefined;
+
   private constructor(
+    readonly name: string,
     readonly child: ChildProcess,
     readonly ports: Ports,
-  ) {}
+    output: Interface,
+  ) {
+    running.add(this);
+    output.on('line', (line) => this.#keepLine(line));
+    this.ended = once(child, 'exit').then(([code, signal]) =>
+      this.#recordEnd(code as number | null, signal as NodeJS.Signals | null),
+    );
+  }
+
+  /** The ends so far that nobody asked for, of all programs; each is returned once. */
+  static takeUnaskedEnds(): ProcessEnd[] {
+    return unaskedEnds.splice(0);
+  }
 
   /** Starts `dist/<name>.js` and waits until it prints its ports. */
   static async start(name: string, args: readonly string[]): Promise<Program> {
@@ -43,11 +81,12 @@
         throw new Error(`${name} exited before it printed its ports`);
       }),
     ])) as [string];
-    return new Program(child, JSON.parse(line) as Ports);
+    return new Program(name, child, JSON.parse(line) as Ports, lines);
   }
 
   /** Starts Node with these arguments in `folder`, without waiting for output. */
   static launch(
+    name: string,
     nodeArguments: readonly string[],
     folder: string,
     environment: Readonly<Record<string, string>>,
@@ -57,8 +96,7 @@
       env: { ...process.env, ...environment },
       stdio: ['ignore', 'pipe', 'inherit'],
     });
-    child.stdout.resume();
-    return new Program(child, {});
+    return new Program(name, child, {}, createInterface({ input: child.stdout }));
   }
 
   get pid(): number {
@@ -66,17 +104,22 @@
   }
 
   signal(name: NodeJS.Signals): void {
+    if (this.end) return;
+    if (name === 'SIGTERM' || name === 'SIGKILL')
+      this.#requests.push({ signal: name, at: clock.now() });
+    else if (hasDefaultEffect(this.pid, name) && isBeforeBundle(this.pid))
+      this.#signalBeforeFirstLine = name;
     this.child.kill(name);
   }
 
   /** Kills the process, as a crash would, and waits until it has exited. */
   async kill(): Promise<void> {
-    await this.#end('SIGKILL');
+    await this.#stopBy('SIGKILL');
   }
 
   /** Asks the process to stop and waits until it has exited. */
   async stop(): Promise<void> {
-    await this.#end('SIGTERM');
+    await this.#stopBy('SIGTERM');
   }
 
   async usage(): Promise<Usage> {
@@ -97,11 +140,31 @@
     await this.kill();
   }
 
-  async #end(signal: NodeJS.Signals): Promise<void> {
-    if (this.child.exitCode !== null || this.child.signalCode !== null) return;
-    const exited = once(this.child, 'exit');
-    this.child.kill(signal);
-    await exited;
+  async #stopBy(signal: EndRequest['signal']): Promise<void> {
+    this.signal(signal);
+    await this.ended;
+  }
+
+  #keepLine(line: string): void {
+    this.#lines.push(line);
+    if (this.#lines.length > MAX_LINES) this.#lines.shift();
+  }
+
+  #recordEnd(code: number | null, signal: NodeJS.Signals | null): ProcessEnd {
+    running.delete(this);
+    this.end = {
+      name: this.name,
+      pid: this.pid,
+      startedAt: this.#startedAt,
+      endedAt: clock.now(),
+      code: code ?? undefined,
+      signal: signal ?? undefined,
+      requests: this.#requests,
+      isBeforeFirstLine: signal !== null && signal === this.#signalBeforeFirstLine,
+      lines: this.#lines,
+    };
+    if (!isAsked(this.end) && !this.end.isBeforeFirstLine) unaskedEnds.push(this.end);
+    return this.end;
   }
 }
 
--- a/src/bench/stops/caller.ts
+++ b/src/bench/stops/caller.ts
@@ -22,6 +22,8 @@
 export interface CallRecord {
   readonly id: string;
   readonly machine: number;
+  /** Process id of the process that it was sent to. */
+  readonly pid: number;
   /** In milliseconds since the epoch, as all instants. */
   readonly sentAt: number;
   readonly endedAt: number;
@@ -46,9 +48,10 @@
     const agent = new Agent({ keepAlive: keepsConnection, maxSockets: 1 });
     for (let count = 0; !signal.aborted; count++) {
       const id = `${this.name}-${count}`;
+      const { pid } = this.fleet.programs[machine]!;
       const sentAt = this.clock.now();
       const status = await this.#send(id, agent);
-      this.calls.push({ id, machine, sentAt, endedAt: this.clock.now(), status });
+      this.calls.push({ id, machine, pid, sentAt, endedAt: this.clock.now(), status });
       if (status !== OK) await this.clock.sleepUntil(this.clock.now() + RETRY_MS);
     }
     agent.destroy();
--- /dev/null
+++ b/src/soak/soak.ts
@@ -0,0 +1,86 @@
+/** Runs a fleet of real processes under faults drawn from a seed, and judges what callers saw. */
+import { setMaxListeners } from 'node:events';
+import { type MeshFleet } from '../bench/mesh_fleet.js';
+import { Caller, type CallerOptions } from '../bench/stops/caller.js';
+import { type Clock } from '../runtime/clock.js';
+import { SeededRandom } from '../runtime/random.js';
+import { BusyProcesses } from './busy_processes.js';
+import { FaultPlayer } from './fault_player.js';
+import { PipelinedCaller } from './pipelined_caller.js';
+import { scheduleOf } from './schedule.js';
+import { type Verdict, verdictOf } from './verdict.js';
+
+export interface SoakOptions {
+  readonly seed: number;
+  /** Time for which faults begin. */
+  readonly seconds: number;
+  /** Processes that keep the machine busy meanwhile. */
+  readonly busy: number;
+}
+
+export type SoakResult = Verdict & { readonly failures: readonly string[] };
+
+const MS_PER_SECOND = 1_000;
+const PIPELINED_CALLERS = 2;
+/** Callers per machine, by what they do. */
+const CALLERS: readonly { count: number; options: Omit<CallerOptions, 'machine'> }[] = [
+  { count: 3, options: { keepsConnection: true, workMs: [10, 600] } },
+  { count: 2, options: { keepsConnection: false, workMs: [10, 300] } },
+  { count: 2, options: { keepsConnection: true, workMs: [2_400, 3_800] } },
+];
+
+export class Soak {
+  constructor(
+    private readonly fleet: MeshFleet,
+    private readonly options: SoakOptions,
+    private readonly clock: Clock,
+    private readonly progress: (text: string) => void,
+  ) {}
+
+  async run(): Promise<SoakResult> {
+    const { fleet, clock, progress } = this;
+    const { seed, seconds, busy } = this.options;
+    const runMs = seconds * MS_PER_SECOND;
+    await fleet.waitUntilReady();
+    await using busyProcesses = new BusyProcesses(busy, runMs);
+    const schedule = scheduleOf({ seed, machines: fleet.machines.length, runMs });
+    const player = new FaultPlayer(fleet, schedule, clock);
+    const [calling, supervising] = [new AbortController(), new AbortController()];
+    // One listener per caller; Node.js logs a warning above ten by default.
+    setMaxListeners(0, calling.signal);
+    const callers = this.#callers(new SeededRandom(seed));
+    const called = callers.map((caller) => caller.run(calling.signal));
+    const supervised = player.supervise(supervising.signal);
+    progress(`${schedule.faults.length} faults beside ${busyProcesses.count} busy processes`);
+    await player.play();
+    progress('ending');
+    calling.abort();
+    await Promise.all(called);
+    await fleet.waitUntilReady();
+    supervising.abort();
+    await supervised;
+    const verdict = verdictOf(
+      fleet,
+      callers.flatMap(({ calls }) => calls),
+    );
+    // The harness itself lists the ends that nobody asked for.
+    return { ...verdict, failures: [...verdict.lost, ...verdict.cut] };
+  }
+
+  #callers(random: SeededRandom): (Caller | PipelinedCaller)[] {
+    return this.fleet.machines.flatMap((_, machine) => [
+      ...CALLERS.flatMap(({ count, options }, kind) =>
+        named(count, `caller-${machine}-${kind}`).map(
+          (name) => new Caller(name, this.fleet, { ...options, machine }, this.clock, random),
+        ),
+      ),
+      ...named(PIPELINED_CALLERS, `pipelined-${machine}`).map(
+        (name) => new PipelinedCaller(name, this.fleet, machine, this.clock, random),
+      ),
+    ]);
+  }
+}
+
+function named(count: number, prefix: string): string[] {
+  return Array.from({ length: count }, (_, index) => `${prefix}-${index}`);
+}
