--- a/src/bench/experiments/ends.ts
+++ b/src/bench/experiments/ends.ts
@@ -1,3 +1,5 @@
+import { mkdir, writeFile } from 'node:fs/promises';
+import { join } from 'node:path';
 import { MeshFleet } from '../mesh_fleet.js';
 import { Experiment, type Options, type Result } from '../experiment.js';
 import { Soak } from '../../soak/soak.js';
@@ -28,6 +30,15 @@
     });
     const soak = new Soak(fleet, { seed, seconds, busy }, this.clock, progress);
     const verdict = await soak.run();
+    const isGood = verdict.failures.length === 0 && verdict.unasked.length === 0;
+    if (!isGood) await this.#keepLogs(fleet, seed);
     return { seed, processes, seconds, busy, ...verdict };
   }
+
+  async #keepLogs({ logs }: MeshFleet, seed: number): Promise<void> {
+    const folder = `target/soak/seed-${seed}`;
+    await mkdir(folder, { recursive: true });
+    for (const [name, lines] of logs)
+      await writeFile(join(folder, `${name}.log`), lines.join('\n'));
+  }
 }
--- a/src/bench/process_status.ts
+++ b/src/bench/process_status.ts
@@ -7,6 +7,7 @@
  * platform's build then read their bundle and its code cache of 2 MB.
  */
 const LEAST_READ_BYTES = 1_000_000;
+const NS_PER_MS = 1_000_000;
 
 /** Whether that signal would have its default effect now, because the process neither catches nor ignores it. */
 export function hasDefaultEffect(pid: number, signal: NodeJS.Signals): boolean {
@@ -22,6 +23,12 @@
   return bytes !== undefined && Number(bytes) < LEAST_READ_BYTES;
 }
 
+/** How long the main thread has waited for a processor since its start, in milliseconds. */
+export function waitedMs(pid: number): number {
+  const [, waitedNs = '0'] = textOf(`/proc/${pid}/schedstat`).split(' ');
+  return Number(waitedNs) / NS_PER_MS;
+}
+
 function textOf(path: string): string {
   try {
     // eslint-disable-next-line n/no-sync -- read at the moment of the signal
--- a/src/soak/fault_player.ts
+++ b/src/soak/fault_player.ts
@@ -1,27 +1,40 @@
 /** Plays a schedule of faults on a fleet, and starts its processes again whenever they end. */
 import { once } from 'node:events';
+import PQueue from 'p-queue';
 import { type MeshFleet } from '../bench/mesh_fleet.js';
 import { GRACE_MS } from '../bench/stops/stop_series.js';
 import { type Clock } from '../runtime/clock.js';
+import { sendOddly } from './odd_caller.js';
 import { type Fault, type PlannedStart, type Schedule } from './schedule.js';
+import { SettingsWriter } from './settings_writer.js';
 
 /** Start of a process after the planned ones. */
 const LATE_START: PlannedStart = { delayMs: 0, reloadsMs: [] };
 
 export class FaultPlayer {
-  constructor(
+  readonly #versions = new PQueue({ concurrency: 1 });
+
+  private constructor(
     private readonly fleet: MeshFleet,
     private readonly schedule: Schedule,
     private readonly clock: Clock,
+    private readonly settings: SettingsWriter,
   ) {}
 
-  /** Plays all faults; resolves when the last one has begun. */
+  static async open(fleet: MeshFleet, schedule: Schedule, clock: Clock): Promise<FaultPlayer> {
+    const settings = await SettingsWriter.open(fleet.settingsPaths, clock);
+    return new FaultPlayer(fleet, schedule, clock, settings);
+  }
+
+  /** Plays all faults; resolves when all are over, so that the last stopped process has ended. */
   async play(): Promise<void> {
     const startedAt = this.clock.now();
+    const played: Promise<unknown>[] = [];
     for (const { atMs, fault } of this.schedule.faults) {
       await this.clock.sleepUntil(startedAt + atMs);
-      void this.#begin(fault);
+      played.push(this.#play(fault));
     }
+    await Promise.all(played);
   }
 
   /** Starts every process that has ended again, as the platform does, until the signal aborts. */
@@ -42,16 +55,34 @@
       if (signal.aborted) return;
       const { delayMs, reloadsMs } = this.schedule.starts[machine]![count] ?? LATE_START;
       await this.clock.sleepUntil(this.clock.now() + delayMs);
-      const program = await this.fleet.relaunch(machine);
+      const program = this.fleet.relaunch(machine);
       for (const ms of reloadsMs) setTimeout(() => program.signal('SIGHUP'), ms);
     }
   }
 
-  async #begin(fault: Fault): Promise<void> {
-    const { fleet } = this;
-    if (fault.kind === 'version') await fleet.publishVersion();
-    else if (fault.kind === 'restart') await this.#stop(fault.machine, fault.signal);
-    else fault.machines.forEach((machine) => fleet.programs[machine]!.signal('SIGHUP'));
+  async #play(fault: Fault): Promise<unknown> {
+    switch (fault.kind) {
+      case 'restart':
+        return this.#stop(fault.machine, fault.signal);
+      case 'reload':
+        return fault.machines.forEach((machine) => this.#reload(machine));
+      case 'version':
+        return this.#versions.add(() => this.fleet.publishVersion());
+      case 'settings':
+        return this.settings.write(fault.machine, fault.change, fault.halfMs, () => {
+          if (fault.isSignalled) this.#reload(fault.machine);
+        });
+      case 'upstream':
+        return this.fleet.upstreams[fault.machine]!.restart(fault.downMs);
+      default: {
+        const { host } = this.fleet.machines[fault.machine]!;
+        return sendOddly(host, fault.port, fault.request, fault.forMs, this.clock);
+      }
+    }
+  }
+
+  #reload(machine: number): void {
+    this.fleet.programs[machine]!.signal('SIGHUP');
   }
 
   /** Asks a process to end, and kills it when the grace period of the platform is over. */
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -1,5 +1,6 @@
 /** Runs a fleet of real processes under faults drawn from a seed, and judges what callers saw. */
 import { setMaxListeners } from 'node:events';
+import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { type MeshFleet } from '../bench/mesh_fleet.js';
 import { Caller, type CallerOptions } from '../bench/stops/caller.js';
 import { type Clock } from '../runtime/clock.js';
@@ -18,9 +19,17 @@
   readonly busy: number;
 }
 
-export type SoakResult = Verdict & { readonly failures: readonly string[] };
+export type SoakResult = Verdict & {
+  readonly failures: readonly string[];
+  /** Longest delay of a timer of the harness: signals and the ends of calls were seen that late. */
+  readonly harnessDelayMs: number;
+};
 
 const MS_PER_SECOND = 1_000;
+const NS_PER_MS = 1_000_000;
+/** Time after the last fault within which each machine has to serve, in milliseconds. */
+const SERVE_TIMEOUT_MS = 30_000;
+const POLL_MS = 100;
 const PIPELINED_CALLERS = 2;
 /** Callers per machine, by what they do. */
 const CALLERS: readonly { count: number; options: Omit<CallerOptions, 'machine'> }[] = [
@@ -43,8 +52,10 @@
     const runMs = seconds * MS_PER_SECOND;
     await fleet.waitUntilReady();
     await using busyProcesses = new BusyProcesses(busy, runMs);
+    const delays = monitorEventLoopDelay();
+    delays.enable();
     const schedule = scheduleOf({ seed, machines: fleet.machines.length, runMs });
-    const player = new FaultPlayer(fleet, schedule, clock);
+    const player = await FaultPlayer.open(fleet, schedule, clock);
     const [calling, supervising] = [new AbortController(), new AbortController()];
     // One listener per caller; Node.js logs a warning above ten by default.
     setMaxListeners(0, calling.signal);
@@ -56,7 +67,7 @@
     progress('ending');
     calling.abort();
     await Promise.all(called);
-    await fleet.waitUntilReady();
+    const notServing = await this.#notServing();
     supervising.abort();
     await supervised;
     const verdict = verdictOf(
@@ -64,7 +75,22 @@
       callers.flatMap(({ calls }) => calls),
     );
     // The harness itself lists the ends that nobody asked for.
-    return { ...verdict, failures: [...verdict.lost, ...verdict.cut] };
+    const failures = [...verdict.lost, ...verdict.cut, ...notServing];
+    const harnessDelayMs = Math.round(delays.max / NS_PER_MS);
+    return { ...verdict, harnessDelayMs, failures };
+  }
+
+  /** Machines that do not serve a request some time after the last fault. */
+  async #notServing(): Promise<string[]> {
+    const deadline = this.clock.now() + SERVE_TIMEOUT_MS;
+    const missing = new Set(this.fleet.machines.keys());
+    while (missing.size > 0 && this.clock.now() < deadline) {
+      for (const machine of missing) {
+        if (await this.fleet.call(machine, machine).catch(() => false)) missing.delete(machine);
+      }
+      await this.clock.sleepUntil(this.clock.now() + POLL_MS);
+    }
+    return [...missing].map((machine) => `machine-${machine} does not serve after the last fault`);
   }
 
   #callers(random: SeededRandom): (Caller | PipelinedCaller)[] {
--- a/src/soak/verdict.ts
+++ b/src/soak/verdict.ts
@@ -1,18 +1,29 @@
 /** Judges from outside what callers saw while processes ended. */
 import { type MeshFleet } from '../bench/mesh_fleet.js';
-import { describeEnd, type EndRequest, isAsked, type ProcessEnd } from '../bench/process_end.js';
+import {
+  describeEnd,
+  endRequests,
+  isAsked,
+  type ProcessEnd,
+  type SentSignal,
+} from '../bench/process_end.js';
 import { type CallRecord } from '../bench/stops/caller.js';
 import { isLongAtStop } from '../bench/stops/long_request.js';
 import { GRACE_MS } from '../bench/stops/stop_series.js';
 
+/** Part of its grace period that a process of the platform reserves for its exit, in milliseconds. */
+const STOP_MARGIN_MS = 400;
+
 /**
  * - `answered`: a whole response arrived, whatever its status.
  * - `not-run`: none arrived, and no upstream instance had begun to run it.
  * - `excused`: cut by a crash, or too long for a stop to wait for it.
+ * - `starved`: cut by a stop that was killed, after its process had waited for a processor for longer than
+ *   the part of its grace period that it reserves for its exit.
  * - `lost`: cut by a process that was running, or that should have waited for it.
  * - `cut`: cut by a process that ended unasked.
  */
-export type CallVerdict = 'answered' | 'not-run' | 'excused' | 'lost' | 'cut';
+export type CallVerdict = 'answered' | 'not-run' | 'excused' | 'starved' | 'lost' | 'cut';
 
 export interface Verdict {
   readonly ends: number;
@@ -23,6 +34,7 @@
   readonly calls: Readonly<Record<CallVerdict, number>>;
   /** Counts of the responses by status. */
   readonly statuses: Readonly<Record<string, number>>;
+  readonly starved: readonly string[];
   readonly lost: readonly string[];
   readonly cut: readonly string[];
 }
@@ -48,11 +60,13 @@
       answered: 0,
       'not-run': 0,
       excused: 0,
+      starved: 0,
       lost: 0,
       cut: 0,
       ...countsOf(judged.map(({ verdict }) => verdict)),
     },
     statuses: countsOf(calls.flatMap(({ status }) => status ?? [])),
+    starved: listOf('starved'),
     lost: listOf('lost'),
     cut: listOf('cut'),
   };
@@ -67,14 +81,21 @@
   if (!fleet.hasRun(call.id)) return 'not-run';
   if (!end) return 'lost';
   if (!isAsked(end)) return 'cut';
-  const [first] = end.requests;
+  const requests = endRequests(end);
+  const [first] = requests;
   if (call.endedAt < first!.at) return 'lost';
-  if (isCrash(end.requests)) return 'excused';
-  return isLongAtStop(call, fleet.workEndsAt(call.id), first!.at) ? 'excused' : 'lost';
+  if (isCrash(requests)) return 'excused';
+  if (isLongAtStop(call, fleet.workEndsAt(call.id), first!.at)) return 'excused';
+  return isStarved(requests) ? 'starved' : 'lost';
+}
+
+function isStarved(requests: readonly SentSignal[]): boolean {
+  const kill = requests.find(({ signal }) => signal === 'SIGKILL');
+  return kill !== undefined && kill.waitedMs - requests[0]!.waitedMs > STOP_MARGIN_MS;
 }
 
 /** Whether the process was killed before the grace period of a stop was over. */
-function isCrash([first, ...others]: readonly EndRequest[]): boolean {
+function isCrash([first, ...others]: readonly SentSignal[]): boolean {
   const killed = [first!, ...others].find(({ signal }) => signal === 'SIGKILL');
   return killed !== undefined && (killed === first || killed.at < first!.at + GRACE_MS);
 }
--- a/src/standins/mesh_upstream.ts
+++ b/src/standins/mesh_upstream.ts
@@ -31,7 +31,10 @@
   /** Instants at which requests arrived, health checks aside, in milliseconds since the epoch. */
   readonly arrivals: number[] = [];
 
-  /** Instants until which it works on requests, by their ids, in milliseconds since the epoch. */
+  /**
+   * Instants until which it works on requests, by their ids, in milliseconds since the epoch; later than
+   * planned where this process was late.
+   */
   readonly workEndsAt = new Map<string, number>();
 
   readonly #server: Server;
@@ -40,7 +43,9 @@
 
   readonly #body: Buffer;
 
-  readonly #born = Date.now();
+  #born = Date.now();
+
+  #isDown = false;
 
   #sequence = 0;
 
@@ -65,6 +70,18 @@
     return upstream;
   }
 
+  /** Cuts all connections, and serves again after that time as a new run of the instance. */
+  async restart(downMs: number): Promise<void> {
+    if (this.#isDown) return;
+    this.#isDown = true;
+    await closeServer(this.#server);
+    await this.clock.sleepUntil(this.clock.now() + downMs);
+    this.#born = Date.now();
+    this.#sequence = 0;
+    await bind(this.#server, this.machine.host, PORTS.upstream);
+    this.#isDown = false;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.#stopping.abort();
     await closeServer(this.#server);
@@ -75,8 +92,10 @@
     const now = this.clock.now();
     const endsAt = now + Number(incoming.headers[WORK_HEADER] ?? this.options.delayMs);
     if (incoming.url !== HEALTH_PATH) this.arrivals.push(now);
-    this.workEndsAt.set(String(incoming.headers['barleyhaven-request-id']), endsAt);
+    const id = String(incoming.headers['barleyhaven-request-id']);
+    this.workEndsAt.set(id, endsAt);
     await this.clock.sleepUntil(endsAt);
+    this.workEndsAt.set(id, this.clock.now());
     response.writeHead(200, {
       'content-length': this.#body.length,
       'barleyhaven-request-id': incoming.headers['barleyhaven-request-id'] ?? '',
@@ -90,7 +109,7 @@
 
   async #reportRepeatedly(): Promise<void> {
     while (!this.#stopping.signal.aborted) {
-      await this.#reportOnce().catch(() => {});
+      if (!this.#isDown) await this.#reportOnce().catch(() => {});
       const next = this.clock.now() + REPORT_EVERY_MS;
       await this.clock.sleepUntil(next, this.#stopping.signal);
     }
