--- a/src/bench/process_end.ts
+++ b/src/bench/process_end.ts
@@ -19,6 +19,8 @@
   readonly signal: NodeJS.Signals | undefined;
   /** Oldest first. */
   readonly signals: readonly SentSignal[];
+  /** How long it had waited for a processor at its end, as far as known, in milliseconds. */
+  readonly waitedMs: number;
   /**
    * Whether a signal came before the program could catch it: Node sets the default effect of all
    * signals as it starts. No port was open then, so no request was in flight.
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -26,6 +26,8 @@
 const SYSTEM_TICKS_FIELD = 12;
 /** Lines of the log that are kept of each process. */
 const MAX_LINES = 400;
+/** Interval at which a process that stops is asked how long it has waited, in milliseconds. */
+const SAMPLE_MS = 50;
 
 const clock = new MachineClock();
 const unaskedEnds: ProcessEnd[] = [];
@@ -50,6 +52,10 @@
 
   #isReloadedBeforeFirstLine = false;
 
+  #sampling: NodeJS.Timeout | undefined;
+
+  #waitedMs = 0;
+
   private constructor(
     readonly name: string,
     readonly child: ChildProcess,
@@ -107,6 +113,7 @@
   signal(name: NodeJS.Signals): void {
     if (this.end) return;
     this.#signals.push({ signal: name, at: clock.now(), waitedMs: waitedMs(this.pid) });
+    if (name === 'SIGTERM') this.#sampling ??= setInterval(() => this.#sampleWait(), SAMPLE_MS);
     if (name === 'SIGHUP') this.#isReloadedBeforeFirstLine ||= this.#isBeforeFirstLine();
     this.child.kill(name);
   }
@@ -149,6 +156,11 @@
     return lines.length === 0 && hasDefaultEffect(pid, 'SIGHUP') && isBeforeBundle(pid);
   }
 
+  /** A process that has ended tells no more how long it waited, so that is read all along its stop. */
+  #sampleWait(): void {
+    this.#waitedMs = Math.max(this.#waitedMs, waitedMs(this.pid));
+  }
+
   #keepLine(line: string): void {
     this.lines.push(line);
     if (this.lines.length > MAX_LINES) this.lines.shift();
@@ -156,6 +168,7 @@
 
   #recordEnd(code: number | null, signal: NodeJS.Signals | null): ProcessEnd {
     running.delete(this);
+    clearInterval(this.#sampling);
     this.end = {
       name: this.name,
       pid: this.pid,
@@ -165,6 +178,7 @@
       signal: signal ?? undefined,
       signals: this.#signals,
       isBeforeFirstLine: signal === 'SIGHUP' && this.#isReloadedBeforeFirstLine,
+      waitedMs: this.#waitedMs,
       lines: this.lines,
     };
     if (!isAsked(this.end) && !this.end.isBeforeFirstLine) unaskedEnds.push(this.end);
--- a/src/soak/fault_player.ts
+++ b/src/soak/fault_player.ts
@@ -18,11 +18,11 @@
     private readonly fleet: MeshFleet,
     private readonly schedule: Schedule,
     private readonly clock: Clock,
-    private readonly settings: SettingsWriter,
+    readonly settings: SettingsWriter,
   ) {}
 
   static async open(fleet: MeshFleet, schedule: Schedule, clock: Clock): Promise<FaultPlayer> {
-    const settings = await SettingsWriter.open(fleet.settingsPaths, clock);
+    const settings = await SettingsWriter.open(fleet, clock);
     return new FaultPlayer(fleet, schedule, clock, settings);
   }
 
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -2,10 +2,12 @@
 import { setMaxListeners } from 'node:events';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { type MeshFleet } from '../bench/mesh_fleet.js';
+import { describeEnd } from '../bench/process_end.js';
+import { Program } from '../bench/processes.js';
 import { Caller, type CallerOptions } from '../bench/stops/caller.js';
 import { type Clock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
-import { BusyProcesses } from './busy_processes.js';
+import { BUSY_NAME, BusyProcesses } from './busy_processes.js';
 import { FaultPlayer } from './fault_player.js';
 import { PipelinedCaller } from './pipelined_caller.js';
 import { scheduleOf } from './schedule.js';
@@ -73,9 +75,17 @@
     const verdict = verdictOf(
       fleet,
       callers.flatMap(({ calls }) => calls),
+      player.settings.gaps,
     );
-    // The harness itself lists the ends that nobody asked for.
-    const failures = [...verdict.lost, ...verdict.cut, ...notServing];
+    // The verdict judges those of the fleet.
+    const others = Program.takeUnaskedEnds().filter(({ name }) => name.startsWith(BUSY_NAME));
+    const failures = [
+      ...others.map(describeEnd),
+      ...verdict.unasked,
+      ...verdict.lost,
+      ...verdict.cut,
+      ...notServing,
+    ];
     const harnessDelayMs = Math.round(delays.max / NS_PER_MS);
     return { ...verdict, harnessDelayMs, failures };
   }
--- a/src/soak/verdict.ts
+++ b/src/soak/verdict.ts
@@ -10,7 +10,11 @@
 import { type CallRecord } from '../bench/stops/caller.js';
 import { isLongAtStop } from '../bench/stops/long_request.js';
 import { GRACE_MS } from '../bench/stops/stop_series.js';
+import { EXIT_SETTINGS } from '../daemon/exit.js';
+import { type SettingsGap } from './settings_writer.js';
 
+/** Time from the last failed read of the settings to the exit, in milliseconds. */
+const EXIT_MS = 500;
 /** Part of its grace period that a process of the platform reserves for its exit, in milliseconds. */
 const STOP_MARGIN_MS = 400;
 
@@ -18,8 +22,8 @@
  * - `answered`: a whole response arrived, whatever its status.
  * - `not-run`: none arrived, and no upstream instance had begun to run it.
  * - `excused`: cut by a crash, or too long for a stop to wait for it.
- * - `starved`: cut by a stop that was killed, after its process had waited for a processor for longer than
- *   the part of its grace period that it reserves for its exit.
+ * - `starved`: cut by a stop in which its process waited for a processor for longer than the part of its
+ *   grace period that it reserves for its exit.
  * - `lost`: cut by a process that was running, or that should have waited for it.
  * - `cut`: cut by a process that ended unasked.
  */
@@ -31,6 +35,8 @@
   readonly unasked: readonly string[];
   /** The same before the first line of the program. */
   readonly beforeFirstLine: readonly string[];
+  /** Ends of starts that found no whole settings file for long, because the harness was late. */
+  readonly withoutSettings: readonly string[];
   readonly calls: Readonly<Record<CallVerdict, number>>;
   /** Counts of the responses by status. */
   readonly statuses: Readonly<Record<string, number>>;
@@ -39,7 +45,11 @@
   readonly cut: readonly string[];
 }
 
-export function verdictOf(fleet: MeshFleet, calls: readonly CallRecord[]): Verdict {
+export function verdictOf(
+  fleet: MeshFleet,
+  calls: readonly CallRecord[],
+  gaps: readonly SettingsGap[],
+): Verdict {
   const { ends } = fleet;
   const endOf = new Map(ends.map((end) => [end.pid, end]));
   const judged = calls.map((call) => ({
@@ -48,13 +58,17 @@
     verdict: verdictOfCall(fleet, call, endOf.get(call.pid)),
   }));
   const unasked = ends.filter((end) => !isAsked(end));
+  const late = unasked.filter((end) => isWithoutSettings(end, gaps));
   const listOf = (wanted: CallVerdict) =>
     judged
       .filter(({ verdict }) => verdict === wanted)
       .map(({ call, end }) => describeCall(call, end));
   return {
     ends: ends.length,
-    unasked: unasked.filter(({ isBeforeFirstLine }) => !isBeforeFirstLine).map(describeEnd),
+    unasked: unasked
+      .filter((end) => !end.isBeforeFirstLine && !late.includes(end))
+      .map(describeEnd),
+    withoutSettings: late.map(describeEnd),
     beforeFirstLine: unasked.filter(({ isBeforeFirstLine }) => isBeforeFirstLine).map(describeEnd),
     calls: {
       answered: 0,
@@ -72,6 +86,13 @@
   };
 }
 
+function isWithoutSettings({ name, code, endedAt }: ProcessEnd, gaps: readonly SettingsGap[]) {
+  return (
+    code === EXIT_SETTINGS &&
+    gaps.some((gap) => gap.machine === name && gap.from < endedAt && endedAt < gap.until + EXIT_MS)
+  );
+}
+
 function verdictOfCall(
   fleet: MeshFleet,
   call: CallRecord,
@@ -86,12 +107,7 @@
   if (call.endedAt < first!.at) return 'lost';
   if (isCrash(requests)) return 'excused';
   if (isLongAtStop(call, fleet.workEndsAt(call.id), first!.at)) return 'excused';
-  return isStarved(requests) ? 'starved' : 'lost';
-}
-
-function isStarved(requests: readonly SentSignal[]): boolean {
-  const kill = requests.find(({ signal }) => signal === 'SIGKILL');
-  return kill !== undefined && kill.waitedMs - requests[0]!.waitedMs > STOP_MARGIN_MS;
+  return end.waitedMs - first!.waitedMs > STOP_MARGIN_MS ? 'starved' : 'lost';
 }
 
 /** Whether the process was killed before the grace period of a stop was over. */
