--- a/eslint.config.js
+++ b/eslint.config.js
@@ -63,7 +63,15 @@
   },
   {
     // Not part of the product; there `void` marks a promise that is deliberately not awaited.
-    files: ['src/test/**', 'src/bench/**', 'src/standins/**', 'src/tool/**', 'deploy/**', '*.js'],
+    files: [
+      'src/test/**',
+      'src/bench/**',
+      'src/soak/**',
+      'src/standins/**',
+      'src/tool/**',
+      'deploy/**',
+      '*.js',
+    ],
     rules: {
       'no-void': 'off',
       '@typescript-eslint/no-floating-promises': 'off',
@@ -79,7 +87,7 @@
     },
   },
   {
-    files: ['src/bench/**', 'deploy/**'],
+    files: ['src/bench/**', 'src/soak/**', 'deploy/**'],
     rules: {
       'import-x/no-extraneous-dependencies': 'off',
       // Benchmarks and the build print to the console.
--- a/src/bench/mesh_fleet.ts
+++ b/src/bench/mesh_fleet.ts
@@ -18,11 +18,13 @@
   configurationObject,
   PORTS,
   applyConfiguration,
+  SETTINGS_VARIABLE,
   writeSettings,
 } from '../standins/mesh_machine.js';
 import { MeshUpstream, type MeshUpstreamOptions, WORK_HEADER } from '../standins/mesh_upstream.js';
 import { PlatformServer } from '../standins/platform_server.js';
 import { sendRequest } from './http_client.js';
+import { type ProcessEnd } from './process_end.js';
 import { Program } from './processes.js';
 
 export interface MeshFleetOptions extends MeshUpstreamOptions {
@@ -56,8 +58,14 @@
 
   readonly #resources = new ResourceStack();
 
+  /** All processes that were ever started. */
+  readonly #launched: Program[] = [];
+
   #store!: PlatformServer;
 
+  /** Path of the settings file of each machine. */
+  readonly settingsPaths: string[] = [];
+
   #folder = '';
 
   #storePort = 0;
@@ -120,17 +128,22 @@
 
   /** Sends a request with that id; resolves to the status, and rejects without a whole response. */
   async send(index: number, route: number, id: string, how: SendOptions = {}): Promise<number> {
-    const { services } = this.options;
     const { agent, workMs } = how;
-    const work = workMs === undefined ? {} : { [WORK_HEADER]: workMs };
-    const { status } = await sendRequest({
+    const request = this.requestOf(index, route, id, workMs);
+    const { status } = await sendRequest({ ...request, ...(agent && { agent }) });
+    return status;
+  }
+
+  /** A request to the entry of machine `index` that upstream instances work on for that long. */
+  requestOf(index: number, route: number, id: string, workMs?: number) {
+    const { services } = this.options;
+    const work: Record<string, number> = workMs === undefined ? {} : { [WORK_HEADER]: workMs };
+    return {
       host: this.machines[index]!.host,
       port: PORTS.outbound,
       path: `/${services[route % services.length]}/${route}/${id}`,
       headers: { ...callHeaders(id), ...work },
-      ...(agent && { agent }),
-    });
-    return status;
+    };
   }
 
   /** Whether an upstream instance has begun to work on the request with that id. */
@@ -150,7 +163,24 @@
   /** Kills the process of machine `index` and starts it again; its upstream instance keeps running. */
   async restart(index: number): Promise<void> {
     await this.programs[index]!.kill();
-    this.programs[index] = await this.#launch(this.machines[index]!);
+    this.relaunch(index);
+  }
+
+  /** Starts the process of machine `index` after it has ended. */
+  relaunch(index: number): Program {
+    const program = this.#launch(index);
+    this.programs[index] = program;
+    return program;
+  }
+
+  /** The last lines of the log of each process that was ever started, by its name and process id. */
+  get logs(): ReadonlyMap<string, readonly string[]> {
+    return new Map(this.#launched.map(({ name, pid, lines }) => [`${name}-${pid}`, lines]));
+  }
+
+  /** How processes have ended so far. */
+  get ends(): ProcessEnd[] {
+    return this.#launched.flatMap(({ end }) => end ?? []);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -170,18 +200,27 @@
     await this.publishVersion();
     this.#folder = await mkdtemp(join(tmpdir(), 'barleyhaven-'));
     this.#resources.use({ [Symbol.asyncDispose]: () => rm(this.#folder, { recursive: true }) });
+    this.#storePort = Number(this.#store.url.port);
     for (const machine of this.machines) {
+      await this.#writeSettings(machine);
       const upstream = await MeshUpstream.start(this.clock, machine, this.options);
       this.upstreams.push(this.#resources.use(upstream));
     }
-    this.#storePort = Number(this.#store.url.port);
-    for (const machine of this.machines) this.programs.push(await this.#launch(machine));
+    for (const index of this.machines.keys()) this.programs.push(this.#launch(index));
   }
 
-  async #launch(machine: MeshMachine): Promise<Program> {
+  async #writeSettings(machine: MeshMachine): Promise<void> {
     const path = join(this.#folder, `${machine.name}.json`);
-    const environment = await writeSettings(path, machine, this.machines, this.#storePort);
-    return this.#resources.use(Program.launch(this.#nodeArguments, ROOT, environment));
+    await writeSettings(path, machine, this.machines, this.#storePort);
+    this.settingsPaths.push(path);
+  }
+
+  #launch(index: number): Program {
+    const environment = { [SETTINGS_VARIABLE]: this.settingsPaths[index]! };
+    const { name } = this.machines[index]!;
+    const program = Program.launch(name, this.#nodeArguments, ROOT, environment);
+    this.#launched.push(program);
+    return this.#resources.use(program);
   }
 }
 
--- a/src/test/platform/fault_test.ts
+++ b/src/test/platform/fault_test.ts
@@ -1,6 +1,7 @@
 import { once } from 'node:events';
 import { expect } from 'chai';
 import { MeshFleet } from '../../bench/mesh_fleet.js';
+import { Program } from '../../bench/processes.js';
 import { MachineClock } from '../../runtime/clock.js';
 
 const clock = new MachineClock();
@@ -52,6 +53,7 @@
     expect(late).to.equal(REFUSED);
     expect(fleet.hasRun('late')).to.equal(false);
     expect(await exited).to.deep.equal([1, null]);
+    expect(Program.takeUnaskedEnds().map(({ code }) => code)).to.deep.equal([1]);
     const last = output.trimEnd().split('\n').at(-1)!;
     expect(JSON.parse(last)).to.include({ event: 'ended', message: 'injected' });
   });
