Judge heads and trailers of requests by rules of ours on every Node

package.json promises Node 20.11 and later, but the checks of heads were those of Node's parser, which differ: the parser of Node 20 (llhttp 8) delivers names with a space ("Authorization ") or without any character, HTTP/0.9 and 2.0, "GET /path" without a version, RTSP, tabs in targets and codings other than chunked. Callers saw 502 `may-have-run` for names with a space, as Node's writer refused them later, and the connection stayed open. No key and no forged team reached an endpoint that way. "GET /menus" without a version and "DESCRIBE /menus RTSP/1.0" ran as GET; "Transfer-Encoding: gzip, chunked" lost its coding. Beyond 1000 headers Node drops the others without an error, Content-Length among them.

A trailer "X Sum: 1" behind a streamed body ended the process: the parser accepts the name, and `addTrailers` throws in the handler of `end`. Before: "Uncaught TypeError [ERR_INVALID_HTTP_TOKEN]: Trailer name must be a valid HTTP token" in `decides what a caller gets for odd trailers`.

`http_syntax.ts` checks what the parser delivers. `ClientErrors` creates the servers and passes on only requests with a valid head; others are answered as those that the parser itself refuses, and nothing of their connection runs after them. It reads what the caller still sends for up to a second, so that the refusal is not lost to a reset. All ports use it. Trailers are checked where the body ends. A refusal with `bad-request` closes the connection.

--- a/src/daemon/operators_port.ts
+++ b/src/daemon/operators_port.ts
@@ -1,9 +1,10 @@
 /** HTTP server for operators, their tool and the local upstream instance. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type JSONRPCServer, type JSONRPCRequest } from 'json-rpc-2.0';
 import { type Replica } from '../distribution/replica.js';
 import { Announcement, type EndpointLease } from '../membership/announcement.js';
 import { type Roster } from '../membership/roster.js';
+import { createCheckedServer } from '../requests/client_errors.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Metrics } from './metrics.js';
 
@@ -24,7 +25,7 @@
   readonly server: Server;
 
   constructor(private readonly parts: ServedParts) {
-    this.server = createServer((request, response) => void this.#serve(request, response));
+    this.server = createCheckedServer((request, response) => void this.#serve(request, response));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -1,9 +1,10 @@
 /** Receives the reports of the upstream instance beside this process, in the platform's format. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text } from 'node:stream/consumers';
 import * as z from 'zod';
 import { type Announcement } from '../membership/announcement.js';
 import { type InstanceRun } from '../membership/instance_run.js';
+import { createCheckedServer } from '../requests/client_errors.js';
 import { Duration, HostPort } from './wire.js';
 
 const Report = z.object({
@@ -30,7 +31,7 @@
 
 /** Refuses reports of other services: they do not describe an endpoint of this machine. */
 export function createReportServer(service: () => string, handler: ReportHandler): Server {
-  return createServer((request, response) => {
+  return createCheckedServer((request, response) => {
     serve(request, service(), handler)
       .then((status) => answer(response, status))
       // A report that cannot be parsed changes nothing, and its sender gets an error.
--- a/src/platform/readiness_port.ts
+++ b/src/platform/readiness_port.ts
@@ -1,8 +1,9 @@
 /** Answers the platform's readiness checks: whether callers may be sent to this machine. */
-import { createServer, type Server } from 'node:http';
+import { type Server } from 'node:http';
+import { createCheckedServer } from '../requests/client_errors.js';
 
 export function createReadinessServer(isReady: () => boolean): Server {
-  return createServer((_, response) => {
+  return createCheckedServer((_, response) => {
     response.writeHead(isReady() ? 200 : 503, { 'content-length': 0 });
     response.end();
   });
--- a/src/requests/body.ts
+++ b/src/requests/body.ts
@@ -3,6 +3,7 @@
 import { pipeline, type Readable } from 'node:stream';
 import { OutcomeError } from '../contracts.js';
 import { trailersOf } from './headers.js';
+import { areValidTrailers, MALFORMED_REQUEST } from './http_syntax.js';
 
 /** Bodies up to this many bytes are buffered, so that they can be sent again after a `not-run`. */
 export const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -106,6 +107,10 @@
       else request.destroy(bodyTooLarge(maxBytes, 'may-have-run'));
     });
     source.once('end', () => {
+      if (!areValidTrailers(source.rawTrailers)) {
+        request.destroy(malformed('may-have-run'));
+        return;
+      }
       const trailers = trailersOf(source.trailers, dropsCredentials);
       if (trailers && request.chunkedEncoding) request.addTrailers(trailers);
       request.end();
@@ -176,6 +181,7 @@
       }
     };
     const onEnd = () => {
+      if (!areValidTrailers(request.rawTrailers)) finish(() => reject(malformed('not-run')));
       const [first] = chunks;
       const bytes = chunks.length === 1 && first ? first : Buffer.concat(chunks);
       finish(() => resolve(new BufferedBody(bytes)));
@@ -204,6 +210,11 @@
   return new OutcomeError(message, { verdict, reason: 'body-too-large' });
 }
 
+function malformed(verdict: 'not-run' | 'may-have-run'): OutcomeError {
+  const { reason, message } = MALFORMED_REQUEST;
+  return new OutcomeError(message, { verdict, reason });
+}
+
 function bodyAborted(): OutcomeError {
   const props = { verdict: 'not-run', reason: 'bad-request' } as const;
   return new OutcomeError('request body aborted before its end', props);
--- a/src/requests/client_errors.ts
+++ b/src/requests/client_errors.ts
@@ -1,7 +1,15 @@
-/** Protects a server for callers from input that is malformed, too large or too slow. */
-import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+/** Protects a server from input that is malformed, too large or too slow. */
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+} from 'node:http';
 import { type Duplex } from 'node:stream';
 import { notRun, OutcomeError } from '../contracts.js';
+import { faultOfRequest, HEADERS_TOO_LARGE, MALFORMED_REQUEST } from './http_syntax.js';
 import { rawRefusal, refuse } from './refusal.js';
 
 /** Time limit for receiving the head of a request, in milliseconds. */
@@ -10,21 +18,40 @@
 const REQUEST_TIMEOUT_MS = 300_000;
 /** How often both limits are checked, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
+/** Time until the other end has read a refusal and closes its side, in milliseconds. */
+const LINGER_MS = 1_000;
 
 /** Server options that limit what a caller may send. */
 export const SERVER_OPTIONS = {
   headersTimeout: HEADERS_TIMEOUT_MS,
   requestTimeout: REQUEST_TIMEOUT_MS,
   connectionsCheckingInterval: CHECK_INTERVAL_MS,
-  // A missing Host header is refused with a verdict, in `target.ts`.
-  requireHostHeader: false,
 };
 
+/** Why the rest of a connection is not read. */
+interface InputFault {
+  readonly reason: string;
+  readonly message: string;
+}
+
 /** Reason and message for a parse or timeout error of the server. */
-function reasonOf(code: string | undefined): [reason: string, message: string] {
-  if (code === 'HPE_HEADER_OVERFLOW') return ['headers-too-large', 'request headers too large'];
-  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return ['slow-request', 'request not received in time'];
-  return ['bad-request', 'malformed HTTP request'];
+function faultOf(code: string | undefined): InputFault {
+  if (code === 'HPE_HEADER_OVERFLOW') return HEADERS_TOO_LARGE;
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT')
+    return { reason: 'slow-request', message: 'request not received in time' };
+  return MALFORMED_REQUEST;
+}
+
+/**
+ * A server that serves the requests with a valid head, whatever Node's parser lets through; others
+ * are refused, and their connections closed.
+ */
+export function createCheckedServer(serve: RequestListener): Server {
+  const { server } = ClientErrors.serverOf((request, response) => {
+    if (request.headers.expect !== undefined) response.writeContinue();
+    serve(request, response);
+  }, {});
+  return server;
 }
 
 /** The latest request of a connection. */
@@ -35,12 +62,25 @@
   isHandedOver: boolean;
 }
 
-/** Responds to errors that the HTTP server itself detects in what a caller sends. */
+/** Responds to errors that the HTTP server, or the check of a head, detects in what a caller sends. */
 export class ClientErrors {
   readonly #pending = new WeakMap<Duplex, PendingRequest>();
 
-  constructor(server: Server) {
-    server.on('clientError', (error, socket) => this.#refuse(error, socket));
+  /** Connections with malformed input: what follows it may be part of it, and is no request. */
+  readonly #refused = new WeakSet<Duplex>();
+
+  private constructor(
+    readonly server: Server,
+    private readonly serve: RequestListener,
+  ) {
+    const receive: RequestListener = (request, response) => {
+      if (!this.#accepts(request)) return;
+      this.#pending.set(request.socket, { request, response, isHandedOver: false });
+      this.serve(request, response);
+    };
+    server.on('request', receive);
+    server.on('checkContinue', receive);
+    server.on('clientError', (error, socket) => this.#handle(error, socket));
     server.on('connect', (_, socket) => {
       // The server has let go of the socket. Without a listener, a reset by the caller would be an
       // uncaught error and end the process.
@@ -48,15 +88,20 @@
       const refusal = notRun('bad-request', 'CONNECT tunnels are not supported');
       socket.end(rawRefusal(refusal), () => socket.destroy());
     });
-    server.on('checkExpectation', (_: IncomingMessage, response: ServerResponse) => {
+    server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+      if (!this.#accepts(request)) return;
       const error = notRun('expectation-failed', 'unsupported Expect header');
       refuse(response, error, 0);
     });
   }
 
-  /** Records `request` as the latest one of its connection. */
-  track(request: IncomingMessage, response: ServerResponse): void {
-    this.#pending.set(request.socket, { request, response, isHandedOver: false });
+  /**
+   * Creates a server whose requests are passed to `serve` once their heads have been checked. That
+   * also tells callers who wait for it to send their bodies.
+   */
+  static serverOf(serve: RequestListener, options: ServerOptions): ClientErrors {
+    // A missing Host header is refused with a verdict, by the check of the head.
+    return new ClientErrors(createServer({ ...options, requireHostHeader: false }), serve);
   }
 
   /** Records that the next hop may start to process the request. */
@@ -65,24 +110,51 @@
     if (pending) pending.isHandedOver = true;
   }
 
+  /** Whether the head of a request is valid; if not, it is refused. */
+  #accepts(request: IncomingMessage): boolean {
+    const { socket } = request;
+    if (this.#refused.has(socket)) return false;
+    const fault = faultOfRequest(request);
+    if (!fault) return true;
+    request.on('error', () => {}).resume();
+    this.#refuse(fault, socket);
+    return false;
+  }
+
+  #handle(error: NodeJS.ErrnoException, socket: Duplex): void {
+    if (error.code === 'ECONNRESET') socket.destroy();
+    else if (!this.#refused.has(socket)) this.#refuse(faultOf(error.code), socket);
+  }
+
   /**
    * Malformed input may follow a request that is already running. A refusal written now would be
    * taken for the response to that request, and its `not-run` would be false, so the connection is
    * destroyed. If it is in the body of the latest request, the verdict depends on whether that request
    * was handed over.
    */
-  #refuse(error: NodeJS.ErrnoException, socket: Duplex): void {
+  #refuse({ reason, message }: InputFault, socket: Duplex): void {
+    this.#refused.add(socket);
     const pending = this.#pending.get(socket);
     const isRunning = pending && !pending.response.writableFinished && !pending.response.destroyed;
     const followsRunningRequest =
       isRunning && (pending.request.complete || pending.response.headersSent);
-    if (followsRunningRequest || !socket.writable || error.code === 'ECONNRESET') {
+    if (followsRunningRequest || !socket.writable) {
       socket.destroy();
       return;
     }
-    const [reason, message] = reasonOf(error.code);
     const verdict = isRunning && pending.isHandedOver ? 'may-have-run' : 'not-run';
     const outcome = new OutcomeError(message, { verdict, reason });
-    socket.end(rawRefusal(outcome), () => socket.destroy());
+    socket.end(rawRefusal(outcome));
+    closeLater(socket);
   }
 }
+
+/**
+ * If the connection were destroyed while the caller still sends, the caller's system would discard the
+ * refusal before it is read. So what comes is read until the caller closes its side, up to `LINGER_MS`.
+ */
+function closeLater(socket: Duplex): void {
+  const close = () => socket.destroy();
+  const timer = setTimeout(close, LINGER_MS);
+  socket.once('end', close).once('close', () => clearTimeout(timer));
+}
--- a/src/requests/entry.ts
+++ b/src/requests/entry.ts
@@ -1,5 +1,5 @@
 /** The proxy for callers: routes each request and forwards it to the guard of an upstream instance. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Configuration } from '../configuration/configuration.js';
 import { asOutcome, notRun } from '../contracts.js';
 import { RequestLog, silentRequestLog, type Trace } from '../logs/request_log.js';
@@ -78,10 +78,9 @@
     this.#nonce = random.nonce();
     const serve = (request: IncomingMessage, response: ServerResponse) =>
       void this.#serve(request, response);
-    this.server = createServer(SERVER_OPTIONS, serve);
-    this.server.on('checkContinue', serve);
+    this.#clientErrors = ClientErrors.serverOf(serve, SERVER_OPTIONS);
+    this.server = this.#clientErrors.server;
     this.tracker = new RequestTracker(this.server, clock);
-    this.#clientErrors = new ClientErrors(this.server);
     this.#forwarder = new GuardForwarder({
       balancer,
       budgets: this.#budgets,
@@ -107,7 +106,6 @@
 
   async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     if (!this.tracker.track(response)) return;
-    this.#clientErrors.track(request, response);
     const id = this.dialect.requestIdOf(request.headers) ?? this.#nextId();
     const trace = this.requestLog.begin(id, response);
     let routed: RoutedRequest | undefined;
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -1,11 +1,12 @@
 /** The proxy beside an upstream instance: all requests to that instance pass through it. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Readable } from 'node:stream';
 import { Configuration } from '../configuration/configuration.js';
 import { asOutcome, notRun } from '../contracts.js';
 import { type RequestLog, silentRequestLog } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Claims } from '../claims/claims.js';
+import { ClientErrors } from './client_errors.js';
 import { type Dialect } from './dialect.js';
 import {
   CLAIM,
@@ -102,8 +103,10 @@
     this.#forwarder = new UpstreamForwarder(host, clock, dialect, uplink);
     const serve = (request: IncomingMessage, response: ServerResponse) =>
       void this.#serve(request, response);
-    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, serve);
-    this.server.on('checkContinue', serve);
+    this.server = ClientErrors.serverOf(serve, {
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: 0,
+    }).server;
     this.tracker = new RequestTracker(this.server, clock);
   }
 
--- a/src/requests/handover.ts
+++ b/src/requests/handover.ts
@@ -31,6 +31,8 @@
   const remaining = Math.max(1, Math.floor(deadline - now));
   const routeName = nameHeader(route.name);
   const headers = requestHeaders(request, dialect.allowedFromCallers, routed.hasTeams);
+  // Only HTTP/1.0 knows requests without it.
+  if (request.headers.host === undefined) headers.push('host', '');
   headers.push(...dialect.entryHeaders(team?.name));
   if (team) headers.push(TEAM, nameHeader(team.name));
   headers.push(UPSTREAM, nameHeader(upstream), EXCHANGE_ID, id, REMAINING, String(remaining));
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -1,4 +1,5 @@
 /** Names of the headers that barleyhaven reads and sets, and the filters for forwarded headers. */
+import { isAllowedInTrailers } from './http_syntax.js';
 
 /** Prefix of the headers between processes; the entry strips them from callers, who could forge them. */
 export const INTERNAL_PREFIX = 'barleyhaven-';
@@ -91,6 +92,10 @@
 /** Request headers that each hop sets itself, from the body and the deadline. */
 const SET_PER_HOP: ReadonlySet<string> = new Set(['content-length', 'expect', CALLER_TIMEOUT]);
 
+/** Headers that a response without content must not have, as some recipients wait for a body. */
+const FRAMING: ReadonlySet<string> = new Set(['content-length']);
+const NO_CONTENT = 204;
+
 /** As `SET_PER_HOP`, and the credentials, which only the entry may see. */
 const SET_PER_HOP_OR_SECRET: ReadonlySet<string> = new Set([...SET_PER_HOP, AUTHORIZATION]);
 
@@ -115,8 +120,11 @@
 }
 
 /** Response headers for the next hop; of the internal ones only those in `internal`. */
-export function responseHeaders(head: MessageHead, internal: ReadonlySet<string>): string[] {
-  return endToEndHeaders(head, internal, NO_HEADERS);
+export function responseHeaders(
+  head: MessageHead & { readonly statusCode?: number | undefined },
+  internal: ReadonlySet<string>,
+): string[] {
+  return endToEndHeaders(head, internal, head.statusCode === NO_CONTENT ? FRAMING : NO_HEADERS);
 }
 
 /** The value of a header that is expected once; the first one of an array. */
@@ -158,7 +166,10 @@
   dropsCredentials = false,
 ): NodeJS.Dict<string> | undefined {
   const kept = Object.entries(trailers).filter(
-    ([name]) => !name.startsWith(INTERNAL_PREFIX) && !(dropsCredentials && name === AUTHORIZATION),
+    ([name]) =>
+      isAllowedInTrailers(name) &&
+      !name.startsWith(INTERNAL_PREFIX) &&
+      !(dropsCredentials && name === AUTHORIZATION),
   );
   return kept.length > 0 ? Object.fromEntries(kept) : undefined;
 }
--- a/src/requests/refusal.ts
+++ b/src/requests/refusal.ts
@@ -122,6 +122,8 @@
     [VERDICT]: verdict,
     [REASON]: reason,
   };
+  // What follows malformed input on its connection may be part of it.
+  if (reason === 'bad-request') headers.connection = 'close';
   if (retryAt !== undefined) {
     headers[RETRY_AFTER] = dialect.retryAfter(retryAt - now);
   }
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -70,8 +70,8 @@
     const connection = this.#connections.get(socket) ?? this.#open(socket);
     if (connection.isClosing) return false;
     const before = connection.latest;
+    if (before?.headersSent && endsConnection(before)) return false;
     const isOpen = before !== undefined && !before.writableFinished && !before.destroyed;
-    if (isOpen && before.headersSent && endsConnection(before)) return false;
     // Only the response to the latest request on a connection may end it.
     if (isOpen && !before.headersSent) before.removeHeader('connection');
     this.#inFlight += 1;
--- a/src/requests/target.ts
+++ b/src/requests/target.ts
@@ -15,8 +15,8 @@
 
 /**
  * Parses the target. Throws `not-run` for requests that two servers could interpret differently: with
- * dot segments, a request would match one route here and be served as another by the upstream; with
- * two hosts, it would be routed by one of them and served under the other.
+ * dot segments, a request would match one route here and be served as another by the upstream. The
+ * head has been checked before, see `http_syntax.ts`.
  */
 export function parseTarget(request: IncomingMessage): RequestTarget {
   const { method = 'GET', headers } = request;
@@ -31,8 +31,8 @@
 }
 
 function originForm(request: IncomingMessage): { authority: string; url: string } {
-  const { url = '/' } = request;
-  const authority = hostOf(request);
+  const { url = '/', headers } = request;
+  const authority = headers.host ?? '';
   if (url.startsWith('/')) return { authority, url };
   const [, targetAuthority, rest] = ABSOLUTE.exec(url) ?? [];
   if (targetAuthority === undefined)
@@ -46,15 +46,3 @@
   }
   return { authority, url: rest?.startsWith('/') ? rest : `/${rest ?? ''}` };
 }
-
-function hostOf({ headers, rawHeaders, httpVersionMinor }: IncomingMessage): string {
-  let hosts = 0;
-  for (let index = 0; index < rawHeaders.length; index += 2) {
-    const name = rawHeaders[index]!;
-    if (name.length === 4 && name.toLowerCase() === 'host') hosts += 1;
-  }
-  const isMissing = hosts === 0 && httpVersionMinor > 0;
-  if (hosts > 1 || isMissing)
-    throw notRun('bad-request', `exactly one Host header is required, got ${hosts}`);
-  return headers.host ?? '';
-}
