End bodiless responses with their head, and judge response heads by rules of ours

Callers of an endpoint that answers 204 with a length or a coding got nothing: Node 20 waits for the body (RFC 9112, section 6.3: there is none), until the endpoint or the timeout closes the connection. A 204 without any framing waited for the end of its connection, too, as a body without a length does. An endpoint's header name with a space made `writeHead` throw after the exchange had begun. A trailer with a space in its name was an unhandled rejection, "Trailer name must be a valid HTTP token", and ended the process: a single such answer is enough.

`Exchange` refuses a malformed head at once, ends a 204 with its head and closes the connection on which its body may still come, and cuts a response with malformed trailers. The store's answers and the health check of the upstream instance are judged alike. Errors of Node's own parser give the same answer.

--- a/src/claims/outcome.ts
+++ b/src/claims/outcome.ts
@@ -3,6 +3,7 @@
 import { once } from 'node:events';
 import { type Outcome, OutcomeError } from '../contracts.js';
 import { REPLAYED, VERDICT } from '../requests/headers.js';
+import { declaresFalseBody } from '../requests/http_syntax.js';
 
 /** Longer bodies, in bytes, are not kept: repeats learn that the request ran, but get no answer. */
 export const MAX_OUTCOME_BODY_BYTES = 16 * 1024;
@@ -28,7 +29,8 @@
 ): Promise<Outcome> {
   const kept: Buffer[] = [];
   let length = 0;
-  for await (const chunk of answer as AsyncIterable<Buffer>) {
+  const body = declaresFalseBody(answer) ? [] : (answer as AsyncIterable<Buffer>);
+  for await (const chunk of body) {
     length += chunk.length;
     if (length <= MAX_OUTCOME_BODY_BYTES) kept.push(chunk);
     if (!response.destroyed && !response.write(chunk)) await waitForDrain(response);
--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -2,6 +2,7 @@
 import { Agent, request } from 'node:http';
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { declaresFalseBody, isValidResponse, MALFORMED_RESPONSE } from '../requests/http_syntax.js';
 import { type CallMeter } from './call_meter.js';
 
 export interface StoreResponse {
@@ -70,6 +71,10 @@
       });
       outgoing.on('error', fail);
       outgoing.on('response', (incoming) => {
+        if (!isValidResponse(incoming) || declaresFalseBody(incoming)) {
+          outgoing.destroy(new Error(MALFORMED_RESPONSE));
+          return;
+        }
         const chunks: Buffer[] = [];
         incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
         incoming.on('error', fail);
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -13,6 +13,13 @@
 import { type Body } from './body.js';
 import { type ConnectionPool } from './connection_pool.js';
 import { trailersOf } from './headers.js';
+import {
+  areValidTrailers,
+  declaresFalseBody,
+  endsWithHead,
+  isValidResponse,
+  MALFORMED_RESPONSE,
+} from './http_syntax.js';
 import { PacedResponse } from './paced_response.js';
 import { isGone, whenGone } from './disconnect_check.js';
 
@@ -107,9 +114,13 @@
       request.once('socket', (socket) => this.#onSocket(socket));
       this.#awaitAcknowledgement(request);
       request.once('response', (answer) => {
+        if (!isValidResponse(answer)) {
+          this.#fail('connection', MALFORMED_RESPONSE);
+          return;
+        }
         clearTimeout(this.#deadlineTimer);
         this.#hasResponse = true;
-        if (!isFramed(answer)) this.#endCheck = checkCleanEnd(answer.socket);
+        if (!isFramed(answer, method)) this.#endCheck = checkCleanEnd(answer.socket);
         resolve(answer);
       });
       request.on('error', (cause) => {
@@ -136,7 +147,13 @@
     reservation?: Reservation,
   ): Promise<number> {
     let bytes = 0;
+    const { socket } = answer;
     const sink = reservation ? new PacedResponse(response, reservation) : response;
+    if (declaresFalseBody(answer)) {
+      sink.end();
+      this.#request?.destroy();
+      return Promise.resolve(bytes);
+    }
     return new Promise((resolve, reject) => {
       const onTimeout = () =>
         this.#fail('silent', `no response progress for ${PROGRESS_TIMEOUT_MS} ms`);
@@ -153,6 +170,7 @@
       });
       answer.once('end', () => {
         clearTimeout(timer);
+        this.#checkTrailers(answer, socket);
         this.#verifyComplete().then(() => {
           this.#finish(answer, response, sink);
           resolve(bytes);
@@ -185,6 +203,7 @@
       return result;
     } finally {
       clearInterval(timer);
+      if (declaresFalseBody(answer)) this.#request?.destroy();
     }
   }
 
@@ -239,6 +258,13 @@
     answer.once('close', () => clearTimeout(timer));
   }
 
+  /** Notes malformed trailers as a failure; by now the connection may wait for the next request. */
+  #checkTrailers({ rawTrailers }: IncomingMessage, socket: Socket): void {
+    if (areValidTrailers(rawTrailers)) return;
+    this.#failure ??= this.#toOutcome(new Error(MALFORMED_RESPONSE));
+    socket.destroy();
+  }
+
   /** Rejects if the response ended before it was complete. */
   async #verifyComplete(): Promise<void> {
     try {
@@ -296,18 +322,20 @@
     this.#rejectResponse(error);
   }
 
-  #toOutcome(cause: Error): OutcomeError {
+  #toOutcome(cause: NodeJS.ErrnoException): OutcomeError {
     clearTimeout(this.#deadlineTimer);
     if (cause instanceof OutcomeError) return cause;
     const verdict = this.#verdict;
     const reason = verdict === 'not-run' ? 'unreachable' : 'connection';
-    return new OutcomeError(cause.message, { verdict, reason }, { cause });
+    const message = cause.code?.startsWith('HPE_') ? MALFORMED_RESPONSE : cause.message;
+    return new OutcomeError(message, { verdict, reason }, { cause });
   }
 }
 
 const EMPTY_BUFFER = Buffer.alloc(0);
 
-function isFramed({ headers }: IncomingMessage): boolean {
+function isFramed({ statusCode, headers }: IncomingMessage, method: string): boolean {
+  if (endsWithHead(statusCode, method)) return true;
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined;
 }
 
--- a/src/requests/upstream_probe.ts
+++ b/src/requests/upstream_probe.ts
@@ -1,6 +1,7 @@
 /** Identifies the upstream instance beside a process that has just started, by its health check. */
 import { type IncomingMessage, request } from 'node:http';
 import { type Dialect, type Identity } from './dialect.js';
+import { isValidResponse, MALFORMED_RESPONSE } from './http_syntax.js';
 
 const TIMEOUT_MS = 500;
 
@@ -36,7 +37,10 @@
 
 function fetchHealth({ host, port, path }: HealthCheckAddress): Promise<IncomingMessage> {
   return new Promise((resolve, reject) => {
-    const outgoing = request({ host, port, path, agent: false }, resolve);
+    const outgoing = request({ host, port, path, agent: false }, (answer) => {
+      if (isValidResponse(answer)) resolve(answer);
+      else outgoing.destroy(new Error(MALFORMED_RESPONSE));
+    });
     // For the whole response: the timeout of a socket starts anew with every byte.
     const timer = setTimeout(
       () => outgoing.destroy(new Error(`no response within ${TIMEOUT_MS} ms`)),
--- a/src/test/platform/store_connection_test.ts
+++ b/src/test/platform/store_connection_test.ts
@@ -1,7 +1,9 @@
 import { once } from 'node:events';
 import { createServer } from 'node:http';
-import { type AddressInfo } from 'node:net';
+import { type AddressInfo, createServer as createRawServer, type Server } from 'node:net';
 import { expect } from 'chai';
+import { type OutcomeError } from '../../contracts.js';
+import { bind } from '../../daemon/bind.js';
 import { CallMeter } from '../../platform/call_meter.js';
 import { StoreConnection } from '../../platform/store_connection.js';
 import { MachineClock } from '../../runtime/clock.js';
@@ -33,4 +35,35 @@
     server.close();
     expect(isClosed).to.equal(true);
   });
+
+  // Guards against a call that waits until its deadline for the body of an answer that has none, and
+  // against an answer that is read in another way than it was written.
+  it('fails at once for an answer with a malformed head', async () => {
+    const clock = new MachineClock();
+    let answer = '';
+    const server: Server = createRawServer((socket) => {
+      socket.on('error', () => {}).on('data', () => socket.write(answer));
+    });
+    const port = await bind(server, LOOPBACK, 0);
+    const base = new URL(`http://${LOOPBACK}:${port}`);
+    await using connection = new StoreConnection(base, clock, new CallMeter());
+    const endings: string[] = [];
+    for (answer of [
+      'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}',
+      'HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\n',
+      'HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 2\r\n\r\n{}',
+      'HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n',
+    ]) {
+      const deadline = clock.now() + 10 * CLOSED_MS;
+      endings.push(
+        await connection.call({ method: 'GET', path: '/', deadline }).then(
+          ({ status, body }) => `${status} ${body}`,
+          ({ verdict, message }: OutcomeError) => `${verdict} ${message}`,
+        ),
+      );
+    }
+    server.close();
+    const failure = 'may-have-run platform GET failed: malformed HTTP response';
+    expect(endings).to.deep.equal(['200 {}', failure, failure, failure]);
+  });
 });
