--- a/src/requests/client_errors.ts
+++ b/src/requests/client_errors.ts
@@ -9,7 +9,12 @@
 } from 'node:http';
 import { type Duplex } from 'node:stream';
 import { notRun, OutcomeError } from '../contracts.js';
-import { faultOfRequest, HEADERS_TOO_LARGE, MALFORMED_REQUEST } from './http_syntax.js';
+import {
+  areValidTrailers,
+  faultOfRequest,
+  HEADERS_TOO_LARGE,
+  MALFORMED_REQUEST,
+} from './http_syntax.js';
 import { rawRefusal, refuse } from './refusal.js';
 
 /** Time limit for receiving the head of a request, in milliseconds. */
@@ -114,6 +119,7 @@
   #accepts(request: IncomingMessage): boolean {
     const { socket } = request;
     if (this.#refused.has(socket)) return false;
+    if (this.#hasMalformedEnd(socket)) return false;
     const fault = faultOfRequest(request);
     if (!fault) return true;
     request.on('error', () => {}).resume();
@@ -121,6 +127,19 @@
     return false;
   }
 
+  /**
+   * Whether the request before has malformed trailers. It is refused where its body is read, which is
+   * after the next request has arrived if that is in the same packet.
+   */
+  #hasMalformedEnd(socket: Duplex): boolean {
+    const before = this.#pending.get(socket);
+    if (!before || areValidTrailers(before.request.rawTrailers)) return false;
+    this.#refused.add(socket);
+    if (before.response.writableFinished) socket.destroy();
+    else before.response.once('close', () => socket.end());
+    return true;
+  }
+
   #handle(error: NodeJS.ErrnoException, socket: Duplex): void {
     if (error.code === 'ECONNRESET') socket.destroy();
     else if (!this.#refused.has(socket)) this.#refuse(faultOf(error.code), socket);
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -3,6 +3,8 @@
 
 /** Prefix of the headers between processes; the entry strips them from callers, who could forge them. */
 export const INTERNAL_PREFIX = 'barleyhaven-';
+const INTERNAL_WORD = INTERNAL_PREFIX.slice(0, -1);
+const LETTER_OR_DIGIT = /[a-z\d]/;
 export const UPSTREAM = 'barleyhaven-upstream';
 /** Echoed on the response; a response with another id belongs to another exchange. */
 export const EXCHANGE_ID = 'barleyhaven-exchange-id';
@@ -168,7 +170,7 @@
   const kept = Object.entries(trailers).filter(
     ([name]) =>
       isAllowedInTrailers(name) &&
-      !name.startsWith(INTERNAL_PREFIX) &&
+      !isInternal(name) &&
       !(dropsCredentials && name === AUTHORIZATION),
   );
   return kept.length > 0 ? Object.fromEntries(kept) : undefined;
@@ -185,15 +187,27 @@
     const name = rawHeaders[index]!;
     const lower = name.toLowerCase();
     if (HOP_BY_HOP.has(lower) || dropped.has(lower) || connectionHeaders.has(lower)) continue;
-    if (lower.startsWith(INTERNAL_PREFIX) && !internal.has(lower)) continue;
+    if (isInternal(lower) && !internal.has(lower)) continue;
     kept.push(name, rawHeaders[index + 1]!);
   }
   return kept;
 }
 
-/** Headers named in `Connection`, which also belong to the connection only. */
+/**
+ * Whether the name is one of ours, or may be taken for one: servers that pass headers on in variables
+ * write `_` for `-`, and some for other characters, too.
+ */
+function isInternal(lower: string): boolean {
+  return (
+    lower.startsWith(INTERNAL_WORD) && !LETTER_OR_DIGIT.test(lower.charAt(INTERNAL_WORD.length))
+  );
+}
+
+/** Headers named in `Connection`, which also belong to the connection only; every request needs its `Host`. */
 function connectionTokens(connection: string): ReadonlySet<string> {
   const lower = connection.toLowerCase();
   if (lower === 'keep-alive' || lower === 'close') return NO_HEADERS;
-  return new Set(lower.split(/\s*,\s*/));
+  const tokens = new Set(lower.split(/\s*,\s*/));
+  tokens.delete('host');
+  return tokens;
 }
