--- a/src/test/requests/answer_syntax_test.ts
+++ b/src/test/requests/answer_syntax_test.ts
@@ -1,7 +1,12 @@
+import * as fc from 'fast-check';
 import { expect } from 'chai';
-import { RawEndpoint, readStrictly } from './raw_endpoint.js';
+import { mostly } from './mostly.js';
+import { fieldOf, RawEndpoint, readStrictly } from './raw_endpoint.js';
+import { sendRaw } from './send_raw.js';
 import { type Answer, type TestRequest, TestPath } from './test_path.js';
 
+/** `ANSWER_RUNS` and `ANSWER_SEED` set more runs and other seeds by hand. */
+const { ANSWER_RUNS = '200', ANSWER_SEED = '21' } = process.env;
 const MANY_HEADERS = 'X:\r\n'.repeat(1_000);
 const OK = 'HTTP/1.1 200 OK\r\n';
 const answer = (headers: string, body = '') => `${OK}${headers}\r\n\r\n${body}`;
@@ -54,6 +59,50 @@
   return `${status} ${verdict?.toString()} ${JSON.stringify(content)}`;
 }
 
+const BODY = 'HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n';
+const CHUNKS = `${BODY.length.toString(16)}\r\n${BODY}\r\n0\r\n`;
+const field = fc
+  .tuple(
+    fc.oneof(
+      fc.constantFrom('X-Odd', 'Host', 'Trailer', 'barleyhaven_verdict', 'Barleyhaven-Reason'),
+      fc.string({ unit: 'binary-ascii', maxLength: 4 }).filter((text) => !/[\r\n]/.test(text)),
+    ),
+    mostly(': ', ' : ', '\t:', ':', '', ':\r\n '),
+    fc.string({ unit: 'binary', maxLength: 8 }).filter((text) => !/[\r\n]/.test(text)),
+    mostly('\r\n', '\n', '\r', '\r\n '),
+  )
+  .map((parts) => parts.join(''));
+
+/** Answers as bytes; a body that looks like an answer shows where it is taken for one. */
+const generated: fc.Arbitrary<string> = fc
+  .tuple(
+    fc.oneof(
+      mostly(
+        'HTTP/1.1 200 OK',
+        'HTTP/1.0 200 OK',
+        'HTTP/1.1 200',
+        'HTTP/2.0 200 OK',
+        'HTTP/0.9 200 OK',
+      ),
+      mostly('HTTP/1.1 204 No Content', 'HTTP/1.1 304 Not Modified', 'HTTP/1.1 200 O\x01K'),
+    ),
+    mostly(
+      `Content-Length: ${BODY.length}\r\n`,
+      ...['Transfer-Encoding: chunked\r\n', 'Transfer-Encoding: chunked\r\n'],
+      ...['Transfer-Encoding : chunked\r\n', 'Transfer-Encoding: gzip, chunked\r\n'],
+      ...[`Content-Length : ${BODY.length}\r\n`, 'Transfer-Encoding: identity\r\n'],
+      `Content-Length: ${BODY.length}\r\nContent-Length: 0\r\n`,
+      `Content-Length: ${BODY.length}\r\nTransfer-Encoding: chunked\r\n`,
+    ),
+    fc.array(field, { maxLength: 2 }),
+    fc.array(field, { maxLength: 1 }),
+  )
+  .map(([line, framing, fields, trailers]) => {
+    const isChunked = /transfer-encoding/i.test(framing);
+    const body = isChunked ? `${CHUNKS}${trailers.join('')}\r\n` : BODY;
+    return `${line}\r\n${fields.join('')}${framing}\r\n${body}`;
+  });
+
 /** What a caller gets of an answer, each time the endpoint gives it. */
 async function relayedOf(text: string, request: TestRequest): Promise<string> {
   await using path = await TestPath.start();
@@ -67,6 +116,34 @@
   return seen;
 }
 
+const STATUS_LINE = /^HTTP\/1\.1 (\d{3}) [\t\x20-\x7e\x80-\xff]*$/;
+
+/** Status and body of the only response, as a recipient reads it that tolerates nothing odd. */
+function strictResponseOf(received: string): readonly [status: string, body: string] {
+  if (received === '') return ['cut', ''];
+  const end = received.indexOf('\r\n\r\n');
+  const [line = '', ...fields] = received.slice(0, end).split('\r\n');
+  const [, status] = STATUS_LINE.exec(line) ?? [];
+  if (end < 0 || status === undefined) throw new Error(`not a response: ${received}`);
+  // Framed as the body of a request is.
+  const body = received.slice(end + 4);
+  const names = fields.map(fieldOf).map(([name]) => name);
+  expect(names.filter((name) => /^barleyhaven[^a-z]/.test(name))).to.satisfy((own: string[]) =>
+    own.every((name) => ['barleyhaven-verdict', 'barleyhaven-reason'].includes(name)),
+  );
+  const framings = names.filter((name) => /^(content-length|transfer-encoding)$/.test(name));
+  if (status === '204' || status === '304') {
+    expect(body).to.equal('');
+    if (status === '204') expect(framings).to.deep.equal([]);
+    return [status, ''];
+  }
+  if (framings.length !== 1) throw new Error(`framed by ${framings.join()}`);
+  const others = fields.filter((text) => !/^host:/i.test(text)).join('\r\n');
+  const framed = `POST / HTTP/1.1\r\nhost: a\r\n${others}\r\n\r\n${body}`;
+  const read = readStrictly(framed);
+  return read ? [status, read.body] : ['cut', ''];
+}
+
 describe('syntax of answers', () => {
   // Guards against answers that a caller reads in another way, that end a process, or that keep the
   // caller until its timeout.
@@ -80,4 +157,30 @@
     results['a length for HEAD'] = await relayedOf(length, { path: '/menus', method: 'HEAD' });
     expect(results).toMatchSnapshot();
   });
+
+  // Guards against an answer that the next hop can read in another way, against one that is taken for
+  // the answer to the next request, and against callers that wait for their timeout.
+  it('reaches the caller in one reading only, or not at all', async () => {
+    await using path = await TestPath.start();
+    let text = '';
+    await using endpoint = await RawEndpoint.start(path, (received) =>
+      readStrictly(received) ? text : undefined,
+    );
+    const counts = new Map<string, number>();
+    const property = fc.asyncProperty(generated, async (answered) => {
+      text = answered;
+      const caller = 'POST /seats/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n';
+      const received = await sendRaw(path.port, `${caller}Connection: close\r\n\r\n`, 'latin1');
+      const [status, body] = strictResponseOf(received);
+      if (/^20[04]$/.test(status)) expect(body).to.equal(status === '200' ? BODY : '');
+      else expect(status).to.be.oneOf(['304', '502', 'cut']);
+      // The next answer comes on a connection without anything left of this one.
+      text = ANSWERS['a valid answer']!;
+      expect((await path.ask({ path: '/menus' })).body).to.equal('ok');
+      counts.set(status, (counts.get(status) ?? 0) + 1);
+    });
+    await fc.assert(property, { seed: Number(ANSWER_SEED), numRuns: Number(ANSWER_RUNS) });
+    expect(endpoint.received.length).to.be.greaterThan(0);
+    expect([...counts.keys()]).to.include.members(['200', '204', '304', '502']);
+  }).timeout(60_000 + 100 * Number(ANSWER_RUNS));
 });
--- a/src/test/requests/generated_heads_test.ts
+++ b/src/test/requests/generated_heads_test.ts
@@ -1,6 +1,7 @@
 import * as fc from 'fast-check';
 import { expect } from 'chai';
 import { type IncomingMessage } from 'node:http';
+import { mostly } from './mostly.js';
 import { OPEN_ROUTE, teamOf } from '../teams/team_path.js';
 import { RawEndpoint, readStrictly, type StrictRequest } from './raw_endpoint.js';
 import { sendRaw } from './send_raw.js';
@@ -26,13 +27,6 @@
   readonly end: string;
 }
 
-/** Mostly the first, so that most messages are odd in one or two places only. */
-const mostly = (usual: string, ...odd: readonly string[]) =>
-  fc.oneof(
-    { weight: 12, arbitrary: fc.constant(usual) },
-    { weight: 1, arbitrary: fc.constantFrom(...odd) },
-  );
-
 const name = fc.oneof(
   fc.constantFrom('X-Odd', 'Cookie', 'TE', 'Via', 'Expect', 'Upgrade', 'Trailer', 'X_Odd', '~'),
   fc.constantFrom('Authorization', 'aUTHORIZATION', 'Proxy-Authorization'),
--- a/src/test/requests/raw_endpoint.ts
+++ b/src/test/requests/raw_endpoint.ts
@@ -87,7 +87,8 @@
   return rest.length < length ? undefined : { target, headers, body: rest };
 }
 
-function fieldOf(line: string): readonly [string, string] {
+/** Name, in lower case, and value of a line of a head; throws if it is malformed. */
+export function fieldOf(line: string): readonly [string, string] {
   const [, name, value = ''] = FIELD.exec(line) ?? [];
   if (name === undefined) throw new Error(`field ${JSON.stringify(line)}`);
   return [name.toLowerCase(), value];
