--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -187,7 +187,7 @@
     const name = rawHeaders[index]!;
     const lower = name.toLowerCase();
     if (HOP_BY_HOP.has(lower) || dropped.has(lower) || connectionHeaders.has(lower)) continue;
-    if (isInternal(lower) && !internal.has(lower)) continue;
+    if (lower.startsWith(INTERNAL_WORD) && isInternal(lower) && !internal.has(lower)) continue;
     kept.push(name, rawHeaders[index + 1]!);
   }
   return kept;
--- a/src/requests/http_syntax.ts
+++ b/src/requests/http_syntax.ts
@@ -119,26 +119,29 @@
     const name = raw[index]!;
     const value = raw[index + 1]!;
     if (!TOKEN.test(name) || !TEXT.test(value)) return undefined;
-    if (!isCounted(name, value, counts)) return undefined;
+    // The lengths of the three names decide first, as that costs least.
+    const { length } = name;
+    if (length !== 4 && length !== 14 && length !== 17) continue;
+    if (!isCounted(name.toLowerCase(), value, counts)) return undefined;
   }
   return counts;
 }
 
-/** Counts one header; false if its value is invalid. The lengths decide first, as they cost least. */
-function isCounted(name: string, value: string, counts: Counts): boolean {
-  if (name.length === 'host'.length && name.toLowerCase() === 'host') {
-    counts.hosts += 1;
-    return HOST.test(value);
+/** Counts one header, with its name in lower case; false if its value is invalid. */
+function isCounted(lower: string, value: string, counts: Counts): boolean {
+  switch (lower) {
+    case 'host':
+      counts.hosts += 1;
+      return HOST.test(value);
+    case 'content-length':
+      counts.lengths += 1;
+      return LENGTH.test(value);
+    case 'transfer-encoding':
+      counts.codings += 1;
+      return value.toLowerCase() === 'chunked';
+    default:
+      return true;
   }
-  if (name.length === 'content-length'.length && name.toLowerCase() === 'content-length') {
-    counts.lengths += 1;
-    return LENGTH.test(value);
-  }
-  if (name.length === 'transfer-encoding'.length && name.toLowerCase() === 'transfer-encoding') {
-    counts.codings += 1;
-    return value.toLowerCase() === 'chunked';
-  }
-  return true;
 }
 
 /** Whether the framing can be read in one way only; HTTP/1.0 has no transfer codings. */
