--- a/src/platform/endpoint_reports.ts
+++ b/src/platform/endpoint_reports.ts
@@ -1,9 +1,10 @@
 /** Receives the reports of the upstream instance beside this process, in the platform's format. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { text } from 'node:stream/consumers';
 import * as z from 'zod';
 import { type Announcement } from '../membership/announcement.js';
 import { type InstanceRun } from '../membership/instance_run.js';
+import { createCheckedServer } from '../requests/client_errors.js';
 import { requestListener } from '../requests/request_listener.js';
 import { Duration, HostPort } from './wire.js';
 
@@ -33,7 +34,7 @@
 
 /** Refuses reports of other services: they do not describe an endpoint of this machine. */
 export function createReportServer(service: () => string, handler: ReportHandler): Server {
-  return createServer(
+  return createCheckedServer(
     requestListener('reports', async (request, response) => {
       // A report that cannot be parsed changes nothing, and its sender gets an error.
       answer(response, await serve(request, service(), handler).catch(() => BAD_REQUEST));
--- a/src/requests/guard.ts
+++ b/src/requests/guard.ts
@@ -1,11 +1,12 @@
 /** The proxy beside an upstream instance: all requests to that instance pass through it. */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import { type Readable } from 'node:stream';
 import { Configuration } from '../configuration/configuration.js';
 import { asOutcome, notRun } from '../contracts.js';
 import { type RequestLog, silentRequestLog } from '../logs/request_log.js';
 import { type Clock } from '../runtime/clock.js';
 import { type Claims } from '../claims/claims.js';
+import { ClientErrors } from './client_errors.js';
 import { type Dialect } from './dialect.js';
 import {
   CLAIM,
@@ -43,6 +44,8 @@
 const DEFAULT_SLOTS = 20;
 /** Longer than the idle timeout of entries, so that no connection is closed while a request is sent. */
 const KEEP_ALIVE_MS = 75_000;
+/** Room for what an entry takes of a caller, 16 KiB in Node, and for the headers that it adds. */
+const MAX_HEAD_BYTES = 32 * 1024;
 
 export class Guard implements AsyncDisposable {
   readonly server: Server;
@@ -102,8 +105,11 @@
     };
     this.#forwarder = new UpstreamForwarder(host, clock, dialect, uplink);
     const serve = requestListener('guard', (request, response) => this.#serve(request, response));
-    this.server = createServer({ keepAliveTimeout: KEEP_ALIVE_MS, requestTimeout: 0 }, serve);
-    this.server.on('checkContinue', serve);
+    this.server = ClientErrors.serverOf(serve, {
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: 0,
+      maxHeaderSize: MAX_HEAD_BYTES,
+    }).server;
     this.tracker = new RequestTracker(this.server, clock);
   }
 
--- a/src/requests/headers.ts
+++ b/src/requests/headers.ts
@@ -1,7 +1,10 @@
 /** Names of the headers that barleyhaven reads and sets, and the filters for forwarded headers. */
+import { isAllowedInTrailers } from './http_syntax.js';
 
 /** Prefix of the headers between processes; the entry strips them from callers, who could forge them. */
 export const INTERNAL_PREFIX = 'barleyhaven-';
+const INTERNAL_WORD = INTERNAL_PREFIX.slice(0, -1);
+const LETTER_OR_DIGIT = /[a-z\d]/;
 export const UPSTREAM = 'barleyhaven-upstream';
 /** Echoed on the response; a response with another id belongs to another exchange. */
 export const EXCHANGE_ID = 'barleyhaven-exchange-id';
@@ -91,6 +94,10 @@
 /** Request headers that each hop sets itself, from the body and the deadline. */
 const SET_PER_HOP: ReadonlySet<string> = new Set(['content-length', 'expect', CALLER_TIMEOUT]);
 
+/** Headers that a response without content must not have, as some recipients wait for a body. */
+const FRAMING: ReadonlySet<string> = new Set(['content-length']);
+const NO_CONTENT = 204;
+
 /** As `SET_PER_HOP`, and the credentials, which only the entry may see. */
 const SET_PER_HOP_OR_SECRET: ReadonlySet<string> = new Set([...SET_PER_HOP, AUTHORIZATION]);
 
@@ -115,8 +122,11 @@
 }
 
 /** Response headers for the next hop; of the internal ones only those in `internal`. */
-export function responseHeaders(head: MessageHead, internal: ReadonlySet<string>): string[] {
-  return endToEndHeaders(head, internal, NO_HEADERS);
+export function responseHeaders(
+  head: MessageHead & { readonly statusCode?: number | undefined },
+  internal: ReadonlySet<string>,
+): string[] {
+  return endToEndHeaders(head, internal, head.statusCode === NO_CONTENT ? FRAMING : NO_HEADERS);
 }
 
 /** The value of a header that is expected once; the first one of an array. */
@@ -158,7 +168,10 @@
   dropsCredentials = false,
 ): NodeJS.Dict<string> | undefined {
   const kept = Object.entries(trailers).filter(
-    ([name]) => !name.startsWith(INTERNAL_PREFIX) && !(dropsCredentials && name === AUTHORIZATION),
+    ([name]) =>
+      isAllowedInTrailers(name) &&
+      !isInternal(name) &&
+      !(dropsCredentials && name === AUTHORIZATION),
   );
   return kept.length > 0 ? Object.fromEntries(kept) : undefined;
 }
@@ -174,15 +187,27 @@
     const name = rawHeaders[index]!;
     const lower = name.toLowerCase();
     if (HOP_BY_HOP.has(lower) || dropped.has(lower) || connectionHeaders.has(lower)) continue;
-    if (lower.startsWith(INTERNAL_PREFIX) && !internal.has(lower)) continue;
+    if (lower.startsWith(INTERNAL_WORD) && isInternal(lower) && !internal.has(lower)) continue;
     kept.push(name, rawHeaders[index + 1]!);
   }
   return kept;
 }
 
-/** Headers named in `Connection`, which also belong to the connection only. */
+/**
+ * Whether the name is one of ours, or may be taken for one: servers that pass headers on in variables
+ * write `_` for `-`, and some for other characters, too.
+ */
+function isInternal(lower: string): boolean {
+  return (
+    lower.startsWith(INTERNAL_WORD) && !LETTER_OR_DIGIT.test(lower.charAt(INTERNAL_WORD.length))
+  );
+}
+
+/** Headers named in `Connection`, which also belong to the connection only; every request needs its `Host`. */
 function connectionTokens(connection: string): ReadonlySet<string> {
   const lower = connection.toLowerCase();
   if (lower === 'keep-alive' || lower === 'close') return NO_HEADERS;
-  return new Set(lower.split(/\s*,\s*/));
+  const tokens = new Set(lower.split(/\s*,\s*/));
+  tokens.delete('host');
+  return tokens;
 }
