Survive the reset of a connection that goes back to its pool

Node's agents listen for errors while a request uses a connection, and again once it is idle. An error in between, right after the end of a response, had no listener: an uncaught exception, which ended the process with all requests in flight. Connections to endpoints, guards and the store now have a listener from their creation on. The test failed before with the uncaught 'Error: reset'.

The interval that watches the progress of a claimed response no longer reads the socket from the response, which has none after its end (by reading, not run).

--- a/src/platform/store_connection.ts
+++ b/src/platform/store_connection.ts
@@ -1,7 +1,8 @@
 /** Calls to the store over persistent connections, each with its own deadline. */
-import { Agent, request } from 'node:http';
+import { request } from 'node:http';
 import { OutcomeError, type Verdict } from '../contracts.js';
 import { type Clock } from '../runtime/clock.js';
+import { KeepAliveAgent } from '../runtime/keep_alive_agent.js';
 import { declaresFalseBody, isValidResponse, MALFORMED_RESPONSE } from '../requests/http_syntax.js';
 import { type CallMeter } from './call_meter.js';
 
@@ -28,8 +29,7 @@
 export const IDLE_CONNECTION_MS = 1_000;
 
 export class StoreConnection implements AsyncDisposable {
-  readonly #agent = new Agent({
-    keepAlive: true,
+  readonly #agent = new KeepAliveAgent({
     maxSockets: MAX_SOCKETS,
     timeout: IDLE_CONNECTION_MS,
   });
--- a/src/requests/connection_pool.ts
+++ b/src/requests/connection_pool.ts
@@ -1,8 +1,9 @@
 /** Keep-alive connections to the next hop. */
-import { Agent } from 'node:http';
+import { type Agent } from 'node:http';
 import { type Socket } from 'node:net';
 import { type Duplex } from 'node:stream';
 import { type Clock } from '../runtime/clock.js';
+import { KeepAliveAgent } from '../runtime/keep_alive_agent.js';
 
 /** Idle connections are closed after this long, well before the far end closes them, in milliseconds. */
 const IDLE_TIMEOUT_MS = 30_000;
@@ -13,7 +14,7 @@
  * Keeps idle connections and the time of the last response on each. A connection carries one request
  * at a time; the most recently used one is reused first, as it is the most likely to be alive.
  */
-export class ConnectionPool extends Agent {
+export class ConnectionPool extends KeepAliveAgent {
   readonly #lastResponseAt = new WeakMap<Duplex, number>();
 
   constructor(
@@ -21,7 +22,6 @@
     maxSockets: number,
   ) {
     super({
-      keepAlive: true,
       noDelay: true,
       scheduling: 'lifo',
       timeout: IDLE_TIMEOUT_MS,
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -196,10 +196,12 @@
 
   /** Awaits `reading` of the response by other code, with the same progress timeout. */
   async withProgressTimeout<T>(answer: IncomingMessage, reading: Promise<T>): Promise<T> {
-    let read = answer.socket.bytesRead;
+    // Node takes the socket from a response that has ended.
+    const { socket } = answer;
+    let read = socket.bytesRead;
     const timer = setInterval(() => {
       const before = read;
-      read = answer.socket.bytesRead;
+      read = socket.bytesRead;
       if (read === before)
         this.#fail('silent', `no response progress for ${PROGRESS_TIMEOUT_MS} ms`);
     }, PROGRESS_TIMEOUT_MS);
