--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -84,7 +84,10 @@
     ...(seconds !== undefined && { seconds }),
     ...(busy !== undefined && { busy }),
   };
-  const result = await experiment.run(options);
+  const result = await experiment.run(options).catch((error: unknown) => {
+    Program.takeUnaskedEnds().forEach((end) => console.error(`failure: ${describeEnd(end)}`));
+    throw error;
+  });
   const stealPercent = await stealTime.percent();
   const unasked = Program.takeUnaskedEnds().map(describeEnd);
   const failures = [...unasked, ...(result.failures ?? [])];
--- a/src/bench/processes.ts
+++ b/src/bench/processes.ts
@@ -26,6 +26,7 @@
 const SYSTEM_TICKS_FIELD = 12;
 /** Lines of the log that are kept of each process. */
 const MAX_LINES = 400;
+const STOP_TIMEOUT_MS = 10_000;
 /** Interval at which a process that stops is asked how long it has waited, in milliseconds. */
 const SAMPLE_MS = 50;
 
@@ -123,9 +124,11 @@
     await this.#stopBy('SIGKILL');
   }
 
-  /** Asks the process to stop and waits until it has exited. */
+  /** Asks the process to stop and waits until it has exited; one that does not is killed. */
   async stop(): Promise<void> {
+    const killTimer = setTimeout(() => this.signal('SIGKILL'), STOP_TIMEOUT_MS);
     await this.#stopBy('SIGTERM');
+    clearTimeout(killTimer);
   }
 
   async usage(): Promise<Usage> {
--- a/src/soak/busy_processes.ts
+++ b/src/soak/busy_processes.ts
@@ -2,7 +2,6 @@
 import { Program } from '../bench/processes.js';
 import { ResourceStack } from '../runtime/resource_stack.js';
 
-export const BUSY_NAME = 'busy';
 /** They end by themselves some time after the run, in case that nobody ends them. */
 const MARGIN_MS = 120_000;
 
@@ -15,7 +14,7 @@
   ) {
     const code = `const end = Date.now() + ${runMs + MARGIN_MS}; while (Date.now() < end);`;
     for (let index = 0; index < count; index++)
-      this.#resources.use(Program.launch(`${BUSY_NAME}-${index}`, ['-e', code], '.', {}));
+      this.#resources.use(Program.launch(`busy-${index}`, ['-e', code], '.', {}));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/soak/fault_player.ts
+++ b/src/soak/fault_player.ts
@@ -9,7 +9,7 @@
 import { SettingsWriter } from './settings_writer.js';
 
 /** Start of a process after the planned ones. */
-const LATE_START: PlannedStart = { delayMs: 0, reloadsMs: [] };
+const LATE_START: PlannedStart = { delayMs: 0, reloadsMs: [], halfMs: 0 };
 
 export class FaultPlayer {
   readonly #versions = new PQueue({ concurrency: 1 });
@@ -50,12 +50,14 @@
     stopped: Promise<unknown>,
     signal: AbortSignal,
   ): Promise<void> {
+    let written = Promise.resolve();
     for (let count = 0; ; count++) {
       await Promise.race([this.fleet.programs[machine]!.ended, stopped]);
-      if (signal.aborted) return;
-      const { delayMs, reloadsMs } = this.schedule.starts[machine]![count] ?? LATE_START;
+      if (signal.aborted) return written;
+      const { delayMs, reloadsMs, halfMs } = this.schedule.starts[machine]![count] ?? LATE_START;
       await this.clock.sleepUntil(this.clock.now() + delayMs);
       const program = this.fleet.relaunch(machine);
+      if (halfMs > 0) written = this.settings.write(machine, 'half', halfMs);
       for (const ms of reloadsMs) setTimeout(() => program.signal('SIGHUP'), ms);
     }
   }
@@ -90,8 +92,9 @@
     const program = this.fleet.programs[machine]!;
     program.signal(signal);
     const ended = new AbortController();
-    void program.ended.then(() => ended.abort());
-    await this.clock.sleepUntil(this.clock.now() + GRACE_MS, ended.signal);
-    if (!program.end) program.signal('SIGKILL');
+    const grace = this.clock.sleepUntil(this.clock.now() + GRACE_MS, ended.signal);
+    await Promise.race([program.ended, grace]);
+    ended.abort();
+    program.signal('SIGKILL');
   }
 }
--- a/src/soak/schedule.ts
+++ b/src/soak/schedule.ts
@@ -37,6 +37,8 @@
   readonly delayMs: number;
   /** When the started process is told to reload its settings, from its start, in milliseconds. */
   readonly reloadsMs: readonly number[];
+  /** How long its settings file is incomplete from its start on, in milliseconds; 0 if it is whole. */
+  readonly halfMs: number;
 }
 
 export interface Schedule {
@@ -57,6 +59,9 @@
 const RELOADED = 3;
 const SIGNALLED_SHARE = 0.6;
 const MAX_HALF_MS = 400;
+const HALF_START_SHARE = 0.3;
+/** Starts read their settings late on a busy machine, and again for a second. */
+const MAX_HALF_START_MS = 800;
 const MAX_DOWN_MS = 1_500;
 const MAX_ODD_MS = 500;
 const MAX_STORM_GAP_MS = 5_000;
@@ -131,7 +136,7 @@
   faults.push(...versions(options, randomOf(0)));
   return {
     faults: faults.sort((one, other) => one.atMs - other.atMs),
-    starts: startsOf(options, randomOf(1)),
+    starts: startsOf(options, randomOf(1), randomOf(MAX_SERIES - 1)),
   };
 }
 
@@ -158,19 +163,24 @@
   return planned;
 }
 
-function startsOf({ machines, runMs }: ScheduleOptions, random: Random): PlannedStart[][] {
+function startsOf(
+  { machines, runMs }: ScheduleOptions,
+  random: Random,
+  halves: Random,
+): PlannedStart[][] {
   const count = Math.ceil((runMs / MS_PER_SECOND) * STARTS_PER_SECOND);
   return Array.from({ length: machines }, () =>
-    Array.from({ length: count }, () => startOf(random)),
+    Array.from({ length: count }, () => startOf(random, halves)),
   );
 }
 
-function startOf(random: Random): PlannedStart {
+function startOf(random: Random, halves: Random): PlannedStart {
   const delayMs = random.jitter(MAX_START_DELAY_MS);
   // Over half of the reloads come in the first third, while most processes are still starting.
   const reloadsMs = Array.from(
     { length: random.below(MAX_RELOADS + 1) },
     () => random.next() * random.jitter(MAX_RELOAD_DELAY_MS),
   );
-  return { delayMs, reloadsMs };
+  const halfMs = halves.next() < HALF_START_SHARE ? halves.jitter(MAX_HALF_START_MS) : 0;
+  return { delayMs, reloadsMs, halfMs };
 }
--- a/src/soak/settings_writer.ts
+++ b/src/soak/settings_writer.ts
@@ -20,14 +20,16 @@
 export class SettingsWriter {
   readonly gaps: SettingsGap[] = [];
 
-  /** Changes one after the other: two writers of a file would leave a mixture of both. */
-  readonly #changes = new PQueue({ concurrency: 1 });
+  /** Changes of each file one after the other: two writers would leave a mixture of both. */
+  readonly #changes: readonly PQueue[];
 
   private constructor(
     private readonly fleet: MeshFleet,
     private readonly texts: readonly string[],
     private readonly clock: Clock,
-  ) {}
+  ) {
+    this.#changes = texts.map(() => new PQueue({ concurrency: 1 }));
+  }
 
   static async open(fleet: MeshFleet, clock: Clock): Promise<SettingsWriter> {
     const texts = await Promise.all(fleet.settingsPaths.map((path) => readFile(path, 'utf8')));
@@ -35,9 +37,9 @@
   }
 
   /** Writes the file of a machine; `signal` is called while the file is incomplete, if it ever is, or after it. */
-  async write(machine: number, change: SettingsChange, halfMs: number, signal: () => void) {
+  async write(machine: number, change: SettingsChange, halfMs: number, signal = () => {}) {
     const [path, text] = [this.fleet.settingsPaths[machine]!, this.texts[machine]!];
-    await this.#changes.add(async () => {
+    await this.#changes[machine]!.add(async () => {
       const from = this.clock.now();
       if (change === 'half') {
         await writeFile(path, text.slice(0, text.length / 2));
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -2,12 +2,11 @@
 import { setMaxListeners } from 'node:events';
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { type MeshFleet } from '../bench/mesh_fleet.js';
-import { describeEnd } from '../bench/process_end.js';
 import { Program } from '../bench/processes.js';
-import { Caller, type CallerOptions } from '../bench/stops/caller.js';
+import { Caller, type CallerOptions, type CallRecord } from '../bench/stops/caller.js';
 import { type Clock } from '../runtime/clock.js';
 import { SeededRandom } from '../runtime/random.js';
-import { BUSY_NAME, BusyProcesses } from './busy_processes.js';
+import { BusyProcesses } from './busy_processes.js';
 import { FaultPlayer } from './fault_player.js';
 import { PipelinedCaller } from './pipelined_caller.js';
 import { scheduleOf } from './schedule.js';
@@ -32,6 +31,8 @@
 /** Time after the last fault within which each machine has to serve, in milliseconds. */
 const SERVE_TIMEOUT_MS = 30_000;
 const POLL_MS = 100;
+/** Callers state that they wait for 8 s. */
+const CALL_TIMEOUT_MS = 9_000;
 const PIPELINED_CALLERS = 2;
 /** Callers per machine, by what they do. */
 const CALLERS: readonly { count: number; options: Omit<CallerOptions, 'machine'> }[] = [
@@ -49,45 +50,47 @@
   ) {}
 
   async run(): Promise<SoakResult> {
-    const { fleet, clock, progress } = this;
-    const { seed, seconds, busy } = this.options;
-    const runMs = seconds * MS_PER_SECOND;
+    const { fleet, clock, options } = this;
+    const runMs = options.seconds * MS_PER_SECOND;
+    const schedule = scheduleOf({ seed: options.seed, machines: fleet.machines.length, runMs });
+    const player = await FaultPlayer.open(fleet, schedule, clock);
+    const supervising = new AbortController();
+    const supervised = player.supervise(supervising.signal);
     await fleet.waitUntilReady();
-    await using busyProcesses = new BusyProcesses(busy, runMs);
     const delays = monitorEventLoopDelay();
     delays.enable();
-    const schedule = scheduleOf({ seed, machines: fleet.machines.length, runMs });
-    const player = await FaultPlayer.open(fleet, schedule, clock);
-    const [calling, supervising] = [new AbortController(), new AbortController()];
+    this.progress(`${schedule.faults.length} faults`);
+    const calls = await this.#callDuring(player, runMs);
+    this.progress('ending');
+    const notServing = await this.#notServing();
+    supervising.abort();
+    await supervised;
+    const verdict = verdictOf(fleet, calls, player.settings.gaps);
+    const { unasked, lost, cut } = verdict;
+    // The verdict has judged the ends of the fleet.
+    Program.takeUnaskedEnds();
+    return {
+      ...verdict,
+      harnessDelayMs: Math.round(delays.max / NS_PER_MS),
+      failures: [...unasked, ...lost, ...cut, ...notServing],
+    };
+  }
+
+  /** Plays all faults while callers send requests. */
+  async #callDuring(player: FaultPlayer, runMs: number): Promise<CallRecord[]> {
+    const { seed, busy } = this.options;
+    await using busyProcesses = new BusyProcesses(busy, runMs);
+    const calling = new AbortController();
     // One listener per caller; Node.js logs a warning above ten by default.
     setMaxListeners(0, calling.signal);
     const callers = this.#callers(new SeededRandom(seed));
     const called = callers.map((caller) => caller.run(calling.signal));
-    const supervised = player.supervise(supervising.signal);
-    progress(`${schedule.faults.length} faults beside ${busyProcesses.count} busy processes`);
     await player.play();
-    progress('ending');
     calling.abort();
-    await Promise.all(called);
-    const notServing = await this.#notServing();
-    supervising.abort();
-    await supervised;
-    const verdict = verdictOf(
-      fleet,
-      callers.flatMap(({ calls }) => calls),
-      player.settings.gaps,
-    );
-    // The verdict judges those of the fleet.
-    const others = Program.takeUnaskedEnds().filter(({ name }) => name.startsWith(BUSY_NAME));
-    const failures = [
-      ...others.map(describeEnd),
-      ...verdict.unasked,
-      ...verdict.lost,
-      ...verdict.cut,
-      ...notServing,
-    ];
-    const harnessDelayMs = Math.round(delays.max / NS_PER_MS);
-    return { ...verdict, harnessDelayMs, failures };
+    // A process that blocks answers no request; it does not serve after the last fault either.
+    await this.#withTimeout(Promise.all(called));
+    this.progress(`${busyProcesses.count} busy processes end`);
+    return callers.flatMap(({ calls }) => calls);
   }
 
   /** Machines that do not serve a request some time after the last fault. */
@@ -96,13 +99,23 @@
     const missing = new Set(this.fleet.machines.keys());
     while (missing.size > 0 && this.clock.now() < deadline) {
       for (const machine of missing) {
-        if (await this.fleet.call(machine, machine).catch(() => false)) missing.delete(machine);
+        const served = this.fleet.call(machine, machine).catch(() => false);
+        if (await this.#withTimeout(served)) missing.delete(machine);
       }
       await this.clock.sleepUntil(this.clock.now() + POLL_MS);
     }
     return [...missing].map((machine) => `machine-${machine} does not serve after the last fault`);
   }
 
+  /** Resolves to undefined if the task takes longer than any call may. */
+  async #withTimeout<T>(task: Promise<T>): Promise<T | void> {
+    const ended = new AbortController();
+    const timeout = this.clock.sleepUntil(this.clock.now() + CALL_TIMEOUT_MS, ended.signal);
+    const result = await Promise.race([task, timeout]);
+    ended.abort();
+    return result;
+  }
+
   #callers(random: SeededRandom): (Caller | PipelinedCaller)[] {
     return this.fleet.machines.flatMap((_, machine) => [
       ...CALLERS.flatMap(({ count, options }, kind) =>
