--- a/src/test/daemon/stop_and_fault_test.ts
+++ b/src/test/daemon/stop_and_fault_test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
-import { type FleetNode } from '../../bench/fleet.js';
 import { once } from 'node:events';
+import { type FleetNode } from '../../bench/fleet.js';
 import { MachineClock } from '../../runtime/clock.js';
 import { ask } from '../requests/test_path.js';
 import { startBookingFleet } from './booking_fleet.js';
