--- a/src/daemon/fault_log.ts
+++ b/src/daemon/fault_log.ts
@@ -3,6 +3,7 @@
 import { type Clock } from '../runtime/clock.js';
 import { faultCounts, onFault } from '../runtime/faults.js';
 import { TokenBucket } from '../runtime/token_bucket.js';
+import { endOf } from './last_line.js';
 
 /** Most lines per place: a fault that repeats must not fill the log. */
 const LINES_PER_SECOND = 0.1;
@@ -17,7 +18,7 @@
     const bucket = lines.get(place) ?? new TokenBucket(clock, LINES_PER_SECOND, LINE_BURST);
     lines.set(place, bucket);
     if (!bucket.take()) return;
-    const { message, stack = '' } = error instanceof Error ? error : new Error(String(error));
+    const { message, stack } = endOf(place, error);
     log.record('warn', {
       event: 'fault',
       place,
--- a/src/daemon/signals.ts
+++ b/src/daemon/signals.ts
@@ -8,7 +8,8 @@
  * All signals that have an action of ours, or whose default effect is to end the process without a trace
  * in its log. `SIGUSR1` does not end it: Node opens its inspector on a port. Left out are signals
  * that report a fault of the process itself, such as `SIGSEGV`, and `SIGPROF`, which profilers use; Node
- * ignores `SIGPIPE` and `SIGXFSZ`. A platform that lacks one of these signals never sends it.
+ * ignores `SIGPIPE` and `SIGXFSZ`. Those by which a terminal suspends a program (`SIGTSTP` and others) do so, and Node
+ * cannot take over real-time signals. A platform that lacks one of these signals never sends it.
  */
 const ACTIONS: Readonly<Partial<Record<NodeJS.Signals, SignalAction>>> = {
   SIGTERM: 'stop',
@@ -22,6 +23,7 @@
   SIGIO: 'none',
   SIGPWR: 'none',
   SIGSTKFLT: 'none',
+  SIGXCPU: 'none',
 };
 
 export interface ReceivedSignal {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -69,9 +69,12 @@
       log.record('warn', { event: 'reload-failed', message: String(error) });
     }
   };
-  // One at a time, so that the last one puts in force what was read last.
+  // One at a time, so that the last one puts in force what was read last; one that waits reads all
+  // changes until then.
   const reloads = new PQueue({ concurrency: 1 });
-  const onChange = () => runInBackground('reload', reloads.add(reload));
+  const onChange = () => {
+    if (reloads.size === 0) runInBackground('reload', reloads.add(reload));
+  };
   signals.listen(({ at, ...signal }) => {
     log.record('info', { event: 'signal', ...signal }, at);
     if (signal.action === 'reload') onChange();
--- a/src/requests/body.ts
+++ b/src/requests/body.ts
@@ -181,7 +181,10 @@
       }
     };
     const onEnd = () => {
-      if (!areValidTrailers(request.rawTrailers)) finish(() => reject(malformed('not-run')));
+      if (!areValidTrailers(request.rawTrailers)) {
+        finish(() => reject(malformed('not-run')));
+        return;
+      }
       const [first] = chunks;
       const bytes = chunks.length === 1 && first ? first : Buffer.concat(chunks);
       finish(() => resolve(new BufferedBody(bytes)));
--- a/src/requests/client_errors.ts
+++ b/src/requests/client_errors.ts
@@ -16,6 +16,7 @@
   MALFORMED_REQUEST,
 } from './http_syntax.js';
 import { rawRefusal, refuse } from './refusal.js';
+import { closeUnsent } from './tracked_connection.js';
 
 /** Time limit for receiving the head of a request, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
@@ -74,12 +75,18 @@
   /** Connections with malformed input: what follows it may be part of it, and is no request. */
   readonly #refused = new WeakSet<Duplex>();
 
+  /** Responses to requests that were refused behind others, by connection. */
+  readonly #dropped = new WeakMap<Duplex, ServerResponse[]>();
+
   private constructor(
     readonly server: Server,
     private readonly serve: RequestListener,
   ) {
     const receive: RequestListener = (request, response) => {
-      if (!this.#accepts(request)) return;
+      if (!this.#accepts(request)) {
+        this.#drop(response);
+        return;
+      }
       this.#pending.set(request.socket, { request, response, isHandedOver: false });
       this.serve(request, response);
     };
@@ -127,6 +134,22 @@
     return false;
   }
 
+  /**
+   * Lets a response that is never written close with its connection. Node notifies only the response that
+   * is being written, so whoever counts the requests in flight would count it for ever.
+   */
+  #drop(response: ServerResponse): void {
+    const { socket } = response.req;
+    const dropped = this.#dropped.get(socket);
+    if (dropped) {
+      dropped.push(response);
+      return;
+    }
+    const responses = [response];
+    this.#dropped.set(socket, responses);
+    socket.once('close', () => responses.forEach((one) => one.socket ?? closeUnsent(one)));
+  }
+
   /**
    * Whether the request before has malformed trailers. It is refused where its body is read, which is
    * after the next request has arrived if that is in the same packet.
--- a/src/requests/exchange.ts
+++ b/src/requests/exchange.ts
@@ -228,6 +228,11 @@
       bytes += chunk.length;
       if (bytes > MAX_DISCARDED_BYTES) this.#request?.destroy();
     });
+    // The far end refused before it had the whole body: the rest would be sent for nobody, and an error
+    // of that would be uncaught once the connection waits for its next request.
+    answer.once('end', () => {
+      if (!this.#request?.writableFinished) this.#request?.destroy();
+    });
     answer.once('close', () => clearTimeout(timer));
   }
 
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -92,9 +92,9 @@
     }
   }
 
-  /** From now on, requests are taken only if they end before the process does, at `endsAt`. */
+  /** From now on, requests are taken only if they end before the process does, at the earliest `endsAt`. */
   limitTo(endsAt: number): void {
-    this.#endsAt = endsAt;
+    this.#endsAt = Math.min(this.#endsAt, endsAt);
   }
 
   /**
--- a/src/requests/tracked_connection.ts
+++ b/src/requests/tracked_connection.ts
@@ -85,7 +85,7 @@
 }
 
 /** Closes a response that was still queued; Node only marks it as destroyed and emits no `close`. */
-function closeUnsent(response: ServerResponse): void {
+export function closeUnsent(response: ServerResponse): void {
   response.destroy();
   response.emit('close');
 }
--- a/src/runtime/faults.ts
+++ b/src/runtime/faults.ts
@@ -10,7 +10,7 @@
 const MIN_RESTART_MS = 100;
 const MAX_RESTART_MS = 5_000;
 
-/** Called with the place in the program and the error; must not throw. */
+/** Called with the place in the program and the error. */
 export type FaultListener = (place: string, error: unknown) => void;
 
 const listeners = new Set<FaultListener>();
@@ -30,7 +30,13 @@
 /** Counts a fault and tells the listeners. `place` is a constant: counts are kept for each of them. */
 export function reportFault(place: string, error: unknown): void {
   counts.set(place, (counts.get(place) ?? 0) + 1);
-  for (const listener of listeners) listener(place, error);
+  for (const listener of listeners) {
+    try {
+      listener(place, error);
+    } catch {
+      // The count tells of the fault; an exception here would end the process.
+    }
+  }
 }
 
 /**
--- a/src/test/harmless_signals.ts
+++ b/src/test/harmless_signals.ts
@@ -9,5 +9,6 @@
   'SIGIO',
   'SIGPWR',
   'SIGSTKFLT',
+  'SIGXCPU',
   'SIGPIPE',
 ] as const satisfies readonly NodeJS.Signals[];
