--- a/eslint.config.js
+++ b/eslint.config.js
@@ -70,6 +70,7 @@
       'src/standins/**',
       'src/tool/**',
       'deploy/**',
+      'review/**',
       '*.js',
     ],
     rules: {
