--- a/src/daemon/instance.ts
+++ b/src/daemon/instance.ts
@@ -159,7 +159,7 @@
   async stopAfterFault(deadline: number): Promise<void> {
     this.#isStopping = true;
     this.entry.tracker.beginShutdown();
-    this.entry.tracker.limitTo(0);
+    this.entry.tracker.refuseNew();
     this.guard.beginShutdown();
     this.control.endpointLease.startDraining();
     this.#uplink.release();
--- a/src/daemon/uncaught_exception.ts
+++ b/src/daemon/uncaught_exception.ts
@@ -12,8 +12,9 @@
 const MAX_LOGGED = 10;
 
 /**
- * What an uncaught exception or unhandled rejection ends. By default Node would cut all requests in
- * flight and print a stack to standard error, with a position in the bundle and no time.
+ * The end of a process after an uncaught exception or unhandled rejection. By default Node would cut all
+ * requests in flight and print a stack to standard error, with a position in the bundle and no time.
+ * It goes before a stop that was requested before or meanwhile: what that would still serve is refused.
  */
 export class FaultExit {
   /** Gets a line for each exception while the process stops; its lines are written before the last one. */
--- a/src/requests/request_tracker.ts
+++ b/src/requests/request_tracker.ts
@@ -97,6 +97,11 @@
     this.#endsAt = Math.min(this.#endsAt, endsAt);
   }
 
+  /** Refuses all requests from now on. */
+  refuseNew(): void {
+    this.limitTo(0);
+  }
+
   /**
    * Accepts no new connections. From now on, `waitUntilIdle` also closes the open ones: each as soon
    * as it has no request in flight, so that none can bring a request that nobody waits for.
--- a/src/test/claims/stalled_outcome_test.ts
+++ b/src/test/claims/stalled_outcome_test.ts
@@ -10,6 +10,7 @@
 import { MachineClock } from '../../runtime/clock.js';
 import { closeServer, listen, LOOPBACK } from '../../standins/listen.js';
 import { PlatformStore } from '../../standins/platform_store.js';
+import { UncaughtExceptions } from '../uncaught_exceptions.js';
 
 describe('a request with a key whose caller does not read', () => {
   // Guards against the end of the process by the check of progress, after the response has been read.
@@ -26,10 +27,7 @@
     const endpoint = { upstream: 'bookings', state: 'ready', slots: 2 } as const;
     guard.announce({ ...endpoint, host: LOOPBACK, port });
     const entry = connect({ host: LOOPBACK, port: await listen(guard.server) });
-    const errors: unknown[] = [];
-    const listeners = process.listeners('uncaughtException');
-    process.removeAllListeners('uncaughtException');
-    process.on('uncaughtException', (error) => errors.push(error));
+    using uncaught = new UncaughtExceptions();
     entry.on('error', () => {});
     await once(entry, 'connect');
     entry.pause();
@@ -40,12 +38,10 @@
           'barleyhaven-remaining-ms: 25000\r\n\r\n',
       );
     await clock.sleepUntil(clock.now() + PROGRESS_TIMEOUT_MS + 1_000);
-    process.removeAllListeners('uncaughtException');
-    for (const listener of listeners) process.on('uncaughtException', listener);
     entry.destroy();
     await guard[Symbol.asyncDispose]();
     await closeServer(guard.server);
     await closeServer(upstream);
-    expect(errors.map(String)).to.deep.equal([]);
+    expect(uncaught.errors.map(String)).to.deep.equal([]);
   });
 });
--- a/src/test/requests/connection_pool_test.ts
+++ b/src/test/requests/connection_pool_test.ts
@@ -5,6 +5,7 @@
 import { ConnectionPool } from '../../requests/connection_pool.js';
 import { MachineClock } from '../../runtime/clock.js';
 import { closeServer, listen, LOOPBACK } from '../../standins/listen.js';
+import { UncaughtExceptions } from '../uncaught_exceptions.js';
 
 describe('ConnectionPool', () => {
   // Guards against the end of the process by an error of a connection that goes back to the pool: Node has
@@ -17,18 +18,11 @@
     const [answer] = (await once(outgoing, 'response')) as [IncomingMessage];
     const { socket } = answer;
     answer.once('end', () => socket.destroy(new Error('reset')));
-    const uncaught: unknown[] = [];
-    const listeners = process.rawListeners(
-      'uncaughtException',
-    ) as NodeJS.UncaughtExceptionListener[];
-    process.removeAllListeners('uncaughtException');
-    process.once('uncaughtException', (error) => uncaught.push(error));
+    using uncaught = new UncaughtExceptions();
     answer.resume();
     await once(answer, 'end');
     await nextTurn();
-    process.removeAllListeners('uncaughtException');
-    listeners.forEach((listener) => process.on('uncaughtException', listener));
-    expect(uncaught).to.deep.equal([]);
+    expect(uncaught.errors).to.deep.equal([]);
     pool.destroy();
     await closeServer(server);
   });
--- a/src/test/requests/early_answer_test.ts
+++ b/src/test/requests/early_answer_test.ts
@@ -6,6 +6,7 @@
 import { Guard } from '../../requests/guard.js';
 import { MachineClock } from '../../runtime/clock.js';
 import { closeServer, listen, LOOPBACK } from '../../standins/listen.js';
+import { UncaughtExceptions } from '../uncaught_exceptions.js';
 
 const HALF = 'x'.repeat(500);
 const SHED = 'HTTP/1.1 503 Busy\r\nbarleyhaven-not-executed: 1\r\nContent-Length: 0\r\n\r\n';
@@ -29,10 +30,7 @@
       const endpoint = { upstream: 'bookings', state: 'ready', slots: 20 } as const;
       guard.announce({ ...endpoint, host: LOOPBACK, port: instancePort });
       const port = await listen(guard.server);
-      const errors: unknown[] = [];
-      const listeners = process.listeners('uncaughtException');
-      process.removeAllListeners('uncaughtException');
-      process.on('uncaughtException', (error) => errors.push(error));
+      using uncaught = new UncaughtExceptions();
       const entry = connect({ host: LOOPBACK, port }).on('error', () => {});
       entry.write(
         'POST /menus HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nbarleyhaven-upstream: bookings\r\n' +
@@ -47,13 +45,11 @@
       entry.write('0\r\n\r\n');
       socket.resetAndDestroy();
       await clock.sleepUntil(clock.now() + 300);
-      process.removeAllListeners('uncaughtException');
-      for (const listener of listeners) process.on('uncaughtException', listener);
       entry.destroy();
       await guard[Symbol.asyncDispose]();
       await closeServer(guard.server);
       instance.close();
-      expect(errors).to.deep.equal([]);
+      expect(uncaught.errors).to.deep.equal([]);
     });
   }
 });
