Let sound answers withdraw a rate limit that odd input has stated

With ODD_SEED=7 ODD_INPUTS=4000 a forged internal header stated a rate limit of the instance, which on the platform holds until a signed answer withdraws it: sound requests waited 16 s in each batch and the test timed out.

--- a/src/test/ends/odd_upstream.ts
+++ b/src/test/ends/odd_upstream.ts
@@ -12,7 +12,9 @@
 
 /** Header that names the planned answer. */
 export const PLAN_HEADER = 'x-odd';
-const SOUND = 'HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nsound';
+/** Signed, which on the platform withdraws a rate limit that odd input has stated in its name. */
+const SOUND =
+  'HTTP/1.1 200 OK\r\ncontent-length: 5\r\nbarleyhaven-response-signature: x\r\n\r\nsound';
 /** Bytes of one write of an answer without end. */
 const FILL = 'a'.repeat(1_000);
 
