--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -21,10 +21,16 @@
   /** Calls answered, by method. */
   calls = {};
 
+  /** Ends of the watches that wait, in milliseconds of `performance.now`, by kind. */
+  watches = new Map();
+
   #waiters = new Set();
 
   #sockets = new Set();
 
+  /** Channels that have gone silent for good. */
+  #silent = new WeakSet();
+
   #server;
 
   async start() {
@@ -54,6 +60,12 @@
     for (const wake of this.#waiters) wake();
   }
 
+  /** All open channels go silent for good, without a reset; new ones work. Returns their number. */
+  silenceChannels() {
+    for (const socket of this.#sockets) this.#silent.add(socket);
+    return this.#sockets.size;
+  }
+
   stop() {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -89,11 +101,12 @@
   }
 
   async #serve(request, response) {
-    if (this.mode === 'silent') return;
+    if (this.mode === 'silent' || this.#silent.has(request.socket)) return;
     const body = await text(request);
     const [status, value] =
       this.mode === 'busy' ? [503, 'busy'] : await this.#answer(request, response, body);
-    if (response.destroyed || this.mode === 'silent') return;
+    const isSilent = this.mode === 'silent' || this.#silent.has(request.socket);
+    if (response.destroyed || isSilent) return;
     this.calls[request.method] = (this.calls[request.method] ?? 0) + 1;
     const answer = JSON.stringify(value);
     response.writeHead(status, {
@@ -152,6 +165,9 @@
   async #watch(kind, url, response) {
     const since = Number(url.searchParams.get('watch'));
     const until = performance.now() + Math.min(30_000, Number(url.searchParams.get('waitMs') ?? 0));
+    const ends = this.watches.get(kind) ?? new Set();
+    this.watches.set(kind, ends.add(until));
+    response.once('close', () => ends.delete(until));
     for (;;) {
       const found = this.history.filter((one) => one.kind === kind && one.revision > since);
       const left = until - performance.now();
