--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -4,7 +4,7 @@
  */
 import { fileURLToPath } from 'node:url';
 import { Endpoint } from '../standins-2/endpoint.mjs';
-import { call, Fleet, machineOf, PORTS, Record, sleep } from '../standins-2/fleet.mjs';
+import { call, Fleet, machineOf, PORTS, Record, runScript, sleep } from '../standins-2/fleet.mjs';
 import {
   BOUNDS,
   configuration,
@@ -25,8 +25,9 @@
 const CALM_MS = 6_000;
 const BEAT_MS = 1_500;
 /** How late the last two reports before the leaving arrive. */
-const LATE_MS = Number(process.env.LATE_MS ?? 5_000);
-const LATE_REPORTS = Number(process.env.LATE_REPORTS ?? 2);
+const LATE_MS = 5_000;
+const LATE_REPORTS = 2;
+const KILL_AFTER_MS = 100;
 /** How long the endpoint goes on serving after the ack: `drain` and many seconds. */
 const SERVES_MS = 14_000;
 
@@ -36,9 +37,13 @@
 );
 const store = new Store();
 const storePort = await store.start();
-store.put('config', 'main', configuration(7, { 'r-1': route('/lepu270/', SERVICE) }, [SERVICE, OTHER_SERVICE]));
+store.put(
+  'config',
+  'main',
+  configuration(7, { 'r-1': route('/lepu270/', SERVICE) }, [SERVICE, OTHER_SERVICE]),
+);
 const seeds = machines.slice(0, 3).map(({ ip }) => `${ip}:${PORTS.control}`);
-const options = { storePort, contracts: CONTRACTS, bounds: BOUNDS, seeds, log: process.env.LOG };
+const options = { storePort, contracts: CONTRACTS, bounds: BOUNDS, seeds };
 const fleet = new Fleet(machines, record, options);
 const endpoints = machines.map(
   (machine) => new Endpoint(machine, { workMs: 30, record: (line) => record.line(line) }),
@@ -46,8 +51,6 @@
 const leaving = endpoints.at(-1);
 let sent = 0;
 let sending = true;
-let code = 2;
-let startedAgainAt = 0;
 
 async function consume(machine) {
   while (sending) {
@@ -63,54 +66,56 @@
 async function reportLate(report) {
   await sleep(LATE_MS);
   const isAcknowledged = await leaving.beat(report);
-  record.line(`report ${report.sequence} (${report.state}) arrives ${LATE_MS} ms late: ack ${isAcknowledged}`);
+  record.line(
+    `report ${report.sequence} (${report.state}) arrives ${LATE_MS} ms late: ack ${isAcknowledged}`,
+  );
 }
 
-try {
+async function play() {
   for (const endpoint of endpoints) await endpoint.start();
-  for (const machine of machines) fleet.start(machine);
+  await fleet.start(machines);
   await sleep(LEAD_MS);
-  if (await fleet.untilReady(machines, 10_000)) {
-    record.line('traffic starts');
-    for (const machine of machines) consume(machine);
-    await sleep(CALM_MS);
-    leaving.stopBeats();
-    for (let index = 0; index < LATE_REPORTS; index++) {
-      await sleep(BEAT_MS);
-      const report = leaving.report();
-      record.line(`report ${report.sequence} (${report.state}) is sent`);
-      reportLate(report);
-    }
-    await sleep(500);
-    leaving.state = 'leaving';
-    const isAcknowledged = await leaving.leave();
-    const leftAt = Date.now();
-    record.line(`${leaving.id} leaves ${leaving.machine.name}: ack ${isAcknowledged}`);
-    if (HAS_TROUBLE) {
-      await sleep(100);
-      for (const machine of machines) fleet.signal(machine, 'SIGKILL');
-      startedAgainAt = Date.now() + 1_000;
-    }
-    await sleep(leftAt + SERVES_MS - Date.now());
-    await leaving.stop();
-    record.line(`${leaving.id} ends`);
-    await sleep(2_000);
-    sending = false;
-    await sleep(1_500);
-    const late = leaving.runs.filter(({ at }) => at > leftAt + DRAIN_MS);
-    // Those that machines in touch took and sent on: these have run for `stableWindow`.
-    const counted = late.filter(({ at }) => at > startedAgainAt + STABLE_MS + 500);
-    const last = Math.max(0, ...late.map(({ at }) => at - leftAt));
-    const line = `requests run by ${leaving.id} later than ${DRAIN_MS} ms after the ack: ${late.length}, of these by machines in touch: ${counted.length}; the last one ${last} ms after it`;
-    record.line(line);
-    console.log(line);
-    if (isAcknowledged) code = counted.length > 0 ? 1 : 0;
-  } else record.line('not ready');
-} finally {
+  await fleet.untilReady(machines, 10_000);
+  record.line('traffic starts');
+  for (const machine of machines) consume(machine);
+  await sleep(CALM_MS);
+  leaving.stopBeats();
+  for (let index = 0; index < LATE_REPORTS; index++) {
+    await sleep(BEAT_MS);
+    const report = leaving.report();
+    record.line(`report ${report.sequence} (${report.state}) is sent`);
+    reportLate(report);
+  }
+  await sleep(500);
+  leaving.state = 'leaving';
+  if (!(await leaving.leave())) throw new Error('the leaving is not acknowledged');
+  const leftAt = Date.now();
+  record.line(`${leaving.id} leaves ${leaving.machine.name}, and that is acknowledged`);
+  if (HAS_TROUBLE) {
+    await sleep(KILL_AFTER_MS);
+    for (const machine of machines) fleet.signal(machine, 'SIGKILL');
+  }
+  await sleep(leftAt + SERVES_MS - Date.now());
+  await leaving.stop();
+  record.line(`${leaving.id} ends`);
+  await sleep(2_000);
+  sending = false;
+  await sleep(1_500);
+  const late = leaving.runs.filter(({ at }) => at > leftAt + DRAIN_MS);
+  // A request takes a few milliseconds from its consumer to the endpoint.
+  const inTouchFrom = fleet.runFor(STABLE_MS) + 200;
+  const counted = late.filter(({ at }) => at > inTouchFrom);
+  const last = Math.max(0, ...late.map(({ at }) => at - leftAt));
+  const line = `requests run by ${leaving.id} later than ${DRAIN_MS} ms after the ack: ${late.length}; of these passed on by machines in touch: ${counted.length}; the last one ${last} ms after the ack`;
+  record.print(line);
+  return counted.length > 0 ? 1 : 0;
+}
+
+async function end() {
   sending = false;
   await fleet.end();
   for (const endpoint of endpoints) await endpoint.stop();
   store.stop();
 }
-record.line(`exit ${code}`);
-process.exit(code);
+
+await runScript(record, play, end);
--- a/review/standins-2/endpoint.mjs
+++ b/review/standins-2/endpoint.mjs
@@ -140,7 +140,11 @@
       end();
       const body = `${this.id} ${id} ${url}`;
       const signature = createHash('sha256').update(body).digest('hex').slice(0, 16);
-      finish(200, { 'barleyhaven-request-id': id, 'barleyhaven-response-signature': signature }, body);
+      finish(
+        200,
+        { 'barleyhaven-request-id': id, 'barleyhaven-response-signature': signature },
+        body,
+      );
     }, this.options.workMs);
     const end = () => {
       clearTimeout(timer);
--- a/review/standins-2/fleet.mjs
+++ b/review/standins-2/fleet.mjs
@@ -1,6 +1,7 @@
 /** A small deployment on loopback: the project's processes, started as the deploy file says. */
 import { spawn } from 'node:child_process';
-import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { createWriteStream } from 'node:fs';
+import { mkdtemp, readFile, rm, writeFile } from 'node:fs/promises';
 import { request as send } from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -19,26 +20,63 @@
   });
 
 /** `node` and its arguments in the deploy file. */
-function command() {
-  const file = readFileSync(join(ROOT, 'deploy/system.toml'), 'utf8');
+async function command() {
+  const file = await readFile(join(ROOT, 'deploy/system.toml'), 'utf8');
   return /^run = "node (.*)"$/m.exec(file)[1].split(' ');
 }
 
 export class Record {
   startedAt = Date.now();
 
+  #file;
+
   constructor(path) {
-    this.path = path;
-    writeFileSync(path, '');
+    this.#file = createWriteStream(path);
   }
 
   /** Writes a line with the seconds since the start. */
   line(text) {
     const seconds = ((Date.now() - this.startedAt) / 1_000).toFixed(3);
-    appendFileSync(this.path, `${seconds} ${text}\n`);
+    this.#file.write(`${seconds} ${text}\n`);
+  }
+
+  /** Writes a line here and to standard output. */
+  print(text) {
+    this.line(text);
+    process.stdout.write(`${text}\n`);
+  }
+
+  /** Resolves once all lines are written. */
+  end() {
+    return new Promise((resolve) => {
+      this.#file.end(resolve);
+    });
   }
 }
 
+/**
+ * Runs a script: `play` resolves to 1 if the rule was broken and to 0 if it held; `end` ends what was
+ * started, also when the script is told to stop. Exits with 2 if it could not run.
+ */
+export async function runScript(record, play, end) {
+  let code = 2;
+  const finish = async () => {
+    await end();
+    record.line(`exit ${code}`);
+    await record.end();
+    // eslint-disable-next-line n/no-process-exit -- sockets of consumers may be left open
+    process.exit(code);
+  };
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, finish);
+  try {
+    code = await play();
+  } catch (error) {
+    record.line(`could not run: ${error.stack}`);
+    process.stderr.write(`${error.stack}\n`);
+  }
+  await finish();
+}
+
 /** Machine number `index` of a deployment, with an address that depends on this process. */
 export function machineOf(index, zone, service) {
   const ip = `127.${20 + (process.pid % 200)}.${1 + (Math.floor(process.pid / 200) % 250)}.${index + 1}`;
@@ -46,12 +84,17 @@
 }
 
 export class Fleet {
-  #folder = mkdtempSync(join(tmpdir(), 'review-'));
+  #folder;
+
+  #arguments;
 
   #programs = new Map();
 
   #isEnding = false;
 
+  /** When the process of a machine was last started, by its name. */
+  startedAt = new Map();
+
   /** `options`: `storePort`, `contracts`, `bounds`, `seeds` (control addresses). */
   constructor(machines, record, options) {
     this.machines = machines;
@@ -59,26 +102,33 @@
     this.options = options;
   }
 
-  /** Starts the process of a machine; it is started again whenever it ends. */
-  start(machine) {
-    const path = join(this.#folder, `${machine.name}.json`);
-    writeFileSync(path, JSON.stringify(this.#settings(machine)));
-    const { PATH, HOME = '/tmp' } = process.env;
-    const env = { PATH, HOME, LANG: 'C.UTF-8', BARLEYHAVEN_SETTINGS: path };
-    const log = this.options.log ? ['ignore', 'pipe', 'pipe'] : 'ignore';
-    const child = spawn(process.execPath, command(), { cwd: ROOT, env, stdio: log });
-    if (this.options.log) {
-      const write = (data) => appendFileSync(this.options.log, `${machine.name} ${data}`);
-      child.stdout.on('data', write);
-      child.stderr.on('data', write);
+  /** Starts the processes of these machines; each is started again whenever it ends. */
+  async start(machines) {
+    this.#folder ??= await mkdtemp(join(tmpdir(), 'review-'));
+    this.#arguments ??= await command();
+    for (const machine of machines) {
+      await writeFile(this.#pathOf(machine), JSON.stringify(this.#settings(machine)));
     }
+    for (const machine of machines) this.#launch(machine);
+  }
+
+  #pathOf({ name }) {
+    return join(this.#folder, `${name}.json`);
+  }
+
+  #launch(machine) {
+    const { PATH, HOME = tmpdir() } = process.env;
+    const env = { PATH, HOME, LANG: 'C.UTF-8', BARLEYHAVEN_SETTINGS: this.#pathOf(machine) };
+    const child = spawn(process.execPath, this.#arguments, { cwd: ROOT, env, stdio: 'ignore' });
     this.record.line(`process of ${machine.name} started (${child.pid})`);
+    this.startedAt.set(machine.name, Date.now());
     this.#programs.set(machine.name, child);
     child.once('exit', (code, signal) => {
       this.record.line(`process of ${machine.name} ended (${code ?? signal})`);
-      if (this.#isEnding) return;
-      const again = () => this.#isEnding || this.start(machine);
-      setTimeout(again, this.options.restartMs ?? RESTART_MS);
+      const again = () => {
+        if (!this.#isEnding) this.#launch(machine);
+      };
+      setTimeout(again, RESTART_MS);
     });
   }
 
@@ -87,16 +137,20 @@
     this.#programs.get(machine.name).kill(signal);
   }
 
-  /** Resolves to whether all processes are ready before the deadline. */
+  /** Resolves once all processes are ready; throws if they are not in time. */
   async untilReady(machines, ms) {
     const deadline = Date.now() + ms;
     for (const machine of machines) {
       while (!(await isReady(machine))) {
-        if (Date.now() > deadline) return false;
+        if (Date.now() > deadline) throw new Error(`${machine.name} is not ready`);
         await sleep(50);
       }
     }
-    return true;
+  }
+
+  /** From when on all machines have run for `ms`, in milliseconds since the epoch. */
+  runFor(ms) {
+    return Math.max(...this.startedAt.values()) + ms;
   }
 
   /** Ends all processes and removes the folder. */
@@ -111,7 +165,7 @@
       return ended;
     });
     await Promise.all(ends);
-    rmSync(this.#folder, { recursive: true });
+    if (this.#folder) await rm(this.#folder, { recursive: true });
   }
 
   #settings({ name, ip, zone, service }) {
@@ -163,7 +217,13 @@
 /** Whether the platform's readiness check of a machine is answered with 200. */
 export function isReady({ ip }) {
   return new Promise((resolve) => {
-    const options = { host: ip, port: PORTS.ready, path: '/api/ready', agent: false, timeout: 1_000 };
+    const options = {
+      host: ip,
+      port: PORTS.ready,
+      path: '/api/ready',
+      agent: false,
+      timeout: 1_000,
+    };
     const outgoing = send(options, (answer) => {
       answer.resume();
       answer.on('end', () => resolve(answer.statusCode === 200));
@@ -176,15 +236,27 @@
 }
 
 /** Sends a consumer's request to the node of a machine; resolves to the status, or 0 without a whole answer. */
-export function call({ ip }, { id, path, method = 'GET', headers = {}, body, timeoutMs = 2_500, agent = false }) {
+export function call(
+  { ip },
+  { id, path, method = 'GET', headers = {}, body, timeoutMs = 2_500, agent = false },
+) {
   return new Promise((resolve) => {
-    const all = { host: HOST, 'barleyhaven-request-id': id, 'barleyhaven-timeout-ms': timeoutMs, ...headers };
+    const all = {
+      host: HOST,
+      'barleyhaven-request-id': id,
+      'barleyhaven-timeout-ms': timeoutMs,
+      ...headers,
+    };
     const options = { host: ip, port: PORTS.outbound, path, method, headers: all, agent };
     const outgoing = send(options, (answer) => {
       const chunks = [];
       answer.on('data', (chunk) => chunks.push(chunk));
       answer.on('end', () =>
-        finish({ status: answer.statusCode, headers: answer.headers, body: Buffer.concat(chunks).toString() }),
+        finish({
+          status: answer.statusCode,
+          headers: answer.headers,
+          body: Buffer.concat(chunks).toString(),
+        }),
       );
       answer.on('error', () => finish({ status: 0 }));
     });
--- a/review/standins-2/store.mjs
+++ b/review/standins-2/store.mjs
@@ -122,7 +122,9 @@
     if (api !== 'api' || objects !== 'objects' || !kind) return [404, 'no such call'];
     const { method } = request;
     if (method === 'GET' && name === undefined)
-      return url.searchParams.has('watch') ? this.#watch(kind, url, response) : this.#list(kind, url);
+      return url.searchParams.has('watch')
+        ? this.#watch(kind, url, response)
+        : this.#list(kind, url);
     if (method === 'POST') return this.#create(kind, JSON.parse(body));
     const held = this.#of(kind).get(name);
     if (!held) return [404, null];
@@ -157,7 +159,9 @@
 
   #list(kind, url) {
     const after = url.searchParams.get('after');
-    const names = [...this.#of(kind).keys()].sort().filter((name) => after === null || name > after);
+    const names = [...this.#of(kind).keys()]
+      .sort()
+      .filter((name) => after === null || name > after);
     const items = names.slice(0, PAGE).map((name) => this.#of(kind).get(name));
     return [200, { items, hasMore: names.length > PAGE, asOf: this.revision }];
   }
