--- a/review/7/faulty_endpoint.mjs
+++ b/review/4/faulty_endpoint.mjs
@@ -11,6 +11,7 @@
 const machine = JSON.parse(process.argv[2]);
 const share = Number(process.argv[3]);
 let faultyUntil = 0;
+let answers = 0;
 
 function head(status, headers) {
   const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
@@ -38,13 +39,19 @@
     });
   }
 
+  /** Whether the next answer is a wrong one: one in so many, as `share` tells. */
+  #isFaulty() {
+    answers += 1;
+    return answers % Math.round(1 / share) === 0;
+  }
+
   /** The requests of the script have no body. */
   #answer(socket, text) {
     const [, id] = /^barleyhaven-request-id: (.*)$/im.exec(text) ?? [];
     const common = { 'barleyhaven-instance-id': this.id, 'barleyhaven-server-load': '1,0,18' };
     if (id === undefined) {
       socket.write(head('200 OK', { ...common, 'content-length': 0 }));
-    } else if (Date.now() < faultyUntil && Math.random() < share) {
+    } else if (Date.now() < faultyUntil && this.#isFaulty()) {
       process.send({ faulty: id.trim() });
       sendHeads(socket);
     } else {
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,74 +1,93 @@
 /**
- * An endpoint leaves without reporting `draining`, and its leaving is acknowledged. Then all processes are
- * killed at one moment. Two status reports that the endpoint had sent before arrive seconds late.
+ * One of three endpoints of a service hands out wrong bytes in a few of its answers: heads of 1xx without end.
+ * Counts the requests that have no final answer half a second after their route's timeout.
  */
+import { fork } from 'node:child_process';
 import { fileURLToPath } from 'node:url';
 import { Endpoint } from '../standins-2/endpoint.mjs';
 import { call, Fleet, machineOf, PORTS, Record, runScript, sleep } from '../standins-2/fleet.mjs';
-import {
-  BOUNDS,
-  configuration,
-  CONTRACTS,
-  DRAIN_MS,
-  route,
-  STABLE_MS,
-  ZONES,
-} from '../standins-2/site.mjs';
+import { BOUNDS, configuration, CONTRACTS, route, ZONES } from '../standins-2/site.mjs';
 import { Store } from '../standins-2/store.mjs';
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0';
 const SERVICE = 'huvo11a';
-/** Runs on the other machine of each zone, and gets no requests. */
 const OTHER_SERVICE = 'kafi81c';
-const PER_S = 20;
 const LEAD_MS = 10_000;
-const CALM_MS = 6_000;
-const BEAT_MS = 1_500;
-/** How late the last two reports before the leaving arrive. */
-const LATE_MS = 5_000;
-const LATE_REPORTS = 2;
-const KILL_AFTER_MS = 100;
-/** How long the endpoint goes on serving after the ack: `drain` and many seconds. */
-const SERVES_MS = 14_000;
+const CALM_MS = 4_000;
+/** As `garble` of the site: at most 0.05 of the answers, for 5 s. */
+const FAULTY_SHARE = 0.05;
+const FAULTY_MS = 5_000;
+const AFTER_MS = 5_000;
+const TIMEOUT_MS = 1_200;
+const LATE_MS = 500;
+const BUDGET_MS = 2_500;
+/** Requests a second at each machine. */
+const PER_S = 40;
+/** Requests a second for the other service at the machine of the faulty endpoint. */
+const OTHERS_PER_S = 80;
 
 const record = new Record(fileURLToPath(new URL('record.txt', import.meta.url)));
 const machines = [...ZONES, ...ZONES].map((zone, index) =>
   machineOf(index, zone, index < ZONES.length ? OTHER_SERVICE : SERVICE),
 );
+const faulty = machines.at(-1);
 const store = new Store();
 const storePort = await store.start();
-store.put(
-  'config',
-  'main',
-  configuration(7, { 'r-1': route('/lepu270/', SERVICE) }, [SERVICE, OTHER_SERVICE]),
-);
+const routes = {
+  'r-1': route('/lepu270/', SERVICE, { kind: 'unsafe' }),
+  'r-2': route('/xapu221/', OTHER_SERVICE),
+};
+store.put('config', 'main', configuration(7, routes, [SERVICE, OTHER_SERVICE]));
 const seeds = machines.slice(0, 3).map(({ ip }) => `${ip}:${PORTS.control}`);
-const options = { storePort, contracts: CONTRACTS, bounds: BOUNDS, seeds };
-const fleet = new Fleet(machines, record, options);
-const endpoints = machines.map(
-  (machine) => new Endpoint(machine, { workMs: 30, record: (line) => record.line(line) }),
-);
-const leaving = endpoints.at(-1);
-let sent = 0;
+const fleet = new Fleet(machines, record, {
+  storePort,
+  contracts: CONTRACTS,
+  bounds: BOUNDS,
+  seeds,
+});
+const endpoints = machines
+  .slice(0, -1)
+  .map((machine) => new Endpoint(machine, { workMs: 30, record: (line) => record.line(line) }));
+const program = fileURLToPath(new URL('faulty_endpoint.mjs', import.meta.url));
+const child = fork(program, [JSON.stringify(faulty), String(FAULTY_SHARE)]);
+const wrong = new Set();
+child.on('message', ({ faulty: id, run }) => {
+  if (id !== undefined) wrong.add(id);
+  record.line(id === undefined ? `run ${run} at ${faulty.name}` : `wrong bytes for ${id}`);
+});
+const answers = [];
 let sending = true;
+let lagMs = 0;
 
-async function consume(machine) {
-  while (sending) {
-    sent += 1;
-    const id = `${machine.name}-${sent}`;
-    call(machine, { id, path: `/lepu270/${id}` }).then(({ status }) => {
-      record.line(`answer ${id} ${status}`);
-    });
-    await sleep(1_000 / PER_S);
+async function send(machine, path, method, id) {
+  const at = Date.now();
+  const headers = { 'barleyhaven-timeout-ms': BUDGET_MS };
+  const { status } = await call(machine, {
+    id,
+    path: `${path}${id}`,
+    method,
+    headers,
+    timeoutMs: 8_000,
+  });
+  const tookMs = Date.now() - at;
+  answers.push({ id, status, tookMs });
+  record.line(`answer ${id} ${status} after ${tookMs} ms`);
+}
+
+async function consume(machine, path, method, perS) {
+  for (let sent = 1; sending; sent++) {
+    send(machine, path, method, `${machine.name}${path.replaceAll('/', '-')}${sent}`);
+    await sleep(1_000 / perS);
   }
 }
 
-async function reportLate(report) {
-  await sleep(LATE_MS);
-  const isAcknowledged = await leaving.beat(report);
-  record.line(
-    `report ${report.sequence} (${report.state}) arrives ${LATE_MS} ms late: ack ${isAcknowledged}`,
-  );
+/** How late timers of this process are, which would make answers look late. */
+async function watchLag() {
+  while (sending) {
+    const at = Date.now();
+    await sleep(20);
+    lagMs = Math.max(lagMs, Date.now() - at - 20);
+  }
 }
 
 async function play() {
@@ -77,42 +96,31 @@
   await sleep(LEAD_MS);
   await fleet.untilReady(machines, 10_000);
   record.line('traffic starts');
-  for (const machine of machines) consume(machine);
+  watchLag();
+  for (const machine of machines) consume(machine, '/lepu270/', 'POST', PER_S);
+  consume(faulty, '/xapu221/', 'GET', OTHERS_PER_S);
   await sleep(CALM_MS);
-  leaving.stopBeats();
-  for (let index = 0; index < LATE_REPORTS; index++) {
-    await sleep(BEAT_MS);
-    const report = leaving.report();
-    record.line(`report ${report.sequence} (${report.state}) is sent`);
-    reportLate(report);
-  }
-  await sleep(500);
-  leaving.state = 'leaving';
-  if (!(await leaving.leave())) throw new Error('the leaving is not acknowledged');
-  const leftAt = Date.now();
-  record.line(`${leaving.id} leaves ${leaving.machine.name}, and that is acknowledged`);
-  if (HAS_TROUBLE) {
-    await sleep(KILL_AFTER_MS);
-    for (const machine of machines) fleet.signal(machine, 'SIGKILL');
-  }
-  await sleep(leftAt + SERVES_MS - Date.now());
-  await leaving.stop();
-  record.line(`${leaving.id} ends`);
-  await sleep(2_000);
+  if (HAS_TROUBLE) child.send({ faultyMs: FAULTY_MS });
+  await sleep(FAULTY_MS + AFTER_MS);
   sending = false;
-  await sleep(1_500);
-  const late = leaving.runs.filter(({ at }) => at > leftAt + DRAIN_MS);
-  // A request takes a few milliseconds from its consumer to the endpoint.
-  const inTouchFrom = fleet.runFor(STABLE_MS) + 200;
-  const counted = late.filter(({ at }) => at > inTouchFrom);
-  const last = Math.max(0, ...late.map(({ at }) => at - leftAt));
-  const line = `requests run by ${leaving.id} later than ${DRAIN_MS} ms after the ack: ${late.length}; of these passed on by machines in touch: ${counted.length}; the last one ${last} ms after the ack`;
-  record.print(line);
-  return counted.length > 0 ? 1 : 0;
+  await sleep(8_500);
+  const sound = answers.filter(({ id }) => !wrong.has(id));
+  const long = answers.filter(({ tookMs }) => tookMs > TIMEOUT_MS);
+  const late = long.filter(({ tookMs }) => tookMs > TIMEOUT_MS + LATE_MS);
+  const longest = Math.max(...answers.map(({ tookMs }) => tookMs));
+  const failed = sound.filter(({ status }) => status !== 200).length;
+  record.print(
+    `wrong bytes for ${wrong.size} of ${answers.length} requests; of the others ${failed} were not served; ` +
+      `longer than the timeout: ${long.length}, of these without a final answer ${LATE_MS} ms after it: ` +
+      `${late.length}; longest ${longest} ms; this script late by ${lagMs} ms at most`,
+  );
+  if (lagMs > LATE_MS / 2) throw new Error('this script was too late to tell');
+  return late.length >= 8 && late.length > long.length / 4 ? 1 : 0;
 }
 
 async function end() {
   sending = false;
+  if (child.connected) child.disconnect();
   await fleet.end();
   for (const endpoint of endpoints) await endpoint.stop();
   store.stop();
